--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load and measurements, with real processes."""
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,159 @@
+"""Starting and ending the processes of a fleet."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, Any
+
+#: Seconds that a process may take to say that it is ready.
+START_TIMEOUT = 30.0
+#: Seconds after which a process that was told to stop is killed.
+STOP_TIMEOUT = 20.0
+
+
+@dataclass(eq=False)
+class Process:
+    """One process that this program started.
+
+    Attributes
+    ----------
+    port : int
+        Where it listens; 0 where it does not say so.
+    control : int
+        Where a proxy takes faults.
+    """
+
+    name: str
+    popen: subprocess.Popen[str]
+    port: int = 0
+    control: int = 0
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.signal(signal.SIGCONT)
+        self.popen.kill()
+        self.popen.wait()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory."""
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass
+class Processes:
+    """Owns processes; ends them all at exit.
+
+    Attributes
+    ----------
+    folder : Path
+        Where settings and logs of the processes go.
+    """
+
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="carawayfold-"))
+    )
+    running: list[Process] = field(default_factory=list)
+
+    def __enter__(self) -> Processes:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.running:
+            process.popen.wait()
+        for path in self.folder.iterdir():
+            path.unlink()
+        self.folder.rmdir()
+
+    def start(self, name: str, module: str, *words: object) -> Process:
+        """Start ``python -m module words`` without waiting for it."""
+        command = [sys.executable, "-m", module, *map(str, words)]
+        errors: IO[str] = (self.folder / f"{name}.log").open("a")
+        popen = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=errors, text=True
+        )
+        errors.close()
+        process = Process(name, popen)
+        self.running.append(process)
+        return process
+
+    def start_standin(self, name: str, *words: object) -> Process:
+        """Start a stand-in and wait until it listens."""
+        process = self.start(name, "standins", *words)
+        line = process.popen.stdout.readline().split()
+        if not line or line[0] != "ready":
+            raise RuntimeError(f"{name} did not start: {self.log_of(name)}")
+        process.port = int(line[1])
+        process.control = int(line[2]) if len(line) > 2 else 0
+        return process
+
+    def start_router(self, name: str, settings: dict[str, Any]) -> Process:
+        """Start a router; `wait_listening` waits for it."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        process = self.start(name, "carawayfold", "run", path)
+        process.port = int(settings["listen"].rpartition(":")[2])
+        return process
+
+    def log_of(self, name: str) -> str:
+        """Return what the process called `name` has written as errors."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def stop(self, process: Process, number: int = signal.SIGTERM) -> int:
+        """Ask a process to stop, wait for it, return its exit code."""
+        process.signal(number)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.popen.wait(STOP_TIMEOUT)
+        if process.popen.poll() is None:
+            process.kill()
+        return process.popen.returncode
+
+
+def free_port() -> int:
+    """Return a TCP port on 127.0.0.1 that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition: Any, timeout: float = START_TIMEOUT) -> None:
+    """Return once `condition()` is true.
+
+    Raises
+    ------
+    TimeoutError
+        If it is not within `timeout` seconds.
+    """
+    end = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {timeout} s for {condition}")
+        time.sleep(0.05)
--- /dev/null
+++ b/carawayfold/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line as ``python -m carawayfold``."""
+
+from __future__ import annotations
+
+from carawayfold.commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/carawayfold/application.py
@@ -0,0 +1,288 @@
+"""The application object: wires the parts of one router and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import grpc
+import logbook
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from carawayfold.coordination.administration import AdminService
+from carawayfold.coordination.calls import CallHandler
+from carawayfold.coordination.configuration import (
+    ConfigFollower,
+    ConfigState,
+    pack,
+    unpack,
+)
+from carawayfold.coordination.dispatch import Dispatcher
+from carawayfold.coordination.exchange import Exchange
+from carawayfold.coordination.health import HealthBook
+from carawayfold.coordination.membership import Member, Membership, PeerState
+from carawayfold.coordination.pools import build_pools
+from carawayfold.errors import ErrorKind, Refusal
+from carawayfold.protocol import peer_pb2, peer_pb2_grpc, problem
+from carawayfold.protocol.exposition import render
+from carawayfold.protocol.platform import LogClient, PlatformError, list_instances
+from carawayfold.settings import Address
+from carawayfold.state.ids import DataCentreId, RouterId
+from carawayfold.state.metrics import Metrics
+from carawayfold.state.service_rows import OwnRows
+from carawayfold.state.view import ConfigView
+from carawayfold.transport.client import HttpClient
+from carawayfold.transport.links import CHANNEL_OPTIONS, Links
+from carawayfold.transport.loop import Root
+from carawayfold.transport.rpc import OperatorGate, PeerService, RpcServer
+from carawayfold.transport.server import EdgeServer
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from circuits.web.wrappers import Request, Response
+
+    from carawayfold.settings import Settings
+
+logger = logbook.Logger(__name__)
+
+#: Stream of the log that carries the configuration.
+CONFIG_STREAM = "configuration"
+#: Seconds between looks at the platform's instance list.
+INSTANCES_INTERVAL = 1.0
+#: Seconds a hand-over may take.
+HAND_OVER_TIMEOUT = 2.0
+#: Seconds for which a stopping router still answers new connections with a
+#: refusal, while the balancer notices.
+STOP_NOTICE = 1.0
+
+
+class Application:
+    """One router.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = time.monotonic
+        own = Member(
+            RouterId(settings.router),
+            DataCentreId(settings.data_centre),
+            random.SystemRandom().getrandbits(63),
+            self.clock(),
+        )
+        self.root = Root()
+        self.http = HttpClient(self.root).register(self.root)
+        self.membership = Membership(own, self.clock)
+        self.rows = OwnRows()
+        self.metrics = Metrics()
+        self.health = HealthBook(self.clock)
+        self.config_log = LogClient(self.http, settings.log, CONFIG_STREAM)
+        self.follower = ConfigFollower(
+            self.config_log,
+            self.configured,
+            self._writes_checkpoints,
+            settings.checkpoint,
+        )
+        self.view = ConfigView(self.follower.snapshot)
+        self.dispatcher = Dispatcher(settings, self.rows, self._touched)
+        self.exchange = Exchange(
+            settings,
+            self.membership,
+            self.dispatcher,
+            self.rows,
+            self.health,
+            self.view.share,
+            self.clock,
+        )
+        self.links = Links(
+            settings.fleet_secret,
+            self.exchange.opened,
+            self.exchange.received,
+            self.exchange.closed,
+        )
+        self.calls = CallHandler(
+            settings,
+            self.view,
+            self.dispatcher,
+            self.health,
+            self.metrics,
+            self.http,
+        )
+        self.edge = EdgeServer(
+            settings, self.root, self.serve, problem.encode_http
+        ).register(self.root)
+        self.calls.edge = self.edge
+        self.leaving: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until the router has been stopped."""
+        self.root.attach()
+        peer = PeerService(self.links, self.follower, pack)
+        admin = AdminService(self, OperatorGate(self.settings))
+        async with RpcServer(self.settings, peer, admin):
+            self._handle_signals()
+            self._spawn(self.follower.follow())
+            self._spawn(self._watch_instances())
+            self._spawn(self._beat())
+            for seed in self.settings.seeds:
+                self._spawn(self._ask_hand_over(seed))
+            logger.info("router started", extra={"router": self.settings.router})
+            await self.stopped.wait()
+            await self._close()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # None of the tasks ends by itself: without it the router is of no use.
+            logger.error("a task failed", extra={"reason": repr(task.exception())})
+            if self.membership.own.state is not PeerState.STOPPING:
+                self.begin_stop()
+
+    async def _close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await self.links.close()
+        self.http.close_all()
+        self.edge.server.close()
+        self.root.pump()
+        self.root.detach()
+
+    # Stopping
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.begin_stop)
+
+    def begin_stop(self) -> None:
+        """Take no new work, finish what runs, then stop; again: stop at once."""
+        own = self.membership.own
+        if own.state is PeerState.STOPPING:
+            self.stopped.set()
+            return
+        own.state = PeerState.STOPPING
+        self.calls.stopping = True
+        self.exchange.beat()
+        self.exchange.reassign()
+        logger.info("router stopping", extra={"calls": len(self.calls.calls)})
+        self._spawn(self._finish())
+
+    async def _finish(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.settings.stop_grace
+        notice = loop.time() + STOP_NOTICE
+        while loop.time() < end and (self.calls.calls or loop.time() < notice):
+            await asyncio.sleep(0.05)
+        refusal = Refusal(ErrorKind.STOPPING, "the router had to stop")
+        self.dispatcher.refuse_all(refusal)
+        await asyncio.sleep(0)
+        self.stopped.set()
+
+    # Configuration and membership
+
+    def configured(self) -> None:
+        """Put the followed configuration in force."""
+        self.view.refresh(self.follower.snapshot)
+        self.calls.ready = self.follower.state is ConfigState.KNOWN
+        self.exchange.revision = self.follower.snapshot.through + 1
+        self.exchange.set_pools(
+            build_pools(self.follower.snapshot, self.leaving, self.settings)
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether new work is welcome."""
+        return self.calls.ready and not self.calls.stopping
+
+    def log_appends(self) -> int:
+        """Return the appends sent to the log since the start."""
+        return self.config_log.appends
+
+    def _writes_checkpoints(self) -> bool:
+        responsible = self.membership.responsible("checkpoint")
+        return responsible == self.membership.own.router
+
+    def _touched(self, *work: str) -> None:
+        self.exchange.touched(*work)
+
+    async def _ask_hand_over(self, seed: Address) -> None:
+        async with grpc.aio.insecure_channel(
+            str(seed), options=CHANNEL_OPTIONS
+        ) as channel:
+            stub = peer_pb2_grpc.PeerStub(channel)
+            revision = self.follower.snapshot.through + 1
+            request = peer_pb2.HandOverRequest(revision=revision)
+            try:
+                reply = await stub.HandOver(
+                    request, timeout=HAND_OVER_TIMEOUT, metadata=self.links.metadata
+                )
+            except grpc.RpcError as error:
+                logger.debug("no hand-over", extra={"reason": str(error.code())})
+                return
+        if reply.snapshot:
+            self.follower.adopt(unpack(reply.snapshot))
+
+    async def _watch_instances(self) -> None:
+        while True:
+            try:
+                instances = await list_instances(self.http, self.settings.instances)
+            except PlatformError:
+                await asyncio.sleep(INSTANCES_INTERVAL)
+                continue
+            leaving = {item.id for item in instances if item.state == "leaving"}
+            if leaving != self.leaving:
+                self.leaving = leaving
+                self.configured()
+            for item in instances:
+                # One side dials: the router with the lesser name.
+                if item.role == "router" and self.settings.router < item.id:
+                    self.links.dial(Address(item.host, item.port))
+            await asyncio.sleep(INSTANCES_INTERVAL)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.exchange)
+            self.exchange.beat()
+
+    # Callers
+
+    def serve(self, request: Request, response: Response) -> None:
+        """Serve one HTTP request."""
+        if request.path == "/healthz":
+            self._answer_text(response, 200, "ok\n")
+        elif request.path == "/readyz":
+            self._answer_text(response, 200 if self.is_ready() else 503, "")
+        elif request.path == "/metrics":
+            response.headers["Content-Type"] = CONTENT_TYPE_LATEST
+            self.edge.answer(response, render(self))
+        else:
+            self.calls.serve(request, response, request.body.getvalue())
+
+    def _answer_text(self, response: Response, status: int, text: str) -> None:
+        response.status = status
+        response.headers["Content-Type"] = "text/plain; charset=utf-8"
+        if not self.is_ready():
+            response.close = True
+        self.edge.answer(response, text.encode())
+
+
+async def run(settings: Settings) -> None:
+    """Run one router with `settings` until it is stopped."""
+    application = Application(settings)
+    with contextlib.suppress(asyncio.CancelledError):
+        await application.run()
--- /dev/null
+++ b/carawayfold/commands/line.py
@@ -0,0 +1,79 @@
+"""The commands of the one program: run, check, and the operators' calls."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import logbook
+import typer
+
+from carawayfold import __version__, settings
+from carawayfold.commands import operate
+
+app = typer.Typer(
+    help="Routers that share model and application capacity fairly.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+operate.register(app)
+
+#: Exit code where the settings are wrong.
+BAD_SETTINGS = 2
+SettingsFile = Annotated[Path, typer.Argument(help="Settings: JSON with comments.")]
+
+
+def show_version(wanted: bool) -> None:
+    """Print the version and end."""
+    if wanted:
+        typer.echo(f"carawayfold {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def common(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=show_version, is_eager=True, help="Show."),
+    ] = False,
+) -> None:
+    """Take the options that every command has."""
+
+
+def load_settings(path: Path) -> settings.Settings:
+    """Return the settings at `path`, or say every fault and end."""
+    result = settings.load(path)
+    if result.is_error():
+        for fault in result.error:
+            typer.echo(fault, err=True)
+        raise typer.Exit(BAD_SETTINGS)
+    return result.ok
+
+
+@app.command()
+def run(path: SettingsFile) -> None:
+    """Run one router until it is told to stop (SIGTERM; twice: at once)."""
+    from carawayfold import application
+
+    checked = load_settings(path)
+    set_up_logs(checked.log_level)
+    asyncio.run(application.run(checked))
+
+
+@app.command()
+def check(path: SettingsFile) -> None:
+    """Check a settings file without starting a router."""
+    load_settings(path)
+    typer.echo(f"{path}: good")
+
+
+def set_up_logs(level: str) -> None:
+    """Write log lines of `level` and above to standard error."""
+    text = (
+        "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
+        "{record.channel} {record.message} {record.extra}"
+    )
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper(), format_string=text)
+    handler.push_application()
--- /dev/null
+++ b/carawayfold/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that routers take together: membership, scheduling, claims."""
--- /dev/null
+++ b/carawayfold/coordination/calls.py
@@ -0,0 +1,308 @@
+"""The life of one caller's request, from its arrival to its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import logbook
+
+from carawayfold.coordination.relay import DECLINED, Relay, WholeAnswer
+from carawayfold.errors import ErrorKind, Ran, Refusal
+from carawayfold.protocol import callers, problem
+from carawayfold.settings import Address
+from carawayfold.transport.client import ExchangeError, Phase
+
+if TYPE_CHECKING:
+    from circuits.web.wrappers import Request, Response
+
+    from carawayfold.coordination.dispatch import Dispatcher
+    from carawayfold.coordination.health import HealthBook
+    from carawayfold.protocol.callers import CallerRequest
+    from carawayfold.settings import Settings
+    from carawayfold.state.configuration import Service
+    from carawayfold.state.ids import EndpointId, OrganisationId
+    from carawayfold.state.metrics import Metrics
+    from carawayfold.state.view import ConfigView
+    from carawayfold.transport.client import HttpClient
+    from carawayfold.transport.server import EdgeServer
+
+logger = logbook.Logger(__name__)
+
+#: Attempts of one request in all.
+ATTEMPTS = 3
+#: Retries that may be saved up.
+RETRIES_SAVED = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One request being served.
+
+    Attributes
+    ----------
+    arrived : float
+        Loop time of arrival.
+    deadline : float
+        Loop time by which it must have begun.
+    once : bool
+        Whether it may run at most once.
+    task : asyncio.Task or None
+        Cancelled if the caller goes away.
+    """
+
+    request: CallerRequest
+    response: Response
+    organisation: OrganisationId
+    service: Service
+    arrived: float
+    deadline: float
+    once: bool
+    task: asyncio.Task[None] | None = None
+    relay: Relay | None = None
+
+
+class RetryBudget:
+    """Bounds retries to a share of the requests, so that they can't multiply.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by each request.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self.saved = RETRIES_SAVED
+
+    def earn(self) -> None:
+        """Note a new request."""
+        self.saved = min(RETRIES_SAVED, self.saved + self.ratio)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one."""
+        if self.saved < 1:
+            return False
+        self.saved -= 1
+        return True
+
+
+class CallHandler:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    settings : Settings
+        Deadlines and budgets.
+    view : ConfigView
+        Configuration in force.
+    dispatcher : Dispatcher
+        Slots.
+    health : HealthBook
+        Experience with endpoints.
+    metrics : Metrics
+        Where the ends of requests are counted.
+    http : HttpClient
+        Connections to endpoints.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: ConfigView,
+        dispatcher: Dispatcher,
+        health: HealthBook,
+        metrics: Metrics,
+        http: HttpClient,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.dispatcher = dispatcher
+        self.health = health
+        self.metrics = metrics
+        self.http = http
+        self.edge: EdgeServer | None = None
+        self.budget = RetryBudget(settings.retry_budget)
+        self.calls: set[Call] = set()
+        self.ready = False
+        self.stopping = False
+
+    def serve(self, request: Request, response: Response, body: bytes) -> None:
+        """Serve one request; answers through the edge server."""
+        response.headers["X-Request-Id"] = request.headers.get("X-Request-Id", "")
+        try:
+            call = self._open(request, response, body)
+        except Refusal as refusal:
+            self.refuse(response, refusal)
+            return
+        self.calls.add(call)
+        call.task = asyncio.get_running_loop().create_task(self._run(call))
+        self.edge.watch(request, call.task.cancel)
+
+    def _open(self, request: Request, response: Response, body: bytes) -> Call:
+        request_id = callers.parse_request_id(request.headers)
+        response.headers["X-Request-Id"] = request_id
+        if self.stopping:
+            raise Refusal(ErrorKind.STOPPING)
+        if not self.ready:
+            raise Refusal(ErrorKind.NOT_READY)
+        path = request.path + (f"?{request.qs}" if request.qs else "")
+        parsed = callers.parse(request_id, request.method, path, request.headers, body)
+        organisation = self.view.organisation_of(parsed.api_key)
+        service = self.view.service(parsed.service)
+        if service.model is not parsed.chat:
+            raise Refusal(ErrorKind.UNKNOWN_SERVICE, "another path serves this one")
+        now = asyncio.get_running_loop().time()
+        deadline = now + (parsed.timeout or self.settings.deadline)
+        once = bool(parsed.idempotency_key) or not service.repeatable
+        return Call(parsed, response, organisation, service, now, deadline, once)
+
+    async def _run(self, call: Call) -> None:
+        self.budget.earn()
+        try:
+            answer = await self._answer(call)
+        except Refusal as refusal:
+            self._end_refused(call, refusal)
+        except asyncio.CancelledError:
+            self._log(call, "cancelled")
+        except Exception:
+            logger.exception("request failed")
+            self._end_refused(call, Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN))
+        else:
+            self._end_whole(call, answer)
+        finally:
+            self.calls.discard(call)
+
+    async def _answer(self, call: Call) -> WholeAnswer:
+        return await self.attempt(call)
+
+    async def attempt(self, call: Call) -> WholeAnswer:
+        """Have `call` answered by an endpoint, retrying only where that is safe.
+
+        Raises
+        ------
+        Refusal
+            With the truth about whether the request ran.
+        """
+        failed: frozenset[EndpointId] = frozenset()
+        while True:
+            endpoint = await self.dispatcher.acquire(
+                call.request, call.organisation, call.deadline, failed
+            )
+            refusal = await self._use_slot(call, endpoint)
+            if isinstance(refusal, WholeAnswer):
+                return refusal
+            failed |= {endpoint}
+            if not self._may_retry(call, refusal, len(failed)):
+                raise refusal
+
+    async def _use_slot(
+        self, call: Call, endpoint: EndpointId
+    ) -> WholeAnswer | Refusal:
+        """Run one attempt and give the slot back."""
+        metrics = self.metrics.of(call.organisation)
+        loop = asyncio.get_running_loop()
+        metrics.wait.record_value(max(1, int((loop.time() - call.arrived) * 1000)))
+        known = self.view.endpoints.get(endpoint)
+        relay = None
+        try:
+            if known is None:
+                return Refusal(ErrorKind.NO_ENDPOINT, "the endpoint was removed")
+            address = Address(known.host, known.port)
+            call.relay = relay = Relay(
+                self.http,
+                self.edge,
+                self.settings,
+                call.request,
+                call.response,
+                address,
+            )
+            answer = await relay.run()
+            if answer.status in DECLINED and not answer.passed_on:
+                self.health.failed(endpoint)
+                return Refusal(ErrorKind.ENDPOINT_FAILED, "the endpoint declined")
+            if answer.status < 500:
+                self.health.succeeded(endpoint)
+            else:
+                self.health.failed(endpoint)
+            return answer
+        except ExchangeError as error:
+            self.health.failed(endpoint)
+            ran = Ran.NO if error.phase is Phase.CONNECTING else Ran.UNKNOWN
+            return Refusal(ErrorKind.ENDPOINT_FAILED, str(error), ran)
+        except Refusal as refusal:
+            self.health.failed(endpoint)
+            return refusal
+        finally:
+            received = relay.service_received() if relay else 0.0
+            metrics.service += received
+            self.dispatcher.release(
+                call.request.service, call.organisation, endpoint, received
+            )
+
+    def _may_retry(self, call: Call, refusal: Refusal, attempts: int) -> bool:
+        if attempts >= ATTEMPTS or self.stopping:
+            return False
+        if call.relay is not None and call.relay.begun:
+            return False
+        if refusal.ran is not Ran.NO and call.once:
+            return False
+        return self.budget.spend()
+
+    def _end_whole(self, call: Call, answer: WholeAnswer) -> None:
+        self._count_first(call)
+        self.metrics.of(call.organisation).whole += 1
+        if answer.passed_on:
+            self.edge.end(call.response)
+        else:
+            call.response.status = answer.status
+            for name, value in answer.headers.items():
+                call.response.headers[name.title()] = value
+            self.edge.answer(call.response, answer.body)
+        self._log(call, "whole")
+
+    def _count_first(self, call: Call) -> None:
+        if call.relay is None or not call.relay.first_at:
+            return
+        first_ms = int((call.relay.first_at - call.arrived) * 1000)
+        self.metrics.of(call.organisation).first.record_value(max(1, first_ms))
+
+    def _end_refused(self, call: Call, refusal: Refusal) -> None:
+        metrics = self.metrics.of(call.organisation)
+        self._log(call, refusal.kind.value)
+        if call.relay is not None and call.relay.begun:
+            metrics.broken += 1
+            self._end_broken(call, refusal)
+            return
+        metrics.refused += 1
+        self.refuse(call.response, refusal)
+
+    def _end_broken(self, call: Call, refusal: Refusal) -> None:
+        """End a stream with an explicit error, and never as if it were whole."""
+        if call.request.streamed:
+            document = problem.encode(refusal, call.request.request_id)
+            self.edge.send(call.response, b'data: {"error": %b}\n\n' % document)
+        self.edge.abort(call.response)
+
+    def refuse(self, response: Response, refusal: Refusal) -> None:
+        """Answer with a problem document."""
+        response.status = refusal.answer.status
+        response.headers["Content-Type"] = problem.CONTENT_TYPE
+        if refusal.wait is not None:
+            response.headers["Retry-After"] = str(refusal.wait)
+        if self.stopping:
+            response.close = True
+        request_id = str(response.headers.get("X-Request-Id", ""))
+        self.edge.answer(response, problem.encode(refusal, request_id))
+
+    def _log(self, call: Call, end: str) -> None:
+        logger.debug(
+            "request ended",
+            extra={
+                "request": call.request.request_id,
+                "organisation": call.organisation,
+                "service": call.request.service,
+                "end": end,
+            },
+        )
--- /dev/null
+++ b/carawayfold/coordination/membership.py
@@ -0,0 +1,130 @@
+"""Which routers are live, from their own heartbeats."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from carawayfold.state.ids import DataCentreId, RouterId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Seconds of silence after which a router is taken for dead.
+SILENCE_LIMIT = 2.0
+#: Seconds between heartbeats on a link.
+HEARTBEAT_INTERVAL = 0.5
+
+
+class PeerState(Enum):
+    """What is known of a peer."""
+
+    LIVE = "live"
+    STOPPING = "stopping"
+    SILENT = "silent"
+
+
+@dataclass(slots=True)
+class Member:
+    """One router of the fleet.
+
+    Attributes
+    ----------
+    incarnation : int
+        Random per process start; a new one means that its state is empty.
+    heard : float
+        When a frame of it last arrived, in seconds of the monotonic clock.
+    """
+
+    router: RouterId
+    data_centre: DataCentreId
+    incarnation: int
+    heard: float
+    state: PeerState = PeerState.LIVE
+
+
+class Membership:
+    """Live routers as this one sees them, itself included.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, own: Member, clock: Callable[[], float]) -> None:
+        self.own = own
+        self.clock = clock
+        self.members: dict[RouterId, Member] = {own.router: own}
+
+    def joined(
+        self, router: RouterId, data_centre: DataCentreId, incarnation: int
+    ) -> bool:
+        """Note a peer's hello; return whether its state is new to us."""
+        known = self.members.get(router)
+        fresh = known is None or known.incarnation != incarnation
+        now = self.clock()
+        self.members[router] = Member(router, data_centre, incarnation, now)
+        return fresh
+
+    def heard(self, router: RouterId, stopping: bool) -> None:
+        """Note a frame of a peer."""
+        member = self.members[router]
+        member.heard = self.clock()
+        member.state = PeerState.STOPPING if stopping else PeerState.LIVE
+
+    def expire(self) -> list[RouterId]:
+        """Mark peers that have been silent too long and return them."""
+        now = self.clock()
+        silent = [
+            member
+            for member in self.members.values()
+            if member is not self.own
+            and member.state is not PeerState.SILENT
+            and now - member.heard > SILENCE_LIMIT
+        ]
+        for member in silent:
+            member.state = PeerState.SILENT
+        return [member.router for member in silent]
+
+    def forget_before(self, age: float) -> None:
+        """Drop peers that have been silent for more than `age` seconds."""
+        oldest = self.clock() - age
+        for router, member in list(self.members.items()):
+            if member.state is PeerState.SILENT and member.heard < oldest:
+                del self.members[router]
+
+    def live(self) -> list[Member]:
+        """Return the routers that take new work, in order of name."""
+        members = [
+            member for member in self.members.values() if member.state is PeerState.LIVE
+        ]
+        return sorted(members, key=lambda member: member.router)
+
+    def responsible(self, subject: str, data_centre: str = "") -> RouterId:
+        """Return the router that looks after `subject`, by rendezvous hashing.
+
+        Parameters
+        ----------
+        subject : str
+            A pool, or the writing of checkpoints.
+        data_centre : str
+            Preferred data centre; others serve only if it has no live router.
+
+        Returns
+        -------
+        RouterId
+            The same on every router that sees the same members.
+        """
+        live = self.live() or [self.own]
+        near = [member for member in live if member.data_centre == data_centre]
+        return max(near or live, key=lambda member: _weight(subject, member)).router
+
+
+def _weight(subject: str, member: Member) -> int:
+    return xxhash.xxh3_64_intdigest(f"{subject}|{member.router}".encode())
--- /dev/null
+++ b/carawayfold/coordination/pool.py
@@ -0,0 +1,320 @@
+"""Granting the slots of one pool: who goes next, and where.
+
+A pool is a group of endpoints of one service in one data centre. One router, its
+granter, hands out the slots. Everything here is computed from reports of
+absolute state, so that a lost, repeated or late report does no lasting harm.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from carawayfold.state.ids import EndpointId, OrganisationId, PoolId, RouterId
+
+if TYPE_CHECKING:
+    from carawayfold.protocol import peer_pb2
+    from carawayfold.state.ledger import ServiceLedger
+
+#: Seconds of age that each grant on its way takes off a holder's claim to the next.
+PROMISED_AGE = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSpec:
+    """Which endpoints a pool holds.
+
+    Attributes
+    ----------
+    slots : dict of EndpointId to int
+        Requests that may be in flight at each endpoint.
+    """
+
+    id: PoolId
+    service: str
+    data_centre: str
+    slots: dict[EndpointId, int]
+
+
+@dataclass(slots=True)
+class GrantRecord:
+    """A grant that its holder has not acknowledged yet."""
+
+    sequence: int
+    endpoint: EndpointId
+    organisation: OrganisationId
+
+
+@dataclass(slots=True)
+class Demand:
+    """Waiting work of one organisation at one holder.
+
+    Attributes
+    ----------
+    count : int
+        Requests waiting when the holder reported.
+    promised : int
+        Grants not yet acknowledged.
+    since : float
+        Arrival of the oldest request, in seconds of the granter's clock.
+    """
+
+    count: int = 0
+    urgent: bool = False
+    since: float = 0.0
+    promised: int = 0
+
+    @property
+    def unmet(self) -> int:
+        """Return how many requests wait without a grant."""
+        return self.count - self.promised
+
+
+@dataclass(slots=True)
+class Holder:
+    """What the granter knows of one router that holds requests."""
+
+    demands: dict[OrganisationId, Demand] = field(default_factory=dict)
+    in_flight: dict[EndpointId, int] = field(default_factory=dict)
+    health: dict[EndpointId, float] = field(default_factory=dict)
+    pending: deque[GrantRecord] = field(default_factory=deque)
+    basis_ms: int = 0
+
+    def can_reach(self, endpoint: EndpointId) -> bool:
+        """Return whether the holder would send anything to `endpoint`."""
+        return self.health.get(endpoint, 1.0) > 0
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A slot given to one organisation's work at one holder."""
+
+    holder: RouterId
+    sequence: int
+    endpoint: EndpointId
+    organisation: OrganisationId
+
+
+class PoolGranter:
+    """Decides the grants of one pool.
+
+    Parameters
+    ----------
+    spec : PoolSpec
+        Endpoints and slots.
+    ledger : ServiceLedger
+        Service received per organisation.
+    fair : bool
+        False grants in order of arrival instead; a baseline for measurement.
+    """
+
+    def __init__(
+        self, spec: PoolSpec, ledger: ServiceLedger, fair: bool = True
+    ) -> None:
+        self.spec = spec
+        self.ledger = ledger
+        self.fair = fair
+        self.holders: dict[RouterId, Holder] = {}
+        #: Holders with waiting work, by organisation.
+        self.backlog: dict[OrganisationId, set[RouterId]] = {}
+        self.used: dict[EndpointId, int] = dict.fromkeys(spec.slots, 0)
+        self.sequence = 0
+
+    def respecify(self, spec: PoolSpec) -> None:
+        """Take a changed set of endpoints or slots."""
+        self.spec = spec
+        for endpoint in spec.slots:
+            if endpoint not in self.used:
+                self.used[endpoint] = self._count_used(endpoint)
+
+    def report(
+        self, router: RouterId, report: peer_pb2.PoolReport, basis_ms: int, now: float
+    ) -> None:
+        """Take a holder's report.
+
+        Parameters
+        ----------
+        router : RouterId
+            The holder.
+        report : PoolReport
+            Changes since its last report, or everything.
+        basis_ms : int
+            Holder's clock at the report; echoed in grants.
+        now : float
+            Granter's clock, in seconds.
+        """
+        if report.full:
+            self.drop(router)
+        holder = self.holders.setdefault(router, Holder())
+        holder.basis_ms = basis_ms
+        self._acknowledge(holder, report.acknowledged)
+        for use in report.uses:
+            self._set_use(holder, use)
+        for waiting in report.waiting:
+            self._set_waiting(router, holder, waiting, now)
+
+    def drop(self, router: RouterId) -> None:
+        """Forget a holder: its waiting work, its slots and its grants."""
+        holder = self.holders.pop(router, None)
+        if holder is None:
+            return
+        for endpoint, count in holder.in_flight.items():
+            self._add_used(endpoint, -count)
+        for grant in holder.pending:
+            self._add_used(grant.endpoint, -1)
+            self._reserve(grant.organisation, -1)
+        for organisation in holder.demands:
+            self._leave_backlog(organisation, router)
+
+    def decide(self) -> list[Decision]:
+        """Hand out free slots to waiting work until one of them runs out."""
+        free = self._free_endpoints()
+        if not free or not self.backlog:
+            return []
+        if self.fair:
+            self._raise_floor()
+        order = self._order()
+        decisions: list[Decision] = []
+        while free and order:
+            _, organisation = order[0]
+            router = self._choose_holder(organisation, free)
+            if router is None:
+                heapq.heappop(order)
+                continue
+            decisions.append(self._grant(router, organisation, free))
+            heapq.heapreplace(order, (self._rank(organisation), organisation))
+        return decisions
+
+    def _raise_floor(self) -> None:
+        account = self.ledger.account
+        self.ledger.raise_floor(min(account(name).virtual for name in self.backlog))
+
+    def _order(self) -> list[tuple[float, OrganisationId]]:
+        order = [(self._rank(name), name) for name in self.backlog]
+        heapq.heapify(order)
+        return order
+
+    def _rank(self, organisation: OrganisationId) -> float:
+        if self.fair:
+            return self.ledger.key(organisation)
+        routers = self.backlog[organisation]
+        return min(self.holders[name].demands[organisation].since for name in routers)
+
+    def _choose_holder(
+        self, organisation: OrganisationId, free: dict[EndpointId, int]
+    ) -> RouterId | None:
+        best: RouterId | None = None
+        best_rank: tuple[bool, float] | None = None
+        for router in self.backlog[organisation]:
+            holder = self.holders[router]
+            demand = holder.demands[organisation]
+            if demand.unmet <= 0 or not any(map(holder.can_reach, free)):
+                continue
+            rank = (not demand.urgent, demand.since + demand.promised * PROMISED_AGE)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = router, rank
+        return best
+
+    def _grant(
+        self,
+        router: RouterId,
+        organisation: OrganisationId,
+        free: dict[EndpointId, int],
+    ) -> Decision:
+        holder = self.holders[router]
+        endpoint = max(filter(holder.can_reach, free), key=free.__getitem__)
+        free[endpoint] -= 1
+        if free[endpoint] <= 0:
+            del free[endpoint]
+        self.sequence += 1
+        holder.pending.append(GrantRecord(self.sequence, endpoint, organisation))
+        holder.demands[organisation].promised += 1
+        self._add_used(endpoint, 1)
+        self._reserve(organisation, 1)
+        return Decision(router, self.sequence, endpoint, organisation)
+
+    def _free_endpoints(self) -> dict[EndpointId, int]:
+        free: dict[EndpointId, int] = {}
+        for endpoint, slots in self.spec.slots.items():
+            count = self._bound(endpoint, slots) - self.used.get(endpoint, 0)
+            if count > 0:
+                free[endpoint] = count
+        return free
+
+    def _bound(self, endpoint: EndpointId, slots: int) -> int:
+        factors = [holder.health.get(endpoint, 1.0) for holder in self.holders.values()]
+        if not any(factors):
+            return 0
+        # The mean, so that one router's bad line does not idle an endpoint that
+        # the others can reach.
+        return max(1, int(slots * sum(factors) / len(factors)))
+
+    def _acknowledge(self, holder: Holder, sequence: int) -> None:
+        while holder.pending and holder.pending[0].sequence <= sequence:
+            grant = holder.pending.popleft()
+            self._add_used(grant.endpoint, -1)
+            self._reserve(grant.organisation, -1)
+            demand = holder.demands.get(grant.organisation)
+            if demand is None:
+                continue
+            demand.promised -= 1
+            if not demand.promised and not demand.count:
+                del holder.demands[grant.organisation]
+
+    def _set_use(self, holder: Holder, use: peer_pb2.Use) -> None:
+        endpoint = EndpointId(use.endpoint)
+        before = holder.in_flight.get(endpoint, 0)
+        self._add_used(endpoint, use.in_flight - before)
+        if use.in_flight:
+            holder.in_flight[endpoint] = use.in_flight
+        else:
+            holder.in_flight.pop(endpoint, None)
+        if use.health < 100:
+            holder.health[endpoint] = use.health / 100
+        else:
+            holder.health.pop(endpoint, None)
+
+    def _set_waiting(
+        self, router: RouterId, holder: Holder, waiting: peer_pb2.Waiting, now: float
+    ) -> None:
+        organisation = OrganisationId(waiting.organisation)
+        demand = holder.demands.setdefault(organisation, Demand())
+        demand.count = waiting.count
+        demand.urgent = waiting.urgent
+        demand.since = now - waiting.age_ms / 1000
+        if waiting.count:
+            self.backlog.setdefault(organisation, set()).add(router)
+            self.ledger.activate(organisation)
+            return
+        self._leave_backlog(organisation, router)
+        # Kept while grants are on their way, to count them down.
+        if not demand.promised:
+            del holder.demands[organisation]
+
+    def _leave_backlog(self, organisation: OrganisationId, router: RouterId) -> None:
+        routers = self.backlog.get(organisation)
+        if routers is None:
+            return
+        routers.discard(router)
+        if not routers:
+            del self.backlog[organisation]
+            self.ledger.deactivate(organisation)
+
+    def _reserve(self, organisation: OrganisationId, count: int) -> None:
+        self.ledger.account(organisation).in_flight += count
+
+    def _add_used(self, endpoint: EndpointId, count: int) -> None:
+        self.used[endpoint] = self.used.get(endpoint, 0) + count
+
+    def _count_used(self, endpoint: EndpointId) -> int:
+        running = sum(
+            holder.in_flight.get(endpoint, 0) for holder in self.holders.values()
+        )
+        promised = sum(
+            grant.endpoint == endpoint
+            for holder in self.holders.values()
+            for grant in holder.pending
+        )
+        return running + promised
--- /dev/null
+++ b/carawayfold/errors.py
@@ -0,0 +1,113 @@
+"""The closed list of error kinds and the answer that each one gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Ran(Enum):
+    """Whether the endpoint ran a request, as far as the router can tell."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Every kind of error that a caller or an operator can be answered with."""
+
+    MALFORMED_REQUEST = "malformed-request"
+    REQUEST_TOO_LARGE = "request-too-large"
+    UNKNOWN_KEY = "unknown-key"
+    NOT_PERMITTED = "not-permitted"
+    UNKNOWN_SERVICE = "unknown-service"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    NO_ENDPOINT = "no-endpoint"
+    ENDPOINT_FAILED = "endpoint-failed"
+    ANSWER_BROKEN = "answer-broken"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    IN_PROGRESS = "in-progress"
+    KEY_REUSED = "key-reused"
+    LOG_UNAVAILABLE = "log-unavailable"
+    STOPPING = "stopping"
+    NOT_READY = "not-ready"
+    CONFLICT = "conflict"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """How one error kind is answered.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    title : str
+        Short text, the same for every occurrence of the kind.
+    retry_after : int or None
+        Default seconds after which coming back helps; None where it does not.
+    """
+
+    status: int
+    title: str
+    retry_after: int | None = None
+
+
+#: The table from error kind to answer.
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.MALFORMED_REQUEST: ErrorAnswer(400, "The request is malformed"),
+    ErrorKind.REQUEST_TOO_LARGE: ErrorAnswer(413, "The request is too large"),
+    ErrorKind.UNKNOWN_KEY: ErrorAnswer(401, "The API key is missing or unknown"),
+    ErrorKind.NOT_PERMITTED: ErrorAnswer(403, "The key does not permit this"),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, "No such service or path"),
+    ErrorKind.QUEUE_FULL: ErrorAnswer(429, "Too many requests are waiting", 1),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, "The deadline can't be met", 1),
+    ErrorKind.NO_ENDPOINT: ErrorAnswer(503, "No endpoint is available", 2),
+    ErrorKind.ENDPOINT_FAILED: ErrorAnswer(502, "The endpoint failed", 1),
+    ErrorKind.ANSWER_BROKEN: ErrorAnswer(502, "The answer broke off", 1),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(409, "The outcome is unknown", 5),
+    ErrorKind.IN_PROGRESS: ErrorAnswer(409, "The first attempt is still running", 1),
+    ErrorKind.KEY_REUSED: ErrorAnswer(422, "The key was used for another request"),
+    ErrorKind.LOG_UNAVAILABLE: ErrorAnswer(503, "The claim can't be recorded", 5),
+    ErrorKind.STOPPING: ErrorAnswer(503, "This router is stopping", 1),
+    ErrorKind.NOT_READY: ErrorAnswer(503, "No configuration is known yet", 2),
+    ErrorKind.CONFLICT: ErrorAnswer(409, "The change lost against another one"),
+    ErrorKind.INTERNAL: ErrorAnswer(500, "The router failed"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal(Exception):
+    """A typed error on its way to a caller.
+
+    Attributes
+    ----------
+    kind : ErrorKind
+        Which entry of the closed list applies.
+    detail : str
+        What happened in this occurrence.
+    ran : Ran
+        Whether the request ran.
+    retry_after : int or None
+        Seconds after which coming back helps; None takes the table's default.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    ran: Ran = Ran.NO
+    retry_after: int | None = None
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """Return the table's entry for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def wait(self) -> int | None:
+        """Return the seconds after which coming back helps, if it does."""
+        if self.retry_after is not None:
+            return self.retry_after
+        return self.answer.retry_after
--- /dev/null
+++ b/carawayfold/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Message formats spoken with callers, endpoints, the platform and peers."""
--- /dev/null
+++ b/carawayfold/protocol/exposition.py
@@ -0,0 +1,100 @@
+"""Metrics in the text format that scrapers read."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
+from prometheus_client.exposition import generate_latest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+    from carawayfold.application import Application
+
+QUANTILES = (50.0, 95.0, 99.0)
+
+
+class Collector:
+    """Yields a router's metrics.
+
+    Parameters
+    ----------
+    application : Application
+        The router.
+    """
+
+    def __init__(self, application: Application) -> None:
+        self.application = application
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield one family a measure."""
+        yield from self._requests()
+        yield from self._times()
+        meter = self.application.links.meter
+        yield CounterMetricFamily(
+            "carawayfold_control_bytes", "Sent to peers", value=meter.sent_bytes
+        )
+        yield CounterMetricFamily(
+            "carawayfold_control_frames", "Sent to peers", value=meter.sent_frames
+        )
+        yield CounterMetricFamily(
+            "carawayfold_log_appends",
+            "Appends to the platform's log",
+            value=self.application.log_appends(),
+        )
+        waiting = sum(q.total for q in self.application.dispatcher.queues.values())
+        yield GaugeMetricFamily("carawayfold_waiting", "Requests", value=waiting)
+        running = sum(self.application.dispatcher.in_flight.values())
+        yield GaugeMetricFamily("carawayfold_in_flight", "Requests", value=running)
+
+    def _requests(self) -> Iterator[Metric]:
+        requests = CounterMetricFamily(
+            "carawayfold_requests", "Ended requests", labels=("organisation", "end")
+        )
+        service = CounterMetricFamily(
+            "carawayfold_service", "Service units received", labels=("organisation",)
+        )
+        for name, metrics in self.application.metrics.organisations.items():
+            for end in ("whole", "refused", "broken"):
+                requests.add_metric((name, end), getattr(metrics, end))
+            service.add_metric((name,), metrics.service)
+        yield requests
+        yield service
+
+    def _times(self) -> Iterator[Metric]:
+        for measure in ("wait", "first"):
+            family = GaugeMetricFamily(
+                f"carawayfold_{measure}_milliseconds",
+                f"Quantiles of {measure}",
+                labels=("organisation", "quantile"),
+            )
+            count = SummaryMetricFamily(
+                f"carawayfold_{measure}_count_milliseconds",
+                f"Requests counted in {measure}",
+                labels=("organisation",),
+            )
+            for name, metrics in self.application.metrics.organisations.items():
+                histogram = getattr(metrics, measure)
+                total = histogram.get_total_count()
+                mean = histogram.get_mean_value() if total else 0
+                count.add_metric((name,), total, mean * total)
+                for quantile in QUANTILES:
+                    value = histogram.get_value_at_percentile(quantile)
+                    family.add_metric((name, str(quantile / 100)), value)
+            yield family
+            yield count
+
+
+def render(application: Application) -> bytes:
+    """Return the metrics of a router as text."""
+    registry = CollectorRegistry()
+    registry.register(Collector(application))
+    return generate_latest(registry)
--- /dev/null
+++ b/carawayfold/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a router keeps in memory."""
--- /dev/null
+++ b/carawayfold/state/ids.py
@@ -0,0 +1,24 @@
+"""Identifier types."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+#: Name of an organisation.
+OrganisationId = NewType("OrganisationId", str)
+#: Name of a brand, the label under which organisations are resold.
+BrandId = NewType("BrandId", str)
+#: Name of a service: a model or an application.
+ServiceId = NewType("ServiceId", str)
+#: Name of an endpoint: one worker that serves a service.
+EndpointId = NewType("EndpointId", str)
+#: Name of a data centre.
+DataCentreId = NewType("DataCentreId", str)
+#: Name of a router process's instance.
+RouterId = NewType("RouterId", str)
+#: Identifier of one request, chosen by the caller or made here.
+RequestId = NewType("RequestId", str)
+#: Name of a group of endpoints whose slots one router grants.
+PoolId = NewType("PoolId", str)
+#: Position of a record in a stream of the platform's log.
+Offset = NewType("Offset", int)
--- /dev/null
+++ b/carawayfold/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, the event loop, HTTP and RPC plumbing."""
--- /dev/null
+++ b/carawayfold/transport/client.py
@@ -0,0 +1,391 @@
+"""HTTP client for endpoints and the platform: h11 over circuits' poller.
+
+circuits.web's own client buffers whole answers, and one component a connection
+clears the library's handler cache each time one is registered; so one component
+holds all connections and h11 parses them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import h11
+from circuits import BaseComponent, handler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayfold.settings import Address
+    from carawayfold.transport.loop import Root
+
+#: Bytes read from a socket at once.
+READ_SIZE = 65536
+#: Idle connections kept for one address.
+IDLE_KEPT = 64
+#: Seconds after which an idle connection is not used again.
+IDLE_LIFETIME = 20.0
+
+
+class Phase(Enum):
+    """Where an exchange stands, for telling whether a request can have run."""
+
+    CONNECTING = "connecting"
+    SENT = "sent"
+    ANSWERING = "answering"
+    DONE = "done"
+
+
+class ExchangeError(Exception):
+    """An exchange ended before its answer was whole.
+
+    Attributes
+    ----------
+    phase : Phase
+        How far it had come.
+    reused : bool
+        Whether it ran on a connection that had been idle.
+    """
+
+    def __init__(self, phase: Phase, reason: str, reused: bool = False) -> None:
+        super().__init__(reason)
+        self.phase = phase
+        self.reused = reused
+
+
+@dataclass(slots=True)
+class Head:
+    """Status and headers of an answer; header names in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+@dataclass(slots=True)
+class Answer:
+    """A whole answer."""
+
+    head: Head
+    body: bytes
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request and its answer on one connection.
+
+    Attributes
+    ----------
+    on_head : callable
+        Takes the answer's head.
+    on_data : callable
+        Takes each piece of the answer's body.
+    done : asyncio.Future
+        Resolved when the answer is whole; fails with `ExchangeError`.
+    """
+
+    on_head: Callable[[Head], None]
+    on_data: Callable[[bytes], None]
+    done: asyncio.Future[None]
+    phase: Phase = Phase.CONNECTING
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One TCP connection.
+
+    Attributes
+    ----------
+    heard : float
+        Loop time at which bytes last arrived.
+    used : int
+        Exchanges that it has carried.
+    """
+
+    address: Address
+    sock: socket.socket
+    parser: h11.Connection
+    connected: bool = False
+    exchange: Exchange | None = None
+    outgoing: bytearray = field(default_factory=bytearray)
+    heard: float = 0.0
+    used: int = 0
+
+
+class HttpClient(BaseComponent):
+    """All outgoing HTTP connections of the process."""
+
+    channel = "endpoints"
+
+    def __init__(self, root: Root) -> None:
+        super().__init__()
+        self.poller = root.poller
+        self.idle: dict[Address, list[Connection]] = {}
+        self.open: dict[socket.socket, Connection] = {}
+
+    def start(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        on_head: Callable[[Head], None],
+        on_data: Callable[[bytes], None],
+        fresh: bool = False,
+    ) -> Connection:
+        """Start an exchange and return the connection that carries it.
+
+        Parameters
+        ----------
+        address : Address
+            Where to.
+        method, path : str
+            Of the request.
+        headers : list of tuple of str
+            Further headers.
+        body : bytes
+            Body of the request.
+        on_head, on_data : callable
+            See `Exchange`.
+        fresh : bool
+            Whether to use a new connection: an idle one may have been closed by
+            its far end, which leaves it unknown whether a request ran.
+
+        Returns
+        -------
+        Connection
+            Await ``exchange.done``; pass to `cancel` to give up.
+        """
+        loop = asyncio.get_running_loop()
+        exchange = Exchange(on_head, on_data, loop.create_future())
+        idle = None if fresh else self._take_idle(address)
+        connection = idle or self._connect(address)
+        connection.exchange = exchange
+        connection.heard = loop.time()
+        connection.used += 1
+        connection.outgoing += self._encode(connection, method, path, headers, body)
+        if connection.connected:
+            exchange.phase = Phase.SENT
+            self._flush(connection)
+        return connection
+
+    async def fetch(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float = 5.0,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> Answer:
+        """Return a whole answer.
+
+        Raises
+        ------
+        ExchangeError
+            If no whole answer came within `timeout` seconds.
+        """
+        heads: list[Head] = []
+        parts: list[bytes] = []
+        connection = self.start(
+            address, method, path, headers or [], body, heads.append, parts.append
+        )
+        exchange = connection.exchange
+        try:
+            await asyncio.wait_for(exchange.done, timeout)
+        except TimeoutError:
+            raise ExchangeError(exchange.phase, "no answer in time") from None
+        finally:
+            if not exchange.done.done() or exchange.done.cancelled():
+                self.cancel(connection)
+        return Answer(heads[0], b"".join(parts))
+
+    def cancel(self, connection: Connection) -> None:
+        """Give up the exchange on `connection`, closing it."""
+        connection.exchange = None
+        self._close(connection)
+
+    def close_all(self) -> None:
+        """Close every connection."""
+        for connection in list(self.open.values()):
+            self._fail(connection, "the client is closing")
+
+    def _take_idle(self, address: Address) -> Connection | None:
+        idle = self.idle.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            if now - connection.heard < IDLE_LIFETIME:
+                return connection
+            self._close(connection)
+        return None
+
+    def _connect(self, address: Address) -> Connection:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(address, sock, h11.Connection(h11.CLIENT))
+        self.open[sock] = connection
+        code = sock.connect_ex((address.host, address.port))
+        if code not in (0, errno.EINPROGRESS):
+            reason = errno.errorcode.get(code, str(code))
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._fail, connection, reason)
+        else:
+            self.poller.addWriter(self, sock)
+        return connection
+
+    def _encode(
+        self,
+        connection: Connection,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> bytes:
+        fields = [("Host", str(connection.address))]
+        fields.extend(headers)
+        fields.append(("Content-Length", str(len(body))))
+        parser = connection.parser
+        head = parser.send(h11.Request(method=method, target=path, headers=fields))
+        data = parser.send(h11.Data(data=body)) if body else b""
+        return head + data + parser.send(h11.EndOfMessage())
+
+    @handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        connection = self.open.get(sock)
+        if connection is None:
+            return
+        if not connection.connected and not self._connected(connection):
+            return
+        self._flush(connection)
+
+    def _connected(self, connection: Connection) -> bool:
+        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(connection, errno.errorcode.get(code, str(code)))
+            return False
+        connection.connected = True
+        if connection.exchange is not None:
+            connection.exchange.phase = Phase.SENT
+        self.poller.addReader(self, connection.sock)
+        return True
+
+    def _flush(self, connection: Connection) -> None:
+        try:
+            sent = connection.sock.send(connection.outgoing)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self._fail(connection, str(error))
+            return
+        del connection.outgoing[:sent]
+        writing = self.poller.isWriting(connection.sock)
+        if connection.outgoing and not writing:
+            self.poller.addWriter(self, connection.sock)
+        elif not connection.outgoing and writing:
+            self.poller.removeWriter(connection.sock)
+
+    @handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        connection = self.open.get(sock)
+        if connection is None:
+            return
+        try:
+            data = sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(connection, str(error))
+            return
+        if connection.exchange is None:
+            # An idle connection that speaks or ends is of no more use.
+            self._close(connection)
+            return
+        connection.heard = asyncio.get_running_loop().time()
+        self._parse(connection, data)
+
+    def _parse(self, connection: Connection, data: bytes) -> None:
+        parser = connection.parser
+        exchange = connection.exchange
+        try:
+            parser.receive_data(data)
+            event = parser.next_event()
+            while event is not h11.NEED_DATA:
+                self._handle(connection, exchange, event)
+                if connection.exchange is not exchange:
+                    return
+                event = parser.next_event()
+        except h11.RemoteProtocolError as error:
+            self._fail(connection, str(error))
+
+    def _handle(
+        self, connection: Connection, exchange: Exchange, event: object
+    ) -> None:
+        if type(event) is h11.Data:
+            exchange.on_data(bytes(event.data))
+        elif type(event) is h11.Response:
+            exchange.phase = Phase.ANSWERING
+            exchange.on_head(_head(event))
+        elif type(event) is h11.EndOfMessage:
+            self._complete(connection, exchange)
+        elif type(event) is h11.ConnectionClosed:
+            self._fail(connection, "the connection was closed")
+
+    def _complete(self, connection: Connection, exchange: Exchange) -> None:
+        exchange.phase = Phase.DONE
+        connection.exchange = None
+        if connection.parser.our_state is h11.DONE:
+            connection.parser.start_next_cycle()
+            self._keep(connection)
+        else:
+            self._close(connection)
+        if not exchange.done.done():
+            exchange.done.set_result(None)
+
+    def _keep(self, connection: Connection) -> None:
+        # Bytes past the answer's end belong to nobody: never to the next request.
+        if connection.parser.trailing_data[0]:
+            self._close(connection)
+            return
+        idle = self.idle.setdefault(connection.address, [])
+        if len(idle) < IDLE_KEPT:
+            idle.append(connection)
+        else:
+            self._close(connection)
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        connection = self.open.get(sock)
+        if connection is not None:
+            self._fail(connection, "the connection was reset")
+
+    def _fail(self, connection: Connection, reason: str) -> None:
+        exchange = connection.exchange
+        connection.exchange = None
+        self._close(connection)
+        if exchange is not None and not exchange.done.done():
+            error = ExchangeError(exchange.phase, reason, connection.used > 1)
+            exchange.done.set_exception(error)
+
+    def _close(self, connection: Connection) -> None:
+        if self.open.pop(connection.sock, None) is None:
+            return
+        idle = self.idle.get(connection.address)
+        if idle and connection in idle:
+            idle.remove(connection)
+        self.poller.discard(connection.sock)
+        with contextlib.suppress(OSError):
+            connection.sock.close()
+
+
+def _head(event: h11.Response) -> Head:
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
+    }
+    return Head(event.status_code, headers)
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,79 @@
+"""Run one stand-in as a process; prints ``ready PORT [CONTROL]`` when it listens."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from standins.engine import Engine
+from standins.instances import InstanceList
+from standins.log import LogService
+from standins.proxy import Proxy
+from standins.web import WebServer
+from standins.worker import Worker
+
+app = typer.Typer(help="Stand-ins for what surrounds the routers.")
+
+
+async def serve(service: object, port: int) -> None:
+    """Serve an HTTP stand-in for ever."""
+    server = WebServer(service.handle)
+    await server.start(port)
+    print(f"ready {server.port}", flush=True)
+    if hasattr(service, "run"):
+        await service.run()
+    await asyncio.Event().wait()
+
+
+@app.command()
+def log(port: int = 0) -> None:
+    """Run the log service."""
+    asyncio.run(serve(LogService(), port))
+
+
+@app.command()
+def instances(port: int = 0) -> None:
+    """Run the instance list."""
+    asyncio.run(serve(InstanceList(), port))
+
+
+@app.command()
+def engine(
+    port: int = 0, slots: int = 8, step: float = 0.01, prefill: float = 0.0
+) -> None:
+    """Run a model engine."""
+    asyncio.run(serve(Engine(slots, step, prefill), port))
+
+
+@app.command()
+def worker(port: int = 0, slots: int = 4) -> None:
+    """Run an application worker."""
+
+    async def start() -> None:
+        await serve(Worker(slots), port)
+
+    asyncio.run(start())
+
+
+@app.command()
+def proxy(
+    targets: Annotated[list[int], typer.Argument()], port: int = 0, check: bool = False
+) -> None:
+    """Run a proxy, or with --check the balancer; CONTROL takes its faults."""
+
+    async def start() -> None:
+        proxy = Proxy(targets, check)
+        await proxy.start(port)
+        control = WebServer(proxy.handle)
+        await control.start(0)
+        print(f"ready {proxy.port} {control.port}", flush=True)
+        await proxy.run()
+        await asyncio.Event().wait()
+
+    asyncio.run(start())
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/standins/instances.py
@@ -0,0 +1,40 @@
+"""Stand-in for the platform's list of live and leaving instances.
+
+``GET /instances`` lists; ``POST /instances`` sets entries by id; ``POST /faults``
+takes ``{"down": bool}``.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from carawayfold.protocol.platform import Instance
+from standins.web import WebAnswer
+
+if TYPE_CHECKING:
+    from standins.web import WebConnection, WebRequest
+
+
+class InstanceList:
+    """Holds the list in memory."""
+
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+        self.down = False
+
+    async def handle(
+        self, request: WebRequest, _connection: WebConnection
+    ) -> WebAnswer:
+        """Serve one request."""
+        if request.path == "/faults":
+            self.down = msgspec.json.decode(request.body)["down"]
+            return WebAnswer.json({})
+        if request.method == "POST":
+            for item in msgspec.json.decode(request.body, type=list[Instance]):
+                self.instances[item.id] = item
+            return WebAnswer.json({})
+        if self.down:
+            return WebAnswer.json({}, 503)
+        return WebAnswer.json(list(self.instances.values()))
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,182 @@
+"""A small HTTP server for the stand-ins: asyncio streams and h11."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+READ_SIZE = 65536
+
+
+@dataclass(slots=True)
+class WebRequest:
+    """One request that a stand-in received."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class WebAnswer:
+    """One whole answer of a stand-in."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+    @classmethod
+    def json(cls, value: object, status: int = 200) -> WebAnswer:
+        """Return an answer that carries `value` as JSON."""
+        headers = [("Content-Type", "application/json")]
+        return cls(status, msgspec.json.encode(value), headers)
+
+
+class WebConnection:
+    """One connection, as handlers see it.
+
+    Attributes
+    ----------
+    gone : asyncio.Event
+        Set when the far end has closed.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.parser = h11.Connection(h11.SERVER)
+        self.gone = asyncio.Event()
+
+    def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head of a chunked answer."""
+        fields = [*headers, ("Transfer-Encoding", "chunked")]
+        self._send(h11.Response(status_code=status, headers=fields))
+
+    def send(self, data: bytes) -> None:
+        """Send one chunk."""
+        self._send(h11.Data(data=data))
+
+    def end(self) -> None:
+        """Finish a chunked answer."""
+        self._send(h11.EndOfMessage())
+
+    def break_off(self) -> None:
+        """Cut the connection in the middle of an answer."""
+        self.gone.set()
+        self.writer.transport.abort()
+
+    def answer(self, answer: WebAnswer) -> None:
+        """Send a whole answer."""
+        fields = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        self._send(h11.Response(status_code=answer.status, headers=fields))
+        self._send(h11.Data(data=answer.body))
+        self._send(h11.EndOfMessage())
+
+    def _send(self, event: object) -> None:
+        if not self.gone.is_set():
+            self.writer.write(self.parser.send(event))
+
+    async def read_request(self) -> WebRequest | None:
+        """Return the next request, or None at the end."""
+        head = None
+        body = b""
+        while True:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA:
+                self.parser.receive_data(await self.reader.read(READ_SIZE))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return _build_request(head, body)
+            else:
+                return None
+
+    async def watch(self) -> None:
+        """Set `gone` when the far end closes; the next request is kept."""
+        data = await self.reader.read(READ_SIZE)
+        if data:
+            self.parser.receive_data(data)
+        else:
+            self.gone.set()
+
+
+def _build_request(head: h11.Request, body: bytes) -> WebRequest:
+    target = urlsplit(head.target.decode())
+    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+    return WebRequest(
+        head.method.decode(),
+        target.path,
+        dict(parse_qsl(target.query)),
+        headers,
+        bytes(body),
+    )
+
+
+class WebServer:
+    """Serves a handler on 127.0.0.1.
+
+    Parameters
+    ----------
+    handle : callable
+        Takes a request and its connection; returns an answer, or None where it
+        has answered through the connection itself.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[WebRequest, WebConnection], Awaitable[WebAnswer | None]],
+    ) -> None:
+        self.handle = handle
+        self.port = 0
+
+    async def start(self, port: int) -> None:
+        """Listen on `port`, 0 for one that the system picks."""
+        server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port, backlog=1024
+        )
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = WebConnection(reader, writer)
+        try:
+            while await self._serve_one(connection):
+                connection.parser.start_next_cycle()
+        except (ConnectionError, h11.ProtocolError):
+            pass
+        finally:
+            connection.gone.set()
+            writer.close()
+
+    async def _serve_one(self, connection: WebConnection) -> bool:
+        request = await connection.read_request()
+        if request is None:
+            return False
+        watcher = asyncio.create_task(connection.watch())
+        try:
+            answer = await self.handle(request, connection)
+        finally:
+            watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watcher
+        if answer is not None:
+            connection.answer(answer)
+        parser = connection.parser
+        done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        return done and not connection.gone.is_set()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
