Find callers' sockets without a search on each write

Change: the list is replaced by an ordered mapping, and a write that the socket takes at once no longer passes through the library's queue.

--- a/carawayfold/transport/server.py
+++ b/carawayfold/transport/server.py
@@ -28,6 +28,26 @@
 HEADERS_END = b"\r\n\r\n"
 
 
+class OpenSockets(dict):
+    """Sockets of a server in order of arrival, found without a search.
+
+    Stands in for the list that the library keeps, whose search grows with the
+    number of connections on every read and write.
+    """
+
+    def append(self, sock: socket) -> None:
+        """Add a socket."""
+        self[sock] = None
+
+    def remove(self, sock: socket) -> None:
+        """Remove a socket."""
+        del self[sock]
+
+    def __getitem__(self, part: slice) -> list[socket]:
+        """Return sockets as a list."""
+        return list(self)[part]
+
+
 class DirectServer(TCPServer):
     """TCP server that writes at once where the socket takes it.
 
@@ -38,20 +58,38 @@
     #: Most callers' connections at once.
     limit = 4096
 
+    def __init__(self, bind: tuple[str, int], channel: str) -> None:
+        super().__init__(bind, channel=channel)
+        self._clients = OpenSockets()
+
     @handler("write", override=True)
     def write(self, sock: socket, data: bytes) -> None:
         """Write `data` to `sock` now, or keep what the socket does not take."""
         if sock not in self._clients:
             return
         queue = self._buffers.get(sock)
-        if not queue:
-            self._write(sock, data)
-            queue = self._buffers.get(sock)
-        else:
+        if queue:
             queue.append(data)
-        if not queue:
+        elif not self._write_now(sock, data):
             return
-        if sum(map(len, queue)) > WRITE_BACKLOG:
+        self._wait_writable(sock)
+
+    def _write_now(self, sock: socket, data: bytes) -> bool:
+        """Write `data`; return whether some of it is left."""
+        try:
+            sent = sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._close(sock)
+            return False
+        if sent == len(data):
+            return False
+        self._buffers[sock].append(data[sent:])
+        return True
+
+    def _wait_writable(self, sock: socket) -> None:
+        if sum(map(len, self._buffers[sock])) > WRITE_BACKLOG:
             self._close(sock)
         elif not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
