Tell granters only what they need to know, with numbers for names

Cause: the busiest router of six sent 57 KB/s of control at 130 requests/s; 118 of 184 bytes a frame were names, and every arrival, grant and release sent one.

--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -93,7 +93,7 @@
             settings.checkpoint,
         )
         self.view = ConfigView(self.follower.snapshot)
-        self.dispatcher = Dispatcher(settings, self.rows, self._touched)
+        self.dispatcher = Dispatcher(settings, self.rows)
         self.exchange = Exchange(
             settings,
             self.membership,
@@ -103,6 +103,7 @@
             self.view.share,
             self.clock,
         )
+        self.dispatcher.observer = self.exchange
         self.links = Links(
             settings.fleet_secret,
             self.exchange.opened,
@@ -217,9 +218,6 @@
         responsible = self.membership.responsible("checkpoint")
         return responsible == self.membership.own.router
 
-    def _touched(self, *work: str) -> None:
-        self.exchange.touched(*work)
-
     async def _ask_hand_over(self, seed: Address) -> None:
         async with grpc.aio.insecure_channel(
             str(seed), options=CHANNEL_OPTIONS
--- a/carawayfold/coordination/dispatch.py
+++ b/carawayfold/coordination/dispatch.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.state.queue import ServiceQueue, Waiter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from carawayfold.protocol.callers import CallerRequest
     from carawayfold.settings import Settings
     from carawayfold.state.ids import EndpointId, OrganisationId, ServiceId
@@ -23,6 +21,16 @@
 RATE_SMOOTHING = 0.2
 
 
+class DemandObserver(Protocol):
+    """Who hears of changes to the work that this router holds."""
+
+    def demanded(self, service: ServiceId, organisation: OrganisationId) -> None:
+        """Note that the waiting work of an organisation changed."""
+
+    def released(self, service: ServiceId, organisation: OrganisationId) -> None:
+        """Note that a slot is free."""
+
+
 class Dispatcher:
     """Requests that this router holds, waiting and in flight.
 
@@ -32,19 +40,18 @@
         Bounds of the queues.
     rows : OwnRows
         Service measured here.
-    on_change : callable
-        Called with a service and an organisation whose work changed.
+    observer : DemandObserver or None
+        Told when work waits and when a slot is free.
     """
 
     def __init__(
         self,
         settings: Settings,
         rows: OwnRows,
-        on_change: Callable[[ServiceId, OrganisationId], None],
     ) -> None:
         self.settings = settings
         self.rows = rows
-        self.on_change = on_change
+        self.observer: DemandObserver | None = None
         self.queues: dict[ServiceId, ServiceQueue] = {}
         self.in_flight: dict[EndpointId, int] = {}
         #: Smoothed seconds between grants, by service and organisation.
@@ -104,7 +111,7 @@
             avoid,
         )
         self.queue(request.service).push(waiter)
-        self.on_change(request.service, organisation)
+        self.observer.demanded(request.service, organisation)
         delivered = False
         try:
             async with asyncio.timeout_at(deadline):
@@ -124,7 +131,7 @@
 
     def _withdraw(self, service: ServiceId, waiter: Waiter) -> None:
         if self.queue(service).discard(waiter):
-            self.on_change(service, waiter.organisation)
+            self.observer.demanded(service, waiter.organisation)
             return
         granted = waiter.granted
         if granted.done() and not granted.cancelled() and not granted.exception():
@@ -160,7 +167,6 @@
         self._note_pace(service, organisation)
         self.in_flight[endpoint] = self.in_flight.get(endpoint, 0) + 1
         self.rows.change(service, organisation, in_flight=1)
-        self.on_change(service, organisation)
         waiter.granted.set_result(endpoint)
         return True
 
@@ -202,7 +208,7 @@
         else:
             del self.in_flight[endpoint]
         self.rows.change(service, organisation, -1, received, requests)
-        self.on_change(service, organisation)
+        self.observer.released(service, organisation)
 
     def refuse_all(self, refusal: Refusal) -> None:
         """Refuse everything that waits."""
@@ -216,4 +222,4 @@
                 queue.discard(waiter)
                 if not waiter.granted.done():
                     waiter.granted.set_exception(refusal)
-                self.on_change(service, waiter.organisation)
+                self.observer.demanded(service, waiter.organisation)
--- a/carawayfold/coordination/pool.py
+++ b/carawayfold/coordination/pool.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from carawayfold.protocol import peer_pb2
+    from carawayfold.protocol.names import NameTable
     from carawayfold.state.ledger import ServiceLedger
 
 #: Seconds of age that each grant on its way takes off a holder's claim to the next.
@@ -130,7 +131,12 @@
                 self.used[endpoint] = self._count_used(endpoint)
 
     def report(
-        self, router: RouterId, report: peer_pb2.PoolReport, basis_ms: int, now: float
+        self,
+        router: RouterId,
+        report: peer_pb2.PoolReport,
+        names: NameTable,
+        basis_ms: int,
+        now: float,
     ) -> None:
         """Take a holder's report.
 
@@ -140,6 +146,8 @@
             The holder.
         report : PoolReport
             Changes since its last report, or everything.
+        names : NameTable
+            Names of the link that the report came on.
         basis_ms : int
             Holder's clock at the report; echoed in grants.
         now : float
@@ -151,9 +159,11 @@
         holder.basis_ms = basis_ms
         self._acknowledge(holder, report.acknowledged)
         for use in report.uses:
-            self._set_use(holder, use)
+            endpoint = EndpointId(names.name(use.endpoint))
+            self._set_use(holder, endpoint, use)
         for waiting in report.waiting:
-            self._set_waiting(router, holder, waiting, now)
+            organisation = OrganisationId(names.name(waiting.organisation))
+            self._set_waiting(router, holder, organisation, waiting, now)
 
     def drop(self, router: RouterId) -> None:
         """Forget a holder: its waiting work, its slots and its grants."""
@@ -263,8 +273,7 @@
             if not demand.promised and not demand.count:
                 del holder.demands[grant.organisation]
 
-    def _set_use(self, holder: Holder, use: peer_pb2.Use) -> None:
-        endpoint = EndpointId(use.endpoint)
+    def _set_use(self, holder: Holder, endpoint: EndpointId, use: peer_pb2.Use) -> None:
         before = holder.in_flight.get(endpoint, 0)
         self._add_used(endpoint, use.in_flight - before)
         if use.in_flight:
@@ -277,9 +286,13 @@
             holder.health.pop(endpoint, None)
 
     def _set_waiting(
-        self, router: RouterId, holder: Holder, waiting: peer_pb2.Waiting, now: float
+        self,
+        router: RouterId,
+        holder: Holder,
+        organisation: OrganisationId,
+        waiting: peer_pb2.Waiting,
+        now: float,
     ) -> None:
-        organisation = OrganisationId(waiting.organisation)
         demand = holder.demands.setdefault(organisation, Demand())
         demand.count = waiting.count
         demand.urgent = waiting.urgent
--- /dev/null
+++ b/carawayfold/coordination/service_book.py
@@ -0,0 +1,149 @@
+"""Service received across the fleet, from every router's rows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayfold.state.ids import OrganisationId, RouterId, ServiceId
+from carawayfold.state.ledger import ServiceLedger
+from carawayfold.state.service_rows import RowCursor, SeenRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from carawayfold.protocol import peer_pb2
+    from carawayfold.protocol.names import NameTable
+    from carawayfold.state.service_rows import OwnRow, OwnRows
+
+RowKey = tuple[ServiceId, OrganisationId]
+
+
+class ServiceBook:
+    """Ledgers by service, fed from this router's rows and those of its peers.
+
+    Parameters
+    ----------
+    own : RouterId
+        This router.
+    rows : OwnRows
+        What it has measured.
+    share_of : callable
+        Returns the share of an organisation.
+    """
+
+    def __init__(
+        self,
+        own: RouterId,
+        rows: OwnRows,
+        share_of: Callable[[OrganisationId], float],
+    ) -> None:
+        self.own = own
+        self.rows = rows
+        self.share_of = share_of
+        self.ledgers: dict[ServiceId, ServiceLedger] = {}
+        self.seen: dict[RouterId, dict[RowKey, SeenRow]] = {own: {}}
+        self.cursor = RowCursor()
+
+    def ledger(self, service: ServiceId) -> ServiceLedger:
+        """Return the ledger of `service`."""
+        ledger = self.ledgers.get(service)
+        if ledger is None:
+            ledger = self.ledgers[service] = ServiceLedger(self.share_of)
+        return ledger
+
+    def write(self, frame: peer_pb2.Frame, names: NameTable, cursor: RowCursor) -> None:
+        """Add the rows changed since `cursor` to `frame`."""
+        by_service: dict[ServiceId, peer_pb2.ServiceRows] = {}
+        for service, organisation, row in self.rows.since(cursor.version):
+            rows = by_service.get(service)
+            if rows is None:
+                number = names.number(service, frame)
+                rows = by_service[service] = frame.rows.add(service=number)
+            rows.rows.add(
+                organisation=names.number(organisation, frame),
+                service=int(row.service),
+                requests=row.requests,
+                in_flight=row.in_flight,
+            )
+        cursor.version = self.rows.version
+
+    def read(
+        self,
+        router: RouterId,
+        rows: peer_pb2.ServiceRows,
+        names: NameTable,
+        first: bool,
+    ) -> None:
+        """Take a peer's rows.
+
+        Parameters
+        ----------
+        router : RouterId
+            The peer.
+        rows : ServiceRows
+            Its changed rows.
+        names : NameTable
+            Names of the link.
+        first : bool
+            Whether they come with the first frame of a link: rows of a process
+            that is new to us are then a starting point, others catch up.
+        """
+        service = ServiceId(names.name(rows.service))
+        seen = self.seen.setdefault(router, {})
+        for row in rows.rows:
+            organisation = OrganisationId(names.name(row.organisation))
+            before = seen.get((service, organisation))
+            if before is None:
+                before = seen[service, organisation] = SeenRow()
+                if first:
+                    before.service = row.service
+                    before.requests = row.requests
+            self._enter(service, organisation, before, row, first)
+
+    def enter_own(self) -> None:
+        """Enter this router's own changed rows in the ledgers."""
+        seen = self.seen[self.own]
+        for service, organisation, row in self.rows.since(self.cursor.version):
+            before = seen.setdefault((service, organisation), SeenRow())
+            self._enter(service, organisation, before, row)
+        self.cursor.version = self.rows.version
+
+    def _enter(
+        self,
+        service: ServiceId,
+        organisation: OrganisationId,
+        before: SeenRow,
+        row: peer_pb2.Row | OwnRow,
+        catching_up: bool = False,
+    ) -> None:
+        """Enter what a row says beyond what was seen of it `before`."""
+        ledger = self.ledger(service)
+        received = row.service - before.service
+        requests = row.requests - before.requests
+        if received > 0 or requests > 0:
+            ledger.settle(organisation, received, requests, catching_up)
+        account = ledger.account(organisation)
+        account.in_flight += row.in_flight - before.in_flight
+        before.service = row.service
+        before.requests = row.requests
+        before.in_flight = row.in_flight
+
+    def restart(self, router: RouterId) -> None:
+        """Note that a peer has started with empty state."""
+        self.drop(router)
+        self.seen[router] = {}
+
+    def drop(self, router: RouterId) -> None:
+        """Take a dead peer's requests in flight out of the ledgers."""
+        for (service, organisation), row in self.seen.get(router, {}).items():
+            account = self.ledger(service).account(organisation)
+            account.in_flight -= row.in_flight
+            row.in_flight = 0
+
+    def tidy(self, known: Collection[RouterId]) -> None:
+        """Forget the rows of routers that are not `known`, and idle accounts."""
+        for router in list(self.seen):
+            if router not in known:
+                del self.seen[router]
+        for ledger in self.ledgers.values():
+            ledger.forget_idle()
--- a/carawayfold/transport/links.py
+++ b/carawayfold/transport/links.py
@@ -11,6 +11,7 @@
 import logbook
 
 from carawayfold.protocol import peer_pb2_grpc
+from carawayfold.protocol.names import NameTable
 from carawayfold.state.service_rows import RowCursor
 
 if TYPE_CHECKING:
@@ -47,6 +48,8 @@
         The peer, once it has said hello.
     cursor : RowCursor
         How far this router's rows have been sent on the link.
+    names : NameTable
+        Numbers in place of names.
     greeted : bool
         Whether the peer's first full frame has arrived.
     closed : bool
@@ -58,9 +61,15 @@
         self.outgoing: asyncio.Queue[peer_pb2.Frame | None] = asyncio.Queue()
         self.router = ""
         self.cursor = RowCursor()
+        self.names = NameTable()
         self.greeted = False
         self.closed = False
 
+    @classmethod
+    def loopback(cls) -> Link:
+        """Return a link that stands for this router itself."""
+        return cls(Meter())
+
     def send(self, frame: peer_pb2.Frame) -> None:
         """Queue a frame."""
         if self.closed:
