Claim idempotency keys on the log, so that a request runs at most once

Cause: nothing tied two requests with one key together; each router sent its own.

Ruled out: a home router a key (a cut or a restart loses what it knew); a claim an append (13,000 requests/s against several hundred appends/s).

Change: claims of one router travel in one append at a time; the first claim of a key on the log wins; repeats ask the claim's owner, and are told ran, not run or unknown.

--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -15,6 +15,7 @@
 
 from carawayfold.coordination.administration import AdminService
 from carawayfold.coordination.calls import CallHandler
+from carawayfold.coordination.claims import Claims
 from carawayfold.coordination.configuration import (
     ConfigFollower,
     ConfigState,
@@ -47,11 +48,16 @@
     from circuits.web.wrappers import Request, Response
 
     from carawayfold.settings import Settings
+    from carawayfold.state.claims import Claim
 
 logger = logbook.Logger(__name__)
 
 #: Stream of the log that carries the configuration.
 CONFIG_STREAM = "configuration"
+#: Stream of the log that orders claims of idempotency keys.
+CLAIMS_STREAM = "claims"
+#: Seconds that the owner of a claim may take to say what became of it.
+OUTCOME_TIMEOUT = 1.0
 #: Seconds between looks at the platform's instance list.
 INSTANCES_INTERVAL = 1.0
 #: Seconds a hand-over may take.
@@ -92,6 +98,8 @@
             self._writes_checkpoints,
             settings.checkpoint,
         )
+        self.claims_log = LogClient(self.http, settings.log, CLAIMS_STREAM)
+        self.claims = Claims(self.claims_log, own, settings.key_lifetime)
         self.view = ConfigView(self.follower.snapshot)
         self.dispatcher = Dispatcher(settings, self.rows)
         self.exchange = Exchange(
@@ -117,23 +125,29 @@
             self.health,
             self.metrics,
             self.http,
+            self.claims,
+            self._ask_owner,
         )
         self.edge = EdgeServer(
             settings, self.root, self.serve, problem.encode_http
         ).register(self.root)
         self.calls.edge = self.edge
         self.leaving: set[str] = set()
+        #: RPC addresses of routers, as the platform lists them.
+        self.peers: dict[str, Address] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopped = asyncio.Event()
 
     async def run(self) -> None:
         """Run until the router has been stopped."""
         self.root.attach()
-        peer = PeerService(self.links, self.follower, pack)
+        peer = PeerService(self.links, self.follower, pack, self.calls.once.outcome_of)
         admin = AdminService(self, OperatorGate(self.settings))
         async with RpcServer(self.settings, peer, admin):
             self._handle_signals()
             self._spawn(self.follower.follow())
+            self._spawn(self.claims.follow())
+            self._spawn(self.claims.append())
             self._spawn(self._watch_instances())
             self._spawn(self._beat())
             for seed in self.settings.seeds:
@@ -212,7 +226,7 @@
 
     def log_appends(self) -> int:
         """Return the appends sent to the log since the start."""
-        return self.config_log.appends
+        return self.config_log.appends + self.claims_log.appends
 
     def _writes_checkpoints(self) -> bool:
         responsible = self.membership.responsible("checkpoint")
@@ -235,6 +249,25 @@
         if reply.snapshot:
             self.follower.adopt(unpack(reply.snapshot))
 
+    async def _ask_owner(self, claim: Claim, digest: bytes) -> peer_pb2.OutcomeReply:
+        """Ask the owner of a claim; an unknown outcome where it can't be asked."""
+        address = self.peers.get(claim.router)
+        if address is None:
+            return peer_pb2.OutcomeReply()
+        request = peer_pb2.OutcomeRequest(
+            digest=digest, incarnation=claim.owner.incarnation
+        )
+        async with grpc.aio.insecure_channel(
+            str(address), options=CHANNEL_OPTIONS
+        ) as channel:
+            stub = peer_pb2_grpc.PeerStub(channel)
+            try:
+                return await stub.AskOutcome(
+                    request, timeout=OUTCOME_TIMEOUT, metadata=self.links.metadata
+                )
+            except grpc.RpcError:
+                return peer_pb2.OutcomeReply()
+
     async def _watch_instances(self) -> None:
         while True:
             try:
@@ -246,6 +279,11 @@
             if leaving != self.leaving:
                 self.leaving = leaving
                 self.configured()
+            self.peers = {
+                item.id: Address(item.host, item.port)
+                for item in instances
+                if item.role == "router"
+            }
             for item in instances:
                 # One side dials: the router with the lesser name.
                 if item.role == "router" and self.settings.router < item.id:
--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/calls.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from carawayfold.coordination.once import OnceRunner
 from carawayfold.coordination.relay import DECLINED, Relay, WholeAnswer
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol import callers, problem
@@ -17,8 +18,10 @@
 if TYPE_CHECKING:
     from circuits.web.wrappers import Request, Response
 
+    from carawayfold.coordination.claims import Claims, OwnClaim
     from carawayfold.coordination.dispatch import Dispatcher
     from carawayfold.coordination.health import HealthBook
+    from carawayfold.coordination.once import AskOwner
     from carawayfold.protocol.callers import CallerRequest
     from carawayfold.settings import Settings
     from carawayfold.state.configuration import Service
@@ -61,6 +64,17 @@
     once: bool
     task: asyncio.Task[None] | None = None
     relay: Relay | None = None
+    claim: OwnClaim | None = None
+
+    @property
+    def keyed(self) -> bool:
+        """Return whether repeats of the request can be told."""
+        return bool(self.request.idempotency_key)
+
+    def leave(self) -> None:
+        """Note that the caller has gone: cancel, unless the answer is to be kept."""
+        if not self.keyed:
+            self.task.cancel()
 
 
 class RetryBudget:
@@ -105,6 +119,10 @@
         Where the ends of requests are counted.
     http : HttpClient
         Connections to endpoints.
+    claims : Claims
+        For requests that may run at most once.
+    ask_owner : callable
+        Asks the router that holds a claim what became of it.
     """
 
     def __init__(
@@ -115,7 +133,10 @@
         health: HealthBook,
         metrics: Metrics,
         http: HttpClient,
+        claims: Claims,
+        ask_owner: AskOwner,
     ) -> None:
+        self.once = OnceRunner(claims, ask_owner, self.attempt)
         self.settings = settings
         self.view = view
         self.dispatcher = dispatcher
@@ -138,7 +159,7 @@
             return
         self.calls.add(call)
         call.task = asyncio.get_running_loop().create_task(self._run(call))
-        self.edge.watch(request, call.task.cancel)
+        self.edge.watch(request, call.leave)
 
     def _open(self, request: Request, response: Response, body: bytes) -> Call:
         request_id = callers.parse_request_id(request.headers)
@@ -175,6 +196,8 @@
             self.calls.discard(call)
 
     async def _answer(self, call: Call) -> WholeAnswer:
+        if call.keyed:
+            return await self.once.run(call)
         return await self.attempt(call)
 
     async def attempt(self, call: Call) -> WholeAnswer:
@@ -207,6 +230,8 @@
         known = self.view.endpoints.get(endpoint)
         relay = None
         try:
+            if call.claim is not None and not self.once.claims.may_send(call.claim):
+                return Refusal(ErrorKind.LOG_UNAVAILABLE, "the claim has lapsed")
             if known is None:
                 return Refusal(ErrorKind.NO_ENDPOINT, "the endpoint was removed")
             address = Address(known.host, known.port)
--- /dev/null
+++ b/carawayfold/coordination/once.py
@@ -0,0 +1,147 @@
+"""Requests that run at most once: claim, send, and tell repeats the truth."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, TypeAlias
+
+from carawayfold.coordination.relay import WholeAnswer
+from carawayfold.errors import ErrorKind, Ran, Refusal
+from carawayfold.protocol import peer_pb2
+from carawayfold.state.claims import (
+    Claim,
+    ClaimEnd,
+    StoredAnswer,
+    digest_of,
+)
+
+if TYPE_CHECKING:
+    from carawayfold.coordination.calls import Call
+    from carawayfold.coordination.claims import Claims, OwnClaim
+
+#: Header that marks an answer given again.
+REPLAYED = "idempotent-replayed"
+#: Longest body kept for repeats, in bytes.
+BODY_KEPT = 64 * 1024
+
+AskOwner: TypeAlias = Callable[[Claim, bytes], Awaitable[peer_pb2.OutcomeReply]]
+
+
+class OnceRunner:
+    """Runs requests with an idempotency key.
+
+    Parameters
+    ----------
+    claims : Claims
+        Claims of this router and of the fleet.
+    ask_owner : callable
+        Asks the router that holds a claim.
+    attempt : callable
+        Has a call answered by an endpoint.
+    """
+
+    def __init__(
+        self,
+        claims: Claims,
+        ask_owner: AskOwner,
+        attempt: Callable[[Call], Awaitable[WholeAnswer]],
+    ) -> None:
+        self.claims = claims
+        self.ask_owner = ask_owner
+        self.attempt = attempt
+
+    async def run(self, call: Call) -> WholeAnswer:
+        """Run `call` unless its key was claimed before; then say what became of it.
+
+        Raises
+        ------
+        Refusal
+            With the truth about whether the request ran.
+        """
+        digest = digest_of(call.organisation, call.request.idempotency_key)
+        fingerprint = call.request.fingerprint
+        held = self.claims.find(digest)
+        if held is None:
+            remaining = call.deadline - asyncio.get_running_loop().time()
+            held = await self.claims.claim(digest, fingerprint, remaining)
+        if isinstance(held, Claim):
+            return await self._repeat(digest, fingerprint, held)
+        call.claim = held
+        return await self._first(call, held)
+
+    async def _first(self, call: Call, claim: OwnClaim) -> WholeAnswer:
+        end = ClaimEnd.UNKNOWN
+        try:
+            answer = await self.attempt(call)
+            end = ClaimEnd.RAN
+        except Refusal as refusal:
+            if refusal.ran is Ran.NO:
+                end = ClaimEnd.RELEASED
+            raise
+        finally:
+            if end is ClaimEnd.RAN:
+                self._keep(claim.digest, answer)
+            self.claims.end(claim, end)
+        return answer
+
+    def _keep(self, digest: bytes, answer: WholeAnswer) -> None:
+        if answer.passed_on or len(answer.body) > BODY_KEPT:
+            return
+        stored = StoredAnswer(answer.status, answer.headers, answer.body)
+        self.claims.answers.put(digest, stored)
+
+    async def _repeat(
+        self, digest: bytes, fingerprint: bytes, held: Claim
+    ) -> WholeAnswer:
+        if held.fingerprint != fingerprint:
+            detail = "the key was first used for another request"
+            raise Refusal(ErrorKind.KEY_REUSED, detail)
+        if held.owner.incarnation == self.claims.own.incarnation:
+            request = peer_pb2.OutcomeRequest(
+                digest=digest, incarnation=held.owner.incarnation
+            )
+            reply = self.outcome_of(request)
+        else:
+            reply = await self.ask_owner(held, digest)
+        return self._tell(reply, held)
+
+    def _tell(self, reply: peer_pb2.OutcomeReply, held: Claim) -> WholeAnswer:
+        if reply.state == peer_pb2.OutcomeReply.RUNNING:
+            raise Refusal(ErrorKind.IN_PROGRESS, ran=Ran.UNKNOWN)
+        if reply.state == peer_pb2.OutcomeReply.NOT_RUN:
+            raise Refusal(ErrorKind.NOT_RUN, "send the request again")
+        ran = held.end is ClaimEnd.RAN or reply.state == peer_pb2.OutcomeReply.DONE
+        if reply.status:
+            headers = {**reply.headers, REPLAYED: "true"}
+            return WholeAnswer(reply.status, headers, reply.body)
+        if ran:
+            detail = "it ran; its answer is no longer held"
+            raise Refusal(ErrorKind.OUTCOME_UNKNOWN, detail, Ran.YES)
+        detail = "the router that took the first attempt can't say whether it ran"
+        raise Refusal(ErrorKind.OUTCOME_UNKNOWN, detail, Ran.UNKNOWN)
+
+    def outcome_of(self, request: peer_pb2.OutcomeRequest) -> peer_pb2.OutcomeReply:
+        """Say what became of a request whose key was claimed here."""
+        reply = peer_pb2.OutcomeReply()
+        if request.incarnation != self.claims.own.incarnation:
+            return reply
+        stored = self.claims.answers.answers.get(request.digest)
+        held = self.claims.find(request.digest)
+        if stored is not None:
+            reply.state = peer_pb2.OutcomeReply.DONE
+            reply.status = stored.status
+            reply.headers.update(stored.headers)
+            reply.body = stored.body
+        elif self._is_running(request.digest):
+            reply.state = peer_pb2.OutcomeReply.RUNNING
+        elif held is None or held.end is ClaimEnd.RELEASED:
+            reply.state = peer_pb2.OutcomeReply.NOT_RUN
+        elif held.end is ClaimEnd.RAN:
+            reply.state = peer_pb2.OutcomeReply.DONE
+        return reply
+
+    def _is_running(self, digest: bytes) -> bool:
+        if digest in self.claims.running:
+            return True
+        return any(claim.digest == digest for claim in self.claims.open.values())
--- a/carawayfold/errors.py
+++ b/carawayfold/errors.py
@@ -29,6 +29,7 @@
     ANSWER_BROKEN = "answer-broken"
     OUTCOME_UNKNOWN = "outcome-unknown"
     IN_PROGRESS = "in-progress"
+    NOT_RUN = "not-run"
     KEY_REUSED = "key-reused"
     LOG_UNAVAILABLE = "log-unavailable"
     STOPPING = "stopping"
@@ -70,6 +71,7 @@
     ErrorKind.ANSWER_BROKEN: ErrorAnswer(502, "The answer broke off", 1),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(409, "The outcome is unknown", 5),
     ErrorKind.IN_PROGRESS: ErrorAnswer(409, "The first attempt is still running", 1),
+    ErrorKind.NOT_RUN: ErrorAnswer(503, "The first attempt was not run", 1),
     ErrorKind.KEY_REUSED: ErrorAnswer(422, "The key was used for another request"),
     ErrorKind.LOG_UNAVAILABLE: ErrorAnswer(503, "The claim can't be recorded", 5),
     ErrorKind.STOPPING: ErrorAnswer(503, "This router is stopping", 1),
--- a/carawayfold/protocol/callers.py
+++ b/carawayfold/protocol/callers.py
@@ -76,10 +76,10 @@
     prefix: int = 0
 
     @property
-    def fingerprint(self) -> str:
+    def fingerprint(self) -> bytes:
         """Return a digest that tells this request from others."""
         text = f"{self.method} {self.path}\n".encode() + self.body
-        return xxhash.xxh3_128_hexdigest(text)
+        return xxhash.xxh3_64_digest(text)
 
 
 class ChatBody(msgspec.Struct):
--- a/carawayfold/settings.py
+++ b/carawayfold/settings.py
@@ -142,6 +142,7 @@
     Setting("spread_delay", float, 0.02, "s", between(0, 60), "Before going far."),
     Setting("exchange", float, 0.2, "s", between(0.01, 10), "Between service reports."),
     Setting("checkpoint", float, 300.0, "s", between(1, 86400), "Between copies."),
+    Setting("key_lifetime", float, 900.0, "s", between(60, 86400), "Keys remembered."),
     Setting("log_level", str, "info", "", one_of(*LOG_LEVELS), "Least level shown."),
 )
 
@@ -192,6 +193,7 @@
     spread_delay: float
     exchange: float
     checkpoint: float
+    key_lifetime: float
     log_level: str
 
 
--- a/carawayfold/transport/rpc.py
+++ b/carawayfold/transport/rpc.py
@@ -31,14 +31,21 @@
         Configuration to hand over.
     pack : callable
         Encodes a snapshot.
+    outcome_of : callable
+        Says what became of a claimed request.
     """
 
     def __init__(
-        self, links: Links, follower: ConfigFollower, pack: Callable[..., bytes]
+        self,
+        links: Links,
+        follower: ConfigFollower,
+        pack: Callable[..., bytes],
+        outcome_of: Callable[[peer_pb2.OutcomeRequest], peer_pb2.OutcomeReply],
     ) -> None:
         self.links = links
         self.follower = follower
         self.pack = pack
+        self.outcome_of = outcome_of
 
     async def _check(self, context: grpc.aio.ServicerContext) -> None:
         if not self.links.permitted(context):
@@ -65,6 +72,13 @@
             return peer_pb2.HandOverReply(revision=revision)
         return peer_pb2.HandOverReply(revision=revision, snapshot=self.pack(snapshot))
 
+    async def AskOutcome(  # noqa: N802
+        self, request: peer_pb2.OutcomeRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.OutcomeReply:
+        """Say what became of a request whose key was claimed here."""
+        await self._check(context)
+        return self.outcome_of(request)
+
 
 class OperatorGate:
     """Checks operators' tokens.
