--- a/carawayfold/state/configuration.py
+++ b/carawayfold/state/configuration.py
@@ -170,7 +170,7 @@
     state : ChangeState
         The verdict, the same on every router.
     revision : int
-        Offset of the change's record.
+        Offset of the change's record, plus one.
     detail : str
         Why it was not accepted.
     """
@@ -231,36 +231,38 @@
         known = self.outcomes.get(change.change_id)
         if known is not None:
             return known
-        outcome = self._judge(offset, change)
+        # Counted from 1, so that no object's revision is `ABSENT`.
+        revision = offset + 1
+        outcome = self._judge(revision, change)
         if outcome.state is ChangeState.ACCEPTED:
-            self._store(offset, change)
+            self._store(revision, change)
         self.outcomes[change.change_id] = outcome
         if len(self.outcomes) > CHANGES_REMEMBERED:
             del self.outcomes[next(iter(self.outcomes))]
         return outcome
 
-    def _judge(self, offset: int, change: Change) -> Outcome:
+    def _judge(self, revision: int, change: Change) -> Outcome:
         key = object_key(change.object)
         entry = self.entries.get(key)
         found = entry.revision if entry else ABSENT
         if found != change.based_on:
             detail = f"{key} is at revision {found}, not {change.based_on}"
-            return Outcome(ChangeState.CONFLICT, offset, detail)
+            return Outcome(ChangeState.CONFLICT, revision, detail)
         if change.remove:
-            return self._judge_removal(offset, key)
+            return self._judge_removal(revision, key)
         fault = find_fault(change.object) or self._missing_reference(change.object)
         if fault:
-            return Outcome(ChangeState.INVALID, offset, fault)
-        return Outcome(ChangeState.ACCEPTED, offset)
+            return Outcome(ChangeState.INVALID, revision, fault)
+        return Outcome(ChangeState.ACCEPTED, revision)
 
-    def _judge_removal(self, offset: int, key: str) -> Outcome:
+    def _judge_removal(self, revision: int, key: str) -> Outcome:
         if key not in self.entries:
-            return Outcome(ChangeState.INVALID, offset, f"{key} does not exist")
+            return Outcome(ChangeState.INVALID, revision, f"{key} does not exist")
         for other, entry in self.entries.items():
             if key in references(entry.object):
                 detail = f"{key} is still used by {other}"
-                return Outcome(ChangeState.CONFLICT, offset, detail)
-        return Outcome(ChangeState.ACCEPTED, offset)
+                return Outcome(ChangeState.CONFLICT, revision, detail)
+        return Outcome(ChangeState.ACCEPTED, revision)
 
     def _missing_reference(self, item: ConfigObject) -> str:
         for key in references(item):
@@ -268,12 +270,12 @@
                 return f"{key} does not exist"
         return ""
 
-    def _store(self, offset: int, change: Change) -> None:
+    def _store(self, revision: int, change: Change) -> None:
         key = object_key(change.object)
         if change.remove:
             del self.entries[key]
         else:
-            self.entries[key] = Entry(change.object, offset)
+            self.entries[key] = Entry(change.object, revision)
 
 
 def object_key(item: ConfigObject) -> str:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+
 from benchmarks.deployments import Deployment
+from carawayfold.coordination.pool import PoolGranter, PoolSpec
+from carawayfold.protocol import peer_pb2
+from carawayfold.protocol.names import NameTable
+from carawayfold.protocol.platform import LogPage, LogRecord, PlatformError
+from carawayfold.state.configuration import Change, Organisation
+from carawayfold.state.ids import EndpointId, OrganisationId, PoolId, RouterId
+from carawayfold.state.ledger import ServiceLedger
+from carawayfold.state.queue import Waiter
 
 #: A deployment small enough for a test.
 SMALL = Deployment(
@@ -15,3 +26,93 @@
     1,
     {"alder": 1.0, "birch": 1.0},
 )
+
+
+def pool_spec(slots=2, endpoints=2):
+    """Return a pool of equal endpoints."""
+    names = [EndpointId(f"endpoint-{n}") for n in range(endpoints)]
+    return PoolSpec(
+        PoolId("north/survey/0"), "survey", "north", dict.fromkeys(names, slots)
+    )
+
+
+def granter(spec=None, shares=None, fair=True):
+    """Return a granter over a new ledger."""
+    shares = shares or {}
+    ledger = ServiceLedger(lambda name: shares.get(name, 1.0))
+    return PoolGranter(spec or pool_spec(), ledger, fair)
+
+
+class Holder:
+    """A holder of requests as a granter sees it, by its reports."""
+
+    def __init__(self, name, granter):
+        self.name = RouterId(name)
+        self.granter = granter
+        self.names = NameTable()
+        self.acknowledged = 0
+
+    def report(self, waiting=None, uses=None, full=False, now=0.0, urgent=()):
+        """Report counts of waiting requests and slots in use."""
+        frame = peer_pb2.Frame()
+        report = frame.reports.add(full=full, acknowledged=self.acknowledged)
+        for name, count in (waiting or {}).items():
+            number = self.names.number(name, frame)
+            report.waiting.add(organisation=number, count=count, urgent=name in urgent)
+        for name, count in (uses or {}).items():
+            number = self.names.number(name, frame)
+            report.uses.add(endpoint=number, in_flight=count, health=100)
+        self.names.learn(frame)
+        self.granter.report(self.name, report, self.names, 0, now)
+
+
+def waiter(organisation="alder", urgent=False, since=0.0, avoid=()):
+    """Return a waiting request; needs a running loop."""
+    future = asyncio.get_running_loop().create_future()
+    return Waiter(
+        "id",
+        OrganisationId(organisation),
+        urgent,
+        since,
+        60.0,
+        future,
+        frozenset(avoid),
+    )
+
+
+def organisation_change(name, based_on=0, share=1.0, change_id="", remove=False):
+    """Return a change of an organisation."""
+    identity = change_id or f"{name}-{based_on}-{share}-{random.getrandbits(32)}"
+    return Change(identity, based_on, Organisation(name, share), remove)
+
+
+class FakeLog:
+    """One stream of the log in memory, with faults."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.down = False
+        self.lose_answers = False
+
+    def trim(self, first):
+        """Drop the records before `first`."""
+        self.first = first
+
+    async def append(self, data):
+        """Append as the real client does."""
+        if self.down:
+            raise PlatformError("down")
+        self.records.append(data)
+        if self.lose_answers:
+            raise PlatformError("lost")
+        return len(self.records) - 1
+
+    async def read(self, start, wait_ms=0):
+        """Read as the real client does, without waiting."""
+        if self.down:
+            raise PlatformError("down")
+        start = max(start, self.first)
+        kept = self.records[start:]
+        records = [LogRecord(start + n, data) for n, data in enumerate(kept)]
+        return LogPage(self.first, len(self.records), records)
