--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -143,7 +143,7 @@
         self.root.attach()
         peer = PeerService(self.links, self.follower, pack, self.calls.once.outcome_of)
         admin = AdminService(self, OperatorGate(self.settings))
-        async with RpcServer(self.settings, peer, admin):
+        async with RpcServer(self.settings, peer, admin) as rpc:
             self._handle_signals()
             self._spawn(self.follower.follow())
             self._spawn(self.claims.follow())
@@ -153,6 +153,8 @@
             for seed in self.settings.seeds:
                 self._spawn(self._ask_hand_over(seed))
             logger.info("router started", extra={"router": self.settings.router})
+            # For whoever let the system choose the ports.
+            print(f"listening {self.edge.server.port} {rpc.port}", flush=True)
             await self.stopped.wait()
             await self._close()
 
--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/calls.py
@@ -244,13 +244,15 @@
                 address,
             )
             answer = await relay.run()
-            if answer.status in DECLINED and not answer.passed_on:
-                self.health.failed(endpoint)
-                return Refusal(ErrorKind.ENDPOINT_FAILED, "the endpoint declined")
             if answer.status < 500:
                 self.health.succeeded(endpoint)
-            else:
-                self.health.failed(endpoint)
+                return answer
+            self.health.failed(endpoint)
+            if answer.status in DECLINED and not answer.passed_on:
+                return Refusal(ErrorKind.ENDPOINT_FAILED, "the endpoint declined")
+            if not call.once and not answer.passed_on:
+                detail = f"the endpoint answered {answer.status}"
+                return Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
             return answer
         except ExchangeError as error:
             self.health.failed(endpoint)
--- a/carawayfold/coordination/relay.py
+++ b/carawayfold/coordination/relay.py
@@ -23,7 +23,7 @@
 #: Times that a broken stream is resumed.
 RESUMES = 3
 #: Status codes by which an endpoint says that it did not run a request.
-DECLINED = (429, 503)
+DECLINED = (503,)
 #: Header by which an engine offers to resume a stream.
 RESUME_HEADER = "x-stream-resume"
 #: Headers of an endpoint's answer that are passed on.
--- /dev/null
+++ b/tests/integration/test_routers.py
@@ -0,0 +1,180 @@
+"""Routers that stop, die, freeze, or start without the log."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+
+from benchmarks.client import chat, post_json, send
+from benchmarks.fleet import Fleet, key_of, start_deployment
+from carawayfold.protocol import admin_pb2
+from carawayfold.state.configuration import Organisation
+from tests.builders import SMALL
+
+
+def ask(port, tokens=30):
+    return chat(port, key_of("alder"), "survey", tokens)
+
+
+async def ended(process):
+    while process.popen.poll() is None:
+        await asyncio.sleep(0.05)
+    return process.popen.returncode
+
+
+def test_planned_stop_cuts_no_request(small_fleet):
+    async def scenario():
+        router = small_fleet.routers[0]
+        streams = [asyncio.create_task(ask(router.port, 100)) for _ in range(12)]
+        await asyncio.sleep(0.3)
+        router.process.signal(signal.SIGTERM)
+        late = await ask(router.port)
+        return await asyncio.gather(*streams), late, await ended(router.process)
+
+    streams, late, code = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert all(stream.is_whole_stream(100) for stream in streams)
+    assert late.json()["kind"] == "stopping"
+    assert late.json()["ran"] == "no"
+    assert "retry-after" in late.headers
+    assert code == 0
+
+
+def test_rolling_restart_under_load_loses_nothing(small_fleet):
+    async def scenario():
+        balancer = small_fleet.start_balancer()
+        replies = []
+        stop = asyncio.Event()
+
+        async def caller():
+            while not stop.is_set():
+                replies.append(await ask(balancer.port))
+
+        callers = [asyncio.create_task(caller()) for _ in range(6)]
+        for router in small_fleet.routers:
+            router.process.signal(signal.SIGTERM)
+            await ended(router.process)
+            await small_fleet.restart_router(router)
+            await small_fleet.wait_ready()
+        stop.set()
+        await asyncio.gather(*callers)
+        return replies
+
+    replies = asyncio.run(asyncio.wait_for(scenario(), 90))
+    bad = [r for r in replies if not r.is_whole_stream(30) and not r.refused]
+    assert bad == []
+    assert sum(reply.is_whole_stream(30) for reply in replies) > len(replies) / 2
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_slots_of_a_lost_router_come_back(small_fleet, number):
+    async def scenario():
+        lost, other = small_fleet.routers
+        held = [asyncio.create_task(ask(lost.port, 3000)) for _ in range(16)]
+        await asyncio.sleep(0.5)
+        lost.process.signal(number)
+        replies = await asyncio.gather(*(ask(other.port, 5) for _ in range(20)))
+        for task in held:
+            task.cancel()
+        return replies
+
+    replies = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert all(reply.is_whole_stream(5) for reply in replies)
+
+
+def test_frozen_router_serves_again_after_it_resumes(small_fleet):
+    async def scenario():
+        frozen = small_fleet.routers[0]
+        frozen.process.signal(signal.SIGSTOP)
+        other = small_fleet.routers[1]
+        while True:
+            status = await small_fleet.status(other)
+            if not all(peer.live for peer in status.peers):
+                break
+            await asyncio.sleep(0.1)
+        frozen.process.signal(signal.SIGCONT)
+        await small_fleet.wait_ready()
+        return await asyncio.gather(*(ask(frozen.port, 5) for _ in range(8)))
+
+    replies = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert all(reply.is_whole_stream(5) for reply in replies)
+
+
+def test_router_without_configuration_serves_nobody(processes):
+    async def scenario():
+        fleet = Fleet(processes)
+        fleet.start_platform()
+        await post_json(fleet.log.port, "/faults", {"down": True})
+        router = await fleet.start_router("router-1", "north")
+        ready = await send(router.port, "GET", "/readyz", {})
+        while not ready.complete:
+            await asyncio.sleep(0.05)
+            ready = await send(router.port, "GET", "/readyz", {})
+        return ready, await ask(router.port)
+
+    ready, reply = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert ready.status == 503
+    assert reply.json()["kind"] == "not-ready"
+    assert reply.json()["ran"] == "no"
+
+
+def test_configuration_is_handed_over_while_the_log_is_down(processes):
+    async def scenario():
+        fleet = Fleet(processes)
+        await start_deployment(fleet, SMALL)
+        await post_json(fleet.log.port, "/faults", {"down": True})
+        router = await fleet.start_router("router-3", "north")
+        while (await send(router.port, "GET", "/readyz", {})).status != 200:
+            await asyncio.sleep(0.05)
+        return await ask(router.port, 5)
+
+    reply = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert reply.is_whole_stream(5)
+
+
+def test_configuration_does_not_revert_when_all_restart_after_a_trim(processes):
+    async def scenario():
+        fleet = Fleet(processes, {"checkpoint": 1.0})
+        await start_deployment(fleet, SMALL)
+        await asyncio.sleep(2)
+        await post_json(fleet.log.port, "/faults", {"keep": 2})
+        before = await fleet.status(fleet.routers[0])
+        for router in fleet.routers:
+            router.process.kill()
+        for router in fleet.routers:
+            await fleet.restart_router(router)
+        await fleet.wait_ready()
+        after = await fleet.status(fleet.routers[0])
+        return before.revision, after.revision, await ask(fleet.routers[1].port, 5)
+
+    before, after, reply = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert after >= before
+    assert reply.is_whole_stream(5)
+
+
+def test_racing_operators_have_one_winner_that_every_router_knows(small_fleet):
+    async def scenario():
+        created = await small_fleet.put(Organisation("cedar", 1.0))
+        based_on = created.revision
+        replies = await asyncio.gather(
+            *(
+                small_fleet.put(
+                    Organisation("cedar", 2.0 + number),
+                    based_on,
+                    f"race-{number}",
+                    small_fleet.routers[number % 2],
+                )
+                for number in range(6)
+            )
+        )
+        again = await small_fleet.put(
+            Organisation("cedar", 2.0), based_on, "race-0", small_fleet.routers[1]
+        )
+        return replies, again
+
+    replies, again = asyncio.run(asyncio.wait_for(scenario(), 60))
+    states = [reply.state for reply in replies]
+    assert states.count(admin_pb2.ChangeReply.ACCEPTED) == 1
+    assert states.count(admin_pb2.ChangeReply.CONFLICT) == 5
+    assert again == replies[0]
