--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -25,6 +25,7 @@
 from carawayfold.coordination.dispatch import Dispatcher
 from carawayfold.coordination.exchange import Exchange
 from carawayfold.coordination.health import HealthBook
+from carawayfold.coordination.loads import LoadWatcher
 from carawayfold.coordination.membership import Member, Membership, PeerState
 from carawayfold.coordination.pools import build_pools
 from carawayfold.errors import ErrorKind, Refusal
@@ -150,6 +151,7 @@
             self._spawn(self.claims.append())
             self._spawn(self._watch_instances())
             self._spawn(self._beat())
+            self._spawn(LoadWatcher(self.http, self.view, self.exchange).watch())
             for seed in self.settings.seeds:
                 self._spawn(self._ask_hand_over(seed))
             logger.info("router started", extra={"router": self.settings.router})
--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/calls.py
@@ -217,7 +217,7 @@
             if isinstance(refusal, WholeAnswer):
                 return refusal
             failed |= {endpoint}
-            if not self._may_retry(call, refusal, len(failed)):
+            if not self._may_retry(call, refusal, failed):
                 raise refusal
 
     async def _use_slot(
@@ -268,8 +268,12 @@
                 call.request.service, call.organisation, endpoint, received
             )
 
-    def _may_retry(self, call: Call, refusal: Refusal, attempts: int) -> bool:
-        if attempts >= ATTEMPTS or self.stopping:
+    def _may_retry(
+        self, call: Call, refusal: Refusal, failed: frozenset[EndpointId]
+    ) -> bool:
+        if len(failed) >= ATTEMPTS or self.stopping:
+            return False
+        if not self._others(call, failed):
             return False
         if call.relay is not None and call.relay.begun:
             return False
@@ -277,6 +281,16 @@
             return False
         return self.budget.spend()
 
+    def _others(self, call: Call, failed: frozenset[EndpointId]) -> list[str]:
+        """Return the endpoints of the call's service that have not failed it."""
+        return [
+            name
+            for name, endpoint in self.view.endpoints.items()
+            if endpoint.service == call.service.id
+            and not endpoint.draining
+            and name not in failed
+        ]
+
     def _end_whole(self, call: Call, answer: WholeAnswer) -> None:
         self._count_first(call)
         self.metrics.of(call.organisation).whole += 1
--- a/carawayfold/coordination/exchange.py
+++ b/carawayfold/coordination/exchange.py
@@ -225,7 +225,8 @@
             before.close()
         data_centre = DataCentreId(hello.data_centre)
         if self.membership.joined(router, data_centre, hello.incarnation):
-            self._drop_holder(router)
+            for granting in self.granting.values():
+                granting.granter.drop(router)
             self.book.restart(router)
         self.links[router] = link
 
@@ -235,15 +236,12 @@
             link = self.links.pop(router, None)
             if link is not None:
                 link.close()
-            self._drop_holder(router)
+            for granting in self.granting.values():
+                granting.granter.lose(router)
             self.book.drop(router)
         if routers:
             self.reassign()
 
-    def _drop_holder(self, router: RouterId) -> None:
-        for granting in self.granting.values():
-            granting.granter.drop(router)
-
     # Demand
 
     def demanded(self, service: ServiceId, organisation: OrganisationId) -> None:
@@ -400,6 +398,7 @@
         service = ServiceId(pool.service)
         if lapsed or not self.dispatcher.granted(service, organisation, endpoint):
             # Given back: its granter hears soon. Other news of a grant can wait.
+            self.reporter.hold_back(pool, organisation)
             self.schedule()
         else:
             self.demanded(service, organisation)
--- a/carawayfold/coordination/pool.py
+++ b/carawayfold/coordination/pool.py
@@ -121,6 +121,10 @@
         #: Holders with waiting work, by organisation.
         self.backlog: dict[OrganisationId, set[RouterId]] = {}
         self.used: dict[EndpointId, int] = dict.fromkeys(spec.slots, 0)
+        #: Most slots that were in use since an endpoint was last asked for its load.
+        self.peak: dict[EndpointId, int] = {}
+        #: Work in endpoints that no holder accounts for.
+        self.foreign: dict[EndpointId, int] = {}
         self.sequence = 0
         self.order = RankOrder()
         #: Organisations whose rank may have fallen since it was entered.
@@ -168,12 +172,36 @@
             organisation = OrganisationId(names.name(waiting.organisation))
             self._set_waiting(router, holder, organisation, waiting, now)
 
+    def begin_look(self, endpoint: EndpointId) -> None:
+        """Note that an endpoint is being asked for its load."""
+        self.peak[endpoint] = self.used.get(endpoint, 0)
+
+    def end_look(self, endpoint: EndpointId, load: int) -> None:
+        """Take an endpoint's report, which is older than its arrival.
+
+        Work that a holder had there at any time since the question is not foreign,
+        so that a late report takes no slot away.
+        """
+        self.foreign[endpoint] = max(0, load - self.peak.get(endpoint, 0))
+
     def close(self) -> None:
         """Forget everything, when another router grants the pool."""
         for router in list(self.holders):
             self.drop(router)
         self.ledger.unwatch(self.lowered)
 
+    def lose(self, router: RouterId) -> None:
+        """Drop a holder that fell silent; what it runs may go on.
+
+        Its slots stay taken until the endpoints have been asked for their load.
+        """
+        holder = self.holders.get(router)
+        if holder is None:
+            return
+        for endpoint, count in holder.in_flight.items():
+            self.foreign[endpoint] = self.foreign.get(endpoint, 0) + count
+        self.drop(router)
+
     def drop(self, router: RouterId) -> None:
         """Forget a holder: its waiting work, its slots and its grants."""
         holder = self.holders.pop(router, None)
@@ -276,7 +304,8 @@
     def _free_endpoints(self) -> dict[EndpointId, int]:
         free: dict[EndpointId, int] = {}
         for endpoint, slots in self.spec.slots.items():
-            count = self._bound(endpoint, slots) - self.used.get(endpoint, 0)
+            taken = self.used.get(endpoint, 0) + self.foreign.get(endpoint, 0)
+            count = self._bound(endpoint, slots) - taken
             if count > 0:
                 free[endpoint] = count
         return free
@@ -351,7 +380,9 @@
         self.ledger.reserve(organisation, count)
 
     def _add_used(self, endpoint: EndpointId, count: int) -> None:
-        self.used[endpoint] = self.used.get(endpoint, 0) + count
+        used = self.used[endpoint] = self.used.get(endpoint, 0) + count
+        if used > self.peak.get(endpoint, 0):
+            self.peak[endpoint] = used
 
     def _count_used(self, endpoint: EndpointId) -> int:
         running = sum(
--- a/carawayfold/coordination/reporting.py
+++ b/carawayfold/coordination/reporting.py
@@ -19,6 +19,9 @@
 
 #: A reported count is sent again once the true one differs by this factor.
 COUNT_FACTOR = 2
+#: Seconds for which demand is held back after a grant that no waiting request
+#: could use, since it had failed at that endpoint.
+HOLD_BACK = 0.05
 
 
 @dataclass(slots=True)
@@ -53,6 +56,8 @@
         Last grant that was received.
     told : int
         Last grant that was acknowledged.
+    held_back : dict of OrganisationId to float
+        Times before which demand is not reported, since a grant was of no use.
     """
 
     granter: RouterId
@@ -62,6 +67,7 @@
     dirty: set[OrganisationId] = field(default_factory=set)
     acknowledged: int = 0
     told: int = 0
+    held_back: dict[OrganisationId, float] = field(default_factory=dict)
 
 
 class Reporter:
@@ -125,6 +131,13 @@
         if known is not None:
             known.left -= 1
 
+    def hold_back(self, pool: PoolSpec, organisation: OrganisationId) -> None:
+        """Note that a grant could not be used by the work that waits."""
+        sent = self.sent.get(pool.id)
+        if sent is not None and organisation in self._queues(pool):
+            sent.held_back[organisation] = self.clock() + HOLD_BACK
+            self.look_again(pool, HOLD_BACK)
+
     def write(
         self, frame: peer_pb2.Frame, pool: PoolSpec, granter: RouterId, link: Link
     ) -> None:
@@ -158,6 +171,11 @@
         dirty, sent.dirty = sent.dirty, set()
         for organisation in dirty:
             queue = queues.get(organisation)
+            if self.clock() < sent.held_back.get(organisation, 0.0):
+                sent.dirty.add(organisation)
+                queue = None
+            else:
+                sent.held_back.pop(organisation, None)
             if queue is None:
                 if sent.waiting.pop(organisation, None) is not None:
                     number = sent.link.names.number(organisation, frame)
--- a/carawayfold/transport/server.py
+++ b/carawayfold/transport/server.py
@@ -138,6 +138,8 @@
             return
         if sock not in self._buffers:
             self._end(sock)
+        elif self._too_large(sock):
+            self._refuse(sock, Refusal(ErrorKind.REQUEST_TOO_LARGE))
 
     def _begin(self, sock: socket) -> None:
         self.received[sock] = 0
--- a/standins/web.py
+++ b/standins/web.py
@@ -108,7 +108,9 @@
 
     async def watch(self) -> None:
         """Set `gone` when the far end closes; the next request is kept."""
-        data = await self.reader.read(READ_SIZE)
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            data = await self.reader.read(READ_SIZE)
         if data:
             self.parser.receive_data(data)
         else:
--- a/tests/coordination/test_pool.py
+++ b/tests/coordination/test_pool.py
@@ -129,3 +129,35 @@
     costs = {ALDER: (100, 100), BIRCH: (100, 100)}
     received = run_backlogged(pool, both, costs, 100)
     assert abs(received[ALDER] - received[BIRCH]) <= 300
+
+
+def test_load_that_no_holder_accounts_for_takes_slots_away():
+    pool = granter(pool_spec(slots=4, endpoints=1))
+    holder = Holder("router-1", pool)
+    pool.begin_look("endpoint-0")
+    pool.end_look("endpoint-0", 3)
+    holder.report({ALDER: 10})
+    assert len(pool.decide()) == 1
+
+
+def test_late_load_report_does_not_count_a_holders_own_work():
+    pool = granter(pool_spec(slots=4, endpoints=1))
+    holder = Holder("router-1", pool)
+    holder.report(uses={"endpoint-0": 4})
+    pool.begin_look("endpoint-0")
+    holder.report(uses={"endpoint-0": 0})
+    pool.end_look("endpoint-0", 4)
+    holder.report({ALDER: 10})
+    assert len(pool.decide()) == 4
+
+
+def test_slots_of_a_silent_holder_stay_taken_until_the_endpoint_was_asked():
+    pool = granter(pool_spec(slots=4, endpoints=1))
+    silent, other = Holder("router-1", pool), Holder("router-2", pool)
+    silent.report(uses={"endpoint-0": 4})
+    other.report({ALDER: 10})
+    pool.lose("router-1")
+    assert pool.decide() == []
+    pool.begin_look("endpoint-0")
+    pool.end_look("endpoint-0", 1)
+    assert len(pool.decide()) == 3
