--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 20
 SEED ?= 1
 
-.PHONY: demo test lint bench bench-capacity binary protocol clean
+.PHONY: demo test lint bench bench-capacity soak binary protocol clean
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,5 +33,8 @@
 	$(RUN) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpc_python_out=. \
 		carawayfold/protocol/peer.proto carawayfold/protocol/admin.proto
 
+soak: $(VENV)/installed
+	$(RUN) -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,389 @@
+"""A long run of mixed requests under random faults, checked for broken promises.
+
+The stand-ins record what really ran; it is compared with what callers and operators
+were told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Annotated
+
+import grpc
+import typer
+
+from benchmarks.client import Reply, call, chat, get_json, post_json
+from benchmarks.deployments import Deployment
+from benchmarks.fleet import Fleet, ask, key_of, start_deployment
+from benchmarks.processes import Processes
+from carawayfold.protocol import admin_pb2
+from carawayfold.state.configuration import Organisation
+
+if TYPE_CHECKING:
+    from benchmarks.fleet import Router
+    from benchmarks.processes import Process
+
+DEPLOYMENT = Deployment(
+    "soak",
+    ("north", "south"),
+    "survey",
+    "desk",
+    4,
+    3,
+    2,
+    {"alder": 2.0, "birch": 1.0, "cedar": 1.0},
+)
+CALLERS = 6
+#: Seconds that a fault lasts, and between faults.
+LASTS = 2.0
+PAUSE = 0.5
+#: Seconds after the last fault before the final checks.
+RECOVERY = 5.0
+#: Seconds that a request may take.
+PATIENCE = 25.0
+#: Settings that make faults show sooner.
+SETTINGS = {"silence": 2.0, "deadline": 10.0, "stop_grace": 8.0, "checkpoint": 2.0}
+
+
+@dataclass
+class Account:
+    """What callers and operators were told.
+
+    Attributes
+    ----------
+    told_ran, told_not_run : set of str
+        Request ids of orders.
+    accepted : dict of str to int
+        Revision of the newest accepted change of each organisation.
+    """
+
+    requests: int = 0
+    whole: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
+    cut: int = 0
+    faults: Counter[str] = field(default_factory=Counter)
+    told_ran: set[str] = field(default_factory=set)
+    told_not_run: set[str] = field(default_factory=set)
+    accepted: dict[str, int] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """Callers, operators and faults on one fleet.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The fleet.
+    proxies : dict of str to Process
+        Fault-injecting proxies before the routers' peer ports.
+    seed : int
+        Of everything random here.
+    """
+
+    def __init__(self, fleet: Fleet, proxies: dict[str, Process], seed: int) -> None:
+        self.fleet = fleet
+        self.proxies = proxies
+        self.chance = random.Random(seed)
+        self.account = Account()
+        self.orders = 0
+        self.stopped = False
+
+    # Callers
+
+    async def caller(self) -> None:
+        """Send one request after the other to any router."""
+        while not self.stopped:
+            self.account.requests += 1
+            if self.chance.random() < 0.5:
+                await self.ask()
+            else:
+                await self.order()
+
+    def pick(self) -> Router:
+        """Return any router."""
+        return self.chance.choice(self.fleet.routers)
+
+    async def ask(self) -> None:
+        """Ask the model, as a stream or whole."""
+        tokens = self.chance.randint(2, 60)
+        organisation = self.chance.choice(list(DEPLOYMENT.organisations))
+        stream = self.chance.random() < 0.7
+        reply = await chat(
+            self.pick().port,
+            key_of(organisation),
+            DEPLOYMENT.model,
+            tokens,
+            stream,
+            timeout=PATIENCE,
+        )
+        if reply.complete and reply.status == 200:
+            self.judge_answer(reply, tokens, stream)
+        else:
+            self.count_failure(reply)
+
+    def judge_answer(self, reply: Reply, tokens: int, stream: bool) -> None:
+        """Check that a complete answer is the whole one."""
+        self.account.whole += 1
+        if stream:
+            whole = reply.is_whole_stream(tokens)
+        else:
+            text = reply.json()["choices"][0]["message"]["content"]
+            whole = text == "".join(f"w{n + 1} " for n in range(tokens))
+        if not whole:
+            self.account.violations.append(f"wrong answer: {reply.body[-200:]!r}")
+
+    async def order(self) -> None:
+        """Order with a key, often again at another router, at once or later."""
+        self.orders += 1
+        key = f"order-{self.orders}"
+        work_ms = self.chance.randint(5, 80)
+        if self.chance.random() < 0.3:
+            await asyncio.gather(
+                *(self.send_order(key, number, work_ms) for number in range(2))
+            )
+        else:
+            await self.send_order(key, 0, work_ms)
+            if self.chance.random() < 0.3:
+                await self.send_order(key, 1, work_ms)
+
+    async def send_order(self, key: str, number: int, work_ms: int) -> None:
+        """Send an order and note what its caller is told."""
+        request_id = f"{key}-{number}"
+        headers = {"Idempotency-Key": key, "X-Request-Id": request_id}
+        reply = await call(
+            self.pick().port,
+            key_of("alder"),
+            DEPLOYMENT.application,
+            work_ms,
+            headers,
+            PATIENCE,
+        )
+        if reply.complete and reply.status == 200:
+            self.account.whole += 1
+            self.account.told_ran.add(reply.json()["request_id"])
+            if not reply.json()["request_id"].startswith(f"{key}-"):
+                self.account.violations.append(f"{key} got another order's answer")
+        else:
+            self.count_failure(reply)
+            if reply.refused and reply.json()["ran"] == "no":
+                self.account.told_not_run.add(request_id)
+
+    def count_failure(self, reply: Reply) -> None:
+        """Count a refusal or a cut."""
+        if reply.refused:
+            self.account.refused[reply.json()["kind"]] += 1
+        else:
+            self.account.cut += 1
+
+    # Operators
+
+    async def operator(self, name: str) -> None:
+        """Change a share again and again, racing the other operator."""
+        number = 0
+        while not self.stopped:
+            number += 1
+            with contextlib.suppress(grpc.RpcError, TimeoutError):
+                await self.change_share(f"{name}-{number}")
+            await asyncio.sleep(0.3)
+
+    async def change_share(self, change_id: str) -> None:
+        """Change the share of one organisation as seen at one router."""
+        router = self.pick()
+        request = admin_pb2.ListRequest(kind="organisation")
+        async with asyncio.timeout(8):
+            listed = await ask(router.peer_port, "List", request)
+            entry = {e.object.organisation.id: e for e in listed.entries}["cedar"]
+            item = Organisation("cedar", 1.0 + self.chance.random())
+            reply = await self.fleet.put(item, entry.revision, change_id, self.pick())
+        if reply.state == admin_pb2.ChangeReply.ACCEPTED:
+            newest = self.account.accepted.get("cedar", 0)
+            self.account.accepted["cedar"] = max(newest, reply.revision)
+
+    # Faults
+
+    async def inject(self, seconds: float) -> None:
+        """Inject one fault after the other, sometimes two at once."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        kinds = [
+            self.kill,
+            self.freeze,
+            self.stop,
+            self.break_log,
+            self.break_list,
+            self.break_endpoint,
+            self.break_link,
+        ]
+        while loop.time() < end:
+            count = 2 if self.chance.random() < 0.3 else 1
+            chosen = self.chance.sample(kinds, count)
+            self.account.faults.update(fault.__name__ for fault in chosen)
+            await asyncio.gather(*(fault() for fault in chosen))
+            await asyncio.sleep(PAUSE)
+
+    async def kill(self) -> None:
+        """Kill a router and start it with empty state."""
+        router = self.pick()
+        if router.process.popen.poll() is None:
+            router.process.kill()
+            await asyncio.sleep(0.5)
+            await self.restart(router)
+
+    async def stop(self) -> None:
+        """Stop a router gracefully and start it again."""
+        router = self.pick()
+        router.process.signal(signal.SIGTERM)
+        while router.process.popen.poll() is None:
+            await asyncio.sleep(0.05)
+        await self.restart(router)
+
+    async def restart(self, router: Router) -> None:
+        """Start a router that has ended, unless another fault did."""
+        if router.process.popen.poll() is not None:
+            await self.fleet.restart_router(router)
+            await list_through_proxy(self.fleet, router, self.proxies)
+
+    async def freeze(self) -> None:
+        """Freeze a router for longer than its peers wait for it."""
+        process = self.pick().process
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(LASTS + 1)
+        process.signal(signal.SIGCONT)
+
+    async def break_log(self) -> None:
+        """Take the log down, slow it, or lose its answers."""
+        faults = self.chance.choice([{"down": True}, {"lost": True}, {"delay": 0.5}])
+        await self.fault_for(self.fleet.log.port, faults)
+
+    async def break_list(self) -> None:
+        """Take the instance list down."""
+        await self.fault_for(
+            self.fleet.instances.port, {"down": True}, {"down": False}
+        )
+
+    async def break_endpoint(self) -> None:
+        """Break an engine or a worker."""
+        name = self.chance.choice(sorted(self.fleet.endpoints))
+        engine = name.startswith(DEPLOYMENT.model)
+        faults = self.chance.choice(
+            [{"break_after": 3}, {"fail": True}, {"silent": True}, {"crossed": True}]
+            if engine
+            else [{"lose": True}, {"fail": True}, {"decline": True}, {"silent": True}]
+        )
+        await self.fault_for(self.fleet.endpoints[name].port, faults)
+
+    async def break_link(self) -> None:
+        """Cut, silence or half silence the links that lead to a router."""
+        proxy = self.proxies[self.pick().name]
+        faults = self.chance.choice(
+            [
+                {"cut": True},
+                {"silent": True},
+                {"swallow_up": True},
+                {"swallow_down": True},
+            ]
+        )
+        await self.fault_for(proxy.control, faults)
+
+    async def fault_for(
+        self, port: int, faults: dict[str, object], after: dict[str, object] | None = None
+    ) -> None:
+        """Put faults in force for a while."""
+        await post_json(port, "/faults", faults)
+        await asyncio.sleep(LASTS)
+        await post_json(port, "/faults", after or {})
+
+    # Checks
+
+    async def check(self) -> None:
+        """Compare what ran with what was told, and the configurations."""
+        ran: Counter[str] = Counter()
+        for name, process in self.fleet.endpoints.items():
+            if name.startswith(DEPLOYMENT.application):
+                records = await get_json(process.port, "/ran")
+                ran.update(record["request_id"] for record in records)
+        orders = Counter(request_id.rpartition("-")[0] for request_id in ran.elements())
+        found = self.account.violations
+        found += [f"{key} ran {n} times" for key, n in orders.items() if n > 1]
+        found += [f"{i} ran, told no" for i in self.account.told_not_run & set(ran)]
+        found += [f"{i} not run, told yes" for i in self.account.told_ran - set(ran)]
+        for router in self.fleet.routers:
+            listed = await ask(
+                router.peer_port, "List", admin_pb2.ListRequest(kind="organisation")
+            )
+            revision = {
+                e.object.organisation.id: e.revision for e in listed.entries
+            }.get("cedar", 0)
+            if revision < self.account.accepted.get("cedar", 0):
+                found.append(f"{router.name} has lost an accepted change")
+
+
+async def list_through_proxy(
+    fleet: Fleet, router: Router, proxies: dict[str, Process]
+) -> None:
+    """Enter a router in the instance list at the port of its proxy."""
+    entry = {
+        "id": router.name,
+        "role": "router",
+        "state": "live",
+        "data_centre": router.settings["data_centre"],
+        "host": "127.0.0.1",
+        "port": proxies[router.name].port,
+    }
+    await post_json(fleet.instances.port, "/instances", [entry])
+
+
+async def soak(seconds: float, seed: int) -> Account:
+    """Run and return the account, with the violations found."""
+    with Processes() as processes:
+        fleet = Fleet(processes, {"log_level": "warning", **SETTINGS})
+        await start_deployment(fleet, DEPLOYMENT)
+        proxies = {}
+        for router in fleet.routers:
+            name = f"proxy-{router.name}"
+            proxies[router.name] = processes.start_standin(
+                name, "proxy", router.peer_port
+            )
+            await list_through_proxy(fleet, router, proxies)
+        run = Soak(fleet, proxies, seed)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(CALLERS):
+                group.create_task(run.caller())
+            for number in range(2):
+                group.create_task(run.operator(f"operator-{number}"))
+            await run.inject(seconds)
+            await asyncio.sleep(RECOVERY)
+            run.stopped = True
+        await fleet.wait_ready()
+        await fleet.wait_revision()
+        await run.check()
+        return run.account
+
+
+def main(
+    seconds: Annotated[float, typer.Option(help="Of faults.")] = 60.0,
+    seed: Annotated[int, typer.Option(help="Of everything random.")] = 1,
+) -> None:
+    """Run the soak; exit code 1 if a promise was broken."""
+    account = asyncio.run(soak(seconds, seed))
+    print(f"seed {seed}, faults {dict(account.faults)}")
+    print(
+        f"{account.requests} requests: {account.whole} whole, "
+        f"{sum(account.refused.values())} refused {dict(account.refused)}, "
+        f"{account.cut} cut; {len(account.violations)} violations"
+    )
+    for line in account.violations:
+        print(f"VIOLATION: {line}")
+    if account.violations:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
