Link large fleets within their data centres, and drop idle service rows

Ruled out: heartbeats every 18 s to all (too slow to find the dead).

Change: above mesh_limit routers (32) only those of one data centre are linked, and serve its endpoints; rows idle for 15 s are dropped by their owner and after 30 s by peers, with a number that tells an earlier row from a later one.

Between data centres of a large fleet there is no exchange yet.

--- a/benchmarks/capacity/inside.py
+++ b/benchmarks/capacity/inside.py
@@ -132,9 +132,7 @@
     driver = "backlogged organisations"
     return [
         Slope("scheduling: a round of one grant", driver, "µs", ORGANISATIONS, rounds),
-        Slope(
-            "scheduling: memory of a granter", driver, "bytes", ORGANISATIONS, memory
-        ),
+        Slope("scheduling: granter memory", driver, "bytes", ORGANISATIONS, memory),
     ]
 
 
@@ -142,9 +140,9 @@
     """Measure the frames and the memory of service rows."""
     from carawayfold.coordination.service_book import ServiceBook
 
-    first, later, memory, tidy = [], [], [], []
+    first, later, memory, heard, tidy = [], [], [], [], []
     for count in ORGANISATIONS:
-        rows = OwnRows()
+        rows = OwnRows(lambda: 0.0)
         book = ServiceBook(RouterId("router"), rows, lambda _: 1.0)
 
         def change(count: int = count, rows: OwnRows = rows) -> None:
@@ -162,12 +160,28 @@
             frame = peer_pb2.Frame()
             book.write(frame, names, cursor)
             sizes.append(float(frame.ByteSize()))
+        peer = ServiceBook(RouterId("other"), OwnRows(lambda: 0.0), lambda _: 1.0)
+        names, cursor = NameTable(), RowCursor()
+        frame = peer_pb2.Frame()
+        book.write(frame, names, cursor)
+        names.learn(frame)
+        peer.read(RouterId("first"), frame.rows[0], names, True)
+
+        def hear(
+            peer: ServiceBook = peer,
+            frame: peer_pb2.Frame = frame,
+            names: NameTable = names,
+        ) -> None:
+            peer.read(RouterId("second"), frame.rows[0], names, True)
+
+        heard.append(bytes_of(hear)[0])
         tidy.append(1e6 * seconds_of(lambda book=book: book.tidy({"router"})))
     driver = "organisations with changes"
     return [
         Slope("exchange: first rows of a link", driver, "bytes", ORGANISATIONS, first),
         Slope("exchange: changed rows", driver, "bytes", ORGANISATIONS, later),
         Slope("exchange: memory of own rows", driver, "bytes", ORGANISATIONS, memory),
+        Slope("exchange: memory of peers' rows", driver, "bytes", ORGANISATIONS, heard),
         Slope("exchange: tidying at a heartbeat", driver, "µs", ORGANISATIONS, tidy),
     ]
 
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -10,8 +10,10 @@
 
 #: Seconds of a day.
 DAY = 86400
-#: Heartbeats a second (setting ``exchange``).
+#: Heartbeats a second at which the slopes were measured (setting ``exchange``).
 BEATS = 5.0
+#: Seconds for which a peer's idle row is kept.
+SEEN_LIFETIME = 30.0
 #: Seconds for which a key is remembered (setting ``key_lifetime``).
 KEY_LIFETIME = 900
 #: Bytes of one change on the log, and of its base64 form in a read.
@@ -30,8 +32,10 @@
 
     Attributes
     ----------
-    peers : int
-        Routers that a router exchanges frames with; in this version, all others.
+    mesh : bool
+        Whether all routers are linked, or only those of one data centre.
+    beats : float
+        Heartbeats a second.
     """
 
     name: str
@@ -42,11 +46,18 @@
     tokens: float
     changes: float
     data_centres: int
+    mesh: bool = True
+    beats: float = BEATS
 
     @property
-    def peers(self) -> int:
-        """Return the links of one node in this version: a full mesh."""
-        return self.nodes - 1
+    def peers(self) -> float:
+        """Return the links of one node: all others, or those of its data centre."""
+        return (self.nodes if self.mesh else self.nodes / self.data_centres) - 1
+
+    @property
+    def rows(self) -> float:
+        """Return the rows a node keeps of itself, or of one peer, at most."""
+        return min(self.organisations, self.node_requests * SEEN_LIFETIME)
 
     @property
     def node_requests(self) -> float:
@@ -68,7 +79,19 @@
 SIZES = (
     Size("Altiplano today", 6, 16, 16, 60, 6_000, 20, 3),
     Size("Bantayog today", 8, 16, 16, 80, 8_000, 20, 4),
-    Size("Letter 1", 360, 13_000, 1_300, 13_000, 2_600_000, 870, 11),
+    Size("Letter 1, all linked", 360, 13_000, 1_300, 13_000, 2_600_000, 870, 11),
+    Size(
+        "Letter 1, `mesh_limit` and `exchange: 1`",
+        360,
+        13_000,
+        1_300,
+        13_000,
+        2_600_000,
+        870,
+        11,
+        mesh=False,
+        beats=1.0,
+    ),
 )
 
 
@@ -138,24 +161,19 @@
 
 
 def _exchange(slopes: dict[str, Slope], size: Size) -> Cost:
-    cpu = slopes["exchange: heartbeats, processor"].each(size.peers)
-    cpu += slopes["exchange: tidying at a heartbeat"].each(size.organisations) * (
-        BEATS * 1e-4
-    )
-    sent = slopes["exchange: heartbeats, sent"].each(size.peers)
-    rows = slopes["exchange: memory of own rows"].each(size.organisations)
+    often = size.beats / BEATS
+    cpu = slopes["exchange: heartbeats, processor"].each(size.peers) * often
+    # Microseconds a heartbeat, as per cent of a core.
+    tidying = slopes["exchange: tidying at a heartbeat"].each(size.rows)
+    cpu += tidying * size.beats * 1e-4
+    sent = slopes["exchange: heartbeats, sent"].each(size.peers) * often
+    rows = slopes["exchange: memory of own rows"].each(size.rows)
+    seen = slopes["exchange: memory of peers' rows"].each(size.rows) * size.peers
     links = slopes["membership: resident memory"].each(size.peers)
-    # A peer's rows take about half of what own rows and their ledger take.
-    seen = rows / 2 * size.peers
+    memory = rows + seen + links
     module = "coordination/exchange.py, coordination/service_book.py"
-    return Cost(
-        "exchange and membership",
-        module,
-        cpu,
-        rows + seen + links,
-        sent,
-        BEATS * size.peers,
-    )
+    messages = size.beats * size.peers
+    return Cost("exchange and membership", module, cpu, memory, sent, messages)
 
 
 def _configuration(slopes: dict[str, Slope], size: Size) -> Cost:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -264,9 +264,7 @@
 
     async def break_list(self) -> None:
         """Take the instance list down."""
-        await self.fault_for(
-            self.fleet.instances.port, {"down": True}, {"down": False}
-        )
+        await self.fault_for(self.fleet.instances.port, {"down": True}, {"down": False})
 
     async def break_endpoint(self) -> None:
         """Break an engine or a worker."""
@@ -293,7 +291,10 @@
         await self.fault_for(proxy.control, faults)
 
     async def fault_for(
-        self, port: int, faults: dict[str, object], after: dict[str, object] | None = None
+        self,
+        port: int,
+        faults: dict[str, object],
+        after: dict[str, object] | None = None,
     ) -> None:
         """Put faults in force for a while."""
         await post_json(port, "/faults", faults)
--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -26,12 +26,22 @@
 from carawayfold.coordination.exchange import Exchange
 from carawayfold.coordination.health import HealthBook
 from carawayfold.coordination.loads import LoadWatcher
-from carawayfold.coordination.membership import Member, Membership, PeerState
+from carawayfold.coordination.membership import (
+    SILENCE_LIMIT,
+    Member,
+    Membership,
+    PeerState,
+)
 from carawayfold.coordination.pools import build_pools
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.protocol import peer_pb2, peer_pb2_grpc, problem
 from carawayfold.protocol.exposition import render
-from carawayfold.protocol.platform import LogClient, PlatformError, list_instances
+from carawayfold.protocol.platform import (
+    Instance,
+    LogClient,
+    PlatformError,
+    list_instances,
+)
 from carawayfold.settings import Address
 from carawayfold.state.ids import DataCentreId, RouterId
 from carawayfold.state.metrics import Metrics
@@ -61,6 +71,8 @@
 OUTCOME_TIMEOUT = 1.0
 #: Seconds between looks at the platform's instance list.
 INSTANCES_INTERVAL = 1.0
+#: Heartbeats in a row after which a silent peer is taken for dead.
+BEATS_MISSED = 4
 #: Seconds a hand-over may take.
 HAND_OVER_TIMEOUT = 2.0
 #: Seconds for which a stopping router still answers new connections with a
@@ -88,8 +100,10 @@
         )
         self.root = Root()
         self.http = HttpClient(self.root).register(self.root)
-        self.membership = Membership(own, self.clock)
-        self.rows = OwnRows()
+        self.membership = Membership(
+            own, self.clock, max(SILENCE_LIMIT, BEATS_MISSED * settings.exchange)
+        )
+        self.rows = OwnRows(self.clock)
         self.metrics = Metrics()
         self.health = HealthBook(self.clock)
         self.config_log = LogClient(self.http, settings.log, CONFIG_STREAM)
@@ -134,6 +148,8 @@
         ).register(self.root)
         self.calls.edge = self.edge
         self.leaving: set[str] = set()
+        #: Whether the fleet is so large that only routers near by are linked.
+        self.large = False
         #: RPC addresses of routers, as the platform lists them.
         self.peers: dict[str, Address] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -221,7 +237,7 @@
         self.calls.ready = self.follower.state is ConfigState.KNOWN
         self.exchange.revision = self.follower.snapshot.through + 1
         self.exchange.set_pools(
-            build_pools(self.follower.snapshot, self.leaving, self.settings)
+            build_pools(self.follower.snapshot, self.leaving, self.settings, self.large)
         )
 
     def is_ready(self) -> bool:
@@ -279,21 +295,23 @@
             except PlatformError:
                 await asyncio.sleep(INSTANCES_INTERVAL)
                 continue
-            leaving = {item.id for item in instances if item.state == "leaving"}
-            if leaving != self.leaving:
-                self.leaving = leaving
-                self.configured()
-            self.peers = {
-                item.id: Address(item.host, item.port)
-                for item in instances
-                if item.role == "router"
-            }
-            for item in instances:
-                # One side dials: the router with the lesser name.
-                if item.role == "router" and self.settings.router < item.id:
-                    self.links.dial(Address(item.host, item.port))
+            self._take_instances(instances)
             await asyncio.sleep(INSTANCES_INTERVAL)
 
+    def _take_instances(self, instances: list[Instance]) -> None:
+        routers = [item for item in instances if item.role == "router"]
+        leaving = {item.id for item in instances if item.state == "leaving"}
+        large = len(routers) > self.settings.mesh_limit
+        if (leaving, large) != (self.leaving, self.large):
+            self.leaving, self.large = leaving, large
+            self.configured()
+        self.peers = {item.id: Address(item.host, item.port) for item in routers}
+        for item in routers:
+            near = item.data_centre == self.settings.data_centre
+            # One side dials: the router with the lesser name.
+            if self.settings.router < item.id and (near or not large):
+                self.links.dial(self.peers[item.id])
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(self.settings.exchange)
--- a/carawayfold/coordination/membership.py
+++ b/carawayfold/coordination/membership.py
@@ -13,10 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Seconds of silence after which a router is taken for dead.
+#: Least silence limit, in seconds.
 SILENCE_LIMIT = 2.0
-#: Seconds between heartbeats on a link.
-HEARTBEAT_INTERVAL = 0.5
 
 
 class PeerState(Enum):
@@ -55,9 +53,14 @@
         This router.
     clock : callable
         Returns monotonic seconds.
+    silence_limit : float
+        Seconds of silence after which a peer is taken for dead.
     """
 
-    def __init__(self, own: Member, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, own: Member, clock: Callable[[], float], silence_limit: float
+    ) -> None:
+        self.silence_limit = silence_limit
         self.own = own
         self.clock = clock
         self.members: dict[RouterId, Member] = {own.router: own}
@@ -86,7 +89,7 @@
             for member in self.members.values()
             if member is not self.own
             and member.state is not PeerState.SILENT
-            and now - member.heard > SILENCE_LIMIT
+            and now - member.heard > self.silence_limit
         ]
         for member in silent:
             member.state = PeerState.SILENT
--- a/carawayfold/coordination/pools.py
+++ b/carawayfold/coordination/pools.py
@@ -21,7 +21,10 @@
 
 
 def build_pools(
-    snapshot: Snapshot, leaving: Collection[str], settings: Settings
+    snapshot: Snapshot,
+    leaving: Collection[str],
+    settings: Settings,
+    near_only: bool = False,
 ) -> list[PoolSpec]:
     """Return the pools of a configuration.
 
@@ -33,6 +36,8 @@
         Endpoints that the platform says are leaving.
     settings : Settings
         The scheduling policy; baselines use one pool a service.
+    near_only : bool
+        Leave out the pools of other data centres, whose granters are not linked.
 
     Returns
     -------
@@ -44,6 +49,8 @@
         item = snapshot.entries[key].object
         if not isinstance(item, Endpoint) or item.draining or item.id in leaving:
             continue
+        if near_only and item.data_centre != settings.data_centre:
+            continue
         granted = settings.scheduling == "granted"
         data_centre = item.data_centre if granted else settings.data_centre
         groups.setdefault((item.service, data_centre), []).append(item)
--- a/carawayfold/coordination/service_book.py
+++ b/carawayfold/coordination/service_book.py
@@ -6,7 +6,7 @@
 
 from carawayfold.state.ids import OrganisationId, RouterId, ServiceId
 from carawayfold.state.ledger import ServiceLedger
-from carawayfold.state.service_rows import RowCursor, SeenRow
+from carawayfold.state.service_rows import SEEN_LIFETIME, RowCursor, SeenRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -64,6 +64,7 @@
                 service=int(row.service),
                 requests=row.requests,
                 in_flight=row.in_flight,
+                born=row.born,
             )
         cursor.version = self.rows.version
 
@@ -92,19 +93,19 @@
         seen = self.seen.setdefault(router, {})
         for row in rows.rows:
             organisation = OrganisationId(names.name(row.organisation))
-            before = seen.get((service, organisation))
-            if before is None:
-                before = seen[service, organisation] = SeenRow()
-                if first:
-                    before.service = row.service
-                    before.requests = row.requests
+            before = seen.pop((service, organisation), None)
+            if before is None and first:
+                before = SeenRow(row.service, row.requests, born=row.born)
+            before = _same_row(before, row)
+            seen[service, organisation] = before
             self._enter(service, organisation, before, row, first)
 
     def enter_own(self) -> None:
         """Enter this router's own changed rows in the ledgers."""
         seen = self.seen[self.own]
         for service, organisation, row in self.rows.since(self.cursor.version):
-            before = seen.setdefault((service, organisation), SeenRow())
+            before = _same_row(seen.pop((service, organisation), None), row)
+            seen[service, organisation] = before
             self._enter(service, organisation, before, row)
         self.cursor.version = self.rows.version
 
@@ -126,6 +127,7 @@
         before.service = row.service
         before.requests = row.requests
         before.in_flight = row.in_flight
+        before.heard = self.rows.clock()
 
     def restart(self, router: RouterId) -> None:
         """Note that a peer has started with empty state."""
@@ -139,9 +141,31 @@
             row.in_flight = 0
 
     def tidy(self, known: Collection[RouterId]) -> None:
-        """Forget the rows of routers that are not `known`, and idle accounts."""
+        """Forget rows of routers that are not `known`, idle rows and accounts."""
+        self.rows.expire()
+        oldest = self.rows.clock() - SEEN_LIFETIME
+        for rows in self.seen.values():
+            _expire(rows, oldest)
         for router in list(self.seen):
             if router not in known:
                 del self.seen[router]
         for ledger in self.ledgers.values():
             ledger.forget_idle()
+
+
+def _same_row(before: SeenRow | None, row: peer_pb2.Row | OwnRow) -> SeenRow:
+    """Return what was seen of `row`, nothing if it began anew meanwhile."""
+    if before is None:
+        return SeenRow(born=row.born)
+    if before.born != row.born:
+        return SeenRow(in_flight=before.in_flight, born=row.born)
+    return before
+
+
+def _expire(rows: dict[RowKey, SeenRow], oldest: float) -> None:
+    """Drop idle rows; they stand in the order of their last change."""
+    for key, row in list(rows.items()):
+        if row.heard > oldest:
+            return
+        if not row.in_flight:
+            del rows[key]
--- a/carawayfold/settings.py
+++ b/carawayfold/settings.py
@@ -143,6 +143,7 @@
     Setting("exchange", float, 0.2, "s", between(0.01, 10), "Between service reports."),
     Setting("checkpoint", float, 300.0, "s", between(1, 86400), "Between copies."),
     Setting("key_lifetime", float, 900.0, "s", between(60, 86400), "Keys remembered."),
+    Setting("mesh_limit", int, 32, "routers", between(1, 1000), "Linked all to all."),
     Setting("log_level", str, "info", "", one_of(*LOG_LEVELS), "Least level shown."),
 )
 
@@ -194,6 +195,7 @@
     exchange: float
     checkpoint: float
     key_lifetime: float
+    mesh_limit: int
     log_level: str
 
 
--- a/carawayfold/state/service_rows.py
+++ b/carawayfold/state/service_rows.py
@@ -6,10 +6,17 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from carawayfold.state.ids import OrganisationId, ServiceId
 
+#: Seconds after which an idle row is dropped by its owner. One that comes up again
+#: starts from nothing.
+OWN_LIFETIME = 15.0
+#: Seconds after which peers drop it. Longer, so that a row still kept by its owner
+#: is never taken for one that starts from nothing.
+SEEN_LIFETIME = 30.0
+
 
 @dataclass(slots=True)
 class OwnRow:
@@ -19,12 +26,18 @@
     ----------
     version : int
         Grows with each change, over all rows of the router.
+    changed : float
+        When it last changed, in monotonic seconds.
+    born : int
+        Version at which it began.
     """
 
     service: float = 0.0
     requests: int = 0
     in_flight: int = 0
     version: int = 0
+    changed: float = 0.0
+    born: int = 0
 
 
 @dataclass(slots=True)
@@ -41,9 +54,16 @@
 
 
 class OwnRows:
-    """Rows of this router, ordered by their last change."""
+    """Rows of this router, ordered by their last change.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
         #: Rows by service and organisation; the last changed one is last.
         self.rows: dict[tuple[ServiceId, OrganisationId], OwnRow] = {}
         self.version = 0
@@ -58,14 +78,24 @@
     ) -> None:
         """Add to a row."""
         key = (service, organisation)
-        row = self.rows.pop(key, None) or OwnRow()
+        row = self.rows.pop(key, None) or OwnRow(born=self.version + 1)
         row.in_flight += in_flight
         row.service += received
         row.requests += requests
         self.version += 1
         row.version = self.version
+        row.changed = self.clock()
         self.rows[key] = row
 
+    def expire(self) -> None:
+        """Drop rows that have been idle for `OWN_LIFETIME`."""
+        oldest = self.clock() - OWN_LIFETIME
+        for key, row in list(self.rows.items()):
+            if row.changed > oldest:
+                return
+            if not row.in_flight:
+                del self.rows[key]
+
     def since(self, version: int) -> Iterator[tuple[ServiceId, OrganisationId, OwnRow]]:
         """Yield the rows changed after `version`, the newest first."""
         for (service, organisation), row in reversed(self.rows.items()):
@@ -76,8 +106,16 @@
 
 @dataclass(slots=True)
 class SeenRow:
-    """A peer's row as last heard."""
+    """A peer's row as last heard.
+
+    Attributes
+    ----------
+    heard : float
+        When it last changed, in monotonic seconds.
+    """
 
     service: float = 0.0
     requests: int = 0
     in_flight: int = 0
+    heard: float = 0.0
+    born: int = 0
--- a/tests/integration/test_routers.py
+++ b/tests/integration/test_routers.py
@@ -7,10 +7,15 @@
 
 import pytest
 
-from benchmarks.client import chat, post_json, send
-from benchmarks.fleet import Fleet, key_of, start_deployment
+from benchmarks.client import chat, get_json, post_json, send
+from benchmarks.fleet import (
+    Fleet,
+    key_of,
+    organisation_objects,
+    start_deployment,
+)
 from carawayfold.protocol import admin_pb2
-from carawayfold.state.configuration import Organisation
+from carawayfold.state.configuration import Endpoint, Organisation, Service
 from tests.builders import SMALL
 
 
@@ -180,3 +185,32 @@
     assert states.count(admin_pb2.ChangeReply.ACCEPTED) == 1
     assert states.count(admin_pb2.ChangeReply.CONFLICT) == 5
     assert again == replies[0]
+
+
+def test_large_fleet_links_and_serves_within_each_data_centre(processes):
+    async def scenario():
+        fleet = Fleet(processes, {"mesh_limit": 3})
+        places = {"a": "north", "b": "north", "c": "south", "d": "south"}
+        fleet.start_platform()
+        await fleet.start_routers(places)
+        items = [Service("survey"), *organisation_objects({"alder": 1.0})]
+        for name, place in {"survey-1": "north", "survey-2": "south"}.items():
+            port = fleet.start_engine(name, 4, 0.01).port
+            items.append(Endpoint(name, "survey", place, "127.0.0.1", port, 4))
+        for item in items:
+            await fleet.put(item)
+        await fleet.wait_revision()
+        replies = [await ask(router.port, 3) for router in fleet.routers]
+        ran = await get_json(fleet.endpoints["survey-1"].port, "/ran")
+        peers = []
+        while [len(met) for met in peers] != [2, 2, 2, 2]:
+            peers = [
+                {peer.router for peer in (await fleet.status(router)).peers}
+                for router in fleet.routers
+            ]
+        return replies, len(ran), peers
+
+    replies, ran, peers = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert all(reply.is_whole_stream(3) for reply in replies)
+    assert ran == 2
+    assert peers == [{"a", "b"}, {"a", "b"}, {"c", "d"}, {"c", "d"}]
