Ship one compiled archive; say which packagers were weighed

Cause: one binary is wanted, but a one-file PyInstaller program starts a second process and unpacks 1,967 files.

--- a/binary/build.py
+++ b/binary/build.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import compileall
 import shutil
 import subprocess
 import sys
@@ -25,6 +26,8 @@
             for path in root.glob(pattern):
                 remove(path)
         shutil.copy(Path(__file__).with_name("bootstrap.py"), root / "bootstrap.py")
+        # Compiled here: out of an archive, every start would compile again.
+        compileall.compile_dir(root, quiet=2, legacy=True, stripdir=folder)
         TARGET.parent.mkdir(exist_ok=True)
         zipapp.create_archive(
             root,
