--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -318,6 +318,7 @@
 def main(
     seconds: Annotated[float, typer.Option(help="Of each run.")] = 12.0,
     only: Annotated[str, typer.Option(help="One deployment.")] = "",
+    faults: Annotated[bool, typer.Option(help="Also with faults and a flood.")] = True,
 ) -> None:
     """Run the measurements."""
     for deployment in (ALTIPLANO, BANTAYOG):
@@ -328,6 +329,8 @@
         for policy in ("first-come", "alone", "granted"):
             run = asyncio.run(run_backlogged(deployment, policy, seconds))
             show(f"{deployment.name} {policy}", run, shares, limit)
+        if not faults:
+            continue
         for label, fault in FAULTS.items():
             run = asyncio.run(run_backlogged(deployment, "granted", seconds, fault))
             show(f"{deployment.name} granted, {label}", run, shares, limit)
--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -71,6 +71,8 @@
 OUTCOME_TIMEOUT = 1.0
 #: Seconds between looks at the platform's instance list.
 INSTANCES_INTERVAL = 1.0
+#: Seconds for the last refusals to be sent.
+LAST_ANSWERS = 0.1
 #: Heartbeats in a row after which a silent peer is taken for dead.
 BEATS_MISSED = 4
 #: Seconds a hand-over may take.
@@ -226,7 +228,7 @@
             await asyncio.sleep(0.05)
         refusal = Refusal(ErrorKind.STOPPING, "the router had to stop")
         self.dispatcher.refuse_all(refusal)
-        await asyncio.sleep(0)
+        await asyncio.sleep(LAST_ANSWERS)
         self.stopped.set()
 
     # Configuration and membership
--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/calls.py
@@ -294,6 +294,8 @@
     def _end_whole(self, call: Call, answer: WholeAnswer) -> None:
         self._count_first(call)
         self.metrics.of(call.organisation).whole += 1
+        if self.stopping:
+            call.response.close = True
         if answer.passed_on:
             self.edge.end(call.response)
         else:
--- a/carawayfold/coordination/loads.py
+++ b/carawayfold/coordination/loads.py
@@ -61,8 +61,8 @@
         self.exchange = exchange
 
     async def watch(self) -> None:
-        """Look again and again."""
-        while True:
+        """Look again and again; alone, other routers' work is none of ours."""
+        while not self.exchange.alone:
             await asyncio.sleep(INTERVAL)
             granters = [entry.granter for entry in self.exchange.granting.values()]
             await asyncio.gather(
