Never say not run after an attempt that may have run; split a long function

Cause: a repeatable request whose first attempt ended unknown and whose retry found no slot in time was refused with the retry's truth, ran: no. Found by reading.

Ruled out: nothing; the test shows it.

Change: the final refusal carries the worst truth of all attempts. An attempt's failure is an exception of its own; requests without a key that may not be repeated get a new connection too. Refusal is no longer frozen, since Python sets tracebacks.

--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import logbook
@@ -77,6 +77,21 @@
             self.task.cancel()
 
 
+class AttemptFailed(Exception):
+    """One attempt failed; the request may be tried elsewhere."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def truthful(refusal: Refusal, earlier: Ran) -> Refusal:
+    """Return `refusal`, not denying what an earlier attempt may have done."""
+    if refusal.ran is Ran.NO and earlier is not Ran.NO:
+        return replace(refusal, ran=earlier)
+    return refusal
+
+
 class RetryBudget:
     """Bounds retries to a share of the requests, so that they can't multiply.
 
@@ -209,58 +224,46 @@
             With the truth about whether the request ran.
         """
         failed: frozenset[EndpointId] = frozenset()
+        ran = Ran.NO
         while True:
-            endpoint = await self.dispatcher.acquire(
-                call.request, call.organisation, call.deadline, failed
-            )
-            refusal = await self._use_slot(call, endpoint)
-            if isinstance(refusal, WholeAnswer):
-                return refusal
+            try:
+                endpoint = await self.dispatcher.acquire(
+                    call.request, call.organisation, call.deadline, failed
+                )
+                return await self._use_slot(call, endpoint)
+            except AttemptFailed as failure:
+                refusal = failure.refusal
+            except Refusal as refusal:
+                raise truthful(refusal, ran) from None
+            ran = truthful(refusal, ran).ran
             failed |= {endpoint}
             if not self._may_retry(call, refusal, failed):
-                raise refusal
+                raise truthful(refusal, ran)
 
-    async def _use_slot(
-        self, call: Call, endpoint: EndpointId
-    ) -> WholeAnswer | Refusal:
-        """Run one attempt and give the slot back."""
+    async def _use_slot(self, call: Call, endpoint: EndpointId) -> WholeAnswer:
+        """Run one attempt and give the slot back.
+
+        Raises
+        ------
+        AttemptFailed
+            If it might be tried elsewhere.
+        """
         metrics = self.metrics.of(call.organisation)
-        loop = asyncio.get_running_loop()
-        metrics.wait.record_value(max(1, int((loop.time() - call.arrived) * 1000)))
-        known = self.view.endpoints.get(endpoint)
+        waited = asyncio.get_running_loop().time() - call.arrived
+        metrics.wait.record_value(max(1, int(waited * 1000)))
         relay = None
         try:
-            if call.claim is not None and not self.once.claims.may_send(call.claim):
-                return Refusal(ErrorKind.LOG_UNAVAILABLE, "the claim has lapsed")
-            if known is None:
-                return Refusal(ErrorKind.NO_ENDPOINT, "the endpoint was removed")
-            address = Address(known.host, known.port)
-            call.relay = relay = Relay(
-                self.http,
-                self.edge,
-                self.settings,
-                call.request,
-                call.response,
-                address,
-            )
-            answer = await relay.run()
-            if answer.status < 500:
-                self.health.succeeded(endpoint)
-                return answer
-            self.health.failed(endpoint)
-            if answer.status in DECLINED and not answer.passed_on:
-                return Refusal(ErrorKind.ENDPOINT_FAILED, "the endpoint declined")
-            if not call.once and not answer.passed_on:
-                detail = f"the endpoint answered {answer.status}"
-                return Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
-            return answer
+            relay = call.relay = self._build_relay(call, endpoint)
+            return self._judge(call, endpoint, await relay.run())
         except ExchangeError as error:
             self.health.failed(endpoint)
             ran = Ran.NO if error.phase is Phase.CONNECTING else Ran.UNKNOWN
-            return Refusal(ErrorKind.ENDPOINT_FAILED, str(error), ran)
+            refusal = Refusal(ErrorKind.ENDPOINT_FAILED, str(error), ran)
+            raise AttemptFailed(refusal) from None
         except Refusal as refusal:
-            self.health.failed(endpoint)
-            return refusal
+            if refusal.kind is ErrorKind.ANSWER_BROKEN:
+                self.health.failed(endpoint)
+            raise AttemptFailed(refusal) from None
         finally:
             received = relay.service_received() if relay else 0.0
             metrics.service += received
@@ -268,6 +271,39 @@
                 call.request.service, call.organisation, endpoint, received
             )
 
+    def _build_relay(self, call: Call, endpoint: EndpointId) -> Relay:
+        known = self.view.endpoints.get(endpoint)
+        if call.claim is not None and not self.once.claims.may_send(call.claim):
+            raise Refusal(ErrorKind.LOG_UNAVAILABLE, "the claim has lapsed")
+        if known is None:
+            raise Refusal(ErrorKind.NO_ENDPOINT, "the endpoint was removed")
+        return Relay(
+            self.http,
+            self.edge,
+            self.settings,
+            call.request,
+            call.response,
+            Address(known.host, known.port),
+            call.once,
+        )
+
+    def _judge(
+        self, call: Call, endpoint: EndpointId, answer: WholeAnswer
+    ) -> WholeAnswer:
+        """Return `answer` if it is one for the caller, and note the health."""
+        if answer.status < 500:
+            self.health.succeeded(endpoint)
+            return answer
+        self.health.failed(endpoint)
+        if answer.passed_on:
+            return answer
+        if answer.status in DECLINED:
+            raise Refusal(ErrorKind.ENDPOINT_FAILED, "the endpoint declined")
+        if call.once:
+            return answer
+        detail = f"the endpoint answered {answer.status}"
+        raise Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
+
     def _may_retry(
         self, call: Call, refusal: Refusal, failed: frozenset[EndpointId]
     ) -> bool:
--- a/carawayfold/coordination/relay.py
+++ b/carawayfold/coordination/relay.py
@@ -67,6 +67,8 @@
         The caller's answer.
     address : Address
         The endpoint.
+    once : bool
+        Whether the request may run at most once.
 
     Attributes
     ----------
@@ -84,7 +86,9 @@
         request: CallerRequest,
         response: Response,
         address: Address,
+        once: bool,
     ) -> None:
+        self.once = once
         self.http = http
         self.edge = edge
         self.settings = settings
@@ -155,7 +159,7 @@
             body,
             self._on_head,
             self._on_data,
-            fresh=bool(self.request.idempotency_key),
+            fresh=self.once,
         )
         exchange = self.connection.exchange
         try:
--- a/carawayfold/errors.py
+++ b/carawayfold/errors.py
@@ -81,7 +81,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(eq=False)
 class Refusal(Exception):
     """A typed error on its way to a caller.
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,14 +6,23 @@
 import random
 
 from benchmarks.deployments import Deployment
+from carawayfold.coordination.calls import Call
 from carawayfold.coordination.pool import PoolGranter, PoolSpec
 from carawayfold.protocol import peer_pb2
+from carawayfold.protocol.callers import CallerRequest
 from carawayfold.protocol.names import NameTable
 from carawayfold.protocol.platform import LogPage, LogRecord, PlatformError
-from carawayfold.state.configuration import Change, Organisation
+from carawayfold.state.configuration import (
+    Change,
+    Endpoint,
+    Organisation,
+    Service,
+    Snapshot,
+)
 from carawayfold.state.ids import EndpointId, OrganisationId, PoolId, RouterId
 from carawayfold.state.ledger import ServiceLedger
 from carawayfold.state.queue import Waiter
+from carawayfold.state.view import ConfigView
 
 #: A deployment small enough for a test.
 SMALL = Deployment(
@@ -116,3 +125,21 @@
         kept = self.records[start:]
         records = [LogRecord(start + n, data) for n, data in enumerate(kept)]
         return LogPage(self.first, len(self.records), records)
+
+
+def small_view():
+    """Return a view of a configuration with one service at two endpoints."""
+    snapshot = Snapshot(entries={}, outcomes={})
+    items = [Service("survey")]
+    items += [
+        Endpoint(f"survey-{n}", "survey", "north", "127.0.0.1", 1) for n in (1, 2)
+    ]
+    for offset, item in enumerate(items):
+        snapshot.apply(offset, Change(str(offset), 0, item))
+    return ConfigView(snapshot)
+
+
+def call():
+    """Return a call of a repeatable request."""
+    request = CallerRequest("id", "key", "survey", "POST", "/", [], b"")
+    return Call(request, None, "alder", Service("survey"), 0.0, 60.0, once=False)
--- /dev/null
+++ b/tests/coordination/test_calls.py
@@ -0,0 +1,42 @@
+"""The truth about a request over several attempts."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from carawayfold.coordination.calls import AttemptFailed, CallHandler, RetryBudget
+from carawayfold.errors import ErrorKind, Ran, Refusal
+from tests.builders import call, small_view
+
+
+class OneSlot:
+    """Grants one slot and then lets the deadline pass."""
+
+    def __init__(self):
+        self.granted = False
+
+    async def acquire(self, *_):
+        if self.granted:
+            raise Refusal(ErrorKind.DEADLINE_EXCEEDED)
+        self.granted = True
+        return "survey-1"
+
+
+@pytest.mark.parametrize("ran", [Ran.UNKNOWN, Ran.NO])
+def test_refusal_after_a_retry_tells_what_the_first_attempt_may_have_done(ran):
+    handler = CallHandler.__new__(CallHandler)
+    handler.dispatcher = OneSlot()
+    handler.view = small_view()
+    handler.stopping = False
+    handler.budget = RetryBudget(1.0)
+
+    async def fail(*_):
+        raise AttemptFailed(Refusal(ErrorKind.ENDPOINT_FAILED, ran=ran))
+
+    handler._use_slot = fail
+    with pytest.raises(Refusal) as caught:
+        asyncio.run(handler.attempt(call()))
+    assert caught.value.kind is ErrorKind.DEADLINE_EXCEEDED
+    assert caught.value.ran is ran
