--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -40,6 +40,7 @@
     Instance,
     LogClient,
     PlatformError,
+    follow,
     list_instances,
 )
 from carawayfold.settings import Address
@@ -164,8 +165,8 @@
         admin = AdminService(self, OperatorGate(self.settings))
         async with RpcServer(self.settings, peer, admin) as rpc:
             self._handle_signals()
-            self._spawn(self.follower.follow())
-            self._spawn(self.claims.follow())
+            self._spawn(follow(self.follower.step))
+            self._spawn(follow(self.claims.step))
             self._spawn(self.claims.append())
             self._spawn(self._watch_instances())
             self._spawn(self._beat())
--- a/carawayfold/coordination/claims.py
+++ b/carawayfold/coordination/claims.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from carawayfold.errors import ErrorKind, Refusal
-from carawayfold.protocol.platform import PlatformError
+from carawayfold.protocol.platform import RETRY_WAIT, PlatformError
 from carawayfold.state.claims import (
     AnswerStore,
     Batch,
@@ -38,8 +38,6 @@
 APPENDS_BUDGET = 300.0
 #: Seconds for which the end of a claim waits for company.
 END_DELAY = 0.5
-#: Seconds before the log is asked again after it failed.
-RETRY_WAIT = 0.3
 #: Seconds after winning within which a request must be sent: a router that was
 #: paused for longer gives the claim back instead.
 SEND_WITHIN = 30.0
@@ -233,15 +231,6 @@
 
     # Following the stream
 
-    async def follow(self) -> None:
-        """Read the stream for ever; an outage only delays it."""
-        while True:
-            try:
-                await self.step()
-            except PlatformError as error:
-                logger.debug("log unreachable", extra={"reason": str(error)})
-                await asyncio.sleep(RETRY_WAIT)
-
     async def step(self) -> None:
         """Read one page and apply it."""
         page = await self.log.read(self.position)
--- a/carawayfold/coordination/configuration.py
+++ b/carawayfold/coordination/configuration.py
@@ -30,8 +30,6 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds before the log is asked again after it failed.
-RETRY_WAIT = 0.3
 #: Records after which the configuration is carried forward.
 CHECKPOINT_EVERY = 200
 #: Bytes of one part of a checkpoint.
@@ -95,15 +93,6 @@
         self.checkpoint_at = 0.0
         self.waiting: dict[str, list[asyncio.Future[Outcome]]] = {}
 
-    async def follow(self) -> None:
-        """Read the stream for ever; an outage only delays it."""
-        while True:
-            try:
-                await self.step()
-            except PlatformError as error:
-                logger.debug("log unreachable", extra={"reason": str(error)})
-                await asyncio.sleep(RETRY_WAIT)
-
     async def step(self) -> None:
         """Read one page and apply it, then carry the configuration forward."""
         page = await self.log.read(self.position)
--- a/carawayfold/protocol/platform.py
+++ b/carawayfold/protocol/platform.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 
 from carawayfold.transport.client import ExchangeError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from carawayfold.settings import Address
     from carawayfold.transport.client import HttpClient
 
+logger = logbook.Logger(__name__)
+
 #: Milliseconds that a read of the log waits for new records.
 LOG_WAIT_MS = 1000
 #: Seconds after which an unanswered call of the platform is given up.
 TIMEOUT = 3.0
+#: Seconds before the log is asked again after it failed.
+RETRY_WAIT = 0.3
 #: Most records asked for at once.
 READ_MOST = 1000
 
@@ -122,6 +130,16 @@
         return await ask(self.http, self.address, method, path, body, timeout)
 
 
+async def follow(step: Callable[[], Awaitable[None]]) -> None:
+    """Call `step`, which reads a stream, for ever; an outage only delays it."""
+    while True:
+        try:
+            await step()
+        except PlatformError as error:
+            logger.debug("log unreachable", extra={"reason": str(error)})
+            await asyncio.sleep(RETRY_WAIT)
+
+
 async def list_instances(http: HttpClient, address: Address) -> list[Instance]:
     """Return the platform's instance list.
 
