Log one JSON object an event

Cause: the lines ended in the repr of a defaultdict.

Ruled out: logbook's format strings (they can't encode the extra fields).

Change: a formatter of our own over logbook's records and msgspec.

--- a/carawayfold/commands/line.py
+++ b/carawayfold/commands/line.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 from typing import Annotated
 
-import logbook
 import typer
 
 from carawayfold import __version__, settings
-from carawayfold.commands import operate
+from carawayfold.commands import logs, operate
 
 app = typer.Typer(
     help="Routers that share model and application capacity fairly.",
@@ -58,7 +56,7 @@
     from carawayfold import application
 
     checked = load_settings(path)
-    set_up_logs(checked.log_level)
+    logs.set_up(checked.log_level)
     asyncio.run(application.run(checked))
 
 
@@ -67,13 +65,3 @@
     """Check a settings file without starting a router."""
     load_settings(path)
     typer.echo(f"{path}: good")
-
-
-def set_up_logs(level: str) -> None:
-    """Write log lines of `level` and above to standard error."""
-    text = (
-        "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
-        "{record.channel} {record.message} {record.extra}"
-    )
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper(), format_string=text)
-    handler.push_application()
