--- a/benchmarks/capacity/inside.py
+++ b/benchmarks/capacity/inside.py
@@ -10,15 +10,19 @@
 
 from benchmarks.capacity.slopes import Slope
 from benchmarks.fleet import key_of
+from carawayfold import settings
 from carawayfold.coordination.configuration import pack, unpack
 from carawayfold.coordination.pool import PoolGranter, PoolSpec
+from carawayfold.coordination.pools import build_pools
 from carawayfold.protocol import peer_pb2
 from carawayfold.protocol.names import NameTable
 from carawayfold.state.claims import Batch, ClaimBook, ClaimRecord, batch_encoder
 from carawayfold.state.configuration import (
     ApiKey,
     Change,
+    Endpoint,
     Organisation,
+    Service,
     Snapshot,
     record_encoder,
 )
@@ -34,6 +38,7 @@
 ORGANISATIONS = [16, 130, 1300, 13000]
 KEYS = [1000, 10000, 100000]
 ACTIVE = [8, 16, 32, 64]
+ENDPOINTS = [9, 61, 610]
 
 
 def bytes_of(build: Callable[[], object]) -> tuple[float, object]:
@@ -220,6 +225,42 @@
     return ClaimRecord(digest, number, digest[:8])
 
 
+def endpoint_slopes() -> list[Slope]:
+    """Measure the pools that endpoints form."""
+    memory, build = [], []
+    values = {
+        "router": "router",
+        "data_centre": "place-0",
+        "listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "fleet_secret": "0123456789abcdef",
+        "log": "127.0.0.1:0",
+        "instances": "127.0.0.1:0",
+    }
+    checked = settings.check(values, "capacity").ok
+    for count in ENDPOINTS:
+        snapshot = Snapshot(entries={}, outcomes={})
+        for number in range(10):
+            snapshot.apply(number, Change(f"s{number}", 0, Service(f"s-{number}")))
+        for number in range(count):
+            place = f"place-{number % 11}"
+            name = f"endpoint-{number}"
+            item = Endpoint(name, f"s-{number % 10}", place, "127.0.0.1", 1, 160)
+            snapshot.apply(10 + number, Change(name, 0, item))
+
+        def build_all(snapshot: Snapshot = snapshot) -> list[PoolGranter]:
+            pools = build_pools(snapshot, set(), checked)
+            return [PoolGranter(pool, ServiceLedger(lambda _: 1.0)) for pool in pools]
+
+        memory.append(bytes_of(build_all)[0])
+        build.append(1000 * seconds_of(build_all))
+    driver = "endpoints"
+    return [
+        Slope("endpoints: memory of pools", driver, "bytes", ENDPOINTS, memory),
+        Slope("endpoints: forming pools anew", driver, "ms", ENDPOINTS, build),
+    ]
+
+
 def metric_slopes() -> list[Slope]:
     """Measure the histograms of active organisations."""
 
@@ -243,5 +284,6 @@
         *scheduling_slopes(),
         *row_slopes(),
         *claim_slopes(),
+        *endpoint_slopes(),
         *metric_slopes(),
     ]
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -48,6 +48,7 @@
     tokens: float
     changes: float
     data_centres: int
+    endpoints: int
     mesh: bool = True
     beats: float = BEATS
 
@@ -79,9 +80,9 @@
 
 #: Today's rates are not in the brief: ten requests a second a node are assumed.
 SIZES = (
-    Size("Altiplano today", 6, 16, 16, 60, 6_000, 20, 3),
-    Size("Bantayog today", 8, 16, 16, 80, 8_000, 20, 4),
-    Size("Letter 1, all linked", 360, 13_000, 1_300, 13_000, 2_600_000, 870, 11),
+    Size("Altiplano today", 6, 16, 16, 60, 6_000, 20, 3, 9),
+    Size("Bantayog today", 8, 16, 16, 80, 8_000, 20, 4, 9),
+    Size("Letter 1, all linked", 360, 13_000, 1_300, 13_000, 2_600_000, 870, 11, 610),
     Size(
         "Letter 1, `mesh_limit` and `exchange: 1`",
         360,
@@ -91,6 +92,7 @@
         2_600_000,
         870,
         11,
+        610,
         mesh=False,
         beats=1.0,
     ),
@@ -194,6 +196,8 @@
     rate = size.changes / DAY
     taking = slopes["configuration: taking a change"].each(size.organisations)
     memory = slopes["configuration: memory"].each(size.organisations)
+    memory += slopes["endpoints: memory of pools"].each(size.endpoints)
+    taking += slopes["endpoints: forming pools anew"].each(size.endpoints)
     module = "coordination/configuration.py, state/configuration.py"
     # The log is asked once a second where nothing changes.
     return Cost(
