Wait until a stopping router has taken its signal before asking it once more

Ruled out: a request cut or lost: the answer was whole.

Change: the test waits until /readyz says that the router stops. What it asserts is unchanged.

Conclusion: the test was wrong, not the router.

--- a/tests/integration/test_routers.py
+++ b/tests/integration/test_routers.py
@@ -35,6 +35,9 @@
         streams = [asyncio.create_task(ask(router.port, 100)) for _ in range(12)]
         await asyncio.sleep(0.3)
         router.process.signal(signal.SIGTERM)
+        # Until the signal is taken, the router rightly serves.
+        while (await send(router.port, "GET", "/readyz", {})).status == 200:
+            await asyncio.sleep(0.01)
         late = await ask(router.port)
         return await asyncio.gather(*streams), late, await ended(router.process)
 
