Say that no configuration is known instead of listing none

Cause: a router that had restarted while the log was down answered operators' List with an empty configuration.

Ruled out: a lost configuration (the router served nobody and said so to callers).

Change: List ends as unavailable until a configuration is known.

Figures: the extended test fails before and passes after.

--- a/carawayfold/coordination/administration.py
+++ b/carawayfold/coordination/administration.py
@@ -7,6 +7,7 @@
 import grpc
 
 from carawayfold import __version__
+from carawayfold.coordination.configuration import ConfigState
 from carawayfold.coordination.membership import PeerState
 from carawayfold.protocol import admin_pb2, admin_pb2_grpc
 from carawayfold.protocol.objects import KINDS, from_message, to_message
@@ -69,6 +70,9 @@
         if request.kind and request.kind not in KINDS:
             detail = f"kind is one of {', '.join(KINDS)}"
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, detail)
+        if self.application.follower.state is ConfigState.UNKNOWN:
+            detail = "no configuration is known yet; ask again, or another router"
+            await context.abort(grpc.StatusCode.UNAVAILABLE, detail)
         snapshot = self.application.follower.snapshot
         reply = admin_pb2.ListReply(revision=snapshot.through + 1)
         for key, entry in sorted(snapshot.entries.items()):
--- a/tests/integration/test_routers.py
+++ b/tests/integration/test_routers.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 
+import grpc
 import pytest
 
 from benchmarks.client import chat, get_json, post_json, send
@@ -14,6 +15,7 @@
     organisation_objects,
     start_deployment,
 )
+from benchmarks.fleet import ask as administer
 from carawayfold.protocol import admin_pb2
 from carawayfold.state.configuration import Endpoint, Organisation, Service
 from tests.builders import SMALL
@@ -121,9 +123,12 @@
         while not ready.complete:
             await asyncio.sleep(0.05)
             ready = await send(router.port, "GET", "/readyz", {})
-        return ready, await ask(router.port)
+        with pytest.raises(grpc.aio.AioRpcError) as caught:
+            await administer(router.peer_port, "List", admin_pb2.ListRequest())
+        return ready, await ask(router.port), caught.value
 
-    ready, reply = asyncio.run(asyncio.wait_for(scenario(), 60))
+    ready, reply, error = asyncio.run(asyncio.wait_for(scenario(), 60))
+    assert error.code() is grpc.StatusCode.UNAVAILABLE
     assert ready.status == 503
     assert reply.json()["kind"] == "not-ready"
     assert reply.json()["ran"] == "no"
