Remove what nothing reads, some of it computed for every chat request

Cause: each chat request hashed its prompt's beginning and kept a cost hint, for a prefix preference that is not built; a waiting request and the health book had members that nothing uses. Found by reading the whole change.

Ruled out: dropping the fields from the parsed body, which would stop to check them.

Change: the unused members and the digest are gone; the same bodies are refused.

--- a/carawayfold/coordination/health.py
+++ b/carawayfold/coordination/health.py
@@ -85,9 +85,3 @@
         if self.clock() < entry.rests_until:
             return 0.0
         return entry.factor
-
-    def next_end(self) -> float | None:
-        """Return when the next rest ends, in monotonic seconds, if any does."""
-        now = self.clock()
-        ends = [e.rests_until for e in self.entries.values() if e.rests_until > now]
-        return min(ends, default=None)
--- a/carawayfold/protocol/callers.py
+++ b/carawayfold/protocol/callers.py
@@ -20,8 +20,6 @@
 SERVICES_PREFIX = "/services/"
 REQUEST_ID_LIMIT = 128
 KEY_LIMIT = 255
-#: Characters of a prompt that name its cached prefix.
-PREFIX_LENGTH = 256
 #: Headers of plain calls that are passed on.
 PASSED_ON = ("content-type", "accept", "accept-language", "range")
 
@@ -54,10 +52,6 @@
         Seconds within which it must have begun; None takes the default.
     idempotency_key : str
         Marks a request that may not be repeated; empty for none.
-    cost_hint : float
-        Rough cost in service units; 0 where nothing is known.
-    prefix : int
-        Digest of the prompt's beginning; 0 for none.
     """
 
     request_id: RequestId
@@ -72,8 +66,6 @@
     urgent: bool = False
     timeout: float | None = None
     idempotency_key: str = ""
-    cost_hint: float = 0.0
-    prefix: int = 0
 
     @property
     def fingerprint(self) -> bytes:
@@ -83,7 +75,7 @@
 
 
 class ChatBody(msgspec.Struct):
-    """The fields of a chat completion that the router reads."""
+    """The fields of a chat completion that the router reads or checks."""
 
     model: str
     messages: list[dict[str, Any]]
@@ -191,8 +183,6 @@
         chat = chat_decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise Refusal(ErrorKind.MALFORMED_REQUEST, str(error)) from None
-    text = str(chat.messages[0].get("content", "")) if chat.messages else ""
-    prefix = xxhash.xxh3_64_intdigest(text[:PREFIX_LENGTH].encode("utf-8", "replace"))
     return CallerRequest(
         **common,
         service=ServiceId(chat.model),
@@ -202,8 +192,6 @@
         body=body,
         chat=True,
         streamed=chat.stream,
-        cost_hint=float(chat.max_completion_tokens or chat.max_tokens or 0),
-        prefix=prefix if text else 0,
     )
 
 
--- a/carawayfold/state/queue.py
+++ b/carawayfold/state/queue.py
@@ -38,8 +38,6 @@
         Resolved with the endpoint on which it may begin.
     avoid : frozenset of EndpointId
         Endpoints that already failed this request.
-    cached_at : EndpointId or None
-        Endpoint that likely holds the prompt's prefix.
     """
 
     request_id: RequestId
@@ -49,7 +47,6 @@
     deadline: float
     granted: asyncio.Future[EndpointId]
     avoid: frozenset[EndpointId] = frozenset()
-    cached_at: EndpointId | None = None
 
 
 @dataclass(slots=True)
