Schedule by bounded looks at the queue, dearer rereads and little patience with late work

Cause: the scheduler weighed every waiting request against every endpoint after each event. Prompts went to endpoints without their prefix too easily, and late work took room from work in time. A stopping router took requests up to its end.

The emulator (benchmarks/emulation) and stand-ins of the platform came with it.

--- /dev/null
+++ b/benchmarks/emulation/__init__.py
@@ -0,0 +1,1 @@
+"""Emulates engines and load in simulated time, to compare scheduling policies."""
--- /dev/null
+++ b/benchmarks/emulation/load.py
@@ -0,0 +1,142 @@
+"""Requests of a deployment in simulated time, from a seed."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from carawayfold.protocol.exchanges import Part
+from carawayfold.state.ids import PartId
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request; times in seconds.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second.
+    worth, late_worth : float
+        Of an answer in time and of a late one.
+    prefixes : tuple of (int, int)
+        Different shared parts and their mean length, from the first to the last.
+    own_tokens : float
+        Mean length of the part that is the request's own.
+    output_tokens : float
+        Mean length of the answer.
+    """
+
+    name: str
+    rate: float
+    objective: float
+    timeout: float
+    worth: float
+    late_worth: float
+    prefixes: tuple[tuple[int, int], ...]
+    own_tokens: float
+    output_tokens: float
+    own_spread: float = 1.0
+    output_spread: float = 0.5
+
+
+#: Loads of the two deployments of the brief at their busiest.
+SURVEY = (
+    Kind("survey-summary", 30, 0.8, 15, 4.1, 0.41, ((1, 512), (89, 4870)), 6610, 382),
+    Kind("tile-metadata", 25, 0.4, 12, 1.9, 0.19, ((40, 119), (112, 79)), 628, 292),
+    Kind("order-triage", 52, 0.5, 3, 0.35, 0.035, ((8, 341), (152, 227)), 1800, 23),
+)
+BOOKING = (
+    Kind("case-brief", 19, 0.6, 10, 9, 2.7, ((1, 512), (89, 4870)), 6610, 378),
+    Kind("seeker-chat", 71, 0.6, 8, 0.84, 0.25, ((40, 119), (112, 79)), 628, 288),
+    Kind("reminder", 51, 1.2, 2.5, 0.39, 0.12, ((8, 341), (152, 227)), 1800, 27),
+)
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request of a caller."""
+
+    name: str
+    kind: Kind
+    organisation: str
+    prompt: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+    asked: float
+    first_asked: float
+    retries: int = 1
+    offered: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Load:
+    """Draws requests.
+
+    Attributes
+    ----------
+    factor : float
+        Times the kinds' rates.
+    """
+
+    kinds: tuple[Kind, ...]
+    seed: int
+    factor: float = 1.0
+    organisations: int = 16
+    hot: dict[str, float] = field(default_factory=dict)
+
+    def requests(self, seconds: float) -> list[Request]:
+        """Return all first requests of a run, in order."""
+        draw = random.Random(self.seed)
+        lengths = {
+            kind.name: [
+                [_spread(draw, mean, 0.4) for _ in range(count)]
+                for count, mean in kind.prefixes
+            ]
+            for kind in self.kinds
+        }
+        names = [f"organisation-{number}" for number in range(self.organisations)]
+        weights = [
+            (1 / (rank + 1) ** 0.9) * self.hot.get(name, 1.0)
+            for rank, name in enumerate(names)
+        ]
+        found = []
+        for kind in self.kinds:
+            at = 0.0
+            while True:
+                at += draw.expovariate(kind.rate * self.factor)
+                if at >= seconds:
+                    break
+                organisation = draw.choices(names, weights)[0]
+                request = self._one(draw, kind, organisation, lengths[kind.name], at)
+                found.append(request)
+        found.sort(key=lambda request: request.asked)
+        for number, request in enumerate(found):
+            request.name = f"r.0.{number}"
+        return found
+
+    def _one(
+        self,
+        draw: random.Random,
+        kind: Kind,
+        organisation: str,
+        lengths: list[list[int]],
+        at: float,
+    ) -> Request:
+        parts = []
+        for level, (count, _) in enumerate(kind.prefixes):
+            thing = draw.randrange(count)
+            tokens = lengths[level][thing]
+            parts.append(Part(PartId(f"{kind.name}/{level}/{thing}"), tokens))
+        own = _spread(draw, kind.own_tokens, kind.own_spread)
+        parts.append(Part(PartId(f"{kind.name}/{at}"), own))
+        output = _spread(draw, kind.output_tokens, kind.output_spread)
+        total = sum(part.tokens for part in parts)
+        return Request("", kind, organisation, tuple(parts), total, output, at, at)
+
+
+def _spread(draw: random.Random, mean: float, spread: float) -> int:
+    """Return a length from a log-normal distribution with this mean."""
+    value = draw.lognormvariate(math.log(mean) - spread**2 / 2, spread)
+    return max(1, round(min(value, 8 * mean)))
--- /dev/null
+++ b/benchmarks/emulation/run.py
@@ -0,0 +1,234 @@
+"""Plays a load against engines through a scheduler, and reports what it was worth."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
+from carawayfold.coordination.offers import Granted, Offer, Outcome
+from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from carawayfold.settings import Address
+from carawayfold.state.endpoints import Endpoint
+from carawayfold.state.ids import (
+    CallId,
+    DataCentreId,
+    EndpointId,
+    OrganisationId,
+    RouteId,
+    RouterId,
+    ServiceId,
+)
+
+if TYPE_CHECKING:
+    from benchmarks.emulation.load import Load, Request
+
+#: Simulated seconds of one tick of the run.
+TICK = 0.002
+WINDOW = 4.0
+
+
+@dataclass(slots=True)
+class KindResult:
+    """What became of one kind of request."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    owed: float = 0.0
+    earned: float = 0.0
+
+
+@dataclass(slots=True)
+class Report:
+    """What a run was worth.
+
+    Attributes
+    ----------
+    reread : int
+        Tokens of shared parts that were read again.
+    refused_again : float
+        Worth of requests that came back and were refused once more.
+    decision_time : float
+        Real seconds spent in the scheduler.
+    """
+
+    kinds: dict[str, KindResult]
+    reread: int
+    busy: float
+    refused_again: float
+    decision_time: float
+
+    @property
+    def benefit(self) -> float:
+        """Return the part of the owed worth that was earned."""
+        owed = sum(item.owed for item in self.kinds.values())
+        return sum(item.earned for item in self.kinds.values()) / owed
+
+
+@dataclass(slots=True)
+class Emulation:
+    """One run.
+
+    Attributes
+    ----------
+    down : dict
+        When engines are lost: from and until, by number.
+    """
+
+    load: Load
+    engines: int
+    model: EngineModel
+    throughput: float
+    seconds: float
+    down: dict[int, tuple[float, float]] = field(default_factory=dict)
+    scheduler: Scheduler = field(init=False)
+    fleet: dict[str, EmulatedEngine] = field(init=False)
+    requests: dict[str, Request] = field(default_factory=dict)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    results: dict[str, KindResult] = field(default_factory=dict)
+    refused_again: float = 0.0
+
+    def __post_init__(self) -> None:
+        known: set[str] = set()
+        self.fleet = {
+            f"engine-{number}": EmulatedEngine(f"engine-{number}", self.model, known)
+            for number in range(self.engines)
+        }
+        self.scheduler = Scheduler(WINDOW)
+        self._set_endpoints(0.0)
+
+    def _set_endpoints(self, now: float) -> None:
+        endpoints = [
+            Endpoint(
+                EndpointId(name),
+                ServiceId("model"),
+                Address("127.0.0.1", 1),
+                DataCentreId("north"),
+                self.model.slots,
+            )
+            for number, name in enumerate(self.fleet)
+            if not self._is_down(number, now)
+        ]
+        plan = PoolPlan(
+            self.throughput,
+            self.model.memory_tokens,
+            self.throughput / self.engines,
+        )
+        self.scheduler.set_endpoints(endpoints, plan)
+
+    def _is_down(self, number: int, now: float) -> bool:
+        since, until = self.down.get(number, (0.0, 0.0))
+        return since <= now < until
+
+    def run(self) -> Report:
+        """Play the load to its end."""
+        for request in self.load.requests(self.seconds):
+            self.requests[request.name] = request
+            self.arrivals.append((request.asked, request.name))
+            result = self.results.setdefault(request.kind.name, KindResult())
+            result.asked += 1
+            result.owed += self._worth(request)
+        heapq.heapify(self.arrivals)
+        spent = self._play()
+        engines = self.fleet.values()
+        return Report(
+            self.results,
+            sum(engine.reread_tokens for engine in engines),
+            sum(engine.busy for engine in engines) / self.engines / self.seconds,
+            self.refused_again,
+            spent,
+        )
+
+    def _worth(self, request: Request) -> float:
+        kind = request.kind
+        size = request.prompt_tokens + 10 * request.output_tokens
+        mean = sum(tokens for _, tokens in kind.prefixes) + kind.own_tokens
+        mean += 10 * kind.output_tokens
+        return kind.worth * min(4.0, 0.3 + 0.7 * size / mean)
+
+    def _play(self) -> float:
+        now = 0.0
+        spent = 0.0
+        while now < self.seconds + 5.0:
+            now += TICK
+            if self.down:
+                self._set_endpoints(now)
+            for engine in self.fleet.values():
+                begun, ended = engine.advance(now)
+                for run in begun:
+                    self.scheduler.begun(CallId(run.name), run.first_at - run.sent)
+                for run in ended:
+                    self._end(run, now)
+            started = time.perf_counter()
+            self._offer_arrivals(now)
+            decisions = self.scheduler.decide(now)
+            spent += time.perf_counter() - started
+            for decision in decisions:
+                if isinstance(decision, Granted):
+                    self._send(decision, now)
+                else:
+                    self._refuse(decision.call, decision.retry_after, now)
+            self._keep_alive(now)
+        return spent
+
+    def _keep_alive(self, now: float) -> None:
+        for call in self.scheduler.refreshed:
+            self.scheduler.refreshed[call] = now
+
+    def _offer_arrivals(self, now: float) -> None:
+        while self.arrivals and self.arrivals[0][0] <= now:
+            _, name = heapq.heappop(self.arrivals)
+            request = self.requests[name]
+            kind = request.kind
+            offer = Offer(
+                call=CallId(name),
+                router=RouterId("r"),
+                data_centre=DataCentreId("north"),
+                organisation=OrganisationId(request.organisation),
+                route=RouteId(kind.name),
+                priority=1,
+                prompt=request.prompt,
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=request.output_tokens,
+                arrived=now,
+                due=request.first_asked + kind.objective,
+                expires=request.first_asked + kind.timeout,
+            )
+            self.scheduler.offer(offer, now)
+
+    def _send(self, decision: Granted, now: float) -> None:
+        request = self.requests[decision.call]
+        run = Run(
+            request.name,
+            request.prompt,
+            request.prompt_tokens,
+            request.output_tokens,
+            now,
+        )
+        self.fleet[decision.endpoint].send(run)
+
+    def _refuse(self, name: str, retry_after: float, now: float) -> None:
+        request = self.requests[name]
+        if request.retries <= 0:
+            self.refused_again += self._worth(request)
+            self.results[request.kind.name].refused += 1
+            return
+        request.retries -= 1
+        heapq.heappush(self.arrivals, (now + retry_after, name))
+
+    def _end(self, run: Run, now: float) -> None:
+        request = self.requests[run.name]
+        kind = request.kind
+        self.scheduler.ended(CallId(run.name), Outcome.WHOLE, now)
+        result = self.results[kind.name]
+        worth = self._worth(request)
+        if run.first_at - request.first_asked <= kind.objective:
+            result.in_time += 1
+            result.earned += worth
+        else:
+            result.late += 1
+            result.earned += worth * kind.late_worth / kind.worth
--- /dev/null
+++ b/benchmarks/hosted.py
@@ -0,0 +1,234 @@
+"""A router that forwards, with stand-ins of the users' platform around it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+if TYPE_CHECKING:
+    from benchmarks.processes import Process, Processes
+
+READ_SIZE = 65536
+HOST = "caller.example"
+KEY = "key-of-alder"
+
+
+def route(name: str, kind: str, service: str, **other: Any) -> dict[str, Any]:
+    """Return a route of the configuration as operators write it."""
+    fields = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 8000,
+        "target_latency_ms": 400,
+        "service": service,
+        "max_attempts": 2,
+    }
+    return {**fields, **other}
+
+
+def configuration(version: int = 1, **other: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    fields = {
+        "version": version,
+        "routes": [
+            route("stream", "streaming", "model", resumable=True),
+            route("stream-once", "streaming", "model", max_attempts=1),
+            route("once", "non_idempotent", "desk", max_attempts=1),
+            route("again", "idempotent", "desk"),
+            route("open", "idempotent", "desk", anonymous=True),
+        ],
+        "services": [
+            {
+                "name": "model",
+                "max_connections": 100,
+                "engine": {"kv_capacity_tokens": 600_000},
+            },
+            {"name": "desk", "max_connections": 100},
+        ],
+        "limits": {"tokens_per_s": 100_000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "alder", "api_keys": [KEY]}],
+    }
+    return {**fields, **other}
+
+
+@dataclass
+class HostedFleet:
+    """Routers, endpoints and the store, as real processes.
+
+    Attributes
+    ----------
+    ports : dict
+        Where each router listens for callers, checks and peers.
+    """
+
+    processes: Processes
+    store: Process = field(init=False)
+    endpoints: dict[str, Process] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
+    routers: dict[str, Process] = field(default_factory=dict)
+    ports: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.store = self.processes.start_standin("store", "store")
+
+    def call_store(self, method: str, path: str, body: bytes = b"") -> bytes:
+        """Call the store as the operator, or to set its faults."""
+        return asyncio.run(call(self.store.port, method, path, body)).body
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write the newest record of a key; None drops the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        record = bytes([len(key)]) + key.encode() + data
+        body = struct.pack(">I", len(record)) + record
+        self.call_store("POST", f"/log-append?topic={topic}&part=0", body)
+
+    def configure(self, config: dict[str, Any]) -> None:
+        """Write the configuration."""
+        self.put("keyed.op", "config", config)
+
+    def start_endpoint(self, name: str, service: str, slots: int = 8) -> None:
+        """Start an endpoint and register it."""
+        self.endpoints[name] = self.processes.start_standin(name, "hosted", name)
+        self.services[name] = service
+        self.register(name, slots=slots)
+
+    def register(self, name: str, **other: Any) -> None:
+        """Write the registration of an endpoint."""
+        port = self.endpoints[name].port
+        entry = {
+            "service": self.services[name],
+            "address": f"127.0.0.1:{port}",
+            "zone": "north",
+            "slots": 8,
+        }
+        self.put("keyed.servers", name, {**entry, **other})
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Set the faults of an endpoint; those not named end."""
+        port = self.endpoints[name].port
+        asyncio.run(call(port, "POST", "/faults", json.dumps(faults).encode()))
+
+    def ran(self, name: str) -> list[dict[str, Any]]:
+        """Return what ran at an endpoint."""
+        return json.loads(
+            asyncio.run(call(self.endpoints[name].port, "GET", "/ran")).body
+        )
+
+    def start_router(self, name: str, profiled: str = "") -> None:
+        """Start a router; see `wait_ready`."""
+        ports = tuple(free_port() for _ in range(3))
+        self.ports[name] = ports
+        settings = {
+            "router": name,
+            "data_centre": "north",
+            "listen": f"127.0.0.1:{ports[0]}",
+            "ready_listen": f"127.0.0.1:{ports[1]}",
+            "peer_listen": f"127.0.0.1:{ports[2]}",
+            "store": f"127.0.0.1:{self.store.port}",
+        }
+        path = self.processes.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        words = ("-o", profiled, "-m", "carawayfold") if profiled else ()
+        module = "cProfile" if profiled else "carawayfold"
+        self.routers[name] = self.processes.start(name, module, *words, "forward", path)
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until a router says that it is ready."""
+        while True:
+            try:
+                answer = await call(self.ports[name][1], "GET", "/ready")
+            except OSError:
+                answer = None
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.02)
+
+
+@dataclass(slots=True)
+class CallAnswer:
+    """An answer, whole unless `complete` is false."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+async def call(
+    port: int,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> CallAnswer:
+    """Send one request on a connection of its own."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        parser = h11.Connection(h11.CLIENT)
+        fields = {"Host": HOST, "Content-Length": str(len(body)), **(headers or {})}
+        request = h11.Request(method=method, target=path, headers=list(fields.items()))
+        writer.write(parser.send(request))
+        if body:
+            writer.write(parser.send(h11.Data(data=body)))
+        writer.write(parser.send(h11.EndOfMessage()))
+        return await read_answer(reader, parser)
+    finally:
+        writer.close()
+
+
+async def read_answer(
+    reader: asyncio.StreamReader, parser: h11.Connection
+) -> CallAnswer:
+    """Read one answer; a broken one is returned as not complete."""
+    answer = CallAnswer(0, {}, b"", False)
+    while True:
+        try:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await reader.read(READ_SIZE))
+                continue
+        except (h11.RemoteProtocolError, ConnectionError):
+            return answer
+        if type(event) is h11.Response:
+            answer.status = event.status_code
+            answer.headers = {
+                name.decode(): value.decode() for name, value in event.headers
+            }
+        elif type(event) is h11.Data:
+            answer.body += event.data
+        elif type(event) is h11.EndOfMessage:
+            answer.complete = True
+            return answer
+        elif type(event) is h11.ConnectionClosed:
+            return answer
+
+
+def free_port() -> int:
+    """Return a port that the system gives out."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def model_headers(request: str, events: int = 4, tokens: int = 400) -> dict[str, str]:
+    """Return the headers of a model request."""
+    return {
+        "Request-Id": request,
+        "X-Api-Key": KEY,
+        "Request-Deadline": "8000",
+        "Token-Usage": f"{tokens},{events}",
+        "Prompt-Prefix": f"aa:{tokens // 2},{request}:{tokens - tokens // 2}",
+    }
+
+
+def plain_headers(request: str, key: str = KEY) -> dict[str, str]:
+    """Return the headers of a plain request."""
+    return {"Request-Id": request, "X-Api-Key": key, "Request-Deadline": "3000"}
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -59,8 +59,10 @@
 HELD_IN_ONE = 20
 #: Decisions remembered for offers that come again.
 DECIDED_KEPT = 2000
-#: Seconds between two rounds of decisions on requests that wait.
-DECIDE_INTERVAL = 0.01
+#: Seconds for which events are gathered before decisions on them.
+DECIDE_DELAY = 0.001
+#: Seconds between two rounds of decisions on requests that wait, without an event.
+DECIDE_INTERVAL = 0.03
 #: Endpoints decided on by one router, so that its work is bounded at any size.
 POOL_SIZE = 16
 #: Prefixes of which this router remembers where it sent them.
@@ -334,8 +336,13 @@
     # Decisions for the fleet
 
     def _decide_soon(self, desk: PoolDesk) -> None:
-        if desk.due is None and desk.scheduler.waiting:
-            desk.due = self.loop.call_later(DECIDE_INTERVAL / 10, self._decide, desk)
+        if not desk.scheduler.waiting:
+            return
+        if desk.due is not None:
+            if desk.due.when() - self.loop.time() <= DECIDE_DELAY:
+                return
+            desk.due.cancel()
+        desk.due = self.loop.call_later(DECIDE_DELAY, self._decide, desk)
 
     def _decide(self, desk: PoolDesk) -> None:
         if desk.due is not None:
--- a/carawayfold/coordination/offers.py
+++ b/carawayfold/coordination/offers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -40,6 +40,10 @@
         Endpoints that it has been to already.
     kept_at : EndpointId or None
         Where its router last sent the same prefix.
+    density : int
+        What its answer is worth for the engine's time, in powers of two.
+    shared_tokens : int
+        Tokens of the parts of the prompt that other requests share.
     """
 
     call: CallId
@@ -56,6 +60,12 @@
     expires: float
     avoid: frozenset[EndpointId] = frozenset()
     kept_at: EndpointId | None = None
+    density: int = 0
+    shared_tokens: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        # The last part of a prompt is the request's own.
+        self.shared_tokens = sum(part.tokens for part in self.prompt[:-1])
 
     @property
     def share_tokens(self) -> int:
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -23,9 +23,10 @@
 READ_AHEAD = 0.1
 #: Seconds until the first token of an idle engine, before anything is measured.
 FIRST_TOKEN = 0.08
-#: How much dearer it is to read a shared part again than its time alone, since it
-#: also pushes other parts out of memory.
-REREAD_WEIGHT = 1.0
+#: How much dearer it is to read a shared part again than its time alone: it takes
+#: time from all that runs beside it. In the emulator at full load, 6 halves the
+#: tokens read again against 1, and as much more is answered in time.
+REREAD_WEIGHT = 6.0
 #: Seconds that an endpoint in another data centre is taken to be slower: the way,
 #: and the traffic between data centres.
 FAR_PENALTY = 0.004
@@ -234,10 +235,17 @@
     return Choice(backlog, unread, memory, starts_in, first_in, cost)
 
 
+def has_room(backlog: Backlog, unread: int, share: float) -> bool:
+    """Return whether an endpoint could take a request of `unread` tokens at once."""
+    return (
+        _wait_for_slot(backlog, share) <= 0
+        and _wait_for_reading(backlog, unread, share) <= 0
+    )
+
+
 def _reread(offer: Offer, kept: int) -> int:
-    """Return the tokens of shared parts that would be read; the last is its own."""
-    shared = sum(part.tokens for part in offer.prompt[:-1])
-    return max(0, shared - kept)
+    """Return the tokens of shared parts that would be read."""
+    return max(0, offer.shared_tokens - kept)
 
 
 def _wait_for_reading(backlog: Backlog, unread: int, share: float) -> float:
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -14,6 +14,8 @@
 
 from __future__ import annotations
 
+import math
+from bisect import insort
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -32,6 +34,7 @@
     Backlog,
     Choice,
     EndpointLoad,
+    has_room,
     weigh,
 )
 from carawayfold.state.usage import UsageBook
@@ -61,14 +64,24 @@
 PREDICTION_MARGIN = 0.15
 #: Part of the time left that a request which can't be in time any more may wait for
 #: idle capacity.
-LATE_PATIENCE = 0.15
+LATE_PATIENCE = 0.02
 #: Least and most seconds told to callers who are turned away.
 LEAST_RETRY = 0.3
 MOST_RETRY = 5.0
 #: Part of the time left that callers wait at most before they come back.
 RETRY_PART = 1 / 3
-#: Most requests that wait in one pool; the least worth of them goes.
-QUEUE_LIMIT = 2000
+#: Seconds between looks at every waiting request, to order them anew and to find
+#: those that can't be in time any more.
+REVIEW_INTERVAL = 0.04
+#: Requests at the head of the queue for which each endpoint is weighed: without the
+#: limit, a queue of 300 took a whole core.
+HEAD = 24
+#: The same between two such looks, whenever an endpoint has room.
+LOOKED_AT = 8
+#: Why most requests are turned away.
+TOO_LATE = "no answer in time"
+#: Tokens of a short request, for which an endpoint must have room to count as free.
+SHORT_REQUEST = 300
 
 
 @dataclass(slots=True)
@@ -91,6 +104,21 @@
         return self.granted / self.offered if self.offered else 1.0
 
 
+#: What a request's place in the queue is judged by, the least first: whether it is
+#: beyond its organisation's share, whether it is late already, its priority, whether
+#: its kind gets enough, its worth for the engine's time (negated), and when its
+#: caller wants the answer.
+Rank = tuple[bool, bool, int, bool, int, float]
+
+
+@dataclass(slots=True, order=True)
+class Ranked:
+    """A request in its place in the queue."""
+
+    rank: Rank
+    offer: Offer = field(compare=False)
+
+
 @dataclass(frozen=True, slots=True)
 class PoolPlan:
     """What a scheduler has to work with.
@@ -121,6 +149,9 @@
     ----------
     waiting : dict
         Requests without an endpoint, in order of arrival.
+    order : list of Ranked
+        The same in the order in which they are served; those that have left may
+        still stand there until the next look at all.
     unreachable : dict
         Until when a router is taken not to reach an endpoint.
     """
@@ -133,6 +164,8 @@
     places: dict[CallId, EndpointId] = field(default_factory=dict)
     unreachable: dict[tuple[RouterId, EndpointId], float] = field(default_factory=dict)
     served: dict[RouteId, Served] = field(default_factory=dict)
+    order: list[Ranked] = field(default_factory=list)
+    reviewed: float = 0.0
     usage: UsageBook = field(init=False)
 
     def __post_init__(self) -> None:
@@ -163,6 +196,9 @@
         served.fade(now)
         served.offered += 1
         self._learn_prefix(offer)
+        offer.density = self._density(offer)
+        rank = self._rank(offer, self._overall_part(now), now)
+        insort(self.order, Ranked(rank, offer))
 
     def _learn_prefix(self, offer: Offer) -> None:
         """Believe a router that knows where a prefix went, if nobody else does."""
@@ -246,16 +282,81 @@
         """Return every grant and every refusal that is due."""
         if not self.waiting:
             return []
-        self.usage.refresh(now, self.plan.throughput)
         backlogs = [Backlog.of(load) for load in self.loads.values()]
+        if now - self.reviewed >= REVIEW_INTERVAL:
+            return self._review(backlogs, now)
+        decisions: list[Decision] = []
+        for entry in self.order[:LOOKED_AT]:
+            if not self._has_room(backlogs):
+                break
+            self._decide_into(decisions, entry.offer, backlogs, now)
+        self._drop_decided(decisions)
+        return decisions
+
+    def _review(self, backlogs: list[Backlog], now: float) -> list[Decision]:
+        """Order all requests anew and look at each one."""
+        self.reviewed = now
+        self.usage.refresh(now, self.plan.throughput)
+        overall = self._overall_part(now)
+        self.order = sorted(
+            Ranked(self._rank(offer, overall, now), offer)
+            for offer in self.waiting.values()
+        )
         decisions: list[Decision] = []
-        for offer in self._ordered(now):
-            decision = self._decide_one(offer, backlogs, now)
-            if decision is not None:
-                self.withdraw(offer.call)
-                decisions.append(decision)
+        for entry in self.order[:HEAD]:
+            self._decide_into(decisions, entry.offer, backlogs, now)
+        self._review_tail(decisions, backlogs, now)
+        self._drop_decided(decisions)
         return decisions
 
+    def _review_tail(
+        self, decisions: list[Decision], backlogs: list[Backlog], now: float
+    ) -> None:
+        """Turn away what can't be in time behind the head of the queue.
+
+        For these the pool counts as one endpoint: which one each would get is not
+        known yet, and to work it out for a long queue would take too long.
+        """
+        tail = self.order[HEAD:]
+        if not tail or not backlogs:
+            return
+        speed = sum(item.load.speed for item in backlogs)
+        places = sum(item.load.endpoint.slots for item in backlogs)
+        residence = sum(item.load.residence for item in backlogs) / len(backlogs)
+        unread = sum(item.unread for item in backlogs)
+        behind = sum(item.running for item in backlogs) - places
+        for entry in tail:
+            offer = entry.offer
+            behind += 1
+            unread += offer.prompt_tokens - offer.shared_tokens
+            first_in = max(unread / speed, behind * residence / places)
+            if self._is_hopeless(offer, first_in, now):
+                decisions.append(self._turn_away(offer, TOO_LATE, first_in, now))
+
+    def _drop_decided(self, decisions: list[Decision]) -> None:
+        if not decisions:
+            return
+        for decision in decisions:
+            self.withdraw(decision.call)
+        self.order = [item for item in self.order if item.offer.call in self.waiting]
+
+    def _decide_into(
+        self,
+        decisions: list[Decision],
+        offer: Offer,
+        backlogs: list[Backlog],
+        now: float,
+    ) -> None:
+        if offer.call not in self.waiting:
+            return
+        decision = self._decide_one(offer, backlogs, now)
+        if decision is not None:
+            decisions.append(decision)
+
+    def _has_room(self, backlogs: list[Backlog]) -> bool:
+        share = self.plan.share
+        return any(has_room(item, SHORT_REQUEST, share) for item in backlogs)
+
     def _decide_one(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> Decision | None:
@@ -267,8 +368,8 @@
             self._grant(offer, choice, now)
             choice.backlog.add(choice.unread, choice.memory)
             return Granted(offer.call, choice.backlog.load.endpoint.id)
-        if self._is_hopeless(offer, choice, now):
-            return self._turn_away(offer, "no answer in time", choice.first_in, now)
+        if self._is_hopeless(offer, choice.first_in, now):
+            return self._turn_away(offer, TOO_LATE, choice.first_in, now)
         choice.backlog.add(choice.unread, choice.memory)
         return None
 
@@ -301,12 +402,12 @@
         served = self.served[offer.route]
         served.granted += 1
 
-    def _is_hopeless(self, offer: Offer, choice: Choice, now: float) -> bool:
+    def _is_hopeless(self, offer: Offer, first_in: float, now: float) -> bool:
         if now >= offer.due:
             patience = (offer.expires - offer.arrived) * LATE_PATIENCE
             return now - offer.arrived > patience
         margin = (offer.due - offer.arrived) * PREDICTION_MARGIN
-        return now + choice.first_in > offer.due + margin
+        return now + first_in > offer.due + margin
 
     def _without_endpoint(self, offer: Offer, now: float) -> Decision | None:
         """Wait a little for an endpoint that rests, not for one that is not there."""
@@ -325,12 +426,6 @@
 
     # Order
 
-    def _ordered(self, now: float) -> list[Offer]:
-        overall = self._overall_part(now)
-        return sorted(
-            self.waiting.values(), key=lambda offer: self._rank(offer, overall, now)
-        )
-
     def _overall_part(self, now: float) -> float:
         offered = granted = 0.0
         for served in self.served.values():
@@ -339,9 +434,7 @@
             granted += served.granted
         return granted / offered if offered else 1.0
 
-    def _rank(
-        self, offer: Offer, overall: float, now: float
-    ) -> tuple[bool, bool, int, bool, float, float]:
+    def _rank(self, offer: Offer, overall: float, now: float) -> Rank:
         owed = self.usage.is_owed(offer.organisation, offer.share_tokens)
         late = now >= offer.due
         enough = self.served[offer.route].part() >= LEAST_SERVED * overall
@@ -350,15 +443,20 @@
             late,
             offer.priority,
             enough,
-            -self._density(offer),
-            offer.arrived,
+            -offer.density,
+            offer.due,
         )
 
-    def _density(self, offer: Offer) -> float:
-        """Return what an answer is worth for the engine's time that it takes."""
+    def _density(self, offer: Offer) -> int:
+        """Return what an answer is worth for the engine's time that it takes.
+
+        Both are rough, so only the power of two counts: what is within a factor of
+        two goes by its objective. In the emulator under 1.3 times the load that the
+        engines can do, that earns 2.5 % more than the exact ratio.
+        """
         kept = max(
             (load.prefixes.kept(offer.prompt) for load in self.loads.values()),
             default=0,
         )
         cost = offer.prompt_tokens - kept + GENERATED_WEIGHT * offer.output_tokens
-        return offer.worth / (cost + FIXED_COST)
+        return math.floor(math.log2((offer.worth + 1) / (cost + FIXED_COST)))
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -53,6 +53,8 @@
 STOP_NOTICE = 2.6
 #: Seconds before the end of the grace period at which what still runs is cut.
 STOP_MARGIN = 0.6
+#: Seconds between looks at whether everything is finished.
+FINISH_INTERVAL = 0.05
 #: Seconds for the last answers to be sent.
 LAST_ANSWERS = 0.1
 #: Seconds added to the idle timeout that callers know, so that a request and the
@@ -199,12 +201,11 @@
         start = loop.time()
         end = start + self.settings.stop_grace - STOP_MARGIN
         await asyncio.sleep(min(STOP_NOTICE, max(0.0, end - loop.time())))
-        self.front.close_idle()
-        self.root.wake()
+        # Later work could not be finished before the kill.
+        self.front.shut()
         while loop.time() < end and (self.forwarder.calls or self.front.connections):
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(FINISH_INTERVAL)
             self.front.close_idle()
-            self.root.wake()
         await asyncio.sleep(LAST_ANSWERS)
         self.stopped.set()
 
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -406,6 +406,19 @@
         for connection in list(self.connections.values()):
             if connection.stage is Stage.IDLE:
                 connection.close()
+        self.root.wake()
+
+    def shut(self) -> None:
+        """Take no new connection and no new request; what runs goes on.
+
+        A request that is not read yet may be sent elsewhere by its caller.
+        """
+        self.stopping = True
+        self.server.stop_listening()
+        for connection in list(self.connections.values()):
+            if connection.stage is not Stage.ANSWERING:
+                connection.close()
+        self.root.wake()
 
 
 def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
--- a/carawayfold/transport/server.py
+++ b/carawayfold/transport/server.py
@@ -94,6 +94,11 @@
         elif not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
 
+    def stop_listening(self) -> None:
+        """Take no further connection; those that are open stay."""
+        if self._sock is not None:
+            self._close(self._sock)
+
     def _on_accept_done(self, sock: socket, fire_connect_event: bool = True) -> None:
         if len(self._clients) >= self.limit:
             sock.close()
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,7 +8,9 @@
 import typer
 
 from standins.engine import Engine
+from standins.hosted import Hosted
 from standins.instances import InstanceList
+from standins.keyed_store import KeyedStore
 from standins.log import LogService
 from standins.proxy import Proxy
 from standins.web import WebServer
@@ -75,5 +77,17 @@
     asyncio.run(start())
 
 
+@app.command()
+def store(port: int = 0) -> None:
+    """Run the users' platform store."""
+    asyncio.run(serve(KeyedStore(), port))
+
+
+@app.command()
+def hosted(name: str, port: int = 0) -> None:
+    """Run an endpoint on the users' platform."""
+    asyncio.run(serve(Hosted(name), port))
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/standins/hosted.py
@@ -0,0 +1,146 @@
+"""Stand-in for an endpoint on the users' platform: model engine and application.
+
+A path that begins with ``/stream`` answers with numbered events, as many as the
+header ``Token-Usage`` allows; any other path answers with a short body. ``GET /ran``
+lists what ran, ``POST /faults`` sets faults.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from standins.web import WebAnswer
+
+if TYPE_CHECKING:
+    from standins.web import WebConnection, WebRequest
+
+SIGNATURE = ("Server-Signature", "stand-in")
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+
+
+class HostedFaults(msgspec.Struct):
+    """What is wrong with the endpoint.
+
+    Attributes
+    ----------
+    break_after : int
+        Cut streams after this many events; 0 for never.
+    within : bool
+        Cut them within an event.
+    fail : bool
+        Answer 500, signed.
+    decline : bool
+        Answer that the request was not run.
+    lose : bool
+        Run the request, then cut the connection.
+    silent : bool
+        Run the request, then say nothing.
+    foreign : bool
+        Send another request's answer first.
+    pause : float
+        Seconds between events, and before a plain answer.
+    """
+
+    break_after: int = 0
+    within: bool = False
+    fail: bool = False
+    decline: bool = False
+    lose: bool = False
+    silent: bool = False
+    foreign: bool = False
+    pause: float = 0.0
+
+
+class Hosted:
+    """One endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Its id; requests that expect another one are turned away.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.faults = HostedFaults()
+        self.ran: list[dict[str, object]] = []
+
+    async def handle(
+        self, request: WebRequest, connection: WebConnection
+    ) -> WebAnswer | None:
+        """Serve one request."""
+        if request.path == "/faults":
+            self.faults = msgspec.json.decode(request.body, type=HostedFaults)
+            return WebAnswer.json({})
+        if request.path == "/ran":
+            return WebAnswer.json(self.ran)
+        if request.headers.get("target-instance", self.name) != self.name:
+            return WebAnswer(421, b"", [("Instance-Id", self.name)])
+        if self.faults.decline:
+            return WebAnswer(503, b"", [("Not-Executed", "1")])
+        return await self._work(request, connection)
+
+    async def _work(
+        self, request: WebRequest, connection: WebConnection
+    ) -> WebAnswer | None:
+        record = {
+            "id": request.headers.get("request-id", ""),
+            "headers": request.headers,
+            "path": request.path,
+            "body": request.body.decode("latin-1"),
+            "end": "running",
+        }
+        self.ran.append(record)
+        try:
+            answer = await self._answer(request, connection)
+        finally:
+            record["end"] = "left" if connection.gone.is_set() else "whole"
+        return answer
+
+    async def _answer(
+        self, request: WebRequest, connection: WebConnection
+    ) -> WebAnswer | None:
+        headers = [("Request-Id", request.headers.get("request-id", "")), SIGNATURE]
+        if self.faults.silent:
+            await connection.gone.wait()
+            return None
+        if self.faults.lose:
+            connection.break_off()
+            return None
+        if self.faults.fail:
+            return WebAnswer(500, b"failed", headers)
+        if self.faults.foreign:
+            connection.writer.write(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Signature: x\r\n"
+                b"Content-Length: 5\r\n\r\nother"
+            )
+        if request.path.startswith("/stream"):
+            await self._stream(request, connection, headers)
+            return None
+        await asyncio.sleep(self.faults.pause)
+        return WebAnswer(200, f"answer to {headers[0][1]}".encode(), headers)
+
+    async def _stream(
+        self,
+        request: WebRequest,
+        connection: WebConnection,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        count = int(request.headers.get("token-usage", "0,4").partition(",")[2])
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        connection.begin(200, [*headers, EVENT_STREAM])
+        for number in range(first, count + 1):
+            if connection.gone.is_set():
+                return
+            connection.send(f"id: {number}\ndata: piece {number}\n\n".encode())
+            if number - first + 1 == self.faults.break_after:
+                if self.faults.within:
+                    connection.send(b"id: 99\nda")
+                await asyncio.sleep(0.05)
+                connection.break_off()
+                return
+            await asyncio.sleep(self.faults.pause)
+        connection.end()
