Ask a scheduler less often about requests that wait

Ruled out: cuts and freezes (none in that span), the order of the queue (the organisation stood first in it).

Change: words about waiting requests each 0.4 s, heartbeats tell the loss of a scheduler; an offer is weighed at once only where an endpoint has room; who decides is worked out once per change of the members.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -49,10 +49,12 @@
 OFFER_AGAIN = 0.025
 #: Offers without an answer after which this router decides for itself.
 OFFERS_MOST = 4
-#: Seconds between words to the scheduler that a request still waits.
-WAITING_AGAIN = 0.1
+#: Seconds between words to the scheduler that a request still waits. More often,
+#: and a queue of 300 fills the scheduler's time with words about itself; heartbeats
+#: tell sooner that the scheduler is gone.
+WAITING_AGAIN = 0.4
 #: Such words without an answer after which this router decides for itself.
-WAITING_MOST = 2
+WAITING_MOST = 1
 #: Seconds between lists of what this router has at the endpoints.
 HOLDING_INTERVAL = 0.25
 #: Requests in one such list, so that it fits a datagram.
@@ -342,14 +344,14 @@
 
     # Decisions for the fleet
 
-    def _decide_soon(self, desk: PoolDesk) -> None:
+    def _decide_soon(self, desk: PoolDesk, delay: float = DECIDE_DELAY) -> None:
         if not desk.scheduler.waiting:
             return
         if desk.due is not None:
-            if desk.due.when() - self.loop.time() <= DECIDE_DELAY:
+            if desk.due.when() - self.loop.time() <= delay:
                 return
             desk.due.cancel()
-        desk.due = self.loop.call_later(DECIDE_DELAY, self._decide, desk)
+        desk.due = self.loop.call_later(delay, self._decide, desk)
 
     def _decide(self, desk: PoolDesk) -> None:
         if desk.due is not None:
@@ -400,8 +402,11 @@
         now = self.loop.time()
         member = self.fleet.membership.members.get(sender)
         near = member.data_centre if member is not None else DataCentreId("")
+        known = message.call in desk.scheduler.waiting
         desk.scheduler.offer(_offer_of(message, sender, near, now), now)
-        self._decide(desk)
+        if not known and desk.scheduler.has_room():
+            self._decide(desk)
+        self._decide_soon(desk, DECIDE_INTERVAL)
         if message.call in desk.scheduler.waiting:
             self.fleet.send(sender, WaitMessage(message.call))
 
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -63,6 +63,8 @@
         self.membership = Membership(own, self.loop.time, SILENT_BEATS * BEAT_INTERVAL)
         self.addresses: dict[RouterId, Address] = {}
         self.beats: dict[RouterId, Beat] = {}
+        #: Who decides on which subject, until the members change.
+        self.deciding: dict[str, RouterId] = {}
         #: When each router was last listed or heard, to stop calling lost ones.
         self.seen: dict[RouterId, float] = {}
 
@@ -100,7 +102,7 @@
         after = self.membership.members[router].state
         if after is not before:
             logger.info("router heard", extra={"router": router, "state": after.value})
-            self.on_change()
+            self._changed()
 
     async def keep_beating(self) -> None:
         """Send heartbeats for ever and notice who falls silent."""
@@ -129,7 +131,7 @@
             logger.info("router silent", extra={"router": router})
         self._forget()
         if lost:
-            self.on_change()
+            self._changed()
 
     def _forget(self) -> None:
         oldest = self.loop.time() - FORGET_AFTER
@@ -152,7 +154,14 @@
 
     def responsible(self, subject: str) -> RouterId:
         """Return the router that decides on `subject`."""
-        return self.membership.responsible(subject)
+        known = self.deciding.get(subject)
+        if known is None:
+            known = self.deciding[subject] = self.membership.responsible(subject)
+        return known
+
+    def _changed(self) -> None:
+        self.deciding.clear()
+        self.on_change()
 
     def near(self, data_centre: DataCentreId) -> list[Member]:
         """Return the live routers of a data centre."""
@@ -162,4 +171,4 @@
         """Tell the peers that this router takes no new work."""
         self.own.state = PeerState.STOPPING
         self.tick()
-        self.on_change()
+        self._changed()
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -46,7 +46,7 @@
 #: Seconds for which an active request counts without word of its router.
 ACTIVE_LIFETIME = 1.0
 #: Seconds for which a waiting request counts without word of its router.
-OFFER_LIFETIME = 0.5
+OFFER_LIFETIME = 1.5
 #: First and longest time in seconds for which an endpoint that fell silent rests.
 FIRST_REST = 0.5
 LONGEST_REST = 4.0
@@ -356,6 +356,10 @@
         if decision is not None:
             decisions.append(decision)
 
+    def has_room(self) -> bool:
+        """Return whether any endpoint could take a short request at once."""
+        return self._has_room([Backlog.of(load) for load in self.loads.values()])
+
     def _has_room(self, backlogs: list[Backlog]) -> bool:
         share = self.plan.share
         return any(has_room(item, SHORT_REQUEST, share) for item in backlogs)
