Tell how long a caller has waited by the time that callers begin with

Cause: the objective of a caller that comes back was counted from the route's time limit. A caller with less time than the limit, or after a change of the limit, counted as late from its first moment (objective_left_ms -4602 in the log of a first request). Found by a test of the foreign answer, whose log showed it. That test also failed for a fault of its own: after a foreign answer no bytes at all were given to the new parser, which takes that for the end of the connection.

Ruled out: the configuration's decoding (the limit was right), the endpoint.

Change: a time left that comes up again and again is one that callers begin with (state/patience.py); heads with two lengths are refused from the raw bytes, since h11 joins equal ones; integration tests of routers among stand-ins of the platform.

--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -17,6 +17,7 @@
     may_repeat,
 )
 from carawayfold.errors import ErrorKind, Ran, Refusal
+from carawayfold.state.patience import Patience
 from carawayfold.state.routes import ANONYMOUS
 
 if TYPE_CHECKING:
@@ -27,7 +28,7 @@
     from carawayfold.protocol.exchanges import Answered, Asked, Dialect
     from carawayfold.state.budget import RetryBudget
     from carawayfold.state.forwarded import ForwardMetrics
-    from carawayfold.state.ids import EndpointId, OrganisationId, ServiceId
+    from carawayfold.state.ids import EndpointId, OrganisationId, RouteId, ServiceId
     from carawayfold.state.routes import Route, RouteIndex, RouteTable
     from carawayfold.transport.client import HttpClient
     from carawayfold.transport.edge import Incoming
@@ -104,6 +105,7 @@
         self.loop = asyncio.get_running_loop()
         #: The configuration in force; None until one is known.
         self.index: RouteIndex | None = None
+        self.patience: dict[RouteId, Patience] = {}
         self.calls: dict[ForwardedCall, asyncio.Task[None]] = {}
 
     @property
@@ -138,9 +140,8 @@
         organisation = self._organisation(routes, route, asked)
         now = incoming.received
         left = DEFAULT_TIME if asked.time_left is None else asked.time_left
-        # A caller that comes back has less time left than the route allows; what
-        # it has waited already counts against the objective.
-        waited = max(0.0, route.timeout - left)
+        # What a caller that comes back has waited counts against the objective.
+        waited = self.patience.setdefault(route.id, Patience()).waited(left)
         return ForwardedCall(
             incoming=incoming,
             asked=asked,
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -404,7 +404,10 @@
         # The new parser must know that a request is under way; nothing is sent.
         parser.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
         parser.send(h11.EndOfMessage())
-        parser.receive_data(old.trailing_data[0])
+        rest = old.trailing_data[0]
+        if rest:
+            # No bytes at all would stand for the end of the connection.
+            parser.receive_data(rest)
         connection.parser = parser
 
     def _complete(self, connection: Connection, exchange: Exchange) -> None:
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -47,6 +47,8 @@
 FORBIDDEN = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|(?<!\r)\n|\r(?!\n)")
 #: A header line that continues the one before it.
 FOLDED = re.compile(rb"\r\n[ \t]")
+#: A header that tells the length of the body.
+FRAMING = re.compile(rb"\r\n(content-length|transfer-encoding)[ \t]*:", re.IGNORECASE)
 HEAD_END = b"\r\n\r\n"
 
 
@@ -235,13 +237,13 @@
     def _parse_head(self, head: bytes) -> None:
         if FOLDED.search(head):
             raise Refusal(ErrorKind.MALFORMED_REQUEST, "a folded header line")
+        _check_framing(head)
         self.parser = h11.Connection(h11.SERVER)
         self.parser.receive_data(head)
         event = self.parser.next_event()
         if type(event) is not h11.Request:
             raise Refusal(ErrorKind.MALFORMED_REQUEST, "no request line")
         headers = list(event.headers)
-        _check_framing(headers)
         if not event.target.startswith(b"/"):
             raise Refusal(ErrorKind.MALFORMED_REQUEST, "the target is no path")
         self.request = Incoming(self, event.method, event.target, headers)
@@ -421,11 +423,12 @@
         self.root.wake()
 
 
-def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
-    """Refuse a head whose body could be read in two ways."""
-    names = [name for name, _ in headers]
-    if names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1:
-        raise Refusal(ErrorKind.MALFORMED_REQUEST, "two lengths")
-    if b"content-length" in names and b"transfer-encoding" in names:
-        detail = "both a length and chunks"
+def _check_framing(head: bytes) -> None:
+    """Refuse a head whose body could be read in two ways.
+
+    The parser would join two equal lengths, and let chunks go before a length.
+    """
+    names = [name.lower() for name in FRAMING.findall(head)]
+    if len(names) > 1:
+        detail = "more than one length of the body"
         raise Refusal(ErrorKind.MALFORMED_REQUEST, detail)
--- /dev/null
+++ b/tests/integration/test_hosted.py
@@ -0,0 +1,398 @@
+"""Routers that forward, as real processes among stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import h11
+import pytest
+
+from benchmarks.hosted import (
+    HOST,
+    KEY,
+    HostedFleet,
+    call,
+    configuration,
+    model_headers,
+    plain_headers,
+    read_answer,
+)
+from benchmarks.processes import Processes
+
+
+def make_fleet(processes, routers=1):
+    fleet = HostedFleet(processes)
+    fleet.configure(configuration())
+    for name in ("m-1", "m-2"):
+        fleet.start_endpoint(name, "model")
+    for name in ("d-1", "d-2"):
+        fleet.start_endpoint(name, "desk")
+    for number in range(routers):
+        fleet.start_router(f"router-{number}")
+    for number in range(routers):
+        asyncio.run(fleet.wait_ready(f"router-{number}"))
+    return fleet
+
+
+@pytest.fixture
+def fleet(processes):
+    return make_fleet(processes)
+
+
+@pytest.fixture(scope="module")
+def shared():
+    with Processes() as processes:
+        yield make_fleet(processes)
+
+
+def front(fleet, router="router-0"):
+    return fleet.ports[router][0]
+
+
+def ask(fleet, path, headers, method="POST", body=b"body", router="router-0"):
+    return asyncio.run(call(front(fleet, router), method, path, body, headers))
+
+
+def ran(fleet, request):
+    return [
+        record
+        for name in fleet.endpoints
+        for record in fleet.ran(name)
+        if record["id"] == request
+    ]
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.05)
+
+
+def test_a_plain_answer_comes_whole_and_unchanged(shared):
+    answer = ask(shared, "/once/order?a=b%20c", plain_headers("plain-1"))
+    assert (answer.status, answer.complete) == (200, True)
+    assert answer.body == b"answer to plain-1"
+    assert answer.headers["server-signature"] == "stand-in"
+    assert answer.headers["request-id"] == "plain-1"
+    record = ran(shared, "plain-1")[0]
+    assert record["body"] == "body"
+    assert record["path"] == "/once/order"
+
+
+def test_a_stream_comes_whole(shared):
+    answer = ask(shared, "/stream/x", model_headers("stream-1", events=5))
+    assert answer.complete
+    assert answer.body.count(b"id: ") == 5
+
+
+def test_headers_that_are_the_systems_to_set_never_pass_from_a_caller(shared):
+    headers = {
+        **plain_headers("own-1"),
+        "Tenant-Id": "somebody",
+        "Target-Instance": "d-9",
+        "Hold": "h",
+        "Connection": "x-hop",
+        "X-Hop": "1",
+        "X-End": "2",
+    }
+    assert ask(shared, "/once/x", headers).status == 200
+    seen = ran(shared, "own-1")[0]["headers"]
+    assert seen["tenant-id"] == "alder"
+    assert seen["target-instance"] in ("d-1", "d-2")
+    assert "hold" not in seen
+    assert "x-hop" not in seen
+    assert "x-api-key" not in seen
+    assert seen["x-end"] == "2"
+    assert int(seen["request-deadline"]) <= 3000
+
+
+def test_unknown_keys_and_routes_are_refused(shared):
+    assert ask(shared, "/once/x", plain_headers("k-1", "wrong")).status == 401
+    assert ask(shared, "/nowhere/x", plain_headers("k-2")).status == 404
+    assert ask(shared, "/open/x", {"Request-Id": "k-3"}).status == 200
+    assert ran(shared, "k-1") == ran(shared, "k-2") == []
+
+
+def test_a_router_without_configuration_says_that_it_did_not_run(processes):
+    fleet = HostedFleet(processes)
+    fleet.start_router("router-0")
+
+    async def first_answer():
+        while True:
+            try:
+                return await call(front(fleet), "POST", "/once/x", b"", {})
+            except OSError:
+                await asyncio.sleep(0.02)
+
+    assert asyncio.run(first_answer()).status == 503
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_gap_or_repeat(fleet):
+    for name in ("m-1", "m-2"):
+        fleet.set_faults(name, break_after=3, within=True)
+
+    async def run():
+        headers = model_headers("broken-1", events=5)
+        task = asyncio.create_task(
+            call(front(fleet), "POST", "/stream/x", b"b", headers)
+        )
+        return await task
+
+    answer = asyncio.run(run())
+    assert answer.complete
+    numbers = [line for line in answer.body.split(b"\n") if line.startswith(b"id: ")]
+    assert numbers == [b"id: %d" % number for number in range(1, 6)]
+    assert len(ran(fleet, "broken-1")) == 2
+
+
+def test_a_stream_that_may_run_once_is_cut_and_not_sent_again(fleet):
+    for name in ("m-1", "m-2"):
+        fleet.set_faults(name, break_after=2)
+    answer = ask(fleet, "/stream-once/x", model_headers("once-1", events=5))
+    assert not answer.complete
+    assert len(ran(fleet, "once-1")) == 1
+
+
+def test_a_lost_answer_is_never_called_not_run(fleet):
+    for name in ("d-1", "d-2"):
+        fleet.set_faults(name, lose=True)
+    answer = ask(fleet, "/once/x", plain_headers("lost-1"))
+    assert answer.status == 502
+    assert len(ran(fleet, "lost-1")) == 1
+
+
+def test_what_may_be_repeated_is(fleet):
+    fleet.set_faults("d-1", lose=True)
+    for number in range(6):
+        answer = ask(fleet, "/again/x", plain_headers(f"again-{number}"))
+        assert answer.status == 200
+
+
+def test_a_request_that_was_declined_goes_elsewhere(fleet):
+    fleet.set_faults("d-1", decline=True)
+    for number in range(4):
+        answer = ask(fleet, "/once/x", plain_headers(f"declined-{number}"))
+        assert answer.status == 200
+
+
+def test_a_request_that_all_decline_is_refused_with_a_time(fleet):
+    for name in ("d-1", "d-2"):
+        fleet.set_faults(name, decline=True)
+    answer = ask(fleet, "/once/x", plain_headers("declined"))
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert ran(fleet, "declined") == []
+
+
+def test_an_answer_to_another_request_is_passed_over(fleet):
+    for name in ("d-1", "d-2"):
+        fleet.set_faults(name, foreign=True)
+    answer = ask(fleet, "/once/x", plain_headers("foreign-1"))
+    assert answer.body == b"answer to foreign-1"
+
+
+def test_work_ends_when_its_caller_leaves(fleet):
+    for name in ("m-1", "m-2"):
+        fleet.set_faults(name, pause=0.1)
+
+    async def leave():
+        reader, writer = await asyncio.open_connection("127.0.0.1", front(fleet))
+        lines = [f"{name}: {value}" for name, value in left.items()]
+        head = ["POST /stream/x HTTP/1.1", f"Host: {HOST}", *lines]
+        writer.write("\r\n".join([*head, "Content-Length: 0", "", ""]).encode())
+        await reader.readuntil(b"id: 1")
+        writer.close()
+        await until(lambda: True)
+
+    left = model_headers("left-1", events=200)
+    asyncio.run(leave())
+
+    async def wait_end():
+        loop = asyncio.get_running_loop()
+        while True:
+            records = await loop.run_in_executor(None, ran, fleet, "left-1")
+            if records and records[0]["end"] == "left":
+                return
+            await asyncio.sleep(0.05)
+
+    asyncio.run(asyncio.wait_for(wait_end(), 10))
+
+
+def test_the_last_request_before_a_stop_is_answered(fleet):
+    for name in ("d-1", "d-2"):
+        fleet.set_faults(name, pause=1.0)
+
+    async def run():
+        task = asyncio.create_task(
+            call(front(fleet), "POST", "/once/x", b"", plain_headers("stop-1"))
+        )
+        loop = asyncio.get_running_loop()
+        while not await loop.run_in_executor(None, ran, fleet, "stop-1"):
+            await asyncio.sleep(0.02)
+        fleet.routers["router-0"].signal(signal.SIGTERM)
+        return await task
+
+    answer = asyncio.run(run())
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    assert fleet.routers["router-0"].popen.wait(20) == 0
+
+
+def test_a_new_configuration_and_a_leaving_endpoint_take_effect(fleet):
+    config = configuration(5)
+    config["routes"] = [route for route in config["routes"] if route["name"] != "open"]
+    fleet.configure(config)
+    fleet.register("d-1", state="draining")
+
+    async def wait_applied():
+        while True:
+            answer = await call(front(fleet), "GET", "/open/x", b"", {})
+            if answer.status == 404:
+                return
+            await asyncio.sleep(0.05)
+
+    asyncio.run(asyncio.wait_for(wait_applied(), 10))
+
+    async def only_other():
+        loop = asyncio.get_running_loop()
+        number = served = 0
+        while served < 5:
+            number += 1
+            headers = plain_headers(f"drain-{number}")
+            answer = await call(front(fleet), "POST", "/once/x", b"", headers)
+            assert answer.status == 200
+            records = await loop.run_in_executor(None, fleet.ran, "d-1")
+            at_leaving = any(item["id"] == f"drain-{number}" for item in records)
+            served = 0 if at_leaving else served + 1
+
+    asyncio.run(asyncio.wait_for(only_other(), 15))
+
+
+def test_a_peer_hands_on_what_the_store_does_not_tell(processes):
+    fleet = make_fleet(processes, routers=2)
+
+    async def heard():
+        while True:
+            answer = await call(fleet.ports["router-0"][2], "GET", "/metrics")
+            if b"carawayfold_live_routers 2.0" in answer.body:
+                return
+            await asyncio.sleep(0.05)
+
+    asyncio.run(asyncio.wait_for(heard(), 15))
+    fleet.call_store("POST", "/faults", b'{"refuse": true}')
+    fleet.start_router("router-2")
+
+    async def refused():
+        while True:
+            try:
+                answer = await call(front(fleet, "router-2"), "GET", "/open/x", b"", {})
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            return answer.status
+
+    # It can't know its peers either; once the store tells it of them, they hand on.
+    assert asyncio.run(refused()) == 503
+    fleet.call_store("POST", "/faults", b"{}")
+    asyncio.run(asyncio.wait_for(fleet.wait_ready("router-2"), 15))
+
+
+def test_lost_history_is_read_anew(fleet):
+    fleet.call_store("POST", "/forget?topic=keyed.op")
+    fleet.call_store("POST", "/forget?topic=keyed.servers")
+    fleet.configure(configuration(9, tenants=[]))
+
+    async def applied():
+        while True:
+            answer = await call(
+                front(fleet), "POST", "/once/x", b"", {"Request-Id": "f"}
+            )
+            if answer.status == 200:
+                return
+            await asyncio.sleep(0.05)
+
+    asyncio.run(asyncio.wait_for(applied(), 15))
+
+
+def head_of(*lines):
+    fixed = (f"Host: {HOST}", f"X-Api-Key: {KEY}", "Request-Id: raw")
+    return "\r\n".join(["POST /once/x HTTP/1.1", *fixed, *lines, "", ""]).encode()
+
+
+async def raw(port, data, pieces=1):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    size = -(-len(data) // pieces)
+    for start in range(0, len(data), size):
+        writer.write(data[start : start + size])
+        await writer.drain()
+        await asyncio.sleep(0)
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="POST", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    answer = await read_answer(reader, parser)
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        head_of("Content-Length: 3", "Transfer-Encoding: chunked") + b"abc",
+        head_of("Content-Length: 3", "Content-Length: 4") + b"abc",
+        head_of("Content-Length: 3", "Content-Length: 3") + b"abc",
+        head_of("Content-Length: +3") + b"abc",
+        head_of("Transfer-Encoding : chunked") + b"0\r\n\r\n",
+        head_of("Transfer-Encoding: chunked") + b"zz\r\nabc\r\n0\r\n\r\n",
+        head_of("X-A: b\x00c"),
+        head_of("X-A: b\r\n folded"),
+        head_of("Host: other.example"),
+        head_of("X-Api-Key: second"),
+        head_of("X-A: b").replace(b"\r\n", b"\n"),
+        b"GET /open/x\r\n\r\n",
+        b"\x16\x03\x01\x00\x01\r\n\r\n",
+    ],
+)
+def test_a_request_that_could_be_read_in_two_ways_is_refused(shared, data):
+    answer = asyncio.run(asyncio.wait_for(raw(front(shared), data), 10))
+    assert 400 <= answer.status < 500
+    assert ran(shared, "raw") == []
+
+
+def test_a_request_may_come_byte_by_byte(shared):
+    fields = [f"{name}: {value}" for name, value in plain_headers("slow-1").items()]
+    lines = ["POST /once/x HTTP/1.1", f"Host: {HOST}", *fields, "Content-Length: 3"]
+    data = "\r\n".join([*lines, "", "abc"]).encode()
+    answer = asyncio.run(asyncio.wait_for(raw(front(shared), data, len(data)), 10))
+    assert answer.body == b"answer to slow-1"
+
+
+def test_pipelined_requests_are_answered_in_order(shared):
+    async def run():
+        reader, writer = await asyncio.open_connection("127.0.0.1", front(shared))
+        for name in ("pipe-1", "pipe-2", "pipe-3"):
+            fields = [f"{key}: {value}" for key, value in plain_headers(name).items()]
+            lines = ["POST /once/x HTTP/1.1", f"Host: {HOST}", *fields]
+            writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+        bodies = []
+        parser = h11.Connection(h11.CLIENT)
+        for _ in range(3):
+            request = h11.Request(method="POST", target="/", headers=[("Host", "x")])
+            parser.send(request)
+            parser.send(h11.EndOfMessage())
+            bodies.append((await read_answer(reader, parser)).body)
+            parser.start_next_cycle()
+        writer.close()
+        return bodies
+
+    bodies = asyncio.run(asyncio.wait_for(run(), 10))
+    assert bodies == [b"answer to pipe-%d" % number for number in (1, 2, 3)]
+
+
+def test_a_chunked_body_is_forwarded_whole(shared):
+    fields = [f"{name}: {value}" for name, value in plain_headers("chunk-1").items()]
+    lines = ["POST /once/x HTTP/1.1", f"Host: {HOST}", *fields]
+    data = "\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode()
+    data += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    answer = asyncio.run(asyncio.wait_for(raw(front(shared), data), 10))
+    assert answer.status == 200
+    assert ran(shared, "chunk-1")[0]["body"] == "abcde"
