--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -36,7 +36,7 @@
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.protocol import peer_pb2, peer_pb2_grpc, problem
 from carawayfold.protocol.exposition import render
-from carawayfold.protocol.platform import (
+from carawayfold.protocol.log_service import (
     Instance,
     LogClient,
     PlatformError,
--- a/carawayfold/coordination/claims.py
+++ b/carawayfold/coordination/claims.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from carawayfold.errors import ErrorKind, Refusal
-from carawayfold.protocol.platform import RETRY_WAIT, PlatformError
+from carawayfold.protocol.log_service import RETRY_WAIT, PlatformError
 from carawayfold.state.claims import (
     AnswerStore,
     Batch,
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     from carawayfold.coordination.membership import Member
-    from carawayfold.protocol.platform import LogClient, LogRecord
+    from carawayfold.protocol.log_service import LogClient, LogRecord
 
 logger = logbook.Logger(__name__)
 
--- a/carawayfold/coordination/configuration.py
+++ b/carawayfold/coordination/configuration.py
@@ -10,7 +10,7 @@
 import logbook
 import msgspec
 
-from carawayfold.protocol.platform import PlatformError
+from carawayfold.protocol.log_service import PlatformError
 from carawayfold.state.configuration import (
     Change,
     Checkpoint,
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.protocol.platform import LogClient, LogPage, LogRecord
+    from carawayfold.protocol.log_service import LogClient, LogPage, LogRecord
 
 logger = logbook.Logger(__name__)
 
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from carawayfold.protocol.platform import Instance
+from carawayfold.protocol.log_service import Instance
 from standins.web import WebAnswer
 
 if TYPE_CHECKING:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,8 +10,8 @@
 from carawayfold.coordination.pool import PoolGranter, PoolSpec
 from carawayfold.protocol import peer_pb2
 from carawayfold.protocol.callers import CallerRequest
+from carawayfold.protocol.log_service import LogPage, LogRecord, PlatformError
 from carawayfold.protocol.names import NameTable
-from carawayfold.protocol.platform import LogPage, LogRecord, PlatformError
 from carawayfold.state.configuration import (
     Change,
     Endpoint,
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -8,7 +8,7 @@
 
 from carawayfold.coordination import configuration
 from carawayfold.coordination.configuration import ConfigFollower, ConfigState
-from carawayfold.protocol.platform import PlatformError
+from carawayfold.protocol.log_service import PlatformError
 from carawayfold.state.configuration import ChangeState, record_encoder
 from tests.builders import FakeLog, organisation_change
 
