Take an entry that vanishes after an outage for one that left

The store refused one router until 24.6 s; an endpoint left at 25.8 s. Its entry vanished within two seconds of the outage, so the router took it for a lapsed lease and used it for two more seconds (log: 'endpoint gone', lapsed, at 28.27 s).

Ruled out: a late read (it read the removal at 26.3 s); a clock (steady).

Change: only what vanishes within 0.5 s of an outage may have lapsed, and is used until two seconds after the outage. Renewals add no record (offset 21 after 40 s of nine endpoints), so registrations are read by reads that wait 2 s; peers are asked for endpoints as soon as the store refuses.

--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -32,18 +32,20 @@
 #: Seconds that a read waits for a new version; a connection that fell silent is
 #: found that long and a second later.
 CONFIGURATION_WAIT = 2.0
-#: Seconds between reads of registrations. Endpoints renew theirs about once a second
-#: and each renewal ends a read that waits, so reading all the time would only cost
-#: calls. A leaving endpoint must be known two seconds after it said so.
-ENDPOINTS_INTERVAL = 0.8
+#: Seconds that a read of registrations waits; renewals of a lease add no record.
+ENDPOINTS_WAIT = 2.0
+#: Seconds between two such reads, so that a whole service that registers at once
+#: takes a few reads and not one an endpoint.
+ENDPOINTS_PAUSE = 0.1
 #: Seconds that a read of the routers' entries waits; they change with restarts only.
 DIRECTORY_WAIT = 10.0
 #: Seconds before the store is asked again after it failed.
 RETRY_WAIT = 0.25
 #: Seconds between looks at whether a peer knows more.
 RELAY_INTERVAL = 0.25
-#: Seconds without an answer of the store after which peers are asked for endpoints.
-STORE_SILENCE = 1.2
+#: Seconds without an answer of the store after which peers are asked for endpoints:
+#: a read that waits, and the time until it is given up.
+STORE_SILENCE = 3.2
 #: Seconds for a peer's answer.
 RELAY_TIMEOUT = 1.0
 CONFIGURATION_PATH = "/configuration"
@@ -160,7 +162,8 @@
             extra={"peer": source, "offset": snapshot.offset},
         )
         now = self.loop.time()
-        self.endpoints.unstable_until = 0.0
+        # A peer that the store answers knows what has lapsed and what has left.
+        self.endpoints.outage_end = float("-inf")
         self.endpoints.replace_all(snapshot.endpoints, now)
         self.endpoints.offset = snapshot.offset
         self.listed = True
@@ -283,8 +286,8 @@
         knowledge,
         knowledge.take_listed,
         knowledge.take_registered,
-        0.0,
-        ENDPOINTS_INTERVAL,
+        ENDPOINTS_WAIT,
+        ENDPOINTS_PAUSE,
     )
 
 
@@ -345,8 +348,10 @@
         )
         if best and self.fleet.beats[best].version > self.knowledge.version:
             await self._ask(best, CONFIGURATION_PATH)
-        age = asyncio.get_running_loop().time() - self.knowledge.store.answered
-        if age < STORE_SILENCE and self.knowledge.listed:
+        store = self.knowledge.store
+        age = asyncio.get_running_loop().time() - store.answered
+        answered = store.reachable and age < STORE_SILENCE
+        if answered and self.knowledge.listed:
             return
         best = max(
             self.fleet.beats,
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -7,10 +7,13 @@
 from carawayfold.settings import Address
 from carawayfold.state.ids import DataCentreId, EndpointId, ServiceId
 
-#: Seconds for which an endpoint whose entry vanished around an outage of the store
-#: is still used: its lease may have run out only because it could not be renewed,
-#: and then the entry is back about two seconds after the store is.
+#: Seconds after an outage of the store for which an endpoint is still used whose
+#: entry vanished in it: its lease may have run out only because it could not be
+#: renewed, and then the entry is back about two seconds after the store is.
 LAPSE_GRACE = 2.0
+#: Seconds after an outage for which a vanished entry counts as vanished in it. What
+#: vanishes later has left, and may be used for two seconds at most.
+LAPSE_READ = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,16 +52,16 @@
     entries : dict
         Registered endpoints, leaving ones included.
     lapsed : dict
-        Endpoints whose entry vanished around an outage, with the time until which
-        they are kept.
-    unstable_until : float
-        Monotonic seconds until which a vanished entry counts as lapsed.
+        Endpoints whose entry vanished in an outage, with the time until which they
+        are kept.
+    outage_end : float
+        Monotonic seconds at which the store was last found out of reach.
     """
 
     offset: int = 0
     entries: dict[EndpointId, Endpoint] = field(default_factory=dict)
     lapsed: dict[EndpointId, float] = field(default_factory=dict)
-    unstable_until: float = 0.0
+    outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint) -> bool:
         """Add or change an entry; return whether that matters to placement."""
@@ -73,8 +76,9 @@
         """Note that an entry is gone; return whether its endpoint goes at once."""
         if endpoint not in self.entries:
             return False
-        if now < self.unstable_until and not self.entries[endpoint].leaving:
-            self.lapsed.setdefault(endpoint, now + LAPSE_GRACE)
+        in_outage = now < self.outage_end + LAPSE_READ
+        if in_outage and not self.entries[endpoint].leaving:
+            self.lapsed.setdefault(endpoint, self.outage_end + LAPSE_GRACE)
             return False
         self._drop(endpoint)
         return True
@@ -97,7 +101,7 @@
 
     def note_outage(self, now: float) -> None:
         """Note that the store was out of reach until `now`."""
-        self.unstable_until = now + LAPSE_GRACE
+        self.outage_end = now
         for endpoint in self.lapsed:
             self.lapsed[endpoint] = now + LAPSE_GRACE
 
