Let two routers of a data centre read the store for a large fleet

Cause: store calls cost a dozen times more where there are 80 instances; 80 routers that read for themselves would make some 90 calls a second (worked out, not measured: 1.1 a second and router).

Ruled out: seeds, which are three and may be stale; a reader elected by agreement, which needs a protocol of its own; heartbeats already name who is alive.

Change: above 12 routers, two of each data centre by rendezvous hashing read; the others follow their heartbeats and fetch what is newer, and read for themselves once no reader has been answered for 3.5 s. Routers' entries are looked at each 15 s instead of by a read that waits.

--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -167,6 +167,13 @@
         """Return the live routers of a data centre."""
         return [item for item in self.live() if item.data_centre == data_centre]
 
+    def tell_near(self) -> None:
+        """Send a heartbeat now to the routers of this data centre."""
+        beat = self.beat()
+        for member in self.near(self.own.data_centre):
+            if member.router in self.addresses:
+                self.socket.send(self.addresses[member.router], beat)
+
     def stop(self) -> None:
         """Tell the peers that this router takes no new work."""
         self.own.state = PeerState.STOPPING
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from carawayfold.coordination.membership import rank
 from carawayfold.protocol.sources import HistoryLost, PeerEntry, Registered, SourceError
 from carawayfold.state.endpoints import Endpoint, EndpointTable
 from carawayfold.state.routes import RouteTable
@@ -22,6 +23,7 @@
     from collections.abc import Callable
 
     from carawayfold.coordination.fleet import Fleet
+    from carawayfold.protocol.datagrams import Beat
     from carawayfold.protocol.sources import Page, PeerDirectory, Source
     from carawayfold.settings import Address
     from carawayfold.state.ids import RouterId
@@ -37,8 +39,20 @@
 #: Seconds between two such reads, so that a whole service that registers at once
 #: takes a few reads and not one an endpoint.
 ENDPOINTS_PAUSE = 0.1
-#: Seconds that a read of the routers' entries waits; they change with restarts only.
-DIRECTORY_WAIT = 10.0
+#: Seconds between looks at the routers' entries. A router that starts writes its own
+#: entry before it reads, and calls all others, so two that start together find each
+#: other by the later one's read; the looks are for what was lost on the way.
+DIRECTORY_INTERVAL = 15.0
+#: Routers of a data centre that read the store for the others once there are more
+#: than `ALL_READ` routers: two, so that the loss of one delays nothing.
+READERS = 2
+#: Routers up to which each one reads the store for itself.
+ALL_READ = 12
+#: Seconds between looks of a router whose peers read for it.
+READER_INTERVAL = 0.5
+#: Milliseconds since the store answered a reader, after which the others read for
+#: themselves: a read that waits, and the time until it is given up.
+READER_STALE_MS = 3500
 #: Seconds before the store is asked again after it failed.
 RETRY_WAIT = 0.25
 #: Seconds between looks at whether a peer knows more.
@@ -221,6 +235,8 @@
         Take what was listed and what was read on.
     wait : float
         Seconds that a read waits.
+    may_read : callable
+        Returns whether this router should read the store at all.
     pause : float
         Seconds between two reads.
     """
@@ -232,8 +248,10 @@
         on_newest: Callable[[Page], None],
         on_read: Callable[[Page], None],
         wait: float,
+        may_read: Callable[[], bool],
         pause: float = 0.0,
     ) -> None:
+        self.may_read = may_read
         self.source = source
         self.knowledge = knowledge
         self.on_newest = on_newest
@@ -255,7 +273,10 @@
                 await asyncio.sleep(RETRY_WAIT)
 
     async def step(self) -> None:
-        """Read once."""
+        """Read once, unless others read for this router."""
+        if self.next is not None and not self.may_read():
+            await asyncio.sleep(READER_INTERVAL)
+            return
         if self.next is None:
             page = await self.source.newest()
             self.knowledge.note_answer()
@@ -269,17 +290,21 @@
             await asyncio.sleep(self.pause)
 
 
-def follow_configuration(source: Source[RouteTable], knowledge: Knowledge) -> Follower:
+def follow_configuration(
+    source: Source[RouteTable], knowledge: Knowledge, may_read: Callable[[], bool]
+) -> Follower:
     """Return a follower of the configuration."""
 
     def take(page: Page[RouteTable]) -> None:
         for table in page.items:
             knowledge.take_routes(table, "store")
 
-    return Follower(source, knowledge, take, take, CONFIGURATION_WAIT)
+    return Follower(source, knowledge, take, take, CONFIGURATION_WAIT, may_read)
 
 
-def follow_endpoints(source: Source[Registered], knowledge: Knowledge) -> Follower:
+def follow_endpoints(
+    source: Source[Registered], knowledge: Knowledge, may_read: Callable[[], bool]
+) -> Follower:
     """Return a follower of registrations."""
     return Follower(
         source,
@@ -287,24 +312,27 @@
         knowledge.take_listed,
         knowledge.take_registered,
         ENDPOINTS_WAIT,
+        may_read,
         ENDPOINTS_PAUSE,
     )
 
 
-def follow_directory(
-    source: PeerDirectory, knowledge: Knowledge, fleet: Fleet
-) -> Follower:
-    """Return a follower of the routers' entries."""
-
-    def take(page: Page[PeerEntry]) -> None:
-        for entry in page.items:
-            fleet.learn(entry)
-
-    return Follower(source, knowledge, take, take, DIRECTORY_WAIT)
+async def join(directory: PeerDirectory, entry: PeerEntry, fleet: Fleet) -> None:
+    """Write this router's entry, then look for others for ever."""
+    await _announce(directory, entry)
+    while True:
+        try:
+            page = await directory.newest()
+        except SourceError as error:
+            logger.debug("routers not read", extra={"reason": str(error)})
+            await asyncio.sleep(RETRY_WAIT)
+            continue
+        for other in page.items:
+            fleet.learn(other)
+        await asyncio.sleep(DIRECTORY_INTERVAL)
 
 
-async def announce(directory: PeerDirectory, entry: PeerEntry) -> None:
-    """Write this router's entry, as often as it takes."""
+async def _announce(directory: PeerDirectory, entry: PeerEntry) -> None:
     while True:
         try:
             await directory.announce(entry)
@@ -315,6 +343,23 @@
             return
 
 
+def is_reader(fleet: Fleet) -> bool:
+    """Return whether this router should read the store.
+
+    In a large fleet the first routers of each data centre by rendezvous hashing read
+    for the others, who follow them by their heartbeats. One whose readers have all
+    lost the store reads for itself.
+    """
+    near = fleet.near(fleet.own.data_centre)
+    if len(fleet.live()) <= ALL_READ or len(near) <= READERS:
+        return True
+    readers = [item.router for item in rank("store", near)[:READERS]]
+    if fleet.own.router in readers:
+        return True
+    ages = [fleet.beats[name].store_age for name in readers if name in fleet.beats]
+    return not ages or min(ages) > READER_STALE_MS
+
+
 class Relay:
     """Asks peers for what the store has not told this router.
 
@@ -341,27 +386,31 @@
             await self._look()
 
     async def _look(self) -> None:
-        best = max(
-            self.fleet.beats,
-            key=lambda name: self.fleet.beats[name].version,
-            default=None,
-        )
+        best = self._furthest(lambda beat: beat.version)
         if best and self.fleet.beats[best].version > self.knowledge.version:
             await self._ask(best, CONFIGURATION_PATH)
-        store = self.knowledge.store
-        age = asyncio.get_running_loop().time() - store.answered
-        answered = store.reachable and age < STORE_SILENCE
-        if answered and self.knowledge.listed:
+        if self._reads_itself() and self.knowledge.listed:
             return
-        best = max(
-            self.fleet.beats,
-            key=lambda name: self.fleet.beats[name].endpoints_offset,
-            default=None,
-        )
+        best = self._furthest(lambda beat: beat.endpoints_offset)
         own = self.knowledge.endpoints.offset
         if best and self.fleet.beats[best].endpoints_offset > own:
             await self._ask(best, ENDPOINTS_PATH)
 
+    def _furthest(self, how_far: Callable[[Beat], int]) -> RouterId | None:
+        """Return the peer that knows most, one of this data centre if it can be."""
+        own = self.fleet.own.data_centre
+        beats = self.fleet.beats
+        return max(
+            beats,
+            key=lambda name: (how_far(beats[name]), beats[name].data_centre == own),
+            default=None,
+        )
+
+    def _reads_itself(self) -> bool:
+        store = self.knowledge.store
+        age = asyncio.get_running_loop().time() - store.answered
+        return is_reader(self.fleet) and store.reachable and age < STORE_SILENCE
+
     async def _ask(self, router: RouterId, path: str) -> None:
         address: Address | None = self.fleet.addresses.get(router)
         if address is None:
--- a/carawayfold/coordination/membership.py
+++ b/carawayfold/coordination/membership.py
@@ -129,5 +129,10 @@
         return max(near or live, key=lambda member: _weight(subject, member)).router
 
 
+def rank(subject: str, members: list[Member]) -> list[Member]:
+    """Return members in the order in which they look after `subject`."""
+    return sorted(members, key=lambda member: _weight(subject, member), reverse=True)
+
+
 def _weight(subject: str, member: Member) -> int:
     return xxhash.xxh3_64_intdigest(f"{subject}|{member.router}".encode())
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -109,7 +109,6 @@
         self.inner = self._listen(settings.peer_listen, self._serve_peer, "inner")
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopped = asyncio.Event()
-        self.announced = False
 
     def _listen(self, address: Address, serve: object, channel: str) -> Edge:
         return Edge(address, serve, channel).register(self.root)
@@ -119,15 +118,16 @@
         self.root.attach()
         self.socket.open(self.settings.peer_listen)
         self._handle_signals()
-        source = configuration_source(self.store)
-        self._spawn(followers.follow_configuration(source, self.knowledge).follow())
-        source = endpoint_source(self.store)
-        self._spawn(followers.follow_endpoints(source, self.knowledge).follow())
-        directory = followers.follow_directory(
-            self.directory, self.knowledge, self.fleet
+        routes = configuration_source(self.store)
+        endpoints = endpoint_source(self.store)
+        known = self.knowledge
+        self._spawn(
+            followers.follow_configuration(routes, known, self._is_reader).follow()
         )
-        self._spawn(directory.follow())
-        self._spawn(self._announce())
+        self._spawn(
+            followers.follow_endpoints(endpoints, known, self._is_reader).follow()
+        )
+        self._spawn(followers.join(self.directory, self._entry(), self.fleet))
         self._spawn(self.fleet.keep_beating())
         self._spawn(self.desk.keep_telling())
         self._spawn(self.relay.keep_asking())
@@ -136,13 +136,14 @@
         await self.stopped.wait()
         await self._close()
 
-    async def _announce(self) -> None:
+    def _entry(self) -> PeerEntry:
         own = self.settings
-        entry = PeerEntry(
+        return PeerEntry(
             own.router, own.data_centre, own.peer_listen.host, own.peer_listen.port
         )
-        await followers.announce(self.directory, entry)
-        self.announced = True
+
+    def _is_reader(self) -> bool:
+        return followers.is_reader(self.fleet)
 
     async def _keep_tidy(self) -> None:
         while True:
@@ -242,6 +243,8 @@
         self._on_endpoints()
 
     def _on_endpoints(self) -> None:
+        # Peers that read through this router should know at once.
+        self.fleet.tell_near()
         if self.knowledge.routes is not None:
             self.desk.refresh(self.knowledge.endpoints, self.knowledge.routes)
 
--- /dev/null
+++ b/tests/coordination/test_followers.py
@@ -0,0 +1,164 @@
+"""What a router knows from the store and from its peers, and who reads."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from carawayfold.coordination import followers
+from carawayfold.coordination.followers import EndpointSnapshot, Follower, Knowledge
+from carawayfold.coordination.membership import Member
+from carawayfold.protocol.datagrams import Beat
+from carawayfold.protocol.sources import (
+    HistoryLost,
+    Page,
+    Registered,
+    SourceError,
+)
+from carawayfold.state.routes import CallerLimits, RouteTable
+from tests.schedule_builders import endpoint
+
+
+def table(version):
+    return RouteTable(version, (), {}, {}, {}, CallerLimits(), 0.0)
+
+
+def in_loop(work):
+    async def run():
+        return await work()
+
+    return asyncio.run(run())
+
+
+def knowledge():
+    taken = []
+    made = Knowledge(lambda item: taken.append(item.version), lambda: None)
+    return made, taken
+
+
+def fleet_of(count, own="router-0", data_centre="north", ages=None):
+    """Return a fleet of `count` routers in one data centre, all heard."""
+    members = [
+        Member(f"router-{number}", data_centre, 1, 0.0) for number in range(count)
+    ]
+    beats = {
+        item.router: Beat(data_centre, False, 1, 1, (ages or {}).get(item.router, 0))
+        for item in members
+        if item.router != own
+    }
+    return SimpleNamespace(
+        own=next(item for item in members if item.router == own),
+        beats=beats,
+        live=lambda: members,
+        near=lambda place: [item for item in members if item.data_centre == place],
+    )
+
+
+def readers(count, ages=None):
+    return [
+        name
+        for name in (f"router-{number}" for number in range(count))
+        if followers.is_reader(fleet_of(count, name, ages=ages))
+    ]
+
+
+def test_a_version_is_never_replaced_by_an_older_one():
+    async def run():
+        known, taken = knowledge()
+        for version in (3, 5, 4, 5, 7):
+            known.take_routes(table(version), "store")
+        return taken
+
+    assert in_loop(run) == [3, 5, 7]
+
+
+def test_a_peers_endpoints_count_only_if_it_has_read_further():
+    async def run():
+        known, _ = knowledge()
+        known.take_listed(Page([Registered("a", endpoint("a"))], 10))
+        known.take_snapshot(EndpointSnapshot(9, []), "peer")
+        before = list(known.endpoints.entries)
+        known.take_snapshot(EndpointSnapshot(11, [endpoint("b")]), "peer")
+        return before, list(known.endpoints.entries)
+
+    assert in_loop(run) == (["a"], ["b"])
+
+
+def test_a_store_that_is_away_takes_no_endpoint_along():
+    async def run():
+        known, _ = knowledge()
+        known.take_listed(Page([Registered("a", endpoint("a"))], 10))
+        known.note_failure(SourceError("refused"))
+        known.note_answer()
+        known.take_registered(Page([Registered("a", None)], 11))
+        return list(known.endpoints.entries)
+
+    assert in_loop(run) == ["a"]
+
+
+def test_lost_history_is_read_from_the_newest_records():
+    class Source:
+        def __init__(self):
+            self.listed = 0
+
+        async def newest(self):
+            self.listed += 1
+            return Page([table(self.listed)], 5)
+
+        async def read(self, start, wait):
+            raise HistoryLost("gone")
+
+    async def run():
+        known, taken = knowledge()
+        source = Source()
+        follower = followers.follow_configuration(source, known, lambda: True)
+        work = asyncio.create_task(follower.follow())
+        while len(taken) < 3:
+            await asyncio.sleep(0)
+        work.cancel()
+        return taken
+
+    assert in_loop(run)[:3] == [1, 2, 3]
+
+
+def test_one_whose_peers_read_for_it_reads_only_at_the_start(monkeypatch):
+    monkeypatch.setattr(followers, "READER_INTERVAL", 0.0)
+    calls = []
+
+    class Source:
+        async def newest(self):
+            calls.append("newest")
+            return Page([], 5)
+
+        async def read(self, start, wait):
+            calls.append("read")
+            return Page([], start)
+
+    async def run():
+        known, _ = knowledge()
+        nothing = lambda page: None  # noqa: E731
+        follower = Follower(Source(), known, nothing, nothing, 1.0, lambda: False)
+        for _ in range(5):
+            await follower.step()
+
+    in_loop(run)
+    assert calls == ["newest"]
+
+
+def test_every_router_of_a_small_fleet_reads():
+    assert len(readers(followers.ALL_READ)) == followers.ALL_READ
+
+
+def test_two_routers_of_a_data_centre_read_for_a_large_fleet():
+    assert len(readers(30)) == followers.READERS
+
+
+def test_all_read_when_the_store_no_longer_answers_the_readers():
+    ages = dict.fromkeys(readers(30), followers.READER_STALE_MS + 1)
+    assert len(readers(30, ages)) == 30
+
+
+def test_one_reader_that_is_answered_suffices():
+    first = readers(30)[0]
+    ages = {first: followers.READER_STALE_MS + 1}
+    assert len(readers(30, ages)) == followers.READERS
