Choose among several pools of a service without a fault

The choice among its five pools hashed a text instead of bytes.

Tests of offers between routers over datagrams that are lost or cut; the one of several pools failed before.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -183,7 +183,7 @@
         if len(pools) < 2:
             return PoolId(f"{service}/0")
         shared = prompt[-2].id if len(prompt) > 1 else str(self.numbers)
-        return max(pools, key=lambda pool: xxhash.xxh3_64_intdigest(f"{pool}|{shared}"))
+        return max(pools, key=lambda pool: _pool_weight(pool, shared))
 
     # This router's requests
 
@@ -477,6 +477,10 @@
             desk.scheduler.holds(item.endpoint, active)
 
 
+def _pool_weight(pool: PoolId, shared: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{pool}|{shared}".encode())
+
+
 def _pool_number(endpoint: Endpoint, count: int) -> int:
     return xxhash.xxh3_64_intdigest(endpoint.id.encode()) % count
 
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -179,11 +179,16 @@
             raise
         except Exception as error:
             logger.error("a request failed here", extra={"reason": repr(error)})
-            ran = Ran.UNKNOWN if call.attempts.may_have_run else Ran.NO
-            self._give_up(call, Refusal(ErrorKind.INTERNAL, repr(error), ran))
+            self._give_up(call, self._failed_here(call, error))
         finally:
             self.calls.pop(call, None)
 
+    def _failed_here(self, call: ForwardedCall, error: Exception) -> Refusal:
+        """Return the answer to a request that met a fault of this program."""
+        if call.attempts.may_have_run:
+            return Refusal(ErrorKind.INTERNAL, repr(error), Ran.UNKNOWN)
+        return Refusal(ErrorKind.NO_ENDPOINT, repr(error), Ran.NO)
+
     def _out_of_time(self, call: ForwardedCall) -> Refusal:
         if call.attempts.may_have_run:
             return Refusal(ErrorKind.NO_ANSWER, "out of time", Ran.UNKNOWN)
--- /dev/null
+++ b/tests/coordination/test_desk.py
@@ -0,0 +1,175 @@
+"""Offers of routers to the one that decides, with datagrams that may be lost."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from carawayfold.coordination.desk import POOL_SIZE, Desk
+from carawayfold.coordination.membership import Member, Membership
+from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
+from carawayfold.protocol.datagrams import Datagram, decode, encode
+from carawayfold.state.endpoints import EndpointTable
+from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
+from tests.schedule_builders import endpoint, offer
+
+
+@dataclass
+class Wire:
+    """Carries messages between the desks of a test; `cut` ones get and send none."""
+
+    desks: dict[str, Desk] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
+    lose: set[int] = field(default_factory=set)
+    sent: int = 0
+
+    def carry(self, sender, receiver, message):
+        self.sent += 1
+        if {sender, receiver} & self.cut or self.sent in self.lose:
+            return
+        data = encode(Datagram(sender, 1, [message]))
+        loop = asyncio.get_running_loop()
+        loop.call_soon(lambda: self.desks[receiver].take(decode(data)))
+
+
+class FakeFleet:
+    """Routers that all hear each other, as one of them sees it."""
+
+    def __init__(self, wire, name, names):
+        self.wire = wire
+        self.own = Member(name, "north", 1, 0.0)
+        loop = asyncio.get_running_loop()
+        self.membership = Membership(self.own, loop.time, 1e9)
+        for other in names:
+            if other != name:
+                self.membership.joined(other, "north", 1)
+
+    def send(self, router, message):
+        self.wire.carry(self.own.router, router, message)
+
+    def live(self):
+        return self.membership.live()
+
+    def responsible(self, subject):
+        return self.membership.responsible(subject)
+
+
+def routes():
+    services = {"model": ServiceConfig("model", "/", 100, 600_000)}
+    return RouteTable(1, (), services, {}, {}, CallerLimits(), 100_000.0)
+
+
+def desks(wire, names, endpoints=2, slots=4):
+    table = EndpointTable()
+    for number in range(endpoints):
+        table.put(endpoint(f"e-{number}", slots=slots))
+    for name in names:
+        desk = Desk(FakeFleet(wire, name, names), 4.0)
+        desk.refresh(table, routes())
+        wire.desks[name] = desk
+    return wire.desks
+
+
+def request(desk, call, **other):
+    now = asyncio.get_running_loop().time()
+    name = desk.fleet.own.router
+    return offer(f"{name}.1.{call}", f"t-{call}", now=now, router=name, **other)
+
+
+def decider(made):
+    return next(iter(made.values())).fleet.responsible("model/0")
+
+
+def play(work):
+    return asyncio.run(asyncio.wait_for(work(), 20))
+
+
+def test_one_router_decides_for_all():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c"])
+        for name, desk in made.items():
+            decision = await desk.place(request(desk, name), "model/0")
+            assert isinstance(decision, Granted)
+        first = decider(made)
+        scheduler = made[first].pools["model/0"].scheduler
+        return sum(len(load.active) for load in scheduler.loads.values())
+
+    assert play(work) == 3
+
+
+@pytest.mark.parametrize("lost", [{1}, {2}, {1, 2}, {2, 3}])
+def test_a_lost_datagram_only_delays(lost):
+    async def work():
+        wire = Wire(lose=lost)
+        made = desks(wire, ["a", "b"])
+        other = next(name for name in made if name != decider(made))
+        offered = request(made[other], "x")
+        return await made[other].place(offered, "model/0")
+
+    assert isinstance(play(work), Granted)
+
+
+def test_a_router_decides_for_itself_when_the_decider_is_cut_off():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"])
+        first = decider(made)
+        wire.cut.add(first)
+        other = next(name for name in made if name != first)
+        decision = await made[other].place(request(made[other], "x"), "model/0")
+        return decision, made[other].pools["model/0"].scheduler.plan.share
+
+    decision, share = play(work)
+    assert isinstance(decision, Granted)
+    assert share == 0.5
+
+
+def test_a_withdrawn_request_frees_what_it_was_granted():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"], endpoints=1, slots=1)
+        first = decider(made)
+        other = next(name for name in made if name != first)
+        granted = await made[other].place(request(made[other], "x"), "model/0")
+        waiting = asyncio.ensure_future(
+            made[first].place(request(made[first], "y", due=1e9), "model/0")
+        )
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        made[other].begun(granted.call, 0.01)
+        made[other].ended(granted.call, Outcome.WHOLE)
+        return await waiting
+
+    assert isinstance(play(work), Granted)
+
+
+def test_a_service_of_many_endpoints_has_several_pools():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a"], endpoints=4 * POOL_SIZE)
+        desk = made["a"]
+        offered = request(desk, "x")
+        pools = {
+            desk.pool_for("model", request(desk, str(number)).prompt)
+            for number in range(60)
+        }
+        pool = desk.pool_for("model", offered.prompt)
+        again = desk.pool_for("model", offered.prompt)
+        decision = await desk.place(offered, pool)
+        return pools, pool == again, decision
+
+    pools, stable, decision = play(work)
+    assert len(pools) == 4
+    assert stable
+    assert isinstance(decision, Granted)
+
+
+def test_a_service_without_endpoints_is_refused_at_once():
+    async def work():
+        made = desks(Wire(), ["a"])
+        return await made["a"].place(request(made["a"], "x"), "nothing/0")
+
+    assert isinstance(play(work), TurnedAway)
