--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -147,6 +147,8 @@
                 answer = await call(self.ports[name][1], "GET", "/ready")
             except OSError:
                 answer = None
+            if self.routers[name].popen.poll() is not None:
+                raise RuntimeError(f"{name} ended: {self.processes.log_of(name)}")
             if answer is not None and answer.status == 200:
                 return
             await asyncio.sleep(0.02)
--- a/carawayfold/commands/line.py
+++ b/carawayfold/commands/line.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, TypeVar
 
@@ -83,7 +84,8 @@
 
     checked = ok_or_exit(gateway_settings.load(path))
     output = logs.set_up_bounded(checked.log_level)
-    asyncio.run(gateway.run(checked, lambda: output.left_out))
+    reread = partial(gateway_settings.load, path)
+    asyncio.run(gateway.run(checked, reread, lambda: output.left_out))
 
 
 @app.command()
--- a/carawayfold/coordination/attempts.py
+++ b/carawayfold/coordination/attempts.py
@@ -29,7 +29,9 @@
 #: Most bytes of an answer that is kept until it is whole, so that a broken one is
 #: not passed on; a longer one is passed on as it comes.
 KEPT_WHOLE = 262144
+#: Least status with which an endpoint says that it failed.
 FIRST_FAILURE = 500
+#: Statuses of a success.
 SUCCESS = range(200, 300)
 
 
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import logbook
@@ -40,6 +41,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from expression import Result
+
     from carawayfold.gateway_settings import GatewaySettings
     from carawayfold.protocol.datagrams import Datagram
     from carawayfold.settings import Address
@@ -60,8 +63,6 @@
 #: Seconds added to the idle timeout that callers know, so that a request and the
 #: close of its connection don't cross.
 IDLE_MARGIN = 1.0
-#: Part of an endpoint's connections that all routers together keep idle.
-IDLE_PART = 0.5
 #: Seconds between looks at idle connections.
 IDLE_INTERVAL = 1.0
 
@@ -73,14 +74,20 @@
     ----------
     settings : GatewaySettings
         Checked settings.
+    reread : callable
+        Reads and checks the settings again.
     log_lines_left_out : callable
         Returns how many log lines were left out.
     """
 
     def __init__(
-        self, settings: GatewaySettings, log_lines_left_out: Callable[[], int]
+        self,
+        settings: GatewaySettings,
+        reread: Callable[[], Result[GatewaySettings, list[str]]],
+        log_lines_left_out: Callable[[], int],
     ) -> None:
         self.settings = settings
+        self.reread = reread
         self.log_lines_left_out = log_lines_left_out
         loop = asyncio.get_running_loop()
         self.root = Root()
@@ -183,9 +190,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
-        logger.info(
-            "settings may have changed", extra={"in_force": "at the next start"}
-        )
+        """Read the settings again; addresses and names hold until the next start."""
+        read = self.reread()
+        if read.is_error():
+            logger.warning("settings not taken", extra={"faults": read.error})
+            return
+        taken = read.ok
+        self.forwarder.budget.bounds = taken.budget
+        self.settings = replace(self.settings, stop_grace=taken.stop_grace)
+        logger.info("settings taken", extra={"stop_grace": taken.stop_grace})
 
     def begin_stop(self) -> None:
         """Take no new work, finish what runs, then stop; again: stop at once."""
@@ -271,8 +284,12 @@
             incoming.answer(404, [])
 
 
-async def run(settings: GatewaySettings, log_lines_left_out: Callable[[], int]) -> None:
-    """Run one router that forwards until it is stopped."""
-    gateway = Gateway(settings, log_lines_left_out)
+async def run(
+    settings: GatewaySettings,
+    reread: Callable[[], Result[GatewaySettings, list[str]]],
+    log_lines_left_out: Callable[[], int],
+) -> None:
+    """Run one router that forwards until it is stopped; see `Gateway`."""
+    gateway = Gateway(settings, reread, log_lines_left_out)
     with contextlib.suppress(asyncio.CancelledError):
         await gateway.run()
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -238,6 +238,20 @@
     assert fleet.routers["router-0"].popen.wait(20) == 0
 
 
+def test_settings_with_a_fault_are_not_taken_and_stop_nothing(fleet):
+    path = fleet.processes.folder / "router-0.json"
+    good = path.read_text()
+    path.write_text("{")
+    fleet.routers["router-0"].signal(signal.SIGHUP)
+    assert ask(fleet, "/once/x", plain_headers("hup-1")).status == 200
+    path.write_text(good)
+    fleet.routers["router-0"].signal(signal.SIGHUP)
+    assert ask(fleet, "/once/x", plain_headers("hup-2")).status == 200
+    fleet.processes.stop(fleet.routers["router-0"])
+    lines = fleet.routers["router-0"].popen.stdout.read()
+    assert lines.index("settings not taken") < lines.index("settings taken")
+
+
 def test_a_new_configuration_and_a_leaving_endpoint_take_effect(fleet):
     config = configuration(5)
     config["routes"] = [route for route in config["routes"] if route["name"] != "open"]
