--- /dev/null
+++ b/benchmarks/emulation/__main__.py
@@ -0,0 +1,123 @@
+"""Compares policies over loads: ``python -m benchmarks.emulation --help``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from benchmarks.emulation.deployments import DEPLOYMENTS, EmulatedDeployment
+from benchmarks.emulation.load import Load
+from benchmarks.emulation.run import Emulation, Policy, Report
+
+app = typer.Typer(help="Emulates engines and load in simulated time.")
+
+#: Part of the worth of a request that comes back and is refused again, as a price.
+REFUSED_AGAIN = 0.3
+#: Times the usual load of the organisation that floods.
+FLOOD = 7.0
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One run: its policy, its load, and what it was worth."""
+
+    policy: str
+    factor: float
+    benefit: float
+    net: float
+
+
+def net_of(report: Report, deployment: EmulatedDeployment) -> float:
+    """Return the earned part of the worth, less rereads and repeated refusals."""
+    owed = sum(kind.owed for kind in report.kinds.values())
+    rereads = report.reread / 1000 * deployment.reread_price
+    return report.benefit - (rereads + REFUSED_AGAIN * report.refused_again) / owed
+
+
+def play(
+    deployment: EmulatedDeployment,
+    policy: Policy,
+    factor: float,
+    seed: int,
+    seconds: float,
+    flood: bool = False,
+    lost: bool = False,
+) -> Report:
+    """Play one load.
+
+    Parameters
+    ----------
+    flood : bool
+        Whether one organisation sends many times its usual.
+    lost : bool
+        Whether an engine is lost for a quarter of the run.
+    """
+    hot = {"organisation-3": FLOOD} if flood else {}
+    down = {0: (seconds / 4, seconds / 2)} if lost else {}
+    emulation = Emulation(
+        Load(deployment.kinds, seed, factor, hot=hot),
+        deployment.engines,
+        deployment.model,
+        deployment.throughput,
+        seconds,
+        down,
+        policy,
+    )
+    return emulation.run()
+
+
+@app.command()
+def compare(
+    name: Annotated[str, typer.Argument(help="altiplano or tipanan.")] = "altiplano",
+    seed: int = 1,
+    seconds: float = 18.0,
+    flood: bool = False,
+    lost: bool = False,
+    plot: Annotated[Path | None, typer.Option(help="Where to write a PNG.")] = None,
+) -> None:
+    """Compare one decider with each router alone and with first come."""
+    deployment = DEPLOYMENTS[name]
+    rows = []
+    for policy in Policy:
+        for factor in (0.6, 0.8, 1.0, 1.2, 1.4):
+            report = play(deployment, policy, factor, seed, seconds, flood, lost)
+            net = net_of(report, deployment)
+            rows.append(Row(policy.value, factor, report.benefit, net))
+            typer.echo(
+                f"{policy.value:12} load {factor:.1f}  earned {report.benefit:6.3f}"
+                f"  net {net:6.3f}  decisions {report.decision_time:5.2f} s"
+            )
+    if plot is not None:
+        draw(rows, name, plot)
+
+
+def draw(rows: list[Row], name: str, path: Path) -> None:
+    """Write a plot of the net worth over the load."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    for policy in Policy:
+        chosen = [row for row in rows if row.policy == policy.value]
+        axes.plot(
+            [row.factor for row in chosen],
+            [row.net for row in chosen],
+            marker="o",
+            label=policy.value,
+        )
+    axes.set_xlabel("load, times the busiest of the sheets")
+    axes.set_ylabel("net worth, part of what is owed")
+    axes.set_title(name)
+    axes.grid(alpha=0.3)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+
+
+if __name__ == "__main__":
+    app()
--- a/benchmarks/emulation/run.py
+++ b/benchmarks/emulation/run.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import heapq
+import random
 import time
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
 from carawayfold.coordination.offers import Granted, Offer, Outcome
 from carawayfold.coordination.scheduler import PoolPlan, Scheduler
@@ -30,6 +34,24 @@
 WINDOW = 4.0
 
 
+class Policy(Enum):
+    """Who decides where requests go.
+
+    Attributes
+    ----------
+    FIRST_COME : Policy
+        Each request goes at once to an engine drawn at random.
+    ALONE : Policy
+        Several routers, each with its own requests and its part of each engine.
+    ONE : Policy
+        One router decides for all.
+    """
+
+    FIRST_COME = "first-come"
+    ALONE = "alone"
+    ONE = "one"
+
+
 @dataclass(slots=True)
 class KindResult:
     """What became of one kind of request."""
@@ -77,6 +99,8 @@
     ----------
     down : dict
         When engines are lost: from and until, by number.
+    routers : int
+        Routers that decide, if each decides alone.
     """
 
     load: Load
@@ -85,7 +109,10 @@
     throughput: float
     seconds: float
     down: dict[int, tuple[float, float]] = field(default_factory=dict)
-    scheduler: Scheduler = field(init=False)
+    policy: Policy = Policy.ONE
+    routers: int = 6
+    draw: random.Random = field(default_factory=lambda: random.Random(7))
+    schedulers: list[Scheduler] = field(init=False)
     fleet: dict[str, EmulatedEngine] = field(init=False)
     requests: dict[str, Request] = field(default_factory=dict)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
@@ -98,7 +125,8 @@
             f"engine-{number}": EmulatedEngine(f"engine-{number}", self.model, known)
             for number in range(self.engines)
         }
-        self.scheduler = Scheduler(WINDOW)
+        count = self.routers if self.policy is Policy.ALONE else 1
+        self.schedulers = [Scheduler(WINDOW) for _ in range(count)]
         self._set_endpoints(0.0)
 
     def _set_endpoints(self, now: float) -> None:
@@ -114,11 +142,16 @@
             if not self._is_down(number, now)
         ]
         plan = PoolPlan(
-            self.throughput,
+            self.throughput / len(self.schedulers),
             self.model.memory_tokens,
             self.throughput / self.engines,
+            1.0 / len(self.schedulers),
         )
-        self.scheduler.set_endpoints(endpoints, plan)
+        for scheduler in self.schedulers:
+            scheduler.set_endpoints(endpoints, plan)
+
+    def _scheduler_of(self, name: str) -> Scheduler:
+        return self.schedulers[hash_of(name) % len(self.schedulers)]
 
     def _is_down(self, number: int, now: float) -> bool:
         since, until = self.down.get(number, (0.0, 0.0))
@@ -160,12 +193,17 @@
             for engine in self.fleet.values():
                 begun, ended = engine.advance(now)
                 for run in begun:
-                    self.scheduler.begun(CallId(run.name), run.first_at - run.sent)
+                    scheduler = self._scheduler_of(run.name)
+                    scheduler.begun(CallId(run.name), run.first_at - run.sent)
                 for run in ended:
                     self._end(run, now)
             started = time.perf_counter()
             self._offer_arrivals(now)
-            decisions = self.scheduler.decide(now)
+            decisions = [
+                decision
+                for scheduler in self.schedulers
+                for decision in scheduler.decide(now)
+            ]
             spent += time.perf_counter() - started
             for decision in decisions:
                 if isinstance(decision, Granted):
@@ -176,8 +214,9 @@
         return spent
 
     def _keep_alive(self, now: float) -> None:
-        for call in self.scheduler.refreshed:
-            self.scheduler.refreshed[call] = now
+        for scheduler in self.schedulers:
+            for call in scheduler.refreshed:
+                scheduler.refreshed[call] = now
 
     def _offer_arrivals(self, now: float) -> None:
         while self.arrivals and self.arrivals[0][0] <= now:
@@ -198,7 +237,11 @@
                 due=request.first_asked + kind.objective,
                 expires=request.first_asked + kind.timeout,
             )
-            self.scheduler.offer(offer, now)
+            if self.policy is Policy.FIRST_COME:
+                place = self.draw.choice(list(self.fleet))
+                self._send(Granted(CallId(name), EndpointId(place)), now)
+            else:
+                self._scheduler_of(name).offer(offer, now)
 
     def _send(self, decision: Granted, now: float) -> None:
         request = self.requests[decision.call]
@@ -223,7 +266,8 @@
     def _end(self, run: Run, now: float) -> None:
         request = self.requests[run.name]
         kind = request.kind
-        self.scheduler.ended(CallId(run.name), Outcome.WHOLE, now)
+        scheduler = self._scheduler_of(run.name)
+        scheduler.ended(CallId(run.name), Outcome.WHOLE, now)
         result = self.results[kind.name]
         worth = self._worth(request)
         if run.first_at - request.first_asked <= kind.objective:
@@ -232,3 +276,8 @@
         else:
             result.late += 1
             result.earned += worth * kind.late_worth / kind.worth
+
+
+def hash_of(name: str) -> int:
+    """Return a number that depends on `name` alone."""
+    return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks' own tools."""
--- /dev/null
+++ b/tests/benchmarks/test_emulation.py
@@ -0,0 +1,65 @@
+"""The emulator, and decisions under the loads that it plays."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.emulation.__main__ import net_of, play
+from benchmarks.emulation.deployments import DEPLOYMENTS
+from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
+from benchmarks.emulation.run import Policy
+from carawayfold.protocol.exchanges import Part
+
+SECONDS = 4.0
+
+
+def engine(**other):
+    return EmulatedEngine("e", EngineModel(**other), set())
+
+
+def run_of(name="r", own=9210, shared=0, output=10):
+    prompt = (Part("shared", shared), Part(name, own))
+    return Run(name, prompt, own + shared, output, 0.0)
+
+
+def test_reading_takes_its_time_and_a_kept_prefix_takes_none():
+    made = engine()
+    made.send(run_of("a", own=921, shared=9210))
+    begun, _ = made.advance(1.0)
+    first = begun[0].first_at
+    assert first == pytest.approx(0.11 + 5 * 0.00303, abs=0.01)
+    made.send(run_of("b", own=921, shared=9210))
+    begun, _ = made.advance(2.0)
+    assert begun[0].first_at - 1.0 < first / 4
+    assert made.reread_tokens == 0
+
+
+def test_more_requests_make_each_step_longer():
+    one, many = engine(), engine()
+    one.send(run_of("a", own=10, output=50))
+    for number in range(40):
+        many.send(run_of(f"r{number}", own=10, output=50))
+    _, ended_one = one.advance(5.0)
+    _, ended_many = many.advance(5.0)
+    assert len(ended_many) == 40
+    assert many.busy > one.busy
+
+
+def test_the_same_seed_gives_the_same_run():
+    deployment = DEPLOYMENTS["altiplano"]
+    runs = [play(deployment, Policy.ONE, 1.0, 3, 2.0) for _ in range(2)]
+    assert runs[0].kinds == runs[1].kinds
+    assert runs[0].reread == runs[1].reread
+
+
+@pytest.mark.parametrize("name", list(DEPLOYMENTS))
+@pytest.mark.parametrize("flood", [False, True])
+def test_one_decider_is_worth_more_than_first_come_when_all_is_busy(name, flood):
+    deployment = DEPLOYMENTS[name]
+    worth = {
+        policy: net_of(
+            play(deployment, policy, 1.4, 5, SECONDS, flood=flood), deployment
+        )
+        for policy in (Policy.ONE, Policy.FIRST_COME)
+    }
+    assert worth[Policy.ONE] > worth[Policy.FIRST_COME]
