Pause before the newest records are read after the history was lost

Cause: test_lost_history_is_read_from_the_newest_records never ended: a store that says each time that the records are gone is called without a pause, and where its answers come at once the loop never runs anything else.

Ruled out: the test (what it waits for is right), the machine's load.

Change: 50 ms before the newest records are read.

--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -55,6 +55,9 @@
 READER_STALE_MS = 3500
 #: Seconds before the store is asked again after it failed.
 RETRY_WAIT = 0.25
+#: Seconds before the newest records are read after the history was lost, so that a
+#: store that loses it again and again is not called without a pause.
+HISTORY_WAIT = 0.05
 #: Seconds between looks at whether a peer knows more.
 RELAY_INTERVAL = 0.25
 #: Seconds without an answer of the store after which peers are asked for endpoints:
@@ -268,6 +271,7 @@
             except HistoryLost:
                 logger.info("history lost", extra={"from": self.next})
                 self.next = None
+                await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
                 self.knowledge.note_failure(error)
                 await asyncio.sleep(RETRY_WAIT)
