Remove a limit that nothing reads

Cause: reading the whole change: a constant for the time that a further attempt needs was declared in repeats.py and never used.

Change: the constant is gone; behaviour is the same.

--- a/carawayfold/coordination/repeats.py
+++ b/carawayfold/coordination/repeats.py
@@ -13,9 +13,6 @@
 
 #: Sends that an endpoint states it did not run, after which a request is refused.
 NOT_RUN_MOST = 2
-#: Part of the objective that must be left for a further attempt to be of use, for
-#: a request that has not been answered late already.
-TIME_NEEDED = 0.02
 
 
 class AttemptEnd(Enum):
