Soak routers that forward among stand-ins of the users' platform

Cause: the soak drove the product's own interface only; nothing of the project's own checked, under random overlapping faults, what callers and endpoints of the users' platform see.

Ruled out: extending the old soak, whose callers, claims and operators speak another interface; faults inside the routers, since they would not be the real programs.

Change: benchmarks/soak is a package with one run for each interface. The new one starts routers, endpoints and the store as processes, with proxies to the store and the endpoints (delay, reset, silence, one-way cuts), and kills, freezes, stops, reloads, floods of kills, lost history, crashes, replacements and configurations that overlap. The promises are checked by pure functions on both ends' records, each with a test that shows it finds its fault. Router output of hosted fleets goes to a file, as nobody read the pipe.

Before: not tested at all.

The time of day can't be stepped without privileges, so clocks stay untested here.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 		carawayfold/protocol/peer.proto carawayfold/protocol/admin.proto
 
 soak: $(VENV)/installed
-	$(RUN) -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
+	$(RUN) -m benchmarks.soak own --seconds $(SECONDS) --seed $(SEED)
+	$(RUN) -m benchmarks.soak forward --seconds $(SECONDS) --seed $(SEED)
 
 clean:
 	rm -rf $(VENV) build dist *.egg-info
--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import json
 import socket
 import struct
@@ -15,6 +16,8 @@
     from benchmarks.processes import Process, Processes
 
 READ_SIZE = 65536
+#: Seconds for an answer of a stand-in to the operator.
+OPERATOR_TIMEOUT = 2.0
 HOST = "caller.example"
 KEY = "key-of-alder"
 
@@ -67,6 +70,8 @@
     ----------
     ports : dict
         Where each router listens for callers, checks and peers.
+    proxies : dict
+        Proxies on the way to the store and to endpoints, where there are any.
     """
 
     processes: Processes
@@ -75,13 +80,20 @@
     services: dict[str, str] = field(default_factory=dict)
     routers: dict[str, Process] = field(default_factory=dict)
     ports: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+    proxies: dict[str, Process] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.store = self.processes.start_standin("store", "store")
 
     def call_store(self, method: str, path: str, body: bytes = b"") -> bytes:
-        """Call the store as the operator, or to set its faults."""
-        return asyncio.run(call(self.store.port, method, path, body)).body
+        """Call the store as the operator, or to set its faults.
+
+        Raises
+        ------
+        OSError, http.client.HTTPException
+            If it did not answer.
+        """
+        return ask_standin(self.store.port, method, path, body)
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Write the newest record of a key; None drops the key."""
@@ -94,18 +106,32 @@
         """Write the configuration."""
         self.put("keyed.op", "config", config)
 
-    def start_endpoint(self, name: str, service: str, slots: int = 8) -> None:
+    def start_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint and register it."""
-        self.endpoints[name] = self.processes.start_standin(name, "hosted", name)
+        self.launch_endpoint(name, service)
+        self.register(name)
+
+    def launch_endpoint(
+        self, name: str, service: str, behind_proxy: bool = False, pace: float = 0.0
+    ) -> None:
+        """Start an endpoint that is not registered yet."""
+        process = self.processes.start_standin(name, "hosted", name, "--pace", pace)
+        if behind_proxy:
+            self.start_proxy(f"link-to-{name}", process.port)
         self.services[name] = service
-        self.register(name, slots=slots)
+        self.endpoints[name] = process
+
+    def start_proxy(self, name: str, port: int) -> Process:
+        """Start a proxy before a port and return it."""
+        self.proxies[name] = self.processes.start_standin(name, "proxy", port)
+        return self.proxies[name]
 
     def register(self, name: str, **other: Any) -> None:
         """Write the registration of an endpoint."""
-        port = self.endpoints[name].port
+        reached = self.proxies.get(f"link-to-{name}", self.endpoints[name])
         entry = {
             "service": self.services[name],
-            "address": f"127.0.0.1:{port}",
+            "address": f"127.0.0.1:{reached.port}",
             "zone": "north",
             "slots": 8,
         }
@@ -114,31 +140,48 @@
     def set_faults(self, name: str, **faults: Any) -> None:
         """Set the faults of an endpoint; those not named end."""
         port = self.endpoints[name].port
-        asyncio.run(call(port, "POST", "/faults", json.dumps(faults).encode()))
+        ask_standin(port, "POST", "/faults", json.dumps(faults).encode())
 
     def ran(self, name: str) -> list[dict[str, Any]]:
         """Return what ran at an endpoint."""
-        return json.loads(
-            asyncio.run(call(self.endpoints[name].port, "GET", "/ran")).body
-        )
+        return json.loads(ask_standin(self.endpoints[name].port, "GET", "/ran"))
 
-    def start_router(self, name: str, profiled: str = "") -> None:
+    def start_router(
+        self, name: str, profiled: str = "", behind_proxy: bool = False
+    ) -> None:
         """Start a router; see `wait_ready`."""
-        ports = tuple(free_port() for _ in range(3))
-        self.ports[name] = ports
+        self.ports[name] = tuple(free_port() for _ in range(3))
+        if behind_proxy:
+            self.start_proxy(f"store-of-{name}", self.store.port)
+        self.write_settings(name)
+        self._run_router(name, profiled)
+
+    def restart_router(self, name: str) -> None:
+        """Start a router that has ended again, at the same addresses."""
+        self._run_router(name)
+
+    def write_settings(self, name: str, **other: Any) -> None:
+        """Write a router's settings file."""
+        ports = self.ports[name]
+        store = self.proxies.get(f"store-of-{name}", self.store)
         settings = {
             "router": name,
             "data_centre": "north",
             "listen": f"127.0.0.1:{ports[0]}",
             "ready_listen": f"127.0.0.1:{ports[1]}",
             "peer_listen": f"127.0.0.1:{ports[2]}",
-            "store": f"127.0.0.1:{self.store.port}",
+            "store": f"127.0.0.1:{store.port}",
         }
         path = self.processes.folder / f"{name}.json"
-        path.write_text(json.dumps(settings))
+        path.write_text(json.dumps({**settings, **other}))
+
+    def _run_router(self, name: str, profiled: str = "") -> None:
+        path = self.processes.folder / f"{name}.json"
         words = ("-o", profiled, "-m", "carawayfold") if profiled else ()
         module = "cProfile" if profiled else "carawayfold"
-        self.routers[name] = self.processes.start(name, module, *words, "forward", path)
+        self.routers[name] = self.processes.start(
+            name, module, *words, "forward", path, logged=True
+        )
 
     async def wait_ready(self, name: str) -> None:
         """Wait until a router says that it is ready."""
@@ -213,6 +256,22 @@
             return answer
 
 
+def ask_standin(port: int, method: str, path: str, body: bytes = b"") -> bytes:
+    """Ask a stand-in that runs in another process, and wait for its answer.
+
+    Raises
+    ------
+    OSError, http.client.HTTPException
+        If no answer came.
+    """
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=OPERATOR_TIMEOUT)
+    try:
+        connection.request(method, path, body)
+        return connection.getresponse().read()
+    finally:
+        connection.close()
+
+
 def free_port() -> int:
     """Return a port that the system gives out."""
     with socket.socket() as sock:
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -89,18 +89,30 @@
             path.unlink()
         self.folder.rmdir()
 
-    def start(self, name: str, module: str, *words: object) -> Process:
-        """Start ``python -m module words`` without waiting for it."""
+    def start(
+        self, name: str, module: str, *words: object, logged: bool = False
+    ) -> Process:
+        """Start ``python -m module words`` without waiting for it.
+
+        What it prints is kept in ``NAME.out`` if `logged`, and can be read from the
+        process otherwise.
+        """
         command = [sys.executable, "-m", module, *map(str, words)]
-        errors: IO[str] = (self.folder / f"{name}.log").open("a")
-        popen = subprocess.Popen(
-            command, stdout=subprocess.PIPE, stderr=errors, text=True
-        )
-        errors.close()
+        with contextlib.ExitStack() as files:
+            errors = files.enter_context(self._open(f"{name}.log"))
+            output = (
+                files.enter_context(self._open(f"{name}.out"))
+                if logged
+                else subprocess.PIPE
+            )
+            popen = subprocess.Popen(command, stdout=output, stderr=errors, text=True)
         process = Process(name, popen)
         self.running.append(process)
         return process
 
+    def _open(self, name: str) -> IO[str]:
+        return (self.folder / name).open("a")
+
     def start_standin(self, name: str, *words: object) -> Process:
         """Start a stand-in and wait until it listens."""
         process = self.start(name, "standins", *words)
@@ -129,6 +141,10 @@
         """Return what the process called `name` has written as errors."""
         return (self.folder / f"{name}.log").read_text()
 
+    def output_of(self, name: str) -> str:
+        """Return what a process that was started as logged has printed."""
+        return (self.folder / f"{name}.out").read_text()
+
     def stop(self, process: Process, number: int = signal.SIGTERM) -> int:
         """Ask a process to stop, wait for it, return its exit code."""
         process.signal(number)
--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long runs of real processes under random faults, checked for broken promises."""
--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,61 @@
+"""Command line of the soaks; exit code 1 if a promise was broken."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Annotated
+
+import typer
+
+from benchmarks.soak import forwarding, own
+
+app = typer.Typer(help="Random faults on real processes; broken promises are listed.")
+
+Seconds = Annotated[float, typer.Option(help="Of faults.")]
+Seed = Annotated[int, typer.Option(help="Of everything random.")]
+
+
+@app.command("own")
+def own_interface(seconds: Seconds = 60.0, seed: Seed = 1) -> None:
+    """Run the soak of the product's own interface."""
+    account = asyncio.run(own.soak(seconds, seed))
+    print(f"seed {seed}, faults {dict(account.faults)}")
+    print(
+        f"{account.requests} requests: {account.whole} whole, "
+        f"{sum(account.refused.values())} refused {dict(account.refused)}, "
+        f"{account.cut} cut; {len(account.violations)} violations"
+    )
+    _end(account.violations)
+
+
+@app.command()
+def forward(
+    seconds: Seconds = 60.0,
+    seed: Seed = 1,
+    seeds: Annotated[int, typer.Option(help="How many, from `seed` on.")] = 1,
+    routers: Annotated[int, typer.Option(help="Routers.")] = forwarding.ROUTERS,
+) -> None:
+    """Run the soak of routers that forward."""
+    violations: list[str] = []
+    for number in range(seed, seed + seeds):
+        account = asyncio.run(forwarding.soak(seconds, number, routers))
+        print(f"seed {number}, faults {dict(account.faults)}")
+        print(
+            f"{len(account.told)} requests: {account.whole} whole; "
+            f"{len(account.violations)} violations",
+            flush=True,
+        )
+        violations += [f"seed {number}: {line}" for line in account.violations]
+    _end(violations)
+
+
+def _end(violations: list[str]) -> None:
+    for line in violations:
+        print(f"VIOLATION: {line}")
+    if violations:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    app()
--- a/benchmarks/soak.py
+++ b/benchmarks/soak/own.py
@@ -1,4 +1,4 @@
-"""A long run of mixed requests under random faults, checked for broken promises.
+"""The soak of the product's own interface: mixed requests under random faults.
 
 The stand-ins record what really ran; it is compared with what callers and operators
 were told.
@@ -10,13 +10,11 @@
 import contextlib
 import random
 import signal
-import sys
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING
 
 import grpc
-import typer
 
 from benchmarks.client import Reply, call, chat, get_json, post_json
 from benchmarks.deployments import Deployment
@@ -366,25 +364,3 @@
         await fleet.wait_revision()
         await run.check()
         return run.account
-
-
-def main(
-    seconds: Annotated[float, typer.Option(help="Of faults.")] = 60.0,
-    seed: Annotated[int, typer.Option(help="Of everything random.")] = 1,
-) -> None:
-    """Run the soak; exit code 1 if a promise was broken."""
-    account = asyncio.run(soak(seconds, seed))
-    print(f"seed {seed}, faults {dict(account.faults)}")
-    print(
-        f"{account.requests} requests: {account.whole} whole, "
-        f"{sum(account.refused.values())} refused {dict(account.refused)}, "
-        f"{account.cut} cut; {len(account.violations)} violations"
-    )
-    for line in account.violations:
-        print(f"VIOLATION: {line}")
-    if account.violations:
-        sys.exit(1)
-
-
-if __name__ == "__main__":
-    typer.run(main)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -84,9 +84,9 @@
 
 
 @app.command()
-def hosted(name: str, port: int = 0) -> None:
+def hosted(name: str, port: int = 0, pace: float = 0.0) -> None:
     """Run an endpoint on the users' platform."""
-    asyncio.run(serve(Hosted(name), port))
+    asyncio.run(serve(Hosted(name, pace), port))
 
 
 if __name__ == "__main__":
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -61,10 +62,13 @@
     ----------
     name : str
         Its id; requests that expect another one are turned away.
+    pace : float
+        Seconds between events where no fault sets a pause.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, pace: float = 0.0) -> None:
         self.name = name
+        self.pace = pace
         self.faults = HostedFaults()
         self.ran: list[dict[str, object]] = []
 
@@ -92,12 +96,15 @@
             "path": request.path,
             "body": request.body.decode("latin-1"),
             "end": "running",
+            "at": time.time(),
+            "ended_at": 0.0,
         }
         self.ran.append(record)
         try:
             answer = await self._answer(request, connection)
         finally:
             record["end"] = "left" if connection.gone.is_set() else "whole"
+            record["ended_at"] = time.time()
         return answer
 
     async def _answer(
@@ -142,5 +149,5 @@
                 await asyncio.sleep(0.05)
                 connection.break_off()
                 return
-            await asyncio.sleep(self.faults.pause)
+            await asyncio.sleep(self.faults.pause or self.pace)
         connection.end()
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -248,7 +248,7 @@
     fleet.routers["router-0"].signal(signal.SIGHUP)
     assert ask(fleet, "/once/x", plain_headers("hup-2")).status == 200
     fleet.processes.stop(fleet.routers["router-0"])
-    lines = fleet.routers["router-0"].popen.stdout.read()
+    lines = fleet.processes.output_of("router-0")
     assert lines.index("settings not taken") < lines.index("settings taken")
 
 
