Shed connections under overload; decide on strong instances; list caches

Further causes seen while reading: pools of a hashed number of endpoints moved all endpoints when their count changed by one and got the same part of the requests whatever their size; any weak instance could decide for 16 engines; a new decider knew nothing of caches.

Ruled out: heartbeats (idle routers: 0.038 of a core, most of it the start); starved accepts (32 at once already).

Change: an instance whose loop is late for five samples in a row is not ready and asks callers to leave, and refuses at once above 0.08 s; callers' connections are bounded by the descriptors of the settings, answers ask to leave above half of that, the oldest idle ones go above nine tenths; failed accepts are logged. Pools by rendezvous hashing and requests in proportion to slots; those with three quarters of the strongest processor decide; a router that begins to decide asks each engine once what it keeps.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -147,13 +147,17 @@
         return json.loads(ask_standin(self.endpoints[name].port, "GET", "/ran"))
 
     def start_router(
-        self, name: str, profiled: str = "", behind_proxy: bool = False
+        self,
+        name: str,
+        profiled: str = "",
+        behind_proxy: bool = False,
+        **settings: Any,
     ) -> None:
-        """Start a router; see `wait_ready`."""
+        """Start a router with further settings; see `wait_ready`."""
         self.ports[name] = tuple(free_port() for _ in range(3))
         if behind_proxy:
             self.start_proxy(f"store-of-{name}", self.store.port)
-        self.write_settings(name)
+        self.write_settings(name, **settings)
         self._run_router(name, profiled)
 
     def restart_router(self, name: str) -> None:
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -10,13 +10,13 @@
 
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import logbook
-import xxhash
 
+from carawayfold.coordination.division import choose, divide
 from carawayfold.coordination.offers import Granted, Offer, Outcome, TurnedAway
 from carawayfold.coordination.placement import Active
 from carawayfold.coordination.scheduler import PoolPlan, Scheduler
@@ -65,8 +65,6 @@
 DECIDE_DELAY = 0.001
 #: Seconds between two rounds of decisions on requests that wait, without an event.
 DECIDE_INTERVAL = 0.03
-#: Endpoints decided on by one router, so that its work is bounded at any size.
-POOL_SIZE = 16
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
 #: Prefixes of which this router remembers where it sent them.
@@ -109,11 +107,10 @@
 
 @dataclass(slots=True, eq=False)
 class PoolDesk:
-    """One pool: its endpoints, and this router's scheduler for it."""
+    """One pool, and this router's scheduler for it."""
 
     id: PoolId
     scheduler: Scheduler
-    endpoints: list[Endpoint] = field(default_factory=list)
     due: asyncio.TimerHandle | None = None
 
 
@@ -133,6 +130,8 @@
         self.window = window
         self.loop = asyncio.get_running_loop()
         self.pools: dict[PoolId, PoolDesk] = {}
+        #: Slots of each pool, by service.
+        self.weights: dict[ServiceId, dict[PoolId, int]] = {}
         self.tickets: dict[CallId, Ticket] = {}
         self.placed: dict[CallId, Placed] = {}
         self.decided: OrderedDict[CallId, Decision] = OrderedDict()
@@ -148,19 +147,17 @@
         """Divide the endpoints of each service into pools."""
         self.endpoints = dict(table.entries)
         pools: dict[PoolId, PoolDesk] = {}
+        self.weights = {}
         for service in routes.services:
-            usable = sorted(table.usable(service), key=lambda item: item.id)
-            count = max(1, -(-len(usable) // POOL_SIZE))
-            for number in range(count):
-                members = [
-                    item for item in usable if _pool_number(item, count) == number
-                ]
+            weights = self.weights[service] = {}
+            usable = table.usable(service)
+            for number, members in enumerate(divide(usable)):
                 pool = PoolId(f"{service}/{number}")
                 desk = self.pools.get(pool) or PoolDesk(pool, Scheduler(self.window))
-                desk.endpoints = members
                 plan = self._plan(service, routes, len(members), len(usable))
                 desk.scheduler.set_endpoints(members, plan)
                 pools[pool] = desk
+                weights[pool] = sum(item.slots for item in members)
         self.pools = pools
         for desk in pools.values():
             self._decide_soon(desk)
@@ -177,13 +174,16 @@
         speed = routes.throughput / max(1, count) or PoolPlan.speed
         return PoolPlan(throughput, config.memory_tokens, speed)
 
+    def decides_for(self, pool: PoolId) -> bool:
+        """Return whether this router decides for a pool."""
+        return self.fleet.responsible(pool) == self.fleet.own.router
+
     def pool_for(self, service: ServiceId, prompt: tuple[Part, ...]) -> PoolId:
         """Return the pool of `service` that requests with this prefix go to."""
-        pools = [pool for pool in self.pools if pool.rpartition("/")[0] == service]
-        if len(pools) < 2:
+        weights = self.weights.get(service, {})
+        if len(weights) < 2:
             return PoolId(f"{service}/0")
-        shared = prompt[-2].id if len(prompt) > 1 else str(self.numbers)
-        return max(pools, key=lambda pool: _pool_weight(pool, shared))
+        return choose(weights, prompt[-2].id if len(prompt) > 1 else str(self.numbers))
 
     # This router's requests
 
@@ -359,7 +359,7 @@
             desk.due = None
         now = self.loop.time()
         scheduler = desk.scheduler
-        leads = self.fleet.responsible(desk.id) == self.fleet.own.router
+        leads = self.decides_for(desk.id)
         share = 1.0 if leads else 1.0 / max(1, len(self.fleet.live()))
         scheduler.plan = replace(scheduler.plan, share=share)
         for decision in scheduler.decide(now):
@@ -477,14 +477,6 @@
             desk.scheduler.holds(item.endpoint, active)
 
 
-def _pool_weight(pool: PoolId, shared: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{pool}|{shared}".encode())
-
-
-def _pool_number(endpoint: Endpoint, count: int) -> int:
-    return xxhash.xxh3_64_intdigest(endpoint.id.encode()) % count
-
-
 def _offer_message(ticket: Ticket, now: float) -> OfferMessage:
     offer = ticket.offer
     return OfferMessage(
--- /dev/null
+++ b/carawayfold/coordination/division.py
@@ -0,0 +1,61 @@
+"""How a service's endpoints form pools, and which of them a request goes to.
+
+The loads it answers: a service of many endpoints, where one router that decided for
+all of them would be too busy; and endpoints that come and go, which must not move
+the others from pool to pool, since what is known of their caches would be lost.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from carawayfold.state.endpoints import Endpoint
+    from carawayfold.state.ids import PoolId
+
+#: Endpoints decided on by one router, so that its work is bounded at any size.
+POOL_SIZE = 16
+#: What divides a 64-bit hash into a number between 0 and 1.
+HASH_RANGE = 2.0**64
+
+
+def divide(endpoints: list[Endpoint]) -> list[list[Endpoint]]:
+    """Return the endpoints of one service by pool, in order of their ids.
+
+    With one pool more or less, only the endpoints of that pool change theirs.
+    """
+    count = max(1, -(-len(endpoints) // POOL_SIZE))
+    pools: list[list[Endpoint]] = [[] for _ in range(count)]
+    for endpoint in sorted(endpoints, key=lambda item: item.id):
+        number = max(range(count), key=lambda item: _hash(f"{item}|{endpoint.id}"))
+        pools[number].append(endpoint)
+    return pools
+
+
+def choose(weights: Mapping[PoolId, int], prefix: str) -> PoolId:
+    """Return the pool of requests with this prefix.
+
+    Parameters
+    ----------
+    weights : mapping
+        What each pool can do; it gets requests in proportion.
+    prefix : str
+        What the requests share; all of them go to one pool, which few changes of
+        the weights alter.
+    """
+    return max(weights, key=lambda pool: _score(f"{pool}|{prefix}", weights[pool]))
+
+
+def _score(text: str, weight: int) -> float:
+    """Return a draw that is the highest in proportion to `weight`."""
+    drawn = (_hash(text) + 1) / (HASH_RANGE + 1)
+    return weight / -math.log(drawn) if drawn < 1 else math.inf
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -97,7 +97,9 @@
         known = self.membership.members.get(router)
         before = known.state if known is not None else None
         if known is None or known.incarnation != incarnation:
-            self.membership.joined(router, beat.data_centre, incarnation)
+            self.membership.joined(
+                router, beat.data_centre, incarnation, beat.processor
+            )
         self.membership.heard(router, beat.stopping)
         after = self.membership.members[router].state
         if after is not before:
--- a/carawayfold/coordination/membership.py
+++ b/carawayfold/coordination/membership.py
@@ -15,6 +15,10 @@
 
 #: Least silence limit, in seconds.
 SILENCE_LIMIT = 2.0
+#: Least processor of those who look after something, as a part of the strongest one's:
+#: deciding for 16 endpoints takes about a third of a core at 230 requests a second,
+#: and the weakest instances have half of one for everything.
+STRONG_PART = 0.75
 
 
 class PeerState(Enum):
@@ -35,6 +39,8 @@
         Random per process start; a new one means that its state is empty.
     heard : float
         When a frame of it last arrived, in seconds of the monotonic clock.
+    processor : int
+        What its processor can do, in hundredths of a usual core.
     """
 
     router: RouterId
@@ -42,6 +48,7 @@
     incarnation: int
     heard: float
     state: PeerState = PeerState.LIVE
+    processor: int = 100
 
 
 class Membership:
@@ -66,13 +73,19 @@
         self.members: dict[RouterId, Member] = {own.router: own}
 
     def joined(
-        self, router: RouterId, data_centre: DataCentreId, incarnation: int
+        self,
+        router: RouterId,
+        data_centre: DataCentreId,
+        incarnation: int,
+        processor: int = 100,
     ) -> bool:
         """Note a peer's hello; return whether its state is new to us."""
         known = self.members.get(router)
         fresh = known is None or known.incarnation != incarnation
         now = self.clock()
-        self.members[router] = Member(router, data_centre, incarnation, now)
+        self.members[router] = Member(
+            router, data_centre, incarnation, now, processor=processor
+        )
         return fresh
 
     def heard(self, router: RouterId, stopping: bool) -> None:
@@ -112,6 +125,8 @@
     def responsible(self, subject: str, data_centre: str = "") -> RouterId:
         """Return the router that looks after `subject`, by rendezvous hashing.
 
+        Only the strongest ones do.
+
         Parameters
         ----------
         subject : str
@@ -126,7 +141,7 @@
         """
         live = self.live() or [self.own]
         near = [member for member in live if member.data_centre == data_centre]
-        return max(near or live, key=lambda member: _weight(subject, member)).router
+        return rank(subject, _strong(near or live))[0].router
 
 
 def rank(subject: str, members: list[Member]) -> list[Member]:
@@ -134,5 +149,10 @@
     return sorted(members, key=lambda member: _weight(subject, member), reverse=True)
 
 
+def _strong(members: list[Member]) -> list[Member]:
+    least = STRONG_PART * max(member.processor for member in members)
+    return [member for member in members if member.processor >= least]
+
+
 def _weight(subject: str, member: Member) -> int:
     return xxhash.xxh3_64_intdigest(f"{subject}|{member.router}".encode())
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -14,12 +14,14 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from carawayfold.coordination import followers
+from carawayfold.coordination.caches import CacheReader
 from carawayfold.coordination.desk import Desk
 from carawayfold.coordination.fleet import Fleet
 from carawayfold.coordination.followers import Knowledge, Relay
 from carawayfold.coordination.forwarding import Forwarder
 from carawayfold.coordination.membership import Member, PeerState
 from carawayfold.coordination.pulse import Pulse
+from carawayfold.platform.engines import EngineClient
 from carawayfold.platform.headers import PlatformDialect
 from carawayfold.platform.store import (
     StoreClient,
@@ -32,6 +34,7 @@
 from carawayfold.protocol.sources import PeerEntry
 from carawayfold.state.budget import RetryBudget
 from carawayfold.state.forwarded import ForwardMetrics
+from carawayfold.state.pressure import Pressure, PressureGauge
 from carawayfold.state.routes import RouteIndex
 from carawayfold.transport.client import HttpClient
 from carawayfold.transport.datagrams import PeerSocket
@@ -65,6 +68,9 @@
 IDLE_MARGIN = 1.0
 #: Seconds between looks at idle connections.
 IDLE_INTERVAL = 1.0
+#: Seconds between looks at how late the loop runs: eight of them in the window over
+#: which delays count.
+PRESSURE_INTERVAL = 0.05
 
 
 class Gateway:
@@ -93,10 +99,17 @@
         self.root = Root()
         self.http = HttpClient(self.root).register(self.root)
         incarnation = random.getrandbits(63)
-        own = Member(settings.router, settings.data_centre, incarnation, loop.time())
+        own = Member(
+            settings.router,
+            settings.data_centre,
+            incarnation,
+            loop.time(),
+            processor=settings.processor,
+        )
         self.socket = PeerSocket(settings.router, incarnation, self._on_datagram)
         self.fleet = Fleet(self.socket, own, self._beat, self._fleet_changed)
         self.desk = Desk(self.fleet, settings.share_window)
+        self.caches = CacheReader(EngineClient(self.http), self.desk, self._spawn)
         self.store = StoreClient(self.http, settings.store)
         self.directory = StoreDirectory(self.store)
         self.knowledge = Knowledge(self._on_routes, self._on_endpoints)
@@ -111,7 +124,9 @@
             self.metrics,
             random.random,
         )
-        self.front = self._listen(settings.listen, self.forwarder.serve, "front")
+        self.front = self._listen(settings.listen, self._serve_caller, "front")
+        self.front.limit = settings.connections
+        self.pressure = PressureGauge()
         self.checks = self._listen(settings.ready_listen, self._serve_check, "checks")
         self.inner = self._listen(settings.peer_listen, self._serve_peer, "inner")
         self.tasks: set[asyncio.Task[None]] = set()
@@ -139,6 +154,7 @@
         self._spawn(self.desk.keep_telling())
         self._spawn(self.relay.keep_asking())
         self._spawn(self._keep_tidy())
+        self._spawn(self._keep_measuring())
         logger.info("router started", extra={"router": self.settings.router})
         await self.stopped.wait()
         await self._close()
@@ -158,6 +174,23 @@
             self.http.close_idle()
             self.root.wake()
 
+    async def _keep_measuring(self) -> None:
+        """Measure for ever how late the loop runs."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + PRESSURE_INTERVAL
+            await asyncio.sleep(PRESSURE_INTERVAL)
+            now = loop.time()
+            before = self.pressure.level
+            level = self.pressure.note(now - due, now)
+            self.front.shedding = level is not Pressure.CALM
+            if level is not before:
+                extra = {"pressure": level.value, "before": before.value}
+                calls = len(self.forwarder.calls)
+                connections = len(self.front.connections)
+                extra |= {"calls": calls, "connections": connections}
+                logger.info("pressure changed", extra=extra)
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -233,6 +266,7 @@
             self.knowledge.version,
             self.knowledge.endpoints.offset,
             round(age * 1000),
+            self.settings.processor,
         )
 
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
@@ -243,6 +277,7 @@
 
     def _fleet_changed(self) -> None:
         self.desk.fleet_changed()
+        self.caches.look()
 
     def _on_routes(self, table: RouteTable) -> None:
         self.forwarder.index = RouteIndex(table)
@@ -260,13 +295,21 @@
         self.fleet.tell_near()
         if self.knowledge.routes is not None:
             self.desk.refresh(self.knowledge.endpoints, self.knowledge.routes)
+            self.caches.look()
 
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
-        stopping = self.fleet.own.state is PeerState.STOPPING
-        return self.knowledge.complete and not stopping
+        if self.fleet.own.state is PeerState.STOPPING:
+            return False
+        return self.knowledge.complete and self.pressure.level is Pressure.CALM
+
+    # Checks, callers and peers
 
-    # Checks and peers
+    def _serve_caller(self, incoming: Incoming) -> None:
+        if self.pressure.level is Pressure.FULL:
+            self.forwarder.refuse_busy(incoming)
+        else:
+            self.forwarder.serve(incoming)
 
     def _serve_check(self, incoming: Incoming) -> None:
         incoming.answer(200 if self.is_ready() else 503, [])
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -25,6 +25,10 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+#: Part of the descriptors for callers' connections. A request holds one connection
+#: of a caller and one to an endpoint, and idle ones of callers come on top.
+CALLERS_PART = 0.55
+
 #: Every setting of a router that forwards.
 TABLE: tuple[Setting, ...] = (
     Setting("router", str, REQUIRED, "", not_empty, "Name of this instance."),
@@ -33,6 +37,9 @@
     Setting("ready_listen", str, REQUIRED, "", address, "The balancer's checks."),
     Setting("peer_listen", str, REQUIRED, "", address, "Peers (UDP, HTTP), metrics."),
     Setting("store", str, REQUIRED, "", address, "The platform's store."),
+    Setting("core_share", float, 1.0, "", between(0.01, 64), "Of a core, for it."),
+    Setting("core_speed", float, 1.0, "", between(0.01, 64), "To a usual core's."),
+    Setting("descriptors", int, 4096, "", between(256, 1e6), "Sockets, files."),
     Setting("stop_grace", float, 8.0, "s", between(0, 3600), "From SIGTERM to kill."),
     Setting("retry_ratio", float, 0.2, "", between(0, 1), "Repeats a request."),
     Setting("retry_extra", float, 10.0, "", between(0, 1e6), "Repeats besides."),
@@ -52,6 +59,9 @@
     ready_listen: Address
     peer_listen: Address
     store: Address
+    core_share: float
+    core_speed: float
+    descriptors: int
     stop_grace: float
     retry_ratio: float
     retry_extra: float
@@ -59,6 +69,16 @@
     share_window: float
     log_level: str
 
+    @property
+    def processor(self) -> int:
+        """Return what the processor can do, in hundredths of a usual core."""
+        return max(1, round(100 * self.core_share * self.core_speed))
+
+    @property
+    def connections(self) -> int:
+        """Return the most connections of callers; the rest is for endpoints' ones."""
+        return int(self.descriptors * CALLERS_PART)
+
     @property
     def budget(self) -> BudgetBounds:
         """Return the fleet's bounds on repeats."""
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -32,6 +32,8 @@
         How far it has read registrations of endpoints.
     store_age : int
         Milliseconds since the store last answered it.
+    processor : int
+        What its processor can do, in hundredths of a usual core.
     """
 
     data_centre: DataCentreId
@@ -39,6 +41,7 @@
     version: int
     endpoints_offset: int
     store_age: int
+    processor: int = 100
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -11,6 +11,7 @@
 from carawayfold.state.ids import DataCentreId, RouterId
 
 if TYPE_CHECKING:
+    from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
 
 T = TypeVar("T")
@@ -73,3 +74,16 @@
 
     async def announce(self, entry: PeerEntry) -> None:
         """Write this router's own entry."""
+
+
+class CacheSource(Protocol):
+    """Tells what model engines keep in their caches."""
+
+    async def kept(self, endpoint: Endpoint) -> list[Part]:
+        """Return the parts of prompts that an engine keeps.
+
+        Raises
+        ------
+        SourceError
+            If it does not say.
+        """
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -11,6 +11,7 @@
 import re
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import h11
@@ -50,6 +51,15 @@
 #: A header that tells the length of the body.
 FRAMING = re.compile(rb"\r\n(content-length|transfer-encoding)[ \t]*:", re.IGNORECASE)
 HEAD_END = b"\r\n\r\n"
+#: Most callers' connections, where the settings do not say.
+CONNECTIONS = 2048
+#: Part of them above which answers ask callers to leave, so that idle connections
+#: don't keep new callers out.
+CROWDED_PART = 0.5
+#: Part above which idle connections are closed for new ones, the oldest first.
+FULL_PART = 0.9
+#: Connections looked at for an idle one.
+LOOKED_AT = 64
 
 
 class Stage(Enum):
@@ -127,7 +137,7 @@
         if connection.stage is Stage.CLOSED:
             return
         fields = list(headers)
-        if close or connection.edge.stopping:
+        if close or connection.edge.sheds():
             fields.append(("Connection", "close"))
         head = h11.Response(status_code=status, headers=fields)
         connection.write(connection.parser.send(head))
@@ -377,19 +387,44 @@
         super().__init__(channel=channel)
         self.serve = serve
         self.limits = EdgeLimits()
-        #: Whether answers ask callers to leave.
+        #: Whether no new work is taken.
         self.stopping = False
+        #: Whether callers are better off at another instance.
+        self.shedding = False
         self.connections: dict[socket, CallerConnection] = {}
         #: Bytes of all bodies held.
         self.bodies = 0
         bind = (address.host, address.port)
         self.server = CallbackServer(bind, channel, self).register(self)
 
+    @property
+    def limit(self) -> int:
+        """Return the most connections."""
+        return self.server.limit
+
+    @limit.setter
+    def limit(self, connections: int) -> None:
+        self.server.limit = connections
+
+    def sheds(self) -> bool:
+        """Return whether answers ask callers to leave."""
+        crowded = len(self.connections) > CROWDED_PART * self.limit
+        return self.stopping or self.shedding or crowded
+
     def opened(self, sock: socket) -> None:
         """Take a new connection."""
         connection = CallerConnection(self, sock)
         self.connections[sock] = connection
         connection.wait(self.limits.idle_timeout, connection.close)
+        if len(self.connections) > FULL_PART * self.limit:
+            self._close_oldest()
+
+    def _close_oldest(self) -> None:
+        """Close the oldest idle connection among the oldest ones."""
+        for connection in islice(self.connections.values(), LOOKED_AT):
+            if connection.stage is Stage.IDLE:
+                connection.close()
+                return
 
     def received(self, sock: socket, data: bytes) -> None:
         """Take bytes of a connection."""
--- a/carawayfold/transport/loop.py
+++ b/carawayfold/transport/loop.py
@@ -44,19 +44,25 @@
 
     def __init__(self) -> None:
         super().__init__()
-        #: Components by their sockets; the library keeps their channels only.
-        self.sources: dict[socket, object] = {}
+        #: Components by their sockets; the library keeps their channels only. Those
+        #: that take no calls are left out: to ask at each readiness what a component
+        #: can do takes longer than a small read.
+        self.sources: dict[socket, DirectTarget] = {}
 
     def addReader(self, source: object, fd: socket) -> None:  # noqa: N802
         """Watch a socket for what can be read."""
-        self.sources[fd] = source
+        self._know(source, fd)
         super().addReader(source, fd)
 
     def addWriter(self, source: object, fd: socket) -> None:  # noqa: N802
         """Watch a socket for room to write."""
-        self.sources[fd] = source
+        self._know(source, fd)
         super().addWriter(source, fd)
 
+    def _know(self, source: object, fd: socket) -> None:
+        if fd not in self.sources and isinstance(source, DirectTarget):
+            self.sources[fd] = source
+
     def discard(self, fd: socket) -> None:
         """Watch a socket no longer."""
         self.sources.pop(fd, None)
@@ -65,7 +71,7 @@
     def _process(self, fileno: int, event: int) -> None:
         sock = self._map.get(fileno)
         target = self.sources.get(sock)
-        if not isinstance(target, DirectTarget):
+        if target is None:
             super()._process(fileno, event)
             return
         try:
--- a/carawayfold/transport/server.py
+++ b/carawayfold/transport/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from errno import EMFILE, ENFILE, ENOMEM
 from socket import IPPROTO_TCP, TCP_NODELAY, TCP_USER_TIMEOUT
 from typing import TYPE_CHECKING, Protocol
 
+import logbook
 from circuits import handler
 from circuits.net.sockets import TCPServer
 from circuits.web.events import response
@@ -23,6 +25,8 @@
     from carawayfold.settings import Settings
     from carawayfold.transport.loop import Root
 
+logger = logbook.Logger(__name__)
+
 #: Most bytes kept for a caller that reads too slowly before it is cut off.
 WRITE_BACKLOG = 1 << 20
 #: Bytes read from a connection at once.
@@ -174,8 +178,10 @@
         for _ in range(ACCEPTED_AT_ONCE):
             try:
                 sock, _address = self._sock.accept()
-            except OSError:
-                # Nothing more is waiting, or the caller has left already.
+            except OSError as error:
+                # Mostly nothing more is waiting, or the caller has left already.
+                if error.errno in (EMFILE, ENFILE, ENOMEM):
+                    logger.warning("no connection taken", extra={"reason": str(error)})
                 return
             self._take(sock)
 
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -79,6 +79,8 @@
         if request.path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=HostedFaults)
             return WebAnswer.json({})
+        if request.path == "/kv-list":
+            return WebAnswer.json({"epoch": 1, "next": 0, "held": self.kept()})
         if request.path == "/ran":
             return WebAnswer.json(self.ran)
         if request.headers.get("target-instance", self.name) != self.name:
@@ -87,6 +89,17 @@
             return WebAnswer(503, b"", [("Not-Executed", "1")])
         return await self._work(request, connection)
 
+    def kept(self) -> list[tuple[str, str, int, str]]:
+        """Return a row for each part of the prompts that ran."""
+        prompts = [record["headers"].get("prompt-prefix", "") for record in self.ran]
+        parts = {
+            tuple(part.split(":"))
+            for text in prompts
+            for part in text.split(",")
+            if part
+        }
+        return [("", name, int(tokens), "m") for name, tokens in sorted(parts)]
+
     async def _work(
         self, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from carawayfold.coordination.desk import POOL_SIZE, Desk
+from carawayfold.coordination.desk import Desk
+from carawayfold.coordination.division import POOL_SIZE
 from carawayfold.coordination.membership import Member, Membership
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
 from carawayfold.protocol.datagrams import Datagram, decode, encode
--- /dev/null
+++ b/tests/coordination/test_division.py
@@ -0,0 +1,48 @@
+"""Pools of a large service: few moves, and requests by what each can do."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from carawayfold.coordination.division import POOL_SIZE, choose, divide
+from carawayfold.state.ids import PoolId
+from tests.schedule_builders import endpoint
+
+
+def places(count):
+    """Return the pool of each of `count` endpoints."""
+    pools = divide([endpoint(f"e-{number}") for number in range(count)])
+    return {item.id: number for number, pool in enumerate(pools) for item in pool}
+
+
+def test_one_pool_more_moves_only_what_goes_there():
+    before = places(5 * POOL_SIZE)
+    after = places(5 * POOL_SIZE + 1)
+    moved = [name for name in before if before[name] != after[name]]
+    assert moved
+    assert {after[name] for name in moved} == {5}
+
+
+def test_one_endpoint_less_moves_no_other():
+    before = places(3 * POOL_SIZE)
+    after = places(3 * POOL_SIZE - 1)
+    assert all(before[name] == number for name, number in after.items())
+
+
+def test_requests_go_to_pools_by_what_these_can_do():
+    weights = {PoolId("model/0"): 100, PoolId("model/1"): 300}
+    chosen = Counter(choose(weights, f"p-{number}") for number in range(4000))
+    assert 0.70 < chosen[PoolId("model/1")] / 4000 < 0.80
+
+
+def test_a_pool_without_endpoints_gets_nothing():
+    weights = {PoolId("model/0"): 0, PoolId("model/1"): 8}
+    assert {choose(weights, f"p-{number}") for number in range(200)} == {"model/1"}
+
+
+def test_a_change_of_weights_leaves_most_prefixes_where_they_are():
+    before = {PoolId(f"model/{number}"): 160 for number in range(5)}
+    after = {**before, PoolId("model/2"): 150}
+    prefixes = [f"p-{number}" for number in range(2000)]
+    moved = sum(choose(before, item) != choose(after, item) for item in prefixes)
+    assert moved < 60
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -410,3 +410,31 @@
     answer = asyncio.run(asyncio.wait_for(raw(front(shared), data), 10))
     assert answer.status == 200
     assert ran(shared, "chunk-1")[0]["body"] == "abcde"
+
+
+def test_many_idle_connections_keep_no_new_caller_out(processes):
+    fleet = HostedFleet(processes)
+    fleet.configure(configuration())
+    fleet.start_endpoint("d-1", "desk")
+    fleet.start_router("router-0", descriptors=256)
+    asyncio.run(fleet.wait_ready("router-0"))
+
+    async def crowd():
+        port = front(fleet)
+        idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(400)]
+        answer = await call(port, "POST", "/once/x", b"", plain_headers("crowd-1"))
+        for _, writer in idle:
+            writer.close()
+        return answer
+
+    answer = asyncio.run(asyncio.wait_for(crowd(), 20))
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+
+
+def test_a_router_that_stood_still_is_ready_again(fleet):
+    process = fleet.routers["router-0"]
+    process.signal(signal.SIGSTOP)
+    process.signal(signal.SIGCONT)
+    asyncio.run(asyncio.wait_for(fleet.wait_ready("router-0"), 20))
+    assert ask(fleet, "/once/x", plain_headers("still-1")).status == 200
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -26,6 +26,7 @@
     "log-read",
     "log-newest",
     "keyed.",
+    "kv-list",
     headers.API_KEY,
     headers.ORGANISATION,
     headers.EXPECTED_ENDPOINT,
