Frame chunks of streamed answers without the parser

Ruled out: gathering events, which arrive one by one and must go on as they come; dropping the parser altogether, which checks heads and ends.

Change: a chunk is framed where it is sent; the parser still writes heads and ends, and all answers with a length.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -51,6 +51,8 @@
 #: A header that tells the length of the body.
 FRAMING = re.compile(rb"\r\n(content-length|transfer-encoding)[ \t]*:", re.IGNORECASE)
 HEAD_END = b"\r\n\r\n"
+#: What the parser writes into the head of an answer that goes in chunks.
+CHUNKED = b"\r\nTransfer-Encoding: chunked\r\n"
 #: Most callers' connections, where the settings do not say.
 CONNECTIONS = 2048
 #: Part of them above which answers ask callers to leave, so that idle connections
@@ -102,6 +104,8 @@
         Names in lower case and values, in order.
     received : float
         Loop time at which its last byte was read.
+    chunked : bool
+        Whether its answer goes in chunks.
     """
 
     connection: CallerConnection
@@ -111,6 +115,7 @@
     received: float = 0.0
     body: bytes = b""
     answered: bool = False
+    chunked: bool = False
     on_gone: Callable[[], None] | None = None
 
     def answer(
@@ -139,13 +144,23 @@
         fields = list(headers)
         if close or connection.edge.sheds():
             fields.append(("Connection", "close"))
-        head = h11.Response(status_code=status, headers=fields)
-        connection.write(connection.parser.send(head))
+        head = connection.parser.send(h11.Response(status_code=status, headers=fields))
+        self.chunked = CHUNKED in head
+        connection.write(head)
 
     def send(self, data: bytes) -> None:
-        """Send a piece of the answer's body."""
-        if self.connection.stage is not Stage.CLOSED:
-            self.connection.write(self.connection.parser.send(h11.Data(data=data)))
+        """Send a piece of the answer's body.
+
+        A chunk is framed here: for small events the parser takes as long for it as
+        the socket does for sending it.
+        """
+        connection = self.connection
+        if connection.stage is Stage.CLOSED:
+            return
+        if self.chunked:
+            connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            connection.write(connection.parser.send(h11.Data(data=data)))
 
     def end(self) -> None:
         """Finish the answer."""
