Let routers that start in a large fleet learn from their peers

Ruled out: longer waiting reads of the readers, which find a silent connection; one reader for all data centres, which a cut would take away.

Change: a router that starts where more than 12 are listed asks one of them for the configuration and the endpoints, and reads the store itself only if none knows within a second; until it has heard who the readers are it does not read. The look at the entries comes each second times the number of routers.

--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import logbook
@@ -67,6 +68,8 @@
         self.deciding: dict[str, RouterId] = {}
         #: When each router was last listed or heard, to stop calling lost ones.
         self.seen: dict[RouterId, float] = {}
+        #: Set once the routers' entries have been read.
+        self.listed = asyncio.Event()
 
     @property
     def interval(self) -> float:
@@ -165,6 +168,10 @@
         self.deciding.clear()
         self.on_change()
 
+    def pick_known(self) -> RouterId:
+        """Return any router whose address is known, heard or not."""
+        return random.choice(list(self.addresses))
+
     def near(self, data_centre: DataCentreId) -> list[Member]:
         """Return the live routers of a data centre."""
         return [item for item in self.live() if item.data_centre == data_centre]
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -43,6 +43,21 @@
 #: entry before it reads, and calls all others, so two that start together find each
 #: other by the later one's read; the looks are for what was lost on the way.
 DIRECTORY_INTERVAL = 15.0
+#: The same for each known router, so that the calls of a large fleet add up to no
+#: more than one a second.
+DIRECTORY_INTERVAL_PER_ROUTER = 1.0
+#: Seconds for which a router that starts in a large fleet looks for a peer that
+#: tells it everything before it reads the store: the peers that started with it
+#: have read by then.
+ADOPTION_PATIENCE = 1.0
+#: Seconds that it waits for the routers' entries before that: two calls of the
+#: store take some ten milliseconds.
+LISTING_PATIENCE = 0.3
+#: Seconds between questions to peers meanwhile.
+ADOPTION_INTERVAL = 0.2
+#: Seconds for which a router that was told everything does not read the store, until
+#: it has heard who the readers are: two heartbeats of a large fleet.
+SETTLING = 1.2
 #: Routers of a data centre that read the store for the others once there are more
 #: than `ALL_READ` routers: two, so that the loss of one delays nothing.
 READERS = 2
@@ -278,7 +293,8 @@
 
     async def step(self) -> None:
         """Read once, unless others read for this router."""
-        if self.next is not None and not self.may_read():
+        begun = self.next is not None or self.knowledge.complete
+        if begun and not self.may_read():
             await asyncio.sleep(READER_INTERVAL)
             return
         if self.next is None:
@@ -333,7 +349,9 @@
             continue
         for other in page.items:
             fleet.learn(other)
-        await asyncio.sleep(DIRECTORY_INTERVAL)
+        fleet.listed.set()
+        pause = DIRECTORY_INTERVAL_PER_ROUTER * len(fleet.addresses)
+        await asyncio.sleep(max(DIRECTORY_INTERVAL, pause))
 
 
 async def _announce(directory: PeerDirectory, entry: PeerEntry) -> None:
@@ -381,6 +399,41 @@
         self.fleet = fleet
         self.knowledge = knowledge
         self.http = http
+        #: Loop time before which others are taken to read.
+        self.settled_at = 0.0
+
+    async def adopt(self) -> None:
+        """Ask peers for everything at the start of a router of a large fleet.
+
+        Gives up after a while, or at once where the fleet is small: the router then
+        reads the store.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(LISTING_PATIENCE):
+                await self.fleet.listed.wait()
+        except TimeoutError:
+            logger.info("routers not listed in time")
+            return
+        end = loop.time() + ADOPTION_PATIENCE
+        while len(self.fleet.addresses) >= ALL_READ and loop.time() < end:
+            await self._ask_any(self.fleet.pick_known())
+            if self.knowledge.complete:
+                self.settled_at = loop.time() + SETTLING
+                return
+            await asyncio.sleep(ADOPTION_INTERVAL)
+
+    async def _ask_any(self, router: RouterId) -> None:
+        if self.knowledge.routes is None:
+            await self._ask(router, CONFIGURATION_PATH)
+        if not self.knowledge.listed:
+            await self._ask(router, ENDPOINTS_PATH)
+
+    def may_read(self) -> bool:
+        """Return whether this router should read the store."""
+        if asyncio.get_running_loop().time() < self.settled_at:
+            return False
+        return is_reader(self.fleet)
 
     async def keep_asking(self) -> None:
         """Look for ever whether a peer knows more."""
@@ -413,7 +466,7 @@
     def _reads_itself(self) -> bool:
         store = self.knowledge.store
         age = asyncio.get_running_loop().time() - store.answered
-        return is_reader(self.fleet) and store.reachable and age < STORE_SILENCE
+        return self.may_read() and store.reachable and age < STORE_SILENCE
 
     async def _ask(self, router: RouterId, path: str) -> None:
         address: Address | None = self.fleet.addresses.get(router)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -140,15 +140,7 @@
         self.root.attach()
         self.socket.open(self.settings.peer_listen)
         self._handle_signals()
-        routes = configuration_source(self.store)
-        endpoints = endpoint_source(self.store)
-        known = self.knowledge
-        self._spawn(
-            followers.follow_configuration(routes, known, self._is_reader).follow()
-        )
-        self._spawn(
-            followers.follow_endpoints(endpoints, known, self._is_reader).follow()
-        )
+        self._spawn(self._follow_store())
         self._spawn(followers.join(self.directory, self._entry(), self.fleet))
         self._spawn(self.fleet.keep_beating())
         self._spawn(self.desk.keep_telling())
@@ -165,8 +157,14 @@
             own.router, own.data_centre, own.peer_listen.host, own.peer_listen.port
         )
 
-    def _is_reader(self) -> bool:
-        return followers.is_reader(self.fleet)
+    async def _follow_store(self) -> None:
+        """Learn everything from peers or the store, then follow the store."""
+        await self.relay.adopt()
+        known, may_read = self.knowledge, self.relay.may_read
+        routes = configuration_source(self.store)
+        endpoints = endpoint_source(self.store)
+        self._spawn(followers.follow_configuration(routes, known, may_read).follow())
+        self._spawn(followers.follow_endpoints(endpoints, known, may_read).follow())
 
     async def _keep_tidy(self) -> None:
         while True:
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -5,6 +5,9 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
+import pytest
+
 from carawayfold.coordination import followers
 from carawayfold.coordination.followers import EndpointSnapshot, Follower, Knowledge
 from carawayfold.coordination.membership import Member
@@ -15,7 +18,9 @@
     Registered,
     SourceError,
 )
+from carawayfold.settings import Address
 from carawayfold.state.routes import CallerLimits, RouteTable
+from carawayfold.transport.client import Answer, Head
 from tests.schedule_builders import endpoint
 
 
@@ -162,3 +167,69 @@
     first = readers(30)[0]
     ages = {first: followers.READER_STALE_MS + 1}
     assert len(readers(30, ages)) == followers.READERS
+
+
+class FakePeer:
+    """Answers a router that starts, once it knows something itself."""
+
+    def __init__(self, ready_after=0):
+        self.ready_after = ready_after
+        self.asked = 0
+
+    async def fetch(self, address, method, path, timeout):
+        self.asked += 1
+        if self.asked <= self.ready_after:
+            return Answer(Head(404, {}), b"")
+        body = (
+            table(7)
+            if path == followers.CONFIGURATION_PATH
+            else EndpointSnapshot(9, [endpoint("a")])
+        )
+        return Answer(Head(200, {}), msgspec.msgpack.encode(body))
+
+
+def starting(peers):
+    """Return the fleet as a router sees it that has just read the entries."""
+    listed = asyncio.Event()
+    listed.set()
+    names = {f"router-{number}": Address("127.0.0.1", 1) for number in range(peers)}
+    own = Member("router-new", "north", 1, 0.0)
+    return SimpleNamespace(
+        own=own,
+        addresses=names,
+        beats={},
+        listed=listed,
+        pick_known=lambda: next(iter(names)),
+        live=lambda: [own],
+        near=lambda place: [own],
+    )
+
+
+@pytest.mark.parametrize(
+    ("peers", "ready_after", "told"), [(80, 0, True), (80, 2, True), (5, 0, False)]
+)
+def test_a_router_that_starts_in_a_large_fleet_is_told_by_a_peer(
+    monkeypatch, peers, ready_after, told
+):
+    monkeypatch.setattr(followers, "ADOPTION_INTERVAL", 0.0)
+
+    async def run():
+        known, _ = knowledge()
+        relay = followers.Relay(starting(peers), known, FakePeer(ready_after))
+        await relay.adopt()
+        return known.complete, relay.may_read()
+
+    assert in_loop(run) == (told, not told)
+
+
+def test_a_router_whose_peers_know_nothing_reads_for_itself(monkeypatch):
+    monkeypatch.setattr(followers, "ADOPTION_PATIENCE", 0.05)
+    monkeypatch.setattr(followers, "ADOPTION_INTERVAL", 0.01)
+
+    async def run():
+        known, _ = knowledge()
+        relay = followers.Relay(starting(80), known, FakePeer(ready_after=10_000))
+        await relay.adopt()
+        return known.complete, relay.may_read()
+
+    assert in_loop(run) == (False, True)
