--- a/carawayfold/coordination/attempts.py
+++ b/carawayfold/coordination/attempts.py
@@ -136,8 +136,14 @@
 
     def close(self) -> None:
         """Give up what is still under way."""
-        if self.connection is not None and not self.exchange.done.done():
+        if self.connection is None:
+            return
+        done = self.exchange.done
+        if not done.done():
             self.forwarder.http.cancel(self.connection)
+        elif not done.cancelled():
+            # An end that came while this attempt was given up has been seen.
+            done.exception()
 
     # The answer
 
