--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -68,8 +68,11 @@
 #: Milliseconds since the store answered a reader, after which the others read for
 #: themselves: a read that waits, and the time until it is given up.
 READER_STALE_MS = 3500
-#: Seconds before the store is asked again after it failed.
+#: Seconds before the store is asked again after it failed, twice as long after each
+#: further failure, and the most: what comes meanwhile is told by peers, and a store
+#: that refuses every call still counts them.
 RETRY_WAIT = 0.25
+RETRY_WAIT_MOST = 1.0
 #: Seconds before the newest records are read after the history was lost, so that a
 #: store that loses it again and again is not called without a pause.
 HISTORY_WAIT = 0.05
@@ -91,6 +94,23 @@
     endpoints: list[Endpoint]
 
 
+@dataclass(slots=True)
+class Backoff:
+    """Growing pauses between calls of a store that fails."""
+
+    pause: float = RETRY_WAIT
+
+    def reset(self) -> None:
+        """Note that a call was answered."""
+        self.pause = RETRY_WAIT
+
+    async def wait(self) -> None:
+        """Pause, for longer the next time."""
+        pause = self.pause
+        self.pause = min(RETRY_WAIT_MOST, 2 * pause)
+        await asyncio.sleep(pause)
+
+
 @dataclass(slots=True)
 class StoreHealth:
     """How the store answers this router.
@@ -277,19 +297,21 @@
         self.wait = wait
         self.pause = pause
         self.next: int | None = None
+        self.backoff = Backoff()
 
     async def follow(self) -> None:
         """Read for ever; an outage only delays it."""
         while True:
             try:
                 await self.step()
+                self.backoff.reset()
             except HistoryLost:
                 logger.info("history lost", extra={"from": self.next})
                 self.next = None
                 await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
                 self.knowledge.note_failure(error)
-                await asyncio.sleep(RETRY_WAIT)
+                await self.backoff.wait()
 
     async def step(self) -> None:
         """Read once, unless others read for this router."""
@@ -340,13 +362,15 @@
 async def join(directory: PeerDirectory, entry: PeerEntry, fleet: Fleet) -> None:
     """Write this router's entry, then look for others for ever."""
     await _announce(directory, entry)
+    backoff = Backoff()
     while True:
         try:
             page = await directory.newest()
         except SourceError as error:
             logger.debug("routers not read", extra={"reason": str(error)})
-            await asyncio.sleep(RETRY_WAIT)
+            await backoff.wait()
             continue
+        backoff.reset()
         for other in page.items:
             fleet.learn(other)
         fleet.listed.set()
@@ -355,12 +379,13 @@
 
 
 async def _announce(directory: PeerDirectory, entry: PeerEntry) -> None:
+    backoff = Backoff()
     while True:
         try:
             await directory.announce(entry)
         except SourceError as error:
             logger.debug("not announced yet", extra={"reason": str(error)})
-            await asyncio.sleep(RETRY_WAIT)
+            await backoff.wait()
         else:
             return
 
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -233,3 +233,22 @@
         return known.complete, relay.may_read()
 
     assert in_loop(run) == (False, True)
+
+
+def test_a_store_that_refuses_is_asked_less_and_less_often(monkeypatch):
+    pauses = []
+
+    async def sleep(seconds):
+        pauses.append(seconds)
+
+    monkeypatch.setattr(followers.asyncio, "sleep", sleep)
+
+    async def run():
+        backoff = followers.Backoff()
+        for _ in range(4):
+            await backoff.wait()
+        backoff.reset()
+        await backoff.wait()
+
+    in_loop(run)
+    assert pauses == [0.25, 0.5, 1.0, 1.0, 0.25]
