Go back to the word of routers on what engines have read

Ruled out: a sharper form as well (read at the predicted time, without the time to the first token). Prompts that pile up in engines delay all that runs there.

Conclusion: on the grown sites engines of 12 places idle between a first token and the next prompt (125 ms from grant to first byte of a long prompt, 72 of them reading).

--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -45,12 +45,6 @@
 MEMORY_USED = 0.92
 #: Seconds that an application request runs, before anything is measured.
 RESIDENCE = 0.05
-#: Times the predicted time of reading, after which a prompt is taken as read though
-#: its router has not said so: a router that is late with its events would keep
-#: engines idle. Only for engines that were heard of within `LIVELY` seconds; one
-#: that has fallen silent must not be sent more.
-READ_PATIENCE = 1.5
-LIVELY = 0.3
 #: Tokens that must wait ahead of a request for its first token to tell the speed.
 LEAST_READ = 3000
 
@@ -97,8 +91,6 @@
         Recent part of its answers that failed, 0 to 1.
     suspended_until : float
         When it may be tried again after it fell silent.
-    heard_at : float
-        When it last began or ended a request.
     unread : int
         Tokens that wait to be read in it.
     """
@@ -111,7 +103,6 @@
     failing_at: float = 0.0
     suspended_until: float = 0.0
     silences: int = 0
-    heard_at: float = float("-inf")
     unread: int = 0
     memory: int = 0
     active: dict[CallId, Active] = field(default_factory=dict)
@@ -135,7 +126,6 @@
             return
         active.begun = True
         self.unread -= active.unread
-        self.heard_at = max(self.heard_at, active.since + waited)
         self.silences = 0
         self.suspended_until = 0.0
         if active.ahead >= LEAST_READ and waited > FIRST_TOKEN / 2:
@@ -153,20 +143,6 @@
             self.unread -= active.unread
         return active
 
-    def unread_at(self, now: float) -> int:
-        """Return the tokens that wait to be read, by word of routers or by time."""
-        if not self.unread or now - self.heard_at > LIVELY:
-            return self.unread
-        return sum(
-            active.unread
-            for active in self.active.values()
-            if not active.begun and now < self._read_by(active)
-        )
-
-    def _read_by(self, active: Active) -> float:
-        reading = READ_PATIENCE * active.ahead / self.speed
-        return active.since + FIRST_TOKEN + reading
-
     def measure_residence(self, seconds: float) -> None:
         """Note how long a request that was served stayed."""
         self.residence += NEWEST * (seconds - self.residence)
@@ -192,9 +168,9 @@
     memory: float
 
     @classmethod
-    def of(cls, load: EndpointLoad, now: float) -> Backlog:
+    def of(cls, load: EndpointLoad) -> Backlog:
         """Return the backlog without any request that still waits."""
-        return cls(load, load.unread_at(now), len(load.active), load.memory)
+        return cls(load, load.unread, len(load.active), load.memory)
 
     def add(self, unread: int, memory: int) -> None:
         """Add a request that is meant for the endpoint."""
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -240,7 +240,6 @@
         if active is None:
             return
         if outcome is Outcome.WHOLE:
-            load.heard_at = now
             load.measure_residence(now - active.since)
         if outcome is not Outcome.CANCELLED:
             load.measure_failure(outcome is not Outcome.WHOLE, now)
@@ -293,7 +292,7 @@
         """Return every grant and every refusal that is due."""
         if not self.waiting:
             return []
-        backlogs = [Backlog.of(load, now) for load in self.loads.values()]
+        backlogs = [Backlog.of(load) for load in self.loads.values()]
         if now - self.reviewed >= REVIEW_INTERVAL:
             return self._review(backlogs, now)
         decisions: list[Decision] = []
@@ -364,9 +363,9 @@
         if decision is not None:
             decisions.append(decision)
 
-    def has_room(self, now: float) -> bool:
+    def has_room(self) -> bool:
         """Return whether any endpoint could take a short request at once."""
-        return self._has_room([Backlog.of(load, now) for load in self.loads.values()])
+        return self._has_room([Backlog.of(load) for load in self.loads.values()])
 
     def _has_room(self, backlogs: list[Backlog]) -> bool:
         share = self.plan.share
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -63,27 +63,6 @@
     assert decided == {"r.0.1": "e-1"}
 
 
-def reading(now, heard):
-    """Return an engine that was sent 5,000 tokens at 1.0 and was heard of later."""
-    pool = scheduler(slots=8)
-    pool.offer(offer("r.0.0", "t-0", 1, now=0.9), 0.9)
-    pool.decide(0.9)
-    pool.begun("r.0.0", heard - 0.9)
-    pool.offer(offer("r.0.1", "t-1", 4000, now=1.0), 1.0)
-    pool.decide(1.0)
-    offered = offer("r.0.2", "t-2", 8000, now=now)
-    return granted(decide(pool, now, offered))
-
-
-def test_a_prompt_counts_as_read_in_time_though_its_router_is_late_to_say_so():
-    assert reading(now=1.05, heard=1.0) == {}
-    assert reading(now=1.25, heard=1.2) == {"r.0.2": "e-0"}
-
-
-def test_an_engine_that_fell_silent_is_sent_no_more():
-    assert reading(now=1.6, heard=1.0) == {}
-
-
 def test_engines_share_different_prefixes():
     pool = scheduler(endpoints=2)
     offers = [offer(f"r.0.{n}", f"topic-{n}", 5000, now=1.0) for n in range(2)]
