--- /dev/null
+++ b/benchmarks/soak/callers.py
@@ -0,0 +1,217 @@
+"""Callers of the soak of forwarding routers, and what they are told."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import h11
+
+from benchmarks.hosted import (
+    HOST,
+    HostedFleet,
+    model_headers,
+    plain_headers,
+    read_answer,
+)
+from benchmarks.soak.promises import Arrival, Disturbances, Told
+
+if TYPE_CHECKING:
+    import random
+
+    from benchmarks.hosted import CallAnswer
+
+#: Seconds that a caller waits for an answer; above the longest route's time.
+PATIENCE = 12.0
+#: Seconds for a connection.
+CONNECT = 1.0
+#: Part of the callers of streams that leave early, and after how long at most.
+LEAVES = 0.1
+LEAVES_AFTER = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request: its route, service, and whether it may run only once."""
+
+    path: str
+    service: str
+    once: bool
+
+
+KINDS = (
+    Kind("stream", "model", False),
+    Kind("stream-once", "model", True),
+    Kind("once", "desk", True),
+    Kind("again", "desk", False),
+)
+
+
+@dataclass
+class Account:
+    """What callers were told, what reached endpoints, and what is wrong."""
+
+    told: list[Told] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    faults: Counter[str] = field(default_factory=Counter)
+    left: dict[str, float] = field(default_factory=dict)
+    calm: Disturbances = field(default_factory=Disturbances)
+    violations: list[str] = field(default_factory=list)
+
+    @property
+    def whole(self) -> int:
+        """Return the number of whole answers."""
+        return sum(item.whole and item.status == 200 for item in self.told)
+
+
+class CallerConnection:
+    """A connection that a caller uses until it ends."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.parser = h11.Connection(h11.CLIENT)
+
+    async def ask(self, path: str, headers: dict[str, str]) -> CallAnswer:
+        """Send a request and read its answer."""
+        fields = {"Host": HOST, "Content-Length": "4", **headers}
+        head = h11.Request(method="POST", target=path, headers=list(fields.items()))
+        data = self.parser.send(head) + self.parser.send(h11.Data(data=b"body"))
+        self.writer.write(data + self.parser.send(h11.EndOfMessage()))
+        return await read_answer(self.reader, self.parser)
+
+    def usable(self) -> bool:
+        """Return whether a further request may go on it; prepare for that."""
+        if self.parser.our_state is not h11.DONE:
+            return False
+        if self.parser.their_state is not h11.DONE or self.reader.at_eof():
+            return False
+        self.parser.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Close at once."""
+        self.writer.transport.abort()
+
+
+class Callers:
+    """Callers that send one request after the other to any router.
+
+    Parameters
+    ----------
+    fleet : HostedFleet
+        The fleet.
+    chance : random.Random
+        Draws everything random here.
+    account : Account
+        Takes what they are told.
+    """
+
+    def __init__(
+        self, fleet: HostedFleet, chance: random.Random, account: Account
+    ) -> None:
+        self.fleet = fleet
+        self.chance = chance
+        self.account = account
+        self.requests = 0
+        self.stopped = False
+
+    async def caller(self) -> None:
+        """Send one request after the other, on one connection while it lasts."""
+        connection = None
+        router = ""
+        while not self.stopped:
+            if connection is None:
+                router = self.chance.choice(sorted(self.fleet.routers))
+                connection = await self.connect(router)
+                if connection is None:
+                    continue
+            await self.request(connection, router)
+            if not connection.usable():
+                connection.close()
+                connection = None
+
+    async def connect(self, router: str) -> CallerConnection | None:
+        """Return a connection to a router; None if it takes none."""
+        port = self.fleet.ports[router][0]
+        try:
+            async with asyncio.timeout(CONNECT):
+                return CallerConnection(
+                    *await asyncio.open_connection("127.0.0.1", port)
+                )
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.05)
+            return None
+
+    async def request(self, connection: CallerConnection, router: str) -> None:
+        """Send one request and note what its caller is told."""
+        kind = self.chance.choice(KINDS)
+        self.requests += 1
+        request = f"q-{self.requests}"
+        events = self.chance.randint(1, 20)
+        streamed = kind.service == "model"
+        headers = model_headers(request, events) if streamed else plain_headers(request)
+        leaves = streamed and self.chance.random() < LEAVES
+        limit = self.chance.uniform(0, LEAVES_AFTER) if leaves else PATIENCE
+        sent_at = time.time()
+        answer = None
+        try:
+            async with asyncio.timeout(limit):
+                answer = await connection.ask(f"/{kind.path}/x", headers)
+        except TimeoutError:
+            connection.close()
+        except (ConnectionError, h11.ProtocolError):
+            answer = None
+        now = time.time()
+        gone = now if answer is None and leaves else 0.0
+        self.account.told.append(
+            Told(
+                request,
+                kind.service,
+                router,
+                kind.once,
+                sent_at,
+                now,
+                answer.status if answer else 0,
+                bool(answer and answer.complete),
+                _fault(answer, request, events if streamed else 0),
+                gone,
+            )
+        )
+
+    async def probe(self, router: str, path: str) -> int:
+        """Return the status of a plain request at one router; 0 for no answer."""
+        connection = await self.connect(router)
+        if connection is None:
+            return 0
+        self.requests += 1
+        headers = plain_headers(f"probe-{self.requests}")
+        answer = None
+        with contextlib.suppress(ConnectionError, h11.ProtocolError, TimeoutError):
+            async with asyncio.timeout(PATIENCE):
+                answer = await connection.ask(path, headers)
+        connection.close()
+        return answer.status if answer is not None else 0
+
+
+def _fault(answer: CallAnswer | None, request: str, events: int) -> str:
+    """Return what is wrong with a complete answer, empty if nothing is."""
+    if answer is None or not answer.complete or answer.status != 200:
+        return ""
+    if answer.headers.get("server-signature") != "stand-in":
+        return "a success without the endpoint's signature"
+    if not events:
+        whole = answer.body == f"answer to {request}".encode()
+        return "" if whole else f"another answer: {answer.body[:80]!r}"
+    numbers = [
+        int(line[4:]) for line in answer.body.split(b"\n") if line.startswith(b"id: ")
+    ]
+    if numbers != list(range(1, events + 1)):
+        return f"events {numbers} of {events}"
+    return ""
