Give each process of a test ports of its own

The ports of the harness came from the language's generator, which a library for property tests seeds anew, so the same ports came again while the fleet of another test still used them.

Change: the system's generator, and no port twice in a process.

Conclusion: a fault of the harness, not of the product.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -22,6 +22,9 @@
 OPERATOR_TIMEOUT = 2.0
 #: Ports to listen on that are chosen before a process starts.
 PORTS = (20_000, 32_000)
+SYSTEM_RANDOM = random.SystemRandom()
+#: Ports that `free_port` has returned in this process.
+given_ports: set[int] = set()
 HOST = "caller.example"
 KEY = "key-of-alder"
 
@@ -284,10 +287,15 @@
     """Return a port that nobody uses.
 
     It lies below those that the system gives to outgoing connections, one of which
-    could take it before the process that is to listen there has started.
+    could take it before the process that is to listen there has started. None is
+    returned twice; the draw is the system's, since libraries of tests seed the
+    language's own and would bring the same ports again while they are in use.
     """
     while True:
-        port = random.randrange(*PORTS)
+        port = SYSTEM_RANDOM.randrange(*PORTS)
+        if port in given_ports:
+            continue
+        given_ports.add(port)
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
             return port
