Name the header of a request's id in the adapter only

Cause: reading the diff: the edge that answers shed requests without parsing knew the platform's name for a request's id; one constant was read by nothing.

Ruled out: parsing the head after all, which is what shedding saves.

Change: the edge takes the header's name; the gateway passes the adapter's. The test of the boundary now looks for that name too (the product's own X-Request-Id apart).

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -23,7 +23,7 @@
 from carawayfold.coordination.pulse import Pulse
 from carawayfold.coordination.shedding import ShedLog
 from carawayfold.platform.engines import EngineClient
-from carawayfold.platform.headers import PlatformDialect
+from carawayfold.platform.headers import REQUEST_ID, PlatformDialect
 from carawayfold.platform.store import (
     StoreClient,
     StoreDirectory,
@@ -124,7 +124,9 @@
             self.metrics,
             random.random,
         )
-        self.front = self._listen(settings.listen, self.forwarder.serve, "front")
+        self.front = self._listen(
+            settings.listen, self.forwarder.serve, "front", id_header=REQUEST_ID
+        )
         self.front.limit = settings.connections
         self.pressure = PressureGauge()
         self.shed = ShedLog(self.metrics)
@@ -135,8 +137,10 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopped = asyncio.Event()
 
-    def _listen(self, address: Address, serve: object, channel: str) -> Edge:
-        return Edge(address, serve, channel).register(self.root)
+    def _listen(
+        self, address: Address, serve: object, channel: str, **named: str
+    ) -> Edge:
+        return Edge(address, serve, channel, **named).register(self.root)
 
     async def run(self) -> None:
         """Run until the router has been stopped."""
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -57,18 +57,14 @@
 INTRICATE = re.compile(rb"\r\n[ \t]|^[^\r]* HTTP/1\.0\r\n|\r\nexpect[ \t]*:", re.I)
 #: A caller that wants the connection closed after the answer.
 CLOSING = re.compile(rb"\r\nconnection[ \t]*:[^\r]*close", re.IGNORECASE)
-#: The id by which a caller knows its request.
-REQUEST_ID = re.compile(rb"\r\n(request-id):[ \t]*([!-~]{1,128})[ \t]*\r\n", re.I)
 #: Seconds until a caller comes back that was refused since this process is late; a
 #: new connection goes to another instance, which has room now.
 SHED_RETRY = b"0.02"
 HEAD_END = b"\r\n\r\n"
 #: What the parser writes into the head of an answer that goes in chunks.
 CHUNKED = b"\r\nTransfer-Encoding: chunked\r\n"
-#: Most callers' connections, where the settings do not say.
-CONNECTIONS = 2048
-#: Part of them above which answers ask callers to leave, so that idle connections
-#: don't keep new callers out.
+#: Part of the most connections above which answers ask callers to leave, so that
+#: idle connections don't keep new callers out.
 CROWDED_PART = 0.5
 #: Part above which idle connections are closed for new ones, the oldest first.
 FULL_PART = 0.9
@@ -294,7 +290,7 @@
         self.skipped -= part
         if self.skipped:
             return
-        found = REQUEST_ID.search(self.refused_head)
+        found = self.edge.id_pattern.search(self.refused_head)
         named = b"%b: %b\r\n" % found.groups() if found else b""
         closing = self.edge.sheds() or CLOSING.search(self.refused_head)
         close = b"Connection: close\r\n" if closing else b""
@@ -445,6 +441,8 @@
         Takes each whole request and answers it in time.
     channel : str
         Channel of the circuits tree for this server.
+    id_header : str
+        Name of the header by which a caller knows its request.
     """
 
     def __init__(
@@ -452,12 +450,15 @@
         address: Address,
         serve: Callable[[Incoming], None],
         channel: str = "edge",
+        id_header: str = "x-request-id",
     ) -> None:
         super().__init__(channel=channel)
         self.serve = serve
         self.limits = EdgeLimits()
         #: Whether no new work is taken.
         self.stopping = False
+        #: The header by which a caller knows its request, and its value.
+        self.id_pattern = header_pattern(id_header)
         #: Whether to refuse the next request since this process is late, and who is
         #: told of each one refused by its id.
         self.refuses: Callable[[], bool] = lambda: False
@@ -540,6 +541,12 @@
         raise Refusal(ErrorKind.MALFORMED_REQUEST, detail)
 
 
+def header_pattern(name: str) -> re.Pattern[bytes]:
+    """Return what finds a header's name and a value of visible characters."""
+    text = rb"\r\n(%b):[ \t]*([!-~]{1,128})[ \t]*\r\n" % re.escape(name.encode())
+    return re.compile(text, re.IGNORECASE)
+
+
 def _plain_length(head: bytes) -> int | None:
     """Return the length of a body that can be passed over, None if it takes parsing."""
     if INTRICATE.search(head):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -59,3 +59,9 @@
         path.name for path in modules() if "carawayfold.platform" in path.read_text()
     ]
     assert importing == ["gateway.py", "sources.py"]
+
+
+def test_no_other_module_knows_the_header_of_a_requests_id():
+    pattern = re.compile(rf"(?<!x-){headers.REQUEST_ID}", re.IGNORECASE)
+    known = [path.name for path in modules() if pattern.search(path.read_text())]
+    assert known == []
--- a/tests/transport/test_edge.py
+++ b/tests/transport/test_edge.py
@@ -26,7 +26,8 @@
             incoming.answer(200, [])
 
         root = Root()
-        edge = Edge(Address("127.0.0.1", 0), serve).register(root)
+        address = Address("127.0.0.1", 0)
+        edge = Edge(address, serve, id_header="request-id").register(root)
         edge.refuses = lambda: refuses
         edge.on_shed = shed.append
         root.attach()
