Tell lifetimes of an endpoint apart; pass over records of other writers

Cause: an endpoint may start again under the name that it had, and its entry says when it was born; nothing here read that. What was believed of the old one (kept prefixes, requests there, failures, rests, idle connections, that it was leaving) was taken for the new one, and a request at a silent old one waited until its deadline. One record that could not be decoded failed the whole page that it came in, again and again, so a single foreign entry hid all registrations; any state but active counted as leaving.

Ruled out: forgetting at each place that keeps a belief. There are eleven of them, and the next one would be missed. An endpoint's id is now its name and its start together, so that a belief about one lifetime has no way to reach the next; only the name goes on the wire.

Entries need all fields of their kinds, an IPv4 address with a port, and a known state. A record that can't be decoded is one log line a key and names no endpoint; the others hold.

One test datum changed: the entry of test_an_entry_becomes_an_endpoint now has all fields that an entry has, since one without them is another writer's; each missing field is a case of its own.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -141,6 +141,10 @@
             "address": f"127.0.0.1:{reached.port}",
             "zone": "north",
             "slots": 8,
+            "version": "v1",
+            "state": "active",
+            "cold_remaining_ms": 0,
+            "call_seq": 1,
         }
         self.put("keyed.servers", name, {**entry, **other})
 
--- a/carawayfold/coordination/attempts.py
+++ b/carawayfold/coordination/attempts.py
@@ -127,8 +127,12 @@
         done.result()
 
     def _watch(self) -> None:
-        """Leave a silent endpoint if the request may go on elsewhere."""
-        if self.exchange.done.done() or not self.call.route.repeatable:
+        """Leave an endpoint that is no more, or is silent if others may go on."""
+        if self.exchange.done.done():
+            return
+        if self.forwarder.desk.is_over(self.endpoint):
+            raise ExchangeError(self.exchange.phase, "the endpoint has started again")
+        if not self.call.route.repeatable:
             return
         now = self.loop.time()
         if self.forwarder.pulse.is_silent(self.endpoint.id, self.started, now):
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -32,7 +32,14 @@
     WithdrawMessage,
 )
 from carawayfold.protocol.exchanges import Part
-from carawayfold.state.ids import CallId, DataCentreId, EndpointId, PoolId, RouterId
+from carawayfold.state.ids import (
+    CallId,
+    DataCentreId,
+    EndpointId,
+    EndpointName,
+    PoolId,
+    RouterId,
+)
 
 if TYPE_CHECKING:
     from carawayfold.coordination.fleet import Fleet
@@ -136,6 +143,8 @@
         self.placed: dict[CallId, Placed] = {}
         self.decided: OrderedDict[CallId, Decision] = OrderedDict()
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        #: Newest lifetime of each endpoint by its name.
+        self.newest: dict[EndpointName, Endpoint] = {}
         self.sent_prefixes: OrderedDict[str, EndpointId] = OrderedDict()
         self.numbers = 0
         #: When it was last logged that a router does not decide.
@@ -143,9 +152,17 @@
 
     # Pools
 
-    def refresh(self, table: EndpointTable, routes: RouteTable) -> None:
-        """Divide the endpoints of each service into pools."""
-        self.endpoints = dict(table.entries)
+    def refresh(self, table: EndpointTable, routes: RouteTable) -> list[Endpoint]:
+        """Divide the endpoints of each service into pools.
+
+        Returns
+        -------
+        list of Endpoint
+            Those known before that are gone, or whose lifetime is over.
+        """
+        before = self.endpoints
+        self.newest = dict(table.entries)
+        self.endpoints = {endpoint.id: endpoint for endpoint in self.newest.values()}
         pools: dict[PoolId, PoolDesk] = {}
         self.weights = {}
         for service in routes.services:
@@ -161,6 +178,12 @@
         self.pools = pools
         for desk in pools.values():
             self._decide_soon(desk)
+        return [before[name] for name in before.keys() - self.endpoints.keys()]
+
+    def is_over(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has started again since."""
+        newest = self.newest.get(endpoint.name)
+        return newest is not None and newest.lifetime > endpoint.lifetime
 
     def _plan(
         self, service: ServiceId, routes: RouteTable, members: int, usable: int
--- a/carawayfold/coordination/division.py
+++ b/carawayfold/coordination/division.py
@@ -25,14 +25,14 @@
 
 
 def divide(endpoints: list[Endpoint]) -> list[list[Endpoint]]:
-    """Return the endpoints of one service by pool, in order of their ids.
+    """Return the endpoints of one service by pool, in order of their names.
 
     With one pool more or less, only the endpoints of that pool change theirs.
     """
     count = max(1, -(-len(endpoints) // POOL_SIZE))
     pools: list[list[Endpoint]] = [[] for _ in range(count)]
-    for endpoint in sorted(endpoints, key=lambda item: item.id):
-        number = max(range(count), key=lambda item: _hash(f"{item}|{endpoint.id}"))
+    for endpoint in sorted(endpoints, key=lambda item: item.name):
+        number = max(range(count), key=lambda item: _hash(f"{item}|{endpoint.name}"))
         pools[number].append(endpoint)
     return pools
 
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -250,6 +250,7 @@
                     "endpoint": item.name,
                     "service": item.endpoint.service,
                     "leaving": item.endpoint.leaving,
+                    "lifetime": item.endpoint.lifetime,
                     "new": known is None,
                 },
             )
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -304,7 +304,9 @@
         # Peers that read through this router should know at once.
         self.fleet.tell_near()
         if self.knowledge.routes is not None:
-            self.desk.refresh(self.knowledge.endpoints, self.knowledge.routes)
+            known = self.knowledge
+            for endpoint in self.desk.refresh(known.endpoints, known.routes):
+                self.http.drop_idle(endpoint.address)
             self.caches.look()
 
     def is_ready(self) -> bool:
--- a/carawayfold/platform/engines.py
+++ b/carawayfold/platform/engines.py
@@ -22,9 +22,13 @@
 
 
 class WireKept(msgspec.Struct):
-    """Answer with the parts kept: rows of an empty text, id, tokens and model."""
+    """Answer with the parts kept: rows of an empty text, id, tokens and model.
+
+    ``born`` is the start of the engine that answers, where it says so.
+    """
 
     held: list[tuple[str, str, int, str]]
+    born: int = 0
 
 
 class EngineClient:
@@ -50,4 +54,6 @@
             listed = msgspec.json.decode(answer.body, type=WireKept)
         except (ExchangeError, msgspec.MsgspecError) as error:
             raise SourceError(str(error)) from error
+        if listed.born and listed.born != endpoint.lifetime:
+            raise SourceError("another lifetime of the endpoint answers")
         return [Part(PartId(part), tokens) for _, part, tokens, _ in listed.held]
--- a/carawayfold/platform/headers.py
+++ b/carawayfold/platform/headers.py
@@ -108,7 +108,7 @@
         """Return the headers of a request to `endpoint`."""
         headers = list(asked.forwarded)
         headers.append((TIME_LEFT, str(max(1, int(time_left * 1000)))))
-        headers.append((EXPECTED_ENDPOINT, endpoint.id))
+        headers.append((EXPECTED_ENDPOINT, endpoint.name))
         if organisation != ANONYMOUS:
             headers.append((ORGANISATION, organisation))
         if resume_after is not None:
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from enum import Enum
+from ipaddress import IPv4Address
+from typing import Annotated
+
 import msgspec
 
 from carawayfold.protocol.sources import SourceError
@@ -9,7 +13,7 @@
 from carawayfold.state.endpoints import Endpoint
 from carawayfold.state.ids import (
     DataCentreId,
-    EndpointId,
+    EndpointName,
     OrganisationId,
     RouteId,
     ServiceId,
@@ -25,6 +29,8 @@
 
 #: Rank of a route or organisation that names none.
 DEFAULT_PRIORITY = 1
+#: Ports that an address may have.
+PORTS = range(1, 65536)
 
 KINDS = {
     "streaming": RouteKind.STREAMING,
@@ -101,18 +107,29 @@
     tenants: list[WireTenant] = []
 
 
+class WireState(Enum):
+    """What an endpoint says of itself."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
 class WireEntry(msgspec.Struct):
     """An endpoint's registration.
 
-    ``cold_remaining_ms`` counts from when the entry was written.
+    ``cold_remaining_ms`` counts from when the entry was written; ``born`` is the
+    Unix millisecond of the endpoint's start, which some deployments leave out.
     """
 
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "active"
-    cold_remaining_ms: float = 0.0
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: WireState
+    cold_remaining_ms: float
+    call_seq: int
+    born: int = 0
 
 
 def decode_routes(data: bytes) -> RouteTable:
@@ -151,16 +168,28 @@
     """
     wire = _decode(data, WireEntry)
     return Endpoint(
-        id=EndpointId(name),
+        name=EndpointName(name),
         service=ServiceId(wire.service),
-        address=Address.parse(wire.address),
+        address=_address(wire.address),
         data_centre=DataCentreId(wire.zone),
         slots=wire.slots,
-        leaving=wire.state != "active",
+        leaving=wire.state is WireState.DRAINING,
         cold_until=now + wire.cold_remaining_ms / 1000,
+        lifetime=wire.born,
     )
 
 
+def _address(text: str) -> Address:
+    try:
+        address = Address.parse(text)
+        IPv4Address(address.host)
+    except ValueError as error:
+        raise SourceError(str(error)) from None
+    if address.port not in PORTS:
+        raise SourceError(f"no port: {address.port}")
+    return address
+
+
 def _route(wire: WireRoute) -> Route:
     services = wire.backends or [WireBackend(wire.service)]
     return Route(
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import base64
+import binascii
 import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, TypeVar
 
+import logbook
 import msgspec
 
 from carawayfold.platform import records
@@ -18,6 +20,7 @@
     Registered,
     SourceError,
 )
+from carawayfold.state.ids import EndpointName
 from carawayfold.transport.client import ExchangeError
 
 if TYPE_CHECKING:
@@ -27,6 +30,8 @@
     from carawayfold.state.routes import RouteTable
     from carawayfold.transport.client import HttpClient
 
+logger = logbook.Logger(__name__)
+
 T = TypeVar("T")
 
 #: Topics whose records have keys; of each key the newest record is kept.
@@ -42,11 +47,19 @@
 #: Before the records of an answer: its end and its first retained offset.
 READ_HEAD = struct.Struct(">QQ")
 RECORD_HEAD = struct.Struct(">I")
+#: Keys of unreadable records that are remembered, so that one which is written
+#: again and again is logged once.
+UNREADABLE_KEPT = 200
+#: Bytes of a key, and of the reason, that a log line holds.
+LOGGED_LENGTH = 200
 
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """One record of a topic with keys; `value` is None where the key was dropped."""
+    """One record of a topic with keys; `value` is None where the key was dropped.
+
+    Bytes of a key that are no text are kept as escapes, so that they match no key.
+    """
 
     key: str
     value: bytes | None
@@ -91,9 +104,7 @@
             path = f"/log-newest?topic={topic}&part={PARTITION}"
             page = _decode_newest(await self._ask("GET", f"{path}{after}"))
             first_end = page.end if first_end is None else first_end
-            found.extend(
-                Record(item.key, base64.b64decode(item.value)) for item in page.entries
-            )
+            found.extend(_listed_record(item) for item in page.entries)
             if not page.more_pages or not page.entries:
                 return Page(found, first_end)
             after = f"&after={page.entries[-1].key}"
@@ -142,14 +153,23 @@
         Name of the topic.
     decode : callable
         Returns what a record says, or None where it says nothing of interest.
+    unreadable : callable
+        Returns what a record that can't be decoded means. Others may write to the
+        topic too; one bad record must not hide the rest.
     """
 
     def __init__(
-        self, store: StoreClient, topic: str, decode: Callable[[Record], T | None]
+        self,
+        store: StoreClient,
+        topic: str,
+        decode: Callable[[Record], T | None],
+        unreadable: Callable[[Record], T | None] = lambda record: None,
     ) -> None:
         self.store = store
         self.topic = topic
         self.decode = decode
+        self.unreadable = unreadable
+        self.logged: set[str] = set()
 
     async def newest(self) -> Page[T]:
         """Return the newest record of each key."""
@@ -160,9 +180,29 @@
         return self._decoded(await self.store.read(self.topic, start, wait))
 
     def _decoded(self, page: Page[Record]) -> Page[T]:
-        items = [self.decode(record) for record in page.items]
+        items = [self._decode_one(record) for record in page.items]
         return Page([item for item in items if item is not None], page.next)
 
+    def _decode_one(self, record: Record) -> T | None:
+        try:
+            return self.decode(record)
+        except SourceError as error:
+            self._log_unreadable(record, error)
+            return self.unreadable(record)
+
+    def _log_unreadable(self, record: Record, error: SourceError) -> None:
+        if record.key in self.logged:
+            return
+        if len(self.logged) >= UNREADABLE_KEPT:
+            self.logged.clear()
+        self.logged.add(record.key)
+        extra = {
+            "topic": self.topic,
+            "key": record.key[:LOGGED_LENGTH],
+            "reason": str(error)[:LOGGED_LENGTH],
+        }
+        logger.warning("unreadable record", extra=extra)
+
 
 class StoreDirectory(StoreSource[PeerEntry]):
     """Entries of the routers, kept in a topic of their own."""
@@ -183,7 +223,7 @@
 
 def endpoint_source(store: StoreClient) -> StoreSource[Registered]:
     """Return the source of endpoints' registrations."""
-    return StoreSource(store, ENDPOINT_TOPIC, _decode_registered)
+    return StoreSource(store, ENDPOINT_TOPIC, _decode_registered, _not_registered)
 
 
 def _decode_configuration(record: Record) -> RouteTable | None:
@@ -194,10 +234,14 @@
 
 def _decode_registered(record: Record) -> Registered:
     if not record.value:
-        return Registered(record.key, None)
+        return _not_registered(record)
     now = asyncio.get_running_loop().time()
     endpoint = records.decode_endpoint(record.key, record.value, now)
-    return Registered(record.key, endpoint)
+    return Registered(endpoint.name, endpoint)
+
+
+def _not_registered(record: Record) -> Registered:
+    return Registered(EndpointName(record.key), None)
 
 
 def _decode_peer(record: Record) -> PeerEntry | None:
@@ -224,13 +268,23 @@
     while place < len(data):
         size = RECORD_HEAD.unpack_from(data, place)[0]
         place += RECORD_HEAD.size
+        if place + size > len(data):
+            raise SourceError("a read that ends within a record")
         found.append(_decode_record(data[place : place + size]))
         place += size
     return Page(found, start + len(found))
 
 
 def _decode_record(data: bytes) -> Record:
-    length = data[0]
-    key = data[1 : 1 + length].decode()
+    length = data[0] if data else 0
+    key = data[1 : 1 + length].decode(errors="backslashreplace")
     value = data[1 + length :]
     return Record(key, value or None)
+
+
+def _listed_record(entry: WireEntry) -> Record:
+    try:
+        return Record(entry.key, base64.b64decode(entry.value))
+    except binascii.Error:
+        # Decoded as a value that no topic holds, and logged there.
+        return Record(entry.key, entry.value.encode())
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
-from carawayfold.state.ids import DataCentreId, RouterId
+from carawayfold.state.ids import DataCentreId, EndpointName, RouterId
 
 if TYPE_CHECKING:
     from carawayfold.protocol.exchanges import Part
@@ -29,7 +29,7 @@
 class Registered:
     """An endpoint's entry was written, or is gone where `endpoint` is None."""
 
-    name: str
+    name: EndpointName
     endpoint: Endpoint | None
 
 
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from carawayfold.settings import Address
-from carawayfold.state.ids import DataCentreId, EndpointId, ServiceId
+from carawayfold.state.ids import DataCentreId, EndpointId, EndpointName, ServiceId
 
 #: Seconds after an outage of the store for which an endpoint is still used whose
 #: entry vanished in it: its lease may have run out only because it could not be
@@ -14,6 +14,9 @@
 #: Seconds after an outage for which a vanished entry counts as vanished in it. What
 #: vanishes later has left, and may be used for two seconds at most.
 LAPSE_READ = 0.5
+#: Names of endpoints that are gone whose newest lifetime is remembered, so that a
+#: record that was delayed does not bring an older one back.
+LIFETIMES_KEPT = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,23 +25,37 @@
 
     Attributes
     ----------
-    id : EndpointId
-        New for each start of the endpoint.
+    name : EndpointName
+        What it registers under, the same after a restart.
     slots : int
         Requests that it runs at once.
     leaving : bool
         Whether it has announced that it stops.
     cold_until : float
         Monotonic seconds until which it is slow after its start.
+    lifetime : int
+        Unix milliseconds of its start; 0 where it does not say.
     """
 
-    id: EndpointId
+    name: EndpointName
     service: ServiceId
     address: Address
     data_centre: DataCentreId
     slots: int
     leaving: bool = False
     cold_until: float = 0.0
+    lifetime: int = 0
+
+    @property
+    def id(self) -> EndpointId:
+        """Return what tells this lifetime from others of the same name.
+
+        All that is believed of an endpoint is kept by it, so that nothing known of
+        one lifetime is taken for the next, which starts with nothing.
+        """
+        if not self.lifetime:
+            return EndpointId(self.name)
+        return EndpointId(f"{self.name}~{self.lifetime:x}")
 
 
 @dataclass(slots=True)
@@ -50,60 +67,76 @@
     offset : int
         Next record of the store that is not yet applied.
     entries : dict
-        Registered endpoints, leaving ones included.
+        Registered endpoints by name, leaving ones included.
     lapsed : dict
         Endpoints whose entry vanished in an outage, with the time until which they
         are kept.
+    lifetimes : dict
+        Newest lifetime seen of each name.
     outage_end : float
         Monotonic seconds at which the store was last found out of reach.
     """
 
     offset: int = 0
-    entries: dict[EndpointId, Endpoint] = field(default_factory=dict)
-    lapsed: dict[EndpointId, float] = field(default_factory=dict)
+    entries: dict[EndpointName, Endpoint] = field(default_factory=dict)
+    lapsed: dict[EndpointName, float] = field(default_factory=dict)
+    lifetimes: dict[EndpointName, int] = field(default_factory=dict)
     outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint) -> bool:
-        """Add or change an entry; return whether that matters to placement."""
-        self.lapsed.pop(endpoint.id, None)
-        old = self.entries.get(endpoint.id)
-        if old is not None:
+        """Add or change an entry; return whether that matters to placement.
+
+        An entry of a lifetime that is over is passed over.
+        """
+        if endpoint.lifetime < self.lifetimes.get(endpoint.name, 0):
+            return False
+        self._note_lifetime(endpoint)
+        self.lapsed.pop(endpoint.name, None)
+        old = self.entries.get(endpoint.name)
+        if old is not None and old.lifetime == endpoint.lifetime:
             endpoint = replace(endpoint, cold_until=old.cold_until)
-        self.entries[endpoint.id] = endpoint
+        self.entries[endpoint.name] = endpoint
         return old != endpoint
 
-    def remove(self, endpoint: EndpointId, now: float) -> bool:
+    def _note_lifetime(self, endpoint: Endpoint) -> None:
+        self.lifetimes[endpoint.name] = endpoint.lifetime
+        if len(self.lifetimes) <= LIFETIMES_KEPT + len(self.entries):
+            return
+        oldest = next(name for name in self.lifetimes if name not in self.entries)
+        del self.lifetimes[oldest]
+
+    def remove(self, name: EndpointName, now: float) -> bool:
         """Note that an entry is gone; return whether its endpoint goes at once."""
-        if endpoint not in self.entries:
+        if name not in self.entries:
             return False
         in_outage = now < self.outage_end + LAPSE_READ
-        if in_outage and not self.entries[endpoint].leaving:
-            self.lapsed.setdefault(endpoint, self.outage_end + LAPSE_GRACE)
+        if in_outage and not self.entries[name].leaving:
+            self.lapsed.setdefault(name, self.outage_end + LAPSE_GRACE)
             return False
-        self._drop(endpoint)
+        self._drop(name)
         return True
 
     def replace_all(self, endpoints: list[Endpoint], now: float) -> None:
         """Take a complete list in place of what is known."""
-        listed = {endpoint.id for endpoint in endpoints}
-        for endpoint in list(self.entries):
-            if endpoint not in listed:
-                self.remove(endpoint, now)
+        listed = {endpoint.name for endpoint in endpoints}
+        for name in list(self.entries):
+            if name not in listed:
+                self.remove(name, now)
         for endpoint in endpoints:
             self.put(endpoint)
 
-    def expire(self, now: float) -> list[EndpointId]:
+    def expire(self, now: float) -> list[EndpointName]:
         """Drop lapsed endpoints that have not come back, and return them."""
-        gone = [endpoint for endpoint, until in self.lapsed.items() if now >= until]
-        for endpoint in gone:
-            self._drop(endpoint)
+        gone = [name for name, until in self.lapsed.items() if now >= until]
+        for name in gone:
+            self._drop(name)
         return gone
 
     def note_outage(self, now: float) -> None:
         """Note that the store was out of reach until `now`."""
         self.outage_end = now
-        for endpoint in self.lapsed:
-            self.lapsed[endpoint] = now + LAPSE_GRACE
+        for name in self.lapsed:
+            self.lapsed[name] = now + LAPSE_GRACE
 
     def usable(self, service: ServiceId) -> list[Endpoint]:
         """Return the endpoints of `service` that may get new work."""
@@ -113,6 +146,6 @@
             if endpoint.service == service and not endpoint.leaving
         ]
 
-    def _drop(self, endpoint: EndpointId) -> None:
-        self.entries.pop(endpoint, None)
-        self.lapsed.pop(endpoint, None)
+    def _drop(self, name: EndpointName) -> None:
+        self.entries.pop(name, None)
+        self.lapsed.pop(name, None)
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -10,7 +10,9 @@
 BrandId = NewType("BrandId", str)
 #: Name of a service: a model or an application.
 ServiceId = NewType("ServiceId", str)
-#: Name of an endpoint: one worker that serves a service.
+#: Name under which an endpoint registers; it outlives the endpoint's restarts.
+EndpointName = NewType("EndpointName", str)
+#: One lifetime of an endpoint, from its start to its end: its name and its start.
 EndpointId = NewType("EndpointId", str)
 #: Name of a data centre.
 DataCentreId = NewType("DataCentreId", str)
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -261,6 +261,11 @@
             return connection
         return None
 
+    def drop_idle(self, address: Address) -> None:
+        """Close idle connections to an address, whose process has ended."""
+        for connection in list(self.idle.get(address, ())):
+            self._close(connection)
+
     def close_idle(self) -> None:
         """Close connections that have been idle for their lifetime."""
         now = asyncio.get_running_loop().time()
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -174,3 +174,50 @@
         return await made["a"].place(request(made["a"], "x"), "nothing/0")
 
     assert isinstance(play(work), TurnedAway)
+
+
+def restart(desk, table, name, lifetime):
+    """Return what is gone once an endpoint has started again under its name."""
+    table.put(endpoint(name, lifetime=lifetime))
+    return desk.refresh(table, routes())
+
+
+def test_nothing_known_of_an_endpoint_outlives_its_restart():
+    async def work():
+        table = EndpointTable()
+        table.put(endpoint("e-0", lifetime=1000))
+        desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
+        desk.refresh(table, routes())
+        scheduler = desk.pools["model/0"].scheduler
+        asked = request(desk, "x", tokens=5000)
+        decision = await desk.place(asked, "model/0")
+        scheduler.ended(asked.call, Outcome.SILENT, asyncio.get_running_loop().time())
+        old = desk.endpoints[decision.endpoint]
+        gone = restart(desk, table, "e-0", 2000)
+        (load,) = scheduler.loads.values()
+        desk.tell_held()
+        assert gone == [old]
+        assert desk.is_over(old)
+        assert not desk.is_over(load.endpoint)
+        assert desk.kept_at(asked.prompt) not in scheduler.loads
+        return (
+            load.prefixes.kept(asked.prompt),
+            len(load.active),
+            load.failing,
+            load.suspended_until,
+        )
+
+    assert play(work) == (0, 0, 0.0, 0.0)
+
+
+def test_a_decision_for_a_lifetime_that_is_over_names_no_endpoint():
+    async def work():
+        table = EndpointTable()
+        table.put(endpoint("e-0", lifetime=1000))
+        desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
+        desk.refresh(table, routes())
+        decision = await desk.place(request(desk, "x"), "model/0")
+        restart(desk, table, "e-0", 2000)
+        return desk.endpoints.get(decision.endpoint)
+
+    assert play(work) is None
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -438,3 +438,47 @@
     process.signal(signal.SIGCONT)
     asyncio.run(asyncio.wait_for(fleet.wait_ready("router-0"), 20))
     assert ask(fleet, "/once/x", plain_headers("still-1")).status == 200
+
+
+def register_again(fleet, name):
+    fleet.register(name, born=2000)
+
+
+def test_what_runs_at_an_endpoint_that_started_again_is_answered_at_once(fleet):
+    for name in ("d-1", "d-2"):
+        fleet.register(name, born=1000)
+        fleet.set_faults(name, silent=True)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        headers = {**plain_headers("again-1"), "Request-Deadline": "30000"}
+        task = asyncio.ensure_future(
+            call(front(fleet), "POST", "/once/x", b"body", headers)
+        )
+        while not await loop.run_in_executor(None, ran, fleet, "again-1"):
+            await asyncio.sleep(0.02)
+        for name in ("d-1", "d-2"):
+            await loop.run_in_executor(
+                None, lambda n=name: fleet.register(n, born=2000)
+            )
+        return await asyncio.wait_for(task, 15)
+
+    answer = asyncio.run(run())
+    # It may have run, so neither a refusal that says it has not nor a repeat.
+    assert answer.status == 502
+    assert len(ran(fleet, "again-1")) == 1
+
+
+def test_an_entry_of_another_writer_disturbs_no_endpoint(fleet):
+    for key, value in (
+        ("x-1", {"service": "desk"}),
+        ("x-2", ["no", "entry"]),
+        ("x-3", "text"),
+    ):
+        fleet.put("keyed.servers", key, value)
+    fleet.register("d-1", state="resting")
+    fleet.register("m-1", call_seq=2)
+    for number in range(6):
+        answer = ask(fleet, "/once/x", plain_headers(f"writer-{number}"))
+        assert answer.status == 200
+    assert ask(fleet, "/stream/x", model_headers("writer-s")).status == 200
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import base64
 import json
 import struct
 
+import logbook
 import pytest
 
 from benchmarks.hosted import KEY, configuration
 from carawayfold.platform import records, store
-from carawayfold.protocol.sources import SourceError
+from carawayfold.platform.store import Record
+from carawayfold.protocol.sources import Page, SourceError
 from carawayfold.state.routes import RouteKind
+from tests.platform.record_builders import ENTRY, entry
 
 
 def test_a_configuration_becomes_routes():
@@ -41,14 +46,116 @@
 
 
 def test_an_entry_becomes_an_endpoint():
-    data = (
-        b'{"service":"s","address":"10.0.0.1:80","zone":"z","slots":3,'
-        b'"state":"draining"}'
-    )
-    endpoint = records.decode_endpoint("i-1", data, 10.0)
+    endpoint = records.decode_endpoint("i-1", entry(state="draining"), 10.0)
     assert (endpoint.id, endpoint.slots, endpoint.leaving) == ("i-1", 3, True)
 
 
+def test_the_start_of_an_endpoint_tells_its_lifetimes_apart():
+    first, second = (
+        records.decode_endpoint("i-1", entry(born=born), 10.0)
+        for born in (1760683167168, 1760683190000)
+    )
+    assert first.name == second.name == "i-1"
+    assert first.lifetime == 1760683167168
+    assert first.id != second.id
+
+
+@pytest.mark.parametrize("field", ENTRY)
+def test_an_entry_without_a_field_is_no_endpoint(field):
+    fields = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises(SourceError):
+        records.decode_endpoint("i-1", json.dumps(fields).encode(), 10.0)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"slots": "3"},
+        {"slots": True},
+        {"slots": 0},
+        {"slots": 2.5},
+        {"state": "resting"},
+        {"state": None},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:x"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:70000"},
+        {"address": "some.host:80"},
+        {"address": ":80"},
+        {"zone": 7},
+        {"born": "1760683167168"},
+        {"born": 1760683167168.5},
+        {"born": None},
+        {"cold_remaining_ms": "0"},
+    ],
+)
+def test_an_entry_with_a_field_of_another_kind_is_no_endpoint(fields):
+    with pytest.raises(SourceError):
+        records.decode_endpoint("i-1", entry(**fields), 10.0)
+
+
+class FakeStore:
+    """Answers with rows that others have written."""
+
+    def __init__(self, items):
+        self.items = items
+
+    async def newest(self, topic):
+        return Page(self.items, 9)
+
+
+BAD_VALUES = [b"\xff\xfe", b"{", b"7", b"null", b"[]", b'{"service":"s"}']
+
+
+@pytest.mark.parametrize("value", BAD_VALUES)
+def test_a_record_of_another_writer_hides_no_other(value):
+    rows = [Record("i-0", entry()), Record("i-1", value), Record("i-2", entry())]
+    source = store.endpoint_source(FakeStore(rows))
+    page = asyncio.run(source.newest())
+    found = [(item.name, item.endpoint is not None) for item in page.items]
+    assert found == [("i-0", True), ("i-1", False), ("i-2", True)]
+
+
+def test_an_unreadable_record_that_comes_again_is_logged_once():
+    rows = [Record("i-1", b"{")] * 5 + [Record("i-2", b"{")]
+    with logbook.TestHandler() as lines:
+        asyncio.run(store.endpoint_source(FakeStore(rows)).newest())
+    keys = [line.extra["key"] for line in lines.records]
+    assert keys == ["i-1", "i-2"]
+
+
+def test_an_unreadable_configuration_hides_no_other_record():
+    good = Record("config", json.dumps(configuration(7)).encode())
+    rows = [Record("config", b"{"), good]
+    page = asyncio.run(store.configuration_source(FakeStore(rows)).newest())
+    assert [table.version for table in page.items] == [7]
+
+
+@pytest.mark.parametrize("record", [b"", b"\x02\xff\xfevalue", b"\x09abc"])
+def test_a_record_with_an_unreadable_key_hides_no_other(record):
+    good = b"\x03abcvalue"
+    body = struct.pack(">QQ", 9, 0)
+    for item in (record, good):
+        body += struct.pack(">I", len(item)) + item
+    page = store._decode_records(body, 7)
+    assert page.items[-1] == Record("abc", b"value")
+    assert page.next == 9
+
+
+def test_a_listed_value_that_is_no_base64_hides_no_other():
+    rows = [{"key": "i-1", "value": "a", "offset": 1}]
+    rows.append({"key": "i-2", "value": base64.b64encode(b"x").decode(), "offset": 2})
+    answer = json.dumps({"entries": rows, "end": 3}).encode()
+    entries = store._decode_newest(answer).entries
+    assert [store._listed_record(item).key for item in entries] == ["i-1", "i-2"]
+
+
+def test_a_read_that_ends_within_a_record_is_a_typed_error():
+    body = struct.pack(">QQ", 9, 0) + struct.pack(">I", 9) + b"\x03abc"
+    with pytest.raises(SourceError):
+        store._decode_records(body, 0)
+
+
 def test_read_records_keep_keys_and_removals():
     record = b"\x03abcvalue"
     gone = b"\x03abc"
