--- a/benchmarks/emulation/__main__.py
+++ b/benchmarks/emulation/__main__.py
@@ -31,10 +31,11 @@
 
 
 def net_of(report: Report, deployment: EmulatedDeployment) -> float:
-    """Return the earned part of the worth, less rereads and repeated refusals."""
+    """Return the earned part of the worth, less rereads, copies and refusals."""
     owed = sum(kind.owed for kind in report.kinds.values())
-    rereads = report.reread / 1000 * deployment.reread_price
-    return report.benefit - (rereads + REFUSED_AGAIN * report.refused_again) / owed
+    tokens = report.reread / 1000 * deployment.reread_price
+    tokens += report.copied / 1000 * deployment.copy_price
+    return report.benefit - (tokens + REFUSED_AGAIN * report.refused_again) / owed
 
 
 def play(
@@ -71,7 +72,9 @@
 
 @app.command()
 def compare(
-    name: Annotated[str, typer.Argument(help="altiplano or tipanan.")] = "altiplano",
+    name: Annotated[
+        str, typer.Argument(help="altiplano, tipanan or resale.")
+    ] = "altiplano",
     seed: int = 1,
     seconds: float = 18.0,
     flood: bool = False,
--- a/benchmarks/emulation/deployments.py
+++ b/benchmarks/emulation/deployments.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from benchmarks.emulation.engine import EngineModel
-from benchmarks.emulation.load import BOOKING, SURVEY, Kind
+from benchmarks.emulation.load import BOOKING, RESALE, SURVEY, Kind
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,8 +16,9 @@
     ----------
     throughput : float
         Tokens a second that the operators state.
-    reread_price : float
-        Price of 1,000 tokens of shared parts that are read again, in worth.
+    reread_price, copy_price : float
+        Price of 1,000 tokens of shared parts that are read again, and that are
+        copied from another engine, in worth.
     """
 
     name: str
@@ -26,9 +27,10 @@
     model: EngineModel
     throughput: float
     reread_price: float
+    copy_price: float = 0.0235
 
 
-#: Figures from the users' sheets of the two deployments.
+#: Figures from the users' sheets of the three deployments.
 DEPLOYMENTS = {
     "altiplano": EmulatedDeployment(
         "altiplano", SURVEY, 6, EngineModel(), 360_000.0, 0.29
@@ -46,4 +48,20 @@
         360_000.0,
         0.52,
     ),
+    "resale": EmulatedDeployment(
+        "resale",
+        RESALE,
+        9,
+        EngineModel(
+            slots=32,
+            step=0.00355,
+            step_per_request=0.0000462,
+            step_per_token=1.15e-9,
+            read_per_token=1 / 157_000,
+            memory_tokens=881_075,
+        ),
+        860_000.0,
+        0.25,
+        0.0221,
+    ),
 }
--- a/benchmarks/emulation/engine.py
+++ b/benchmarks/emulation/engine.py
@@ -48,6 +48,8 @@
 
     Attributes
     ----------
+    copied : int
+        Tokens at the prompt's beginning that another engine hands over.
     unread : int
         Tokens of the prompt still to be read.
     made : int
@@ -59,6 +61,7 @@
     prompt_tokens: int
     output_tokens: int
     sent: float
+    copied: int = 0
     unread: int = 0
     made: int = 0
     first_at: float | None = None
@@ -74,8 +77,9 @@
     ----------
     now : float
         Simulated seconds up to which it has worked.
-    read_tokens, reread_tokens : int
-        Tokens of prompts read, and those of shared parts read before somewhere.
+    read_tokens, reread_tokens, copied_tokens : int
+        Tokens of prompts read, those of shared parts read before somewhere, and
+        those copied from other engines.
     """
 
     name: str
@@ -87,6 +91,7 @@
     making: list[Run] = field(default_factory=list)
     read_tokens: int = 0
     reread_tokens: int = 0
+    copied_tokens: int = 0
     busy: float = 0.0
     prefixes: KeptPrefixes = field(init=False)
 
@@ -124,7 +129,9 @@
     def _admit(self) -> None:
         while self.waiting and self.running < self.model.slots:
             run = self.waiting.popleft()
-            kept = self.prefixes.kept(run.prompt)
+            own = self.prefixes.kept(run.prompt)
+            kept = max(own, run.copied)
+            self.copied_tokens += kept - own
             run.unread = run.prompt_tokens - kept
             self._count_reread(run, kept)
             self.prefixes.read(run.prompt)
--- a/benchmarks/emulation/load.py
+++ b/benchmarks/emulation/load.py
@@ -41,7 +41,7 @@
     output_spread: float = 0.5
 
 
-#: Loads of the two deployments of the brief at their busiest.
+#: Loads of three deployments at their busiest.
 SURVEY = (
     Kind("survey-summary", 30, 0.8, 15, 4.1, 0.41, ((1, 512), (89, 4870)), 6610, 382),
     Kind("tile-metadata", 25, 0.4, 12, 1.9, 0.19, ((40, 119), (112, 79)), 628, 292),
@@ -54,6 +54,13 @@
 )
 
 
+RESALE = (
+    Kind("lot-writeup", 70, 0.4, 12, 3.6, 1.1, ((3, 512), (218, 4870)), 6610, 382),
+    Kind("buyer-query", 41, 0.25, 12, 2.3, 0.69, ((40, 119), (192, 79)), 628, 292),
+    Kind("piece-tags", 120, 0.25, 2.5, 0.31, 0.092, ((40, 341), (375, 227)), 1800, 23),
+)
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One request of a caller."""
--- a/benchmarks/emulation/run.py
+++ b/benchmarks/emulation/run.py
@@ -70,8 +70,8 @@
 
     Attributes
     ----------
-    reread : int
-        Tokens of shared parts that were read again.
+    reread, copied : int
+        Tokens of shared parts that were read again, and copied between engines.
     refused_again : float
         Worth of requests that came back and were refused once more.
     decision_time : float
@@ -80,6 +80,7 @@
 
     kinds: dict[str, KindResult]
     reread: int
+    copied: int
     busy: float
     refused_again: float
     decision_time: float
@@ -171,6 +172,7 @@
         return Report(
             self.results,
             sum(engine.reread_tokens for engine in engines),
+            sum(engine.copied_tokens for engine in engines),
             sum(engine.busy for engine in engines) / self.engines / self.seconds,
             self.refused_again,
             spent,
@@ -251,9 +253,15 @@
             request.prompt_tokens,
             request.output_tokens,
             now,
+            self._copied(decision, request),
         )
         self.fleet[decision.endpoint].send(run)
 
+    def _copied(self, decision: Granted, request: Request) -> int:
+        if decision.donor is None:
+            return 0
+        return self.fleet[decision.donor].prefixes.kept(request.prompt)
+
     def _refuse(self, name: str, retry_after: float, now: float) -> None:
         request = self.requests[name]
         if request.retries <= 0:
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -427,7 +427,7 @@
         near = member.data_centre if member is not None else DataCentreId("")
         known = message.call in desk.scheduler.waiting
         desk.scheduler.offer(_offer_of(message, sender, near, now), now)
-        if not known and desk.scheduler.has_room():
+        if not known and desk.scheduler.has_room(now):
             self._decide(desk)
         self._decide_soon(desk, DECIDE_INTERVAL)
         if message.call in desk.scheduler.waiting:
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -14,13 +14,11 @@
     from collections.abc import Iterable
 
     from carawayfold.coordination.offers import Offer
-    from carawayfold.coordination.placement import EndpointLoad
+    from carawayfold.coordination.placement import Backlog, EndpointLoad
 
 #: Tokens below which a copy is not worth its set-up: reading 200 tokens takes an
 #: engine one to two milliseconds.
 LEAST_FETCHED = 200
-#: Recent part of failed answers above which an engine is not asked for a copy.
-FAILING_MOST = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,20 +40,23 @@
         return more if load is not self.load and more >= LEAST_FETCHED else 0
 
 
-def find_donor(offer: Offer, loads: Iterable[EndpointLoad], now: float) -> Donor | None:
+def find_donor(offer: Offer, backlogs: Iterable[Backlog]) -> Donor | None:
     """Return the engine that has read most of a prompt, if any has read enough.
 
     What an engine was only told to read does not count: it may not have begun, and
-    a copy would bring nothing. Nor does one that is silent or fails.
+    a copy would bring nothing.
     """
     if offer.shared_tokens < LEAST_FETCHED:
         return None
+    prompt = offer.prompt
     found: Donor | None = None
-    for load in loads:
-        present = load.prefixes.present(offer.prompt)
-        if present < LEAST_FETCHED or (found is not None and present <= found.kept):
+    most = LEAST_FETCHED - 1
+    for backlog in backlogs:
+        prefixes = backlog.load.prefixes
+        if not backlog.may_donate or prefixes.kept(prompt) <= most:
             continue
-        if load.suspended_until > now or load.failure_share(now) > FAILING_MOST:
-            continue
-        found = Donor(load, present)
+        present = prefixes.present(prompt)
+        if present > most:
+            most = present
+            found = Donor(backlog.load, present)
     return found
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -14,11 +14,13 @@
 from carawayfold.state.prefixes import KeptPrefixes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawayfold.coordination.donors import Donor
     from carawayfold.coordination.offers import Offer
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
-    from carawayfold.state.ids import CallId, RouterId
+    from carawayfold.state.ids import CallId, DataCentreId, EndpointId, RouterId
 
 #: Seconds of reading that may wait in an engine. Less leaves it idle between two
 #: requests, more lets long prompts pile up in front of short ones.
@@ -42,6 +44,8 @@
 FAR_PENALTY = 0.004
 #: Seconds that an endpoint which fails everything is taken to be slower.
 FAILURE_PENALTY = 2.0
+#: Recent part of failed answers above which an engine is not asked for a copy.
+FAILING_MOST = 0.3
 #: Seconds in which the memory of failures is halved.
 FAILURE_HALF_LIFE = 1.5
 #: Weight of the newest measurement in moving averages.
@@ -168,19 +172,68 @@
         return self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Backlog:
-    """Load of an endpoint, with the requests that are meant for it added."""
+    """Load of an endpoint, with the requests that are meant for it added.
+
+    What stays the same while a round of decisions lasts is worked out once: with
+    hundreds of requests waiting, each round weighs each endpoint for dozens of them.
+
+    Attributes
+    ----------
+    slots : float
+        Requests that may run at once.
+    failure : float
+        Seconds that it is taken to be slower for its failures.
+    resting : bool
+        Whether it fell silent and may not be used yet.
+    may_donate : bool
+        Whether others may copy from it what it keeps.
+    """
 
     load: EndpointLoad
+    id: EndpointId
+    data_centre: DataCentreId
+    speed: float
+    residence: float
+    slots: float
+    failure: float
+    resting: bool
+    may_donate: bool
     unread: float
     running: float
     memory: float
 
     @classmethod
-    def of(cls, load: EndpointLoad) -> Backlog:
-        """Return the backlog without any request that still waits."""
-        return cls(load, load.unread, len(load.active), load.memory)
+    def of(cls, load: EndpointLoad, now: float, reachable: bool = True) -> Backlog:
+        """Return the backlog without any request that still waits.
+
+        Parameters
+        ----------
+        load : EndpointLoad
+            The endpoint.
+        now : float
+            Monotonic seconds.
+        reachable : bool
+            Whether all routers reach it, as far as is known: one that some can't
+            connect to may be cut off from other engines too.
+        """
+        failing = load.failure_share(now)
+        resting = load.suspended_until > now
+        return cls(
+            load=load,
+            id=load.endpoint.id,
+            data_centre=load.endpoint.data_centre,
+            speed=load.speed,
+            residence=load.residence,
+            slots=load.endpoint.slots,
+            failure=FAILURE_PENALTY * failing,
+            resting=resting,
+            may_donate=reachable and not resting and failing <= FAILING_MOST,
+            unread=load.unread,
+            running=len(load.active),
+            memory=load.memory,
+        )
 
     def add(self, unread: int, memory: int) -> None:
         """Add a request that is meant for the endpoint."""
@@ -189,7 +242,7 @@
         self.memory += memory
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Choice:
     """An endpoint for a request.
 
@@ -218,80 +271,90 @@
     cost: float
 
 
-def weigh(
-    offer: Offer, backlog: Backlog, share: float, now: float, donor: Donor | None = None
-) -> Choice:
-    """Return what sending `offer` to an endpoint would mean.
+def choose(
+    offer: Offer,
+    backlogs: Iterable[Backlog],
+    donor: Donor | None,
+    share: float,
+    now: float,
+) -> Choice | None:
+    """Return the endpoint that costs `offer` least, None where there is none.
 
     Parameters
     ----------
     offer : Offer
         The request.
-    backlog : Backlog
-        The endpoint's load, requests ahead of this one included.
+    backlogs : iterable of Backlog
+        Loads of the endpoints it may go to, requests ahead of it included.
+    donor : Donor or None
+        The engine from which a kept beginning of the prompt can be copied.
     share : float
-        Part of the endpoint that this scheduler may fill, 0 to 1.
+        Part of each endpoint that this scheduler may fill, 0 to 1.
     now : float
         Monotonic seconds.
-    donor : Donor or None
-        The engine from which a kept beginning of the prompt can be copied.
     """
+    best: Choice | None = None
+    for backlog in backlogs:
+        choice = weigh(offer, backlog, donor, share, now)
+        if best is None or choice.cost < best.cost:
+            best = choice
+    return best
+
+
+def weigh(
+    offer: Offer, backlog: Backlog, donor: Donor | None, share: float, now: float
+) -> Choice:
+    """Return what sending `offer` to one endpoint would mean; see `choose`."""
     load = backlog.load
+    speed = backlog.speed
     kept = load.prefixes.kept(offer.prompt)
     fetched = donor.fetched(load, kept) if donor is not None else 0
     unread = offer.prompt_tokens - kept - fetched
     memory = unread + fetched + offer.output_tokens
-    starts_in = max(
-        _wait_for_reading(backlog, unread, share),
-        _wait_for_slot(backlog, share),
-        _wait_for_memory(backlog, memory, share),
-    )
-    ahead = min(backlog.unread, load.speed * READ_AHEAD)
-    reading = (ahead + unread) / load.speed if offer.prompt_tokens else 0.0
-    base = FIRST_TOKEN if offer.prompt_tokens else load.residence
-    first_in = starts_in + reading + base
-    cost = first_in + FAILURE_PENALTY * load.failure_share(now)
+    starts_in = _wait(backlog, unread, memory, share)
+    first_in = starts_in + _until_first(offer, backlog, unread)
+    cost = first_in + backlog.failure + FETCH_WEIGHT * fetched / speed
     if now + first_in > offer.due:
         cost += LATE_PENALTY
-    cost += REREAD_WEIGHT * _reread(offer, kept + fetched) / load.speed
-    cost += FETCH_WEIGHT * fetched / load.speed
-    if load.endpoint.data_centre != offer.data_centre:
+    reread = offer.shared_tokens - kept - fetched
+    if reread > 0:
+        cost += REREAD_WEIGHT * reread / speed
+    if backlog.data_centre != offer.data_centre:
         cost += FAR_PENALTY
     return Choice(backlog, unread, fetched, memory, starts_in, first_in, cost)
 
 
 def has_room(backlog: Backlog, unread: int, share: float) -> bool:
     """Return whether an endpoint could take a request of `unread` tokens at once."""
-    return (
-        _wait_for_slot(backlog, share) <= 0
-        and _wait_for_reading(backlog, unread, share) <= 0
-    )
-
-
-def _reread(offer: Offer, kept: int) -> int:
-    """Return the tokens of shared parts that would be read."""
-    return max(0, offer.shared_tokens - kept)
-
-
-def _wait_for_reading(backlog: Backlog, unread: int, share: float) -> float:
-    if backlog.unread <= 0:
-        return 0.0
-    speed = backlog.load.speed
-    over = backlog.unread + unread - speed * READ_AHEAD * share
-    return max(0.0, over) / speed
-
-
-def _wait_for_slot(backlog: Backlog, share: float) -> float:
-    load = backlog.load
-    slots = max(1.0, load.endpoint.slots * share)
-    if backlog.running < slots:
-        return 0.0
-    return (backlog.running - slots + 1) * load.residence / slots
-
-
-def _wait_for_memory(backlog: Backlog, memory: int, share: float) -> float:
-    load = backlog.load
-    room = load.memory_tokens * MEMORY_USED * share
-    if not load.memory_tokens or backlog.memory <= 0 or backlog.memory + memory <= room:
-        return 0.0
-    return (backlog.memory + memory - room) / room * load.residence
+    return _wait(backlog, unread, 0, share) <= 0
+
+
+def _until_first(offer: Offer, backlog: Backlog, unread: int) -> float:
+    """Return the seconds from sending a request to its first token."""
+    if not offer.prompt_tokens:
+        return backlog.residence
+    ahead = backlog.unread
+    most = backlog.speed * READ_AHEAD
+    if ahead > most:
+        ahead = most
+    return (ahead + unread) / backlog.speed + FIRST_TOKEN
+
+
+def _wait(backlog: Backlog, unread: int, memory: int, share: float) -> float:
+    """Return the seconds until an endpoint has room to read, a slot and memory."""
+    longest = 0.0
+    if backlog.unread > 0:
+        over = backlog.unread + unread - backlog.speed * READ_AHEAD * share
+        longest = max(longest, over / backlog.speed)
+    slots = backlog.slots * share
+    if slots < 1.0:
+        slots = 1.0
+    if backlog.running >= slots:
+        wait = (backlog.running - slots + 1) * backlog.residence / slots
+        longest = max(longest, wait)
+    if backlog.memory > 0 and memory and backlog.load.memory_tokens:
+        room = backlog.load.memory_tokens * MEMORY_USED * share
+        over = backlog.memory + memory - room
+        if over > 0:
+            longest = max(longest, over / room * backlog.residence)
+    return longest
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -35,13 +35,12 @@
     Backlog,
     Choice,
     EndpointLoad,
+    choose,
     has_room,
-    weigh,
 )
 from carawayfold.state.usage import UsageBook
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.donors import Donor
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId, EndpointId, RouteId, RouterId
@@ -294,7 +293,7 @@
         """Return every grant and every refusal that is due."""
         if not self.waiting:
             return []
-        backlogs = [Backlog.of(load) for load in self.loads.values()]
+        backlogs = self._backlogs(now)
         if now - self.reviewed >= REVIEW_INTERVAL:
             return self._review(backlogs, now)
         decisions: list[Decision] = []
@@ -332,9 +331,9 @@
         tail = self.order[HEAD:]
         if not tail or not backlogs:
             return
-        speed = sum(item.load.speed for item in backlogs)
-        places = sum(item.load.endpoint.slots for item in backlogs)
-        residence = sum(item.load.residence for item in backlogs) / len(backlogs)
+        speed = sum(item.speed for item in backlogs)
+        places = sum(item.slots for item in backlogs)
+        residence = sum(item.residence for item in backlogs) / len(backlogs)
         unread = sum(item.unread for item in backlogs)
         behind = sum(item.running for item in backlogs) - places
         for entry in tail:
@@ -365,9 +364,9 @@
         if decision is not None:
             decisions.append(decision)
 
-    def has_room(self) -> bool:
+    def has_room(self, now: float) -> bool:
         """Return whether any endpoint could take a short request at once."""
-        return self._has_room([Backlog.of(load) for load in self.loads.values()])
+        return self._has_room(self._backlogs(now))
 
     def _has_room(self, backlogs: list[Backlog]) -> bool:
         share = self.plan.share
@@ -376,53 +375,45 @@
     def _decide_one(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> Decision | None:
-        donor = find_donor(offer, self._donors(), now)
-        choices = self._choices(offer, backlogs, donor, now)
-        if not choices:
+        usable = self._usable(offer, backlogs)
+        donor = find_donor(offer, backlogs)
+        share = self._share_of(offer)
+        choice = choose(offer, usable, donor, share, now)
+        if choice is None:
             return self._without_endpoint(offer, now)
-        choice = min(choices, key=lambda item: item.cost)
         if choice.starts_in <= 0:
             self._grant(offer, choice, now)
             choice.backlog.add(choice.unread, choice.memory)
-            return self._granted(offer, choice, donor)
+            named = donor.load.endpoint.id if choice.fetched else None
+            return Granted(offer.call, choice.backlog.id, named)
         if self._is_hopeless(offer, choice.first_in, now):
             return self._turn_away(offer, TOO_LATE, choice.first_in, now)
         choice.backlog.add(choice.unread, choice.memory)
         return None
 
-    def _granted(self, offer: Offer, choice: Choice, donor: Donor | None) -> Granted:
-        named = donor.load.endpoint.id if donor and choice.fetched else None
-        return Granted(offer.call, choice.backlog.load.endpoint.id, named)
+    def _share_of(self, offer: Offer) -> float:
+        """Return the part of each endpoint that a request may fill."""
+        if self.usage.is_owed(offer.organisation, offer.share_tokens):
+            return self.plan.share
+        return self.plan.share * BEYOND_SHARE_PART
 
-    def _donors(self) -> list[EndpointLoad]:
-        """Return the engines that every router reaches, as far as is known.
-
-        One that some router can't connect to may be cut off from engines too.
-        """
+    def _backlogs(self, now: float) -> list[Backlog]:
         lost = {endpoint for _, endpoint in self.unreachable}
-        return [load for name, load in self.loads.items() if name not in lost]
-
-    def _choices(
-        self,
-        offer: Offer,
-        backlogs: list[Backlog],
-        donor: Donor | None,
-        now: float,
-    ) -> list[Choice]:
-        share = self.plan.share
-        if not self.usage.is_owed(offer.organisation, offer.share_tokens):
-            share *= BEYOND_SHARE_PART
         return [
-            weigh(offer, backlog, share, now, donor)
-            for backlog in backlogs
-            if self._may_use(offer, backlog.load, now)
+            Backlog.of(load, now, endpoint not in lost)
+            for endpoint, load in self.loads.items()
         ]
 
-    def _may_use(self, offer: Offer, load: EndpointLoad, now: float) -> bool:
-        endpoint = load.endpoint.id
-        if endpoint in offer.avoid or load.suspended_until > now:
-            return False
-        return (offer.router, endpoint) not in self.unreachable
+    def _usable(self, offer: Offer, backlogs: list[Backlog]) -> list[Backlog]:
+        usable = [item for item in backlogs if not item.resting]
+        if not offer.avoid and not self.unreachable:
+            return usable
+        return [
+            item
+            for item in usable
+            if item.id not in offer.avoid
+            and (offer.router, item.id) not in self.unreachable
+        ]
 
     def _grant(self, offer: Offer, choice: Choice, now: float) -> None:
         load = choice.backlog.load
--- a/tests/coordination/test_donors.py
+++ b/tests/coordination/test_donors.py
@@ -50,9 +50,9 @@
     pool = scheduler(endpoints=2, slots=1)
     first = grant(pool, offer("r.0.1", tokens=5000, now=1.0), 1.0)
     item = offer("r.0.2", tokens=5000, now=1.01, due=1.1)
-    assert find_donor(item, pool.loads.values(), 1.01) is None
+    assert find_donor(item, pool._backlogs(1.01)) is None
     pool.begun("r.0.1", 0.05)
-    found = find_donor(item, pool.loads.values(), 1.06)
+    found = find_donor(item, pool._backlogs(1.06))
     assert found.load.endpoint.id == first.endpoint
 
 
