Fit the wait for first tokens to each engine instead of a constant

Cause: an idle engine was taken to need 0.08 s to a first token everywhere, and the speed was derived with half of that; engines differ from 26 to 60 ms before anything else runs, and objectives from 250 to 1,200 ms.

Change: state/first_tokens.py draws a line of least squares through the waits over the tokens read before them, the last thirty counting most; a weak prior holds it until then; stalls are cut off; the mean error is a metric for each endpoint.

--- /dev/null
+++ b/benchmarks/forward_cost.py
@@ -0,0 +1,107 @@
+"""Processor time that a router spends on a forwarded request and on each event of it.
+
+``python -m benchmarks.forward_cost`` runs one router among stand-ins and reads the
+router's processor time from the system before and after each load.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from benchmarks.hosted import HostedFleet, call, configuration, model_headers
+from benchmarks.processes import Processes
+
+app = typer.Typer(help="Measures what forwarding costs a router.")
+
+#: Requests under way at once; with more, a router beside other work refuses some.
+CONCURRENCY = 6
+#: Events of the shorter and of the longer streams; their difference tells the cost
+#: of one event.
+SHORT = 1
+LONG = 41
+#: Places of user and system time in the fields of ``/proc/PID/stat`` after the name.
+TIME_FIELDS = slice(11, 13)
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Microseconds of processor time of one request and of one event."""
+
+    request: float
+    event: float
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = sum(int(field) for field in fields[TIME_FIELDS])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def prepare(fleet: HostedFleet, profiled: str) -> None:
+    """Start one router and four engines that answer at once."""
+    fleet.configure(configuration())
+    for number in range(4):
+        fleet.start_endpoint(f"m-{number}", "model")
+    fleet.start_router("router-0", profiled=profiled)
+    asyncio.run(fleet.wait_ready("router-0"))
+
+
+async def load(port: int, requests: int, events: int, label: str) -> None:
+    """Send requests, a few at a time."""
+    numbers = iter(range(requests))
+
+    async def one_after_the_other() -> None:
+        for number in numbers:
+            await served(port, f"{label}-{number}", events)
+
+    await asyncio.gather(*(one_after_the_other() for _ in range(CONCURRENCY)))
+
+
+async def served(port: int, name: str, events: int) -> None:
+    """Send one request until it is served; refusals are rare and cost little."""
+    status = 0
+    while status != 200:
+        headers = model_headers(name, events)
+        answer = await call(port, "POST", "/stream/x", b"prompt", headers)
+        status = answer.status
+
+
+def measure(fleet: HostedFleet, requests: int) -> Cost:
+    """Return what a request and an event cost."""
+    port = fleet.ports["router-0"][0]
+    pid = fleet.routers["router-0"].popen.pid
+    asyncio.run(load(port, requests // 4, SHORT, "warm"))
+    spent = []
+    for events in (SHORT, LONG):
+        before = processor_seconds(pid)
+        asyncio.run(load(port, requests, events, f"load-{events}"))
+        spent.append((processor_seconds(pid) - before) / requests * 1e6)
+    event = (spent[1] - spent[0]) / (LONG - SHORT)
+    return Cost(spent[0] - SHORT * event, event)
+
+
+@app.command()
+def main(
+    requests: int = 600,
+    profile: Annotated[str, typer.Option(help="Where to write a profile.")] = "",
+) -> None:
+    """Measure one router."""
+    with Processes() as processes:
+        fleet = HostedFleet(processes)
+        prepare(fleet, profile)
+        cost = measure(fleet, requests)
+        typer.echo(f"request {cost.request:.0f} us, event {cost.event:.0f} us")
+        fleet.routers["router-0"].signal(signal.SIGTERM)
+        fleet.routers["router-0"].popen.wait(20)
+
+
+if __name__ == "__main__":
+    app()
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from carawayfold.state.first_tokens import FirstTokenModel
 from carawayfold.state.prefixes import KeptPrefixes
 
 if TYPE_CHECKING:
@@ -25,8 +26,6 @@
 #: Seconds of reading that may wait in an engine. Less leaves it idle between two
 #: requests, more lets long prompts pile up in front of short ones.
 READ_AHEAD = 0.1
-#: Seconds until the first token of an idle engine, before anything is measured.
-FIRST_TOKEN = 0.08
 #: How much dearer it is to read a shared part again than its time alone: it takes
 #: time from all that runs beside it. In the emulator at full load, 16 reads 45 and
 #: 90 % of the tokens again that 6 does, for the two deployments it knows, and earns
@@ -55,8 +54,6 @@
 MEMORY_USED = 0.92
 #: Seconds that an application request runs, before anything is measured.
 RESIDENCE = 0.05
-#: Tokens that must wait ahead of a request for its first token to tell the speed.
-LEAST_READ = 3000
 
 
 @dataclass(slots=True, eq=False)
@@ -96,8 +93,10 @@
 
     Attributes
     ----------
-    speed : float
-        Tokens that it reads a second.
+    expected_speed : float
+        Tokens that it reads a second, before anything is measured.
+    first_tokens : FirstTokenModel
+        How long it takes to a first token.
     residence : float
         Seconds that a request stays, on average.
     failing : float
@@ -110,7 +109,7 @@
 
     endpoint: Endpoint
     memory_tokens: int
-    speed: float
+    expected_speed: float
     residence: float = RESIDENCE
     failing: float = 0.0
     failing_at: float = 0.0
@@ -120,9 +119,11 @@
     memory: int = 0
     active: dict[CallId, Active] = field(default_factory=dict)
     prefixes: KeptPrefixes = field(init=False)
+    first_tokens: FirstTokenModel = field(init=False)
 
     def __post_init__(self) -> None:
         self.prefixes = KeptPrefixes(self.memory_tokens)
+        self.first_tokens = FirstTokenModel(self.expected_speed)
 
     def add(self, active: Active) -> None:
         """Note that a request goes there."""
@@ -142,10 +143,8 @@
         self.unread -= active.unread
         self.silences = 0
         self.suspended_until = 0.0
-        if active.ahead >= LEAST_READ and waited > FIRST_TOKEN / 2:
-            measured = active.ahead / max(waited - FIRST_TOKEN / 2, FIRST_TOKEN / 4)
-            bounded = min(max(measured, self.speed / 2), self.speed * 2)
-            self.speed += NEWEST * (bounded - self.speed)
+        if waited > 0 and active.unread:
+            self.first_tokens.note(active.ahead, waited)
 
     def remove(self, call: CallId) -> Active | None:
         """Note that a request has left; return it if it was there."""
@@ -195,6 +194,7 @@
     id: EndpointId
     data_centre: DataCentreId
     speed: float
+    first_token: float
     residence: float
     slots: float
     failure: float
@@ -224,7 +224,8 @@
             load=load,
             id=load.endpoint.id,
             data_centre=load.endpoint.data_centre,
-            speed=load.speed,
+            speed=load.first_tokens.speed,
+            first_token=load.first_tokens.first_token,
             residence=load.residence,
             slots=load.endpoint.slots,
             failure=FAILURE_PENALTY * failing,
@@ -337,7 +338,7 @@
     most = backlog.speed * READ_AHEAD
     if ahead > most:
         ahead = most
-    return (ahead + unread) / backlog.speed + FIRST_TOKEN
+    return (ahead + unread) / backlog.speed + backlog.first_token
 
 
 def _wait(backlog: Backlog, unread: int, memory: int, share: float) -> float:
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -48,8 +48,23 @@
         yield CounterMetricFamily(
             "carawayfold_store_calls", "Calls of the store", gateway.store.calls
         )
+        yield self._prediction_errors()
         yield from self._gauges()
 
+    def _prediction_errors(self) -> Metric:
+        """Return how far predicted first tokens miss, where this router decides."""
+        errors = GaugeMetricFamily(
+            "carawayfold_first_token_error_seconds",
+            "Mean error of predicted waits for first tokens",
+            labels=("endpoint",),
+        )
+        for pool, desk in self.gateway.desk.pools.items():
+            if not self.gateway.desk.decides_for(pool):
+                continue
+            for endpoint, load in desk.scheduler.loads.items():
+                errors.add_metric((endpoint,), load.first_tokens.error)
+        return errors
+
     def _gauges(self) -> Iterator[Metric]:
         gateway = self.gateway
         gauges = {
