Encode a heartbeat once for all peers

Cause: each router of a fleet of 67 sends 150 heartbeats a second. Each was gathered, given a timer and encoded for its peer alone.

Ruled out: fewer heartbeats; the interval decides how soon a lost decider is replaced.

Change: PeerSocket.broadcast encodes once and sends at once.

--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -127,8 +127,7 @@
             because of that.
         """
         beat = self.beat()
-        for address in self.addresses.values():
-            self.socket.send(address, beat)
+        self.socket.broadcast(self.addresses.values(), beat)
         self.membership.silence_limit = SILENT_BEATS * self.interval + max(0.0, paused)
         lost = self.membership.expire()
         for router in lost:
--- a/carawayfold/transport/datagrams.py
+++ b/carawayfold/transport/datagrams.py
@@ -17,7 +17,7 @@
 from carawayfold.settings import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from carawayfold.protocol.datagrams import Message
     from carawayfold.state.ids import RouterId
@@ -95,6 +95,16 @@
             self.loop.call_later(GATHER, self._flush, address)
         gathered.append(message)
 
+    def broadcast(self, addresses: Iterable[Address], message: Message) -> None:
+        """Send one message to many peers now, encoded once.
+
+        Heartbeats are most of what a large fleet sends: gathered and encoded for each
+        peer, they took twice the time.
+        """
+        data = encode(Datagram(self.router, self.incarnation, [message]))
+        for address in addresses:
+            self._send_data(address, data)
+
     def _flush(self, address: Address) -> None:
         messages = self.gathered.pop(address, [])
         if messages:
@@ -107,6 +117,9 @@
             self._send_all(address, messages[:half])
             self._send_all(address, messages[half:])
             return
+        self._send_data(address, data)
+
+    def _send_data(self, address: Address, data: bytes) -> None:
         try:
             self.sock.sendto(data, (address.host, address.port))
         except OSError as error:
--- /dev/null
+++ b/tests/transport/test_datagrams.py
@@ -0,0 +1,47 @@
+"""Datagrams between routers over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from carawayfold.protocol.datagrams import Beat, decode
+from carawayfold.settings import Address
+from carawayfold.transport.datagrams import PeerSocket
+
+BEAT = Beat("north", False, 7, 100, 12)
+
+
+def receivers(count):
+    """Return bound sockets and their addresses."""
+    made = []
+    for _ in range(count):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(10)
+        made.append((sock, Address(*sock.getsockname())))
+    return made
+
+
+def test_a_broadcast_reaches_every_peer_though_one_cannot_be_sent_to():
+    peers = receivers(3)
+    addresses = [address for _, address in peers]
+    # No datagram may be sent to this address without a permission.
+    addresses.insert(1, Address("255.255.255.255", 9))
+
+    async def run():
+        peer_socket = PeerSocket("router-0", 5, lambda *_: None)
+        peer_socket.open(Address("127.0.0.1", 0))
+        try:
+            peer_socket.broadcast(addresses, BEAT)
+        finally:
+            peer_socket.close()
+        return peer_socket.sent_datagrams
+
+    sent = asyncio.run(run())
+    got = [decode(sock.recv(65536)) for sock, _ in peers]
+    for sock, _ in peers:
+        sock.close()
+    assert sent == 3
+    assert [item.messages for item in got] == [[BEAT]] * 3
+    assert {(item.sender, item.incarnation) for item in got} == {("router-0", 5)}
