--- /dev/null
+++ b/benchmarks/emulation/ablation.py
@@ -0,0 +1,95 @@
+"""What each mechanism of the scheduler is worth: switched off one by one.
+
+``python -m benchmarks.emulation.ablation resale`` plays the same loads with all
+mechanisms and without each one. The switches are the tool's own: the product has none.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import statistics
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+from benchmarks.emulation.__main__ import net_of, play
+from benchmarks.emulation.deployments import DEPLOYMENTS
+from benchmarks.emulation.run import Policy
+from carawayfold.coordination import donors, placement, scheduler
+from carawayfold.state import usage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from benchmarks.emulation.deployments import EmulatedDeployment
+
+app = typer.Typer(help="Switches mechanisms of the scheduler off, one by one.")
+
+
+@dataclass(frozen=True, slots=True)
+class Mechanism:
+    """One mechanism, and the value of its constant that switches it off."""
+
+    name: str
+    module: Any
+    constant: str
+    off: float
+
+    @contextlib.contextmanager
+    def switched_off(self) -> Iterator[None]:
+        """Switch the mechanism off within a block."""
+        value = getattr(self.module, self.constant)
+        setattr(self.module, self.constant, self.off)
+        try:
+            yield
+        finally:
+            setattr(self.module, self.constant, value)
+
+
+MECHANISMS = (
+    Mechanism("copies between engines", donors, "LEAST_FETCHED", float("inf")),
+    Mechanism("kept prefixes go first", placement, "REREAD_WEIGHT", 0.0),
+    Mechanism("late choices are avoided", placement, "LATE_PENALTY", 0.0),
+    Mechanism("prompts wait here", placement, "READ_AHEAD", 1.0),
+    Mechanism("half for work beyond a share", scheduler, "BEYOND_SHARE_PART", 1.0),
+    Mechanism("the worst served organisation", usage, "BEHIND", 0.0),
+    Mechanism("the worst served kind", scheduler, "LEAST_SERVED", 0.0),
+    Mechanism("long prompts may miss", scheduler, "OWN_READING", 0.0),
+    Mechanism("predictions may miss", scheduler, "PREDICTION_MARGIN", 0.0),
+    Mechanism("late work waits a little", scheduler, "LATE_PATIENCE", 0.0),
+)
+
+
+def net_worth(
+    deployment: EmulatedDeployment, factor: float, seed: int, seconds: float
+) -> float:
+    """Return the net worth of one run under one router that decides."""
+    report = play(deployment, Policy.ONE, factor, seed, seconds, flood=True)
+    return net_of(report, deployment)
+
+
+@app.command()
+def ablate(
+    name: Annotated[str, typer.Argument(help="altiplano, tipanan or resale.")],
+    factor: float = 1.0,
+    seeds: int = 3,
+    seconds: float = 10.0,
+) -> None:
+    """Print the worth with all mechanisms and what it loses without each."""
+    deployment = DEPLOYMENTS[name]
+    numbers = range(1, seeds + 1)
+    whole = [net_worth(deployment, factor, seed, seconds) for seed in numbers]
+    typer.echo(f"{'all':32} {statistics.mean(whole):6.3f}")
+    for mechanism in MECHANISMS:
+        with mechanism.switched_off():
+            without = [net_worth(deployment, factor, seed, seconds) for seed in numbers]
+        lost = [before - after for before, after in zip(whole, without, strict=True)]
+        spread = max(lost) - min(lost)
+        typer.echo(
+            f"{mechanism.name:32} {statistics.mean(lost):+6.3f}  spread {spread:5.3f}"
+        )
+
+
+if __name__ == "__main__":
+    app()
--- a/tests/benchmarks/test_emulation.py
+++ b/tests/benchmarks/test_emulation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from benchmarks.emulation.__main__ import net_of, play
+from benchmarks.emulation.ablation import MECHANISMS
 from benchmarks.emulation.deployments import DEPLOYMENTS
 from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
 from benchmarks.emulation.run import Policy
@@ -63,3 +64,27 @@
         for policy in (Policy.ONE, Policy.FIRST_COME)
     }
     assert worth[Policy.ONE] > worth[Policy.FIRST_COME]
+
+
+def test_a_mechanism_is_switched_off_within_a_block_only():
+    mechanism = MECHANISMS[0]
+    value = getattr(mechanism.module, mechanism.constant)
+    with mechanism.switched_off():
+        assert getattr(mechanism.module, mechanism.constant) == mechanism.off
+    assert getattr(mechanism.module, mechanism.constant) == value
+
+
+def test_every_mechanism_has_a_constant_to_switch():
+    for mechanism in MECHANISMS:
+        assert getattr(mechanism.module, mechanism.constant) != mechanism.off
+
+
+def test_copies_spare_rereads():
+    deployment = DEPLOYMENTS["resale"]
+    with_copies = play(deployment, Policy.ONE, 1.0, 1, SECONDS)
+    with MECHANISMS[0].switched_off():
+        without = play(deployment, Policy.ONE, 1.0, 1, SECONDS)
+    assert with_copies.copied > 0
+    assert without.copied == 0
+    assert with_copies.reread < without.reread / 2
+    assert net_of(with_copies, deployment) > net_of(without, deployment)
