Call the run of an endpoint its incarnation; log the donor of a request

The usual term, as for routers. The line of a request that ended names the engine that its endpoint was told to copy from, so that a slow first token can be explained.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -143,7 +143,7 @@
         self.placed: dict[CallId, Placed] = {}
         self.decided: OrderedDict[CallId, Decision] = OrderedDict()
         self.endpoints: dict[EndpointId, Endpoint] = {}
-        #: Newest lifetime of each endpoint by its name.
+        #: Newest incarnation of each endpoint by its name.
         self.newest: dict[EndpointName, Endpoint] = {}
         self.sent_prefixes: OrderedDict[str, EndpointId] = OrderedDict()
         self.numbers = 0
@@ -158,7 +158,7 @@
         Returns
         -------
         list of Endpoint
-            Those known before that are gone, or whose lifetime is over.
+            Those known before that are gone, or whose incarnation is over.
         """
         before = self.endpoints
         self.newest = dict(table.entries)
@@ -183,7 +183,7 @@
     def is_over(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has started again since."""
         newest = self.newest.get(endpoint.name)
-        return newest is not None and newest.lifetime > endpoint.lifetime
+        return newest is not None and newest.incarnation > endpoint.incarnation
 
     def _plan(
         self, service: ServiceId, routes: RouteTable, members: int, usable: int
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -250,7 +250,7 @@
                     "endpoint": item.name,
                     "service": item.endpoint.service,
                     "leaving": item.endpoint.leaving,
-                    "lifetime": item.endpoint.lifetime,
+                    "incarnation": item.endpoint.incarnation,
                     "new": known is None,
                 },
             )
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -64,6 +64,8 @@
         Loop time at which its caller wants the answer, or its first event.
     resume_after : int or None
         Last whole event that the caller has.
+    donor : EndpointId or None
+        Engine that its endpoint was told to copy kept memory from.
     """
 
     incoming: Incoming
@@ -80,6 +82,7 @@
     status: int = 0
     first_byte: float = 0.0
     waited: float = 0.0
+    donor: EndpointId | None = None
 
 
 class Forwarder:
@@ -248,6 +251,7 @@
             self.desk.ended(granted.call, Outcome.CANCELLED)
             return AttemptEnd.UNREACHABLE
         call.tried.add(granted.endpoint)
+        call.donor = granted.donor
         donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
         request = AttemptRequest(call, endpoint, offer.call, donor)
         attempt = Attempt(self, request)
@@ -358,6 +362,7 @@
                 "route": call.route.id,
                 "organisation": call.organisation,
                 "endpoints": sorted(call.tried),
+                "donor": call.donor or "",
                 "version": self.version,
                 "waited_ms": round(call.waited * 1000, 1),
                 "first_ms": round(first * 1000, 1) if first is not None else None,
--- a/carawayfold/platform/engines.py
+++ b/carawayfold/platform/engines.py
@@ -54,6 +54,6 @@
             listed = msgspec.json.decode(answer.body, type=WireKept)
         except (ExchangeError, msgspec.MsgspecError) as error:
             raise SourceError(str(error)) from error
-        if listed.born and listed.born != endpoint.lifetime:
-            raise SourceError("another lifetime of the endpoint answers")
+        if listed.born and listed.born != endpoint.incarnation:
+            raise SourceError("another incarnation of the endpoint answers")
         return [Part(PartId(part), tokens) for _, part, tokens, _ in listed.held]
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -175,7 +175,7 @@
         slots=wire.slots,
         leaving=wire.state is WireState.DRAINING,
         cold_until=now + wire.cold_remaining_ms / 1000,
-        lifetime=wire.born,
+        incarnation=wire.born,
     )
 
 
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -14,9 +14,9 @@
 #: Seconds after an outage for which a vanished entry counts as vanished in it. What
 #: vanishes later has left, and may be used for two seconds at most.
 LAPSE_READ = 0.5
-#: Names of endpoints that are gone whose newest lifetime is remembered, so that a
+#: Names of endpoints that are gone whose newest incarnation is remembered, so that a
 #: record that was delayed does not bring an older one back.
-LIFETIMES_KEPT = 2000
+INCARNATIONS_KEPT = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,7 @@
         Whether it has announced that it stops.
     cold_until : float
         Monotonic seconds until which it is slow after its start.
-    lifetime : int
+    incarnation : int
         Unix milliseconds of its start; 0 where it does not say.
     """
 
@@ -44,18 +44,18 @@
     slots: int
     leaving: bool = False
     cold_until: float = 0.0
-    lifetime: int = 0
+    incarnation: int = 0
 
     @property
     def id(self) -> EndpointId:
-        """Return what tells this lifetime from others of the same name.
+        """Return what tells this incarnation from others of the same name.
 
         All that is believed of an endpoint is kept by it, so that nothing known of
-        one lifetime is taken for the next, which starts with nothing.
+        one incarnation is taken for the next, which starts with nothing.
         """
-        if not self.lifetime:
+        if not self.incarnation:
             return EndpointId(self.name)
-        return EndpointId(f"{self.name}~{self.lifetime:x}")
+        return EndpointId(f"{self.name}~{self.incarnation:x}")
 
 
 @dataclass(slots=True)
@@ -71,8 +71,8 @@
     lapsed : dict
         Endpoints whose entry vanished in an outage, with the time until which they
         are kept.
-    lifetimes : dict
-        Newest lifetime seen of each name.
+    incarnations : dict
+        Newest incarnation seen of each name.
     outage_end : float
         Monotonic seconds at which the store was last found out of reach.
     """
@@ -80,30 +80,30 @@
     offset: int = 0
     entries: dict[EndpointName, Endpoint] = field(default_factory=dict)
     lapsed: dict[EndpointName, float] = field(default_factory=dict)
-    lifetimes: dict[EndpointName, int] = field(default_factory=dict)
+    incarnations: dict[EndpointName, int] = field(default_factory=dict)
     outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint) -> bool:
         """Add or change an entry; return whether that matters to placement.
 
-        An entry of a lifetime that is over is passed over.
+        An entry of an incarnation that is over is passed over.
         """
-        if endpoint.lifetime < self.lifetimes.get(endpoint.name, 0):
+        if endpoint.incarnation < self.incarnations.get(endpoint.name, 0):
             return False
-        self._note_lifetime(endpoint)
+        self._note_incarnation(endpoint)
         self.lapsed.pop(endpoint.name, None)
         old = self.entries.get(endpoint.name)
-        if old is not None and old.lifetime == endpoint.lifetime:
+        if old is not None and old.incarnation == endpoint.incarnation:
             endpoint = replace(endpoint, cold_until=old.cold_until)
         self.entries[endpoint.name] = endpoint
         return old != endpoint
 
-    def _note_lifetime(self, endpoint: Endpoint) -> None:
-        self.lifetimes[endpoint.name] = endpoint.lifetime
-        if len(self.lifetimes) <= LIFETIMES_KEPT + len(self.entries):
+    def _note_incarnation(self, endpoint: Endpoint) -> None:
+        self.incarnations[endpoint.name] = endpoint.incarnation
+        if len(self.incarnations) <= INCARNATIONS_KEPT + len(self.entries):
             return
-        oldest = next(name for name in self.lifetimes if name not in self.entries)
-        del self.lifetimes[oldest]
+        oldest = next(name for name in self.incarnations if name not in self.entries)
+        del self.incarnations[oldest]
 
     def remove(self, name: EndpointName, now: float) -> bool:
         """Note that an entry is gone; return whether its endpoint goes at once."""
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -12,7 +12,7 @@
 ServiceId = NewType("ServiceId", str)
 #: Name under which an endpoint registers; it outlives the endpoint's restarts.
 EndpointName = NewType("EndpointName", str)
-#: One lifetime of an endpoint, from its start to its end: its name and its start.
+#: One incarnation of an endpoint, from its start to its end: its name and its start.
 EndpointId = NewType("EndpointId", str)
 #: Name of a data centre.
 DataCentreId = NewType("DataCentreId", str)
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -176,16 +176,16 @@
     assert isinstance(play(work), TurnedAway)
 
 
-def restart(desk, table, name, lifetime):
+def restart(desk, table, name, incarnation):
     """Return what is gone once an endpoint has started again under its name."""
-    table.put(endpoint(name, lifetime=lifetime))
+    table.put(endpoint(name, incarnation=incarnation))
     return desk.refresh(table, routes())
 
 
 def test_nothing_known_of_an_endpoint_outlives_its_restart():
     async def work():
         table = EndpointTable()
-        table.put(endpoint("e-0", lifetime=1000))
+        table.put(endpoint("e-0", incarnation=1000))
         desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
         desk.refresh(table, routes())
         scheduler = desk.pools["model/0"].scheduler
@@ -210,10 +210,10 @@
     assert play(work) == (0, 0, 0.0, 0.0)
 
 
-def test_a_decision_for_a_lifetime_that_is_over_names_no_endpoint():
+def test_a_decision_for_a_incarnation_that_is_over_names_no_endpoint():
     async def work():
         table = EndpointTable()
-        table.put(endpoint("e-0", lifetime=1000))
+        table.put(endpoint("e-0", incarnation=1000))
         desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
         desk.refresh(table, routes())
         decision = await desk.place(request(desk, "x"), "model/0")
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -50,13 +50,13 @@
     assert (endpoint.id, endpoint.slots, endpoint.leaving) == ("i-1", 3, True)
 
 
-def test_the_start_of_an_endpoint_tells_its_lifetimes_apart():
+def test_the_start_of_an_endpoint_tells_its_incarnations_apart():
     first, second = (
         records.decode_endpoint("i-1", entry(born=born), 10.0)
         for born in (1760683167168, 1760683190000)
     )
     assert first.name == second.name == "i-1"
-    assert first.lifetime == 1760683167168
+    assert first.incarnation == 1760683167168
     assert first.id != second.id
 
 
--- a/tests/state/test_endpoints.py
+++ b/tests/state/test_endpoints.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from carawayfold.state.endpoints import LAPSE_GRACE, LIFETIMES_KEPT, EndpointTable
+from carawayfold.state.endpoints import INCARNATIONS_KEPT, LAPSE_GRACE, EndpointTable
 from tests.schedule_builders import endpoint
 
 
@@ -68,35 +68,35 @@
 
 def test_a_restart_under_the_same_name_is_another_endpoint():
     table = EndpointTable()
-    table.put(endpoint("a", lifetime=1000, cold_until=50.0))
-    assert table.put(endpoint("a", lifetime=2000, cold_until=70.0))
-    assert [item.lifetime for item in table.usable("model")] == [2000]
+    table.put(endpoint("a", incarnation=1000, cold_until=50.0))
+    assert table.put(endpoint("a", incarnation=2000, cold_until=70.0))
+    assert [item.incarnation for item in table.usable("model")] == [2000]
     assert table.entries["a"].cold_until == 70.0
 
 
-def test_a_delayed_record_of_an_earlier_lifetime_changes_nothing():
+def test_a_delayed_record_of_an_earlier_incarnation_changes_nothing():
     table = EndpointTable()
-    table.put(endpoint("a", lifetime=2000))
-    assert not table.put(endpoint("a", lifetime=1000, leaving=True))
-    assert [item.lifetime for item in table.usable("model")] == [2000]
+    table.put(endpoint("a", incarnation=2000))
+    assert not table.put(endpoint("a", incarnation=1000, leaving=True))
+    assert [item.incarnation for item in table.usable("model")] == [2000]
     table.remove("a", 5.0)
-    assert not table.put(endpoint("a", lifetime=1000))
+    assert not table.put(endpoint("a", incarnation=1000))
     assert names(table) == []
 
 
-def test_the_memory_of_lifetimes_is_bounded():
+def test_the_memory_of_incarnations_is_bounded():
     table = EndpointTable()
-    for number in range(3 * LIFETIMES_KEPT):
-        table.put(endpoint(f"e-{number}", lifetime=1))
+    for number in range(3 * INCARNATIONS_KEPT):
+        table.put(endpoint(f"e-{number}", incarnation=1))
         table.remove(f"e-{number}", 5.0)
-    assert len(table.lifetimes) <= LIFETIMES_KEPT + 1
+    assert len(table.incarnations) <= INCARNATIONS_KEPT + 1
 
 
 def test_a_lapsed_endpoint_that_started_again_is_the_new_one():
     table = EndpointTable()
-    table.put(endpoint("a", lifetime=1000))
+    table.put(endpoint("a", incarnation=1000))
     table.note_outage(5.0)
     table.remove("a", 5.2)
-    table.put(endpoint("a", lifetime=2000))
+    table.put(endpoint("a", incarnation=2000))
     assert table.expire(5.2 + 2 * LAPSE_GRACE) == []
-    assert [item.lifetime for item in table.usable("model")] == [2000]
+    assert [item.incarnation for item in table.usable("model")] == [2000]
