Give what is known of an endpoint a module of its own; name the fields of a rank

placement.py held the memory of an endpoint beside the weighing of it; a rank was a tuple of seven booleans and numbers. No behaviour changes.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -17,8 +17,8 @@
 import logbook
 
 from carawayfold.coordination.division import choose, divide
+from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import Granted, Offer, Outcome, TurnedAway
-from carawayfold.coordination.placement import Active
 from carawayfold.coordination.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.datagrams import (
     BegunMessage,
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -13,8 +13,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawayfold.coordination.endpoint_load import EndpointLoad
     from carawayfold.coordination.offers import Offer
-    from carawayfold.coordination.placement import Backlog, EndpointLoad
+    from carawayfold.coordination.placement import Backlog
 
 #: Tokens below which a copy is not worth its set-up: reading 200 tokens takes an
 #: engine one to two milliseconds.
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -17,11 +17,12 @@
 import math
 from bisect import insort
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
 from carawayfold.coordination.donors import find_donor
+from carawayfold.coordination.endpoint_load import Active, EndpointLoad
 from carawayfold.coordination.offers import (
     GENERATED_WEIGHT,
     Decision,
@@ -30,14 +31,7 @@
     Outcome,
     TurnedAway,
 )
-from carawayfold.coordination.placement import (
-    Active,
-    Backlog,
-    Choice,
-    EndpointLoad,
-    choose,
-    has_room,
-)
+from carawayfold.coordination.placement import Backlog, Choice, choose, has_room
 from carawayfold.state.usage import UsageBook
 
 if TYPE_CHECKING:
@@ -109,11 +103,32 @@
         return self.granted / self.offered if self.offered else 1.0
 
 
-#: What a request's place in the queue is judged by, the least first: whether its
-#: organisation has got as much as others, whether it is beyond that one's share,
-#: whether it is late already, its priority, whether its kind gets enough, its worth
-#: for the engine's time (negated), and when its caller wants the answer.
-Rank = tuple[bool, bool, bool, int, bool, int, float]
+class Rank(NamedTuple):
+    """What a request's place in the queue is judged by, the least first.
+
+    Attributes
+    ----------
+    enough : bool
+        Whether its organisation has got about as much as others.
+    beyond_share : bool
+        Whether it is beyond its organisation's share.
+    late : bool
+        Whether it misses its objective already.
+    kind_enough : bool
+        Whether its kind of request is served about as often as all are.
+    lightness : int
+        The less, the more it is worth for the engine's time.
+    due : float
+        When its caller wants the answer.
+    """
+
+    enough: bool
+    beyond_share: bool
+    late: bool
+    priority: int
+    kind_enough: bool
+    lightness: int
+    due: float
 
 
 @dataclass(slots=True, order=True)
@@ -470,14 +485,14 @@
         owed = self.usage.is_owed(offer.organisation, offer.share_tokens)
         late = now >= offer.due
         enough = self.served[offer.route].part() >= LEAST_SERVED * overall
-        return (
-            not self.usage.is_behind(offer.organisation),
-            not owed,
-            late,
-            offer.priority,
-            enough,
-            -offer.density,
-            offer.due,
+        return Rank(
+            enough=not self.usage.is_behind(offer.organisation),
+            beyond_share=not owed,
+            late=late,
+            priority=offer.priority,
+            kind_enough=enough,
+            lightness=-offer.density,
+            due=offer.due,
         )
 
     def _density(self, offer: Offer) -> int:
--- a/tests/coordination/test_donors.py
+++ b/tests/coordination/test_donors.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from carawayfold.coordination.donors import LEAST_FETCHED, find_donor
+from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import Granted, Outcome
-from carawayfold.coordination.placement import Active
 from carawayfold.protocol.exchanges import Part
 from tests.schedule_builders import offer, scheduler
 
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
-from carawayfold.coordination.placement import Active
 from carawayfold.coordination.scheduler import HEAD, REVIEW_INTERVAL, Scheduler
 from carawayfold.protocol.exchanges import Part
 from tests.schedule_builders import endpoint, offer, scheduler
