Keep two more names of the platform's wire in its folder

The names of an endpoint's start and of the engine to copy from join the list of the boundary test. Ruled out: leaving them to review. No behaviour changes; the test passes.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -27,6 +27,8 @@
     "log-newest",
     "keyed.",
     "kv-list",
+    "born",
+    headers.COPY_FROM,
     headers.API_KEY,
     headers.ORGANISATION,
     headers.EXPECTED_ENDPOINT,
