Let large fleets meet at three hubs a data centre; ask the next in line where one is silent

Each of 195 starts cleared who decides and offered everything again on each router. Ruled out: rarer heartbeats (a loss told later still); pure gossip (deciders must be known to all, others need not be known at all); deciders that beat to everyone (14 KB/s is exceeded at 360 nodes: 3,600 datagrams a second of each). Change: above 32 routers three hubs a data centre, the strongest, hear each other and the hubs of others; leaves beat to their hubs twice a second and are told who the hubs are when that changed or a fingerprint differs. Routers that hear no hub beat to everyone near and choose. Only hubs decide. A decider that leaves four offers unanswered is passed over for a second and the next in line asked, which looks at once whether that one is gone; one that two do not answer decides alone at once. A stand-in fills its part of each endpoint only. Found by the simulated fleet while it was built, each a test or a scenario there: a storm of answers to rosters; routers that were listed early and knew nobody; two hubs that never met; a leaf and its hubs that disagreed on who tells it; a stopping hub that told a decayed view.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -2,8 +2,8 @@
 
 One router decides for each pool. A request is offered to it in a datagram, again and
 again until it answers. One that does not answer in time, because it is cut off,
-frozen or dead, is replaced for that request by the scheduler of this router, which
-then fills only its part of each endpoint.
+frozen or dead, is replaced by the next in line. Where that one does not answer either
+the scheduler of this router decides, which then fills only its part of each endpoint.
 """
 
 from __future__ import annotations
@@ -34,7 +34,6 @@
 from carawayfold.protocol.exchanges import Part
 from carawayfold.state.ids import (
     CallId,
-    DataCentreId,
     EndpointId,
     EndpointName,
     PoolId,
@@ -54,13 +53,13 @@
 #: Seconds between offers of a request to a scheduler that has not answered; a round
 #: trip between data centres takes under 3 ms, and a busy router some 10 ms more.
 OFFER_AGAIN = 0.025
-#: Offers without an answer after which this router decides for itself.
+#: Offers without an answer after which the next in line decides.
 OFFERS_MOST = 4
 #: Seconds between words to the scheduler that a request still waits. More often,
 #: and a queue of 300 fills the scheduler's time with words about itself; heartbeats
 #: tell sooner that the scheduler is gone.
 WAITING_AGAIN = 0.4
-#: Such words without an answer after which this router decides for itself.
+#: Such words without an answer after which the next in line decides.
 WAITING_MOST = 1
 #: Seconds between lists of what this router has at the endpoints.
 HOLDING_INTERVAL = 0.25
@@ -199,7 +198,7 @@
 
     def decides_for(self, pool: PoolId) -> bool:
         """Return whether this router decides for a pool."""
-        return self.fleet.responsible(pool) == self.fleet.own.router
+        return self.fleet.leader(pool) == self.fleet.own.router
 
     def pool_for(self, service: ServiceId, prompt: tuple[Part, ...]) -> PoolId:
         """Return the pool of `service` that requests with this prefix go to."""
@@ -238,23 +237,31 @@
             return
         granter = self.fleet.responsible(ticket.pool)
         most = WAITING_MOST if ticket.queued else OFFERS_MOST
-        if granter == self.fleet.own.router or ticket.unanswered >= most:
-            self._decide_here(ticket, granter)
+        if granter != self.fleet.own.router and ticket.unanswered >= most:
+            granter = self._pass_over(ticket, granter)
+        if granter == self.fleet.own.router:
+            self._decide_here(ticket)
             return
         ticket.unanswered += 1
         self.fleet.send(granter, _offer_message(ticket, self.loop.time()))
         wait = WAITING_AGAIN if ticket.queued else OFFER_AGAIN
         ticket.timer = self.loop.call_later(wait, self._offer, ticket)
 
-    def _decide_here(self, ticket: Ticket, granter: RouterId) -> None:
+    def _pass_over(self, ticket: Ticket, granter: RouterId) -> RouterId:
+        """Leave a router that does not answer; return who decides instead."""
+        self._note_unanswered(granter)
+        self.fleet.send(granter, WithdrawMessage(ticket.pool, ticket.offer.call))
+        self.fleet.unanswered(granter)
+        ticket.unanswered = 0
+        ticket.queued = False
+        return self.fleet.responsible(ticket.pool)
+
+    def _decide_here(self, ticket: Ticket) -> None:
         desk = self.pools.get(ticket.pool)
         if desk is None:
             reason = "the service has no endpoints"
             ticket.answered.set_result(TurnedAway(ticket.offer.call, reason, 1.0))
             return
-        if not ticket.local and granter != self.fleet.own.router:
-            self._note_unanswered(granter)
-            self.fleet.send(granter, WithdrawMessage(ticket.pool, ticket.offer.call))
         ticket.local = True
         desk.scheduler.offer(ticket.offer, self.loop.time())
         self._decide(desk)
@@ -383,7 +390,7 @@
         now = self.loop.time()
         scheduler = desk.scheduler
         leads = self.decides_for(desk.id)
-        share = 1.0 if leads else 1.0 / max(1, len(self.fleet.live()))
+        share = 1.0 if leads else self.fleet.stand_in_share()
         scheduler.plan = replace(scheduler.plan, share=share)
         for decision in scheduler.decide(now):
             self._announce(decision)
@@ -423,10 +430,10 @@
         if desk is None:
             return
         now = self.loop.time()
-        member = self.fleet.membership.members.get(sender)
-        near = member.data_centre if member is not None else DataCentreId("")
+        if not self.decides_for(message.pool):
+            self.fleet.doubt(self.fleet.leader(message.pool))
         known = message.call in desk.scheduler.waiting
-        desk.scheduler.offer(_offer_of(message, sender, near, now), now)
+        desk.scheduler.offer(_offer_of(message, sender, now), now)
         if not known and desk.scheduler.has_room(now):
             self._decide(desk)
         self._decide_soon(desk, DECIDE_INTERVAL)
@@ -515,16 +522,15 @@
         expires=round((offer.expires - now) * 1000),
         avoid=list(offer.avoid),
         kept_at=offer.kept_at,
+        data_centre=offer.data_centre,
     )
 
 
-def _offer_of(
-    message: OfferMessage, router: RouterId, near: DataCentreId, now: float
-) -> Offer:
+def _offer_of(message: OfferMessage, router: RouterId, now: float) -> Offer:
     return Offer(
         call=message.call,
         router=router,
-        data_centre=near,
+        data_centre=message.data_centre,
         organisation=message.organisation,
         route=message.route,
         priority=message.priority,
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -372,8 +372,7 @@
             await backoff.wait()
             continue
         backoff.reset()
-        for other in page.items:
-            fleet.learn(other)
+        fleet.learn(page.items)
         fleet.listed.set()
         pause = DIRECTORY_INTERVAL_PER_ROUTER * len(fleet.addresses)
         await asyncio.sleep(max(DIRECTORY_INTERVAL, pause))
@@ -394,13 +393,13 @@
 def is_reader(fleet: Fleet) -> bool:
     """Return whether this router should read the store.
 
-    In a large fleet the first routers of each data centre by rendezvous hashing read
-    for the others, who follow them by their heartbeats. One whose readers have all
-    lost the store reads for itself.
+    In a large fleet the first hubs of each data centre by rendezvous hashing read for
+    the others, who follow them by their heartbeats. One whose readers have all lost
+    the store reads for itself.
     """
-    near = fleet.near(fleet.own.data_centre)
-    if len(fleet.live()) <= ALL_READ or len(near) <= READERS:
+    if fleet.size <= ALL_READ:
         return True
+    near = [item for item in fleet.near(fleet.own.data_centre) if item.hub]
     readers = [item.router for item in rank("store", near)[:READERS]]
     if fleet.own.router in readers:
         return True
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -271,7 +271,7 @@
 
     def _check_repeat(self, call: ForwardedCall, end: AttemptEnd) -> None:
         """Raise the final answer unless a further attempt is allowed."""
-        routers = len(self.desk.fleet.addresses) + 1
+        routers = self.desk.fleet.size
         now = self.loop.time()
         if may_repeat(call.route, call.attempts) and self.budget.take(
             call.service, routers, now
--- /dev/null
+++ b/carawayfold/coordination/hubs.py
@@ -0,0 +1,57 @@
+"""Which routers of a large fleet hear each other: those of a data centre meet at hubs.
+
+The load it answers: hundreds of routers, most of them on small instances. If each one
+beat to each other one, heartbeats would take more of a small instance than callers do,
+or would have to be so rare that a lost router is noticed after seconds. So in each data
+centre a few routers, the hubs, hear each other and the hubs of other data centres
+often, and all others, the leaves, beat to the hubs of their data centre and are told by
+them which hubs there are. Only hubs decide for others, since everyone knows them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from carawayfold.coordination.membership import PeerState, rank, strongest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawayfold.coordination.membership import Member
+    from carawayfold.state.ids import RouterId
+
+#: Routers up to which all beat to all: with an interval of 0.27 s for 32 of them,
+#: heartbeats take 240 datagrams a second, sent and taken, of a router.
+MESH_MOST = 32
+#: Hubs of a data centre: the loss of two at the same moment leaves one.
+HUBS = 3
+#: What the members are ranked by as hubs.
+SUBJECT = "hub"
+
+
+def choose_hubs(members: Iterable[Member]) -> list[Member]:
+    """Return who should be the hubs among the live members of one data centre.
+
+    The strongest instances, and of equal ones the first by rendezvous hashing: a member
+    that comes or goes changes one place at most.
+    """
+    left = [item for item in members if item.state is PeerState.LIVE]
+    chosen: list[Member] = []
+    while left and len(chosen) < HUBS:
+        strong = strongest(left)
+        chosen += rank(SUBJECT, strong)[: HUBS - len(chosen)]
+        left = [item for item in left if item not in strong]
+    return chosen
+
+
+def main_hub(router: RouterId, hubs: list[Member]) -> RouterId | None:
+    """Return which of its data centre's hubs tells a leaf about the others."""
+    return rank(router, hubs)[0].router if hubs else None
+
+
+def fingerprint(hubs: Iterable[Member]) -> int:
+    """Return a number that is equal where the same hubs are known."""
+    rows = sorted(f"{item.router}|{item.incarnation}" for item in hubs)
+    return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> 1
--- a/carawayfold/coordination/membership.py
+++ b/carawayfold/coordination/membership.py
@@ -11,7 +11,7 @@
 from carawayfold.state.ids import DataCentreId, RouterId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
 #: Least silence limit, in seconds.
 SILENCE_LIMIT = 2.0
@@ -41,6 +41,10 @@
         When a frame of it last arrived, in seconds of the monotonic clock.
     processor : int
         What its processor can do, in hundredths of a usual core.
+    hub : bool
+        Whether others meet at it and it decides for them; in a small fleet all do.
+    told : bool
+        Whether it is known from what a hub told, not by its own heartbeats.
     """
 
     router: RouterId
@@ -49,6 +53,8 @@
     heard: float
     state: PeerState = PeerState.LIVE
     processor: int = 100
+    hub: bool = True
+    told: bool = False
 
 
 class Membership:
@@ -94,15 +100,23 @@
         member.heard = self.clock()
         member.state = PeerState.STOPPING if stopping else PeerState.LIVE
 
-    def expire(self) -> list[RouterId]:
-        """Mark peers that have been silent too long and return them."""
+    def expire(self, limit: Callable[[Member], float] | None = None) -> list[RouterId]:
+        """Mark peers that have been silent too long and return them.
+
+        Parameters
+        ----------
+        limit : callable, optional
+            Returns the seconds for which a member may be silent; `silence_limit` for
+            all without it.
+        """
         now = self.clock()
         silent = [
             member
             for member in self.members.values()
             if member is not self.own
             and member.state is not PeerState.SILENT
-            and now - member.heard > self.silence_limit
+            and not member.told
+            and now - member.heard > (limit(member) if limit else self.silence_limit)
         ]
         for member in silent:
             member.state = PeerState.SILENT
@@ -122,10 +136,15 @@
         ]
         return sorted(members, key=lambda member: member.router)
 
-    def responsible(self, subject: str, data_centre: str = "") -> RouterId:
+    def responsible(
+        self,
+        subject: str,
+        data_centre: str = "",
+        leaving_out: Container[RouterId] = (),
+    ) -> RouterId:
         """Return the router that looks after `subject`, by rendezvous hashing.
 
-        Only the strongest ones do.
+        Only the strongest hubs do.
 
         Parameters
         ----------
@@ -133,15 +152,18 @@
             A pool, or the writing of checkpoints.
         data_centre : str
             Preferred data centre; others serve only if it has no live router.
+        leaving_out : container of RouterId
+            Routers that are passed over.
 
         Returns
         -------
         RouterId
             The same on every router that sees the same members.
         """
-        live = self.live() or [self.own]
+        hubs = [member for member in self.live() if member.hub]
+        live = [item for item in hubs if item.router not in leaving_out] or [self.own]
         near = [member for member in live if member.data_centre == data_centre]
-        return rank(subject, _strong(near or live))[0].router
+        return rank(subject, strongest(near or live))[0].router
 
 
 def rank(subject: str, members: list[Member]) -> list[Member]:
@@ -149,7 +171,8 @@
     return sorted(members, key=lambda member: _weight(subject, member), reverse=True)
 
 
-def _strong(members: list[Member]) -> list[Member]:
+def strongest(members: list[Member]) -> list[Member]:
+    """Return the members that are about as strong as the strongest of them."""
     least = STRONG_PART * max(member.processor for member in members)
     return [member for member in members if member.processor >= least]
 
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -159,7 +159,11 @@
     def _entry(self) -> PeerEntry:
         own = self.settings
         return PeerEntry(
-            own.router, own.data_centre, own.peer_listen.host, own.peer_listen.port
+            own.router,
+            own.data_centre,
+            own.peer_listen.host,
+            own.peer_listen.port,
+            own.processor,
         )
 
     async def _follow_store(self) -> None:
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -34,6 +34,13 @@
         Milliseconds since the store last answered it.
     processor : int
         What its processor can do, in hundredths of a usual core.
+    hub : bool
+        Whether others meet at it and it decides for them.
+    size : int
+        Routers that it knows of, itself included; 0 where it does not say.
+    roster : int
+        Fingerprint of the hubs that it knows, for the hub that tells it about them;
+        0 for others.
     """
 
     data_centre: DataCentreId
@@ -42,6 +49,9 @@
     endpoints_offset: int
     store_age: int
     processor: int = 100
+    hub: bool = True
+    size: int = 0
+    roster: int = 0
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -59,6 +69,7 @@
     expires: int
     avoid: list[EndpointId] = []
     kept_at: EndpointId | None = None
+    data_centre: DataCentreId = DataCentreId("")
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -123,6 +134,23 @@
     held: list[Held]
 
 
+class HubEntry(msgspec.Struct, array_like=True, frozen=True):
+    """One hub, as another one knows it; see `Beat`."""
+
+    router: RouterId
+    host: str
+    port: int
+    incarnation: int
+    processor: int
+
+
+class RosterMessage(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """The hubs of one data centre that take new work; those not named are none."""
+
+    data_centre: DataCentreId
+    hubs: list[HubEntry]
+
+
 Message = (
     Beat
     | OfferMessage
@@ -133,6 +161,7 @@
     | BegunMessage
     | EndedMessage
     | HoldingMessage
+    | RosterMessage
 )
 
 
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -35,12 +35,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerEntry:
-    """A router's own entry: where its peers reach it."""
+    """A router's own entry: where its peers reach it.
+
+    Attributes
+    ----------
+    processor : int
+        What its processor can do, in hundredths of a usual core.
+    """
 
     router: RouterId
     data_centre: DataCentreId
     host: str
     port: int
+    processor: int = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/carawayfold/transport/datagrams.py
+++ b/carawayfold/transport/datagrams.py
@@ -58,12 +58,15 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.gathered: dict[Address, list[Message]] = {}
+        #: Where peers reach this router; known once it is open.
+        self.address = Address("", 0)
         self.sent_bytes = 0
         self.sent_datagrams = 0
 
     def open(self, address: Address) -> None:
         """Bind the socket."""
         self.sock.bind((address.host, address.port))
+        self.address = address
         self.loop.add_reader(self.sock.fileno(), self._read)
 
     def _read(self) -> None:
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -11,6 +11,7 @@
 from carawayfold.coordination.division import POOL_SIZE
 from carawayfold.coordination.membership import Member, Membership
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
+from carawayfold.coordination.suspects import Suspects
 from carawayfold.protocol.datagrams import Datagram, decode, encode
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
@@ -39,6 +40,8 @@
     """Routers that all hear each other, as one of them sees it."""
 
     def __init__(self, wire, name, names):
+        self.suspects = Suspects()
+        self.doubted = []
         self.wire = wire
         self.own = Member(name, "north", 1, 0.0)
         loop = asyncio.get_running_loop()
@@ -53,9 +56,24 @@
     def live(self):
         return self.membership.live()
 
-    def responsible(self, subject):
+    def leader(self, subject):
         return self.membership.responsible(subject)
 
+    def responsible(self, subject):
+        if self.suspects.alone():
+            return self.own.router
+        until = self.suspects.until
+        return self.membership.responsible(subject, leaving_out=until)
+
+    def unanswered(self, router):
+        self.suspects.note(router, 0.0)
+
+    def doubt(self, router):
+        self.doubted.append(router)
+
+    def stand_in_share(self):
+        return 1.0 / len(self.live())
+
 
 def routes():
     services = {"model": ServiceConfig("model", "/", 100, 600_000)}
@@ -128,6 +146,47 @@
     assert share == 0.5
 
 
+def test_the_next_in_line_decides_when_the_decider_is_cut_off():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c", "d"])
+        first = decider(made)
+        wire.cut.add(first)
+        asking = next(name for name in made if name != first)
+        fleet = made[asking].fleet
+        second = fleet.membership.responsible("model/0", leaving_out={first})
+        asking = next(name for name in made if name not in (first, second))
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await made[asking].place(request(made[asking], "x"), "model/0")
+        waited = loop.time() - begun
+        begun = loop.time()
+        await made[asking].place(request(made[asking], "y"), "model/0")
+        again = loop.time() - begun
+        scheduler = made[second].pools["model/0"].scheduler
+        held = sum(len(load.active) for load in scheduler.loads.values())
+        doubted = set(made[second].fleet.doubted)
+        return held, waited > again, doubted == {first}, scheduler.plan.share
+
+    assert play(work) == (2, True, True, 0.25)
+
+
+def test_a_router_that_nobody_answers_decides_alone_after_two():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c", "d"])
+        asking = next(name for name in made if name != decider(made))
+        wire.cut.add(asking)
+        await made[asking].place(request(made[asking], "x"), "model/0")
+        sent = wire.sent
+        decision = await made[asking].place(request(made[asking], "y"), "model/0")
+        return decision, wire.sent - sent
+
+    decision, sent = play(work)
+    assert isinstance(decision, Granted)
+    assert sent == 0
+
+
 def test_a_withdrawn_request_frees_what_it_was_granted():
     async def work():
         wire = Wire()
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -54,7 +54,7 @@
     return SimpleNamespace(
         own=next(item for item in members if item.router == own),
         beats=beats,
-        live=lambda: members,
+        size=count,
         near=lambda place: [item for item in members if item.data_centre == place],
     )
 
@@ -197,6 +197,7 @@
     return SimpleNamespace(
         own=own,
         addresses=names,
+        size=peers + 1,
         beats={},
         listed=listed,
         pick_known=lambda: next(iter(names)),
--- /dev/null
+++ b/tests/simulated_fleet.py
@@ -0,0 +1,204 @@
+"""A fleet in one process: a simulated clock and network, real heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections import Counter
+from dataclasses import dataclass, field
+
+from carawayfold.coordination.fleet import Fleet
+from carawayfold.coordination.membership import Member, PeerState
+from carawayfold.protocol.datagrams import Beat, Datagram, decode, encode
+from carawayfold.protocol.sources import PeerEntry
+from carawayfold.settings import Address
+
+#: Seconds that a datagram takes.
+DELAY = 0.001
+#: Seconds within which all routers of a fleet start.
+START_SPREAD = 0.3
+#: Seconds from a router's start until it has read the entries.
+LISTING_DELAY = 0.02
+#: Hundredths of a usual core: one strong instance in so many, and the others.
+STRONG_EACH = 13
+STRONG = 215
+WEAK = 52
+
+
+class JumpingSelector(selectors.DefaultSelector):
+    """Waits by moving the clock."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout=None):
+        if timeout:
+            self.now += timeout
+        return super().select(0)
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """A loop whose waits take no time."""
+
+    def __init__(self) -> None:
+        self.jumping = JumpingSelector()
+        super().__init__(self.jumping)
+
+    def time(self):
+        return self.jumping.now
+
+
+def simulate(work):
+    """Run the coroutine that `work` returns on a simulated clock."""
+    loop = SimulatedLoop()
+    try:
+        return loop.run_until_complete(work())
+    finally:
+        loop.close()
+
+
+class SimulatedSocket:
+    """Sends datagrams over the network of a `SimulatedFleet`."""
+
+    def __init__(self, net, router, incarnation, address):
+        self.net = net
+        self.router = router
+        self.incarnation = incarnation
+        self.address = address
+
+    def send(self, address, message):
+        self.broadcast([address], message)
+
+    def broadcast(self, addresses, message):
+        data = encode(Datagram(self.router, self.incarnation, [message]))
+        for address in addresses:
+            self.net.carry(self, address, data)
+
+
+@dataclass
+class SimulatedFleet:
+    """Routers, and what the network does to their datagrams.
+
+    Attributes
+    ----------
+    loss : float
+        Part of the datagrams that is lost.
+    dead : set of str
+        Routers that neither send nor take anything.
+    apart : set of str
+        Data centres that only hear themselves.
+    sent, sent_bytes : Counter
+        Datagrams and their bytes by sender.
+    """
+
+    seed: int = 1
+    loss: float = 0.0
+    dead: set[str] = field(default_factory=set)
+    apart: set[str] = field(default_factory=set)
+    routers: dict[str, Fleet] = field(default_factory=dict)
+    places: dict[str, str] = field(default_factory=dict)
+    entries: dict[str, PeerEntry] = field(default_factory=dict)
+    sent: Counter = field(default_factory=Counter)
+    sent_bytes: Counter = field(default_factory=Counter)
+    taken: Counter = field(default_factory=Counter)
+    changes: Counter = field(default_factory=Counter)
+    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.draw = random.Random(self.seed)
+        random.seed(self.seed)
+        self.loop = asyncio.get_running_loop()
+
+    def carry(self, socket, address, data):
+        sender, receiver = socket.router, address.host
+        self.sent[sender] += 1
+        self.sent_bytes[sender] += len(data)
+        parted = {self.places[sender], self.places.get(receiver)} & self.apart
+        if parted and self.places[sender] != self.places.get(receiver):
+            return
+        if sender in self.dead or self.draw.random() < self.loss:
+            return
+        source = Address(sender, 1)
+        self.loop.call_later(DELAY, self.deliver, receiver, data, source)
+
+    def deliver(self, receiver, data, source):
+        if receiver in self.dead or receiver not in self.routers:
+            return
+        self.taken[receiver] += 1
+        self.routers[receiver].take(decode(data), source)
+
+    def start(self, name, place, processor, after=0.0):
+        """Start a router that reads the entries a little later."""
+        self.places[name] = place
+        self.tasks[name] = self.loop.create_task(self.run(name, processor, after))
+
+    async def run(self, name, processor, after):
+        await asyncio.sleep(after)
+        incarnation = self.draw.getrandbits(62)
+        place = self.places[name]
+        own = Member(name, place, incarnation, self.loop.time(), processor=processor)
+        socket = SimulatedSocket(self, name, incarnation, Address(name, 1))
+
+        def beat():
+            return Beat(place, own.state is PeerState.STOPPING, 1, 1, 0, processor)
+
+        def changed():
+            self.changes[name] += 1
+
+        fleet = self.routers[name] = Fleet(socket, own, beat, changed)
+        self.entries[name] = PeerEntry(name, place, name, 1, processor)
+        beating = self.loop.create_task(fleet.keep_beating())
+        await asyncio.sleep(LISTING_DELAY)
+        fleet.learn(list(self.entries.values()))
+        await beating
+
+    def kill(self, *names):
+        """End routers without a word."""
+        for name in names:
+            self.dead.add(name)
+            self.tasks.pop(name).cancel()
+            self.routers.pop(name, None)
+
+    def leaders(self, subject, place=None):
+        """Return who leads on a subject, by those that think so."""
+        return Counter(
+            fleet.leader(subject)
+            for name, fleet in self.routers.items()
+            if place in (None, self.places[name])
+        )
+
+    def roles(self):
+        return Counter(fleet.role for fleet in self.routers.values())
+
+    def hubs(self, place):
+        return {
+            name
+            for name, fleet in self.routers.items()
+            if fleet.own.hub and self.places[name] == place
+        }
+
+    async def until(self, condition, most):
+        """Return the seconds until `condition` holds, or None after `most`."""
+        begun = self.loop.time()
+        while self.loop.time() - begun < most:
+            if condition():
+                return self.loop.time() - begun
+            await asyncio.sleep(0.01)
+        return None
+
+    async def close(self):
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+
+def started(count, places, seed=1, loss=0.0):
+    """Return a fleet of `count` routers that start at about the same moment."""
+    fleet = SimulatedFleet(seed=seed, loss=loss)
+    for number in range(count):
+        processor = STRONG if (number // places) % STRONG_EACH == 0 else WEAK
+        after = fleet.draw.uniform(0, START_SPREAD)
+        fleet.start(f"r-{number}", f"dc-{number % places}", processor, after)
+    return fleet
