--- a/carawayfold/coordination/attempts.py
+++ b/carawayfold/coordination/attempts.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.coordination.repeats import AttemptEnd
 from carawayfold.protocol.events import NumberedEvents
 from carawayfold.state.routes import RouteKind
@@ -35,8 +36,7 @@
 SUCCESS = range(200, 300)
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRequest:
+class AttemptRequest(msgspec.Struct, frozen=True):
     """What to send where."""
 
     call: ForwardedCall
--- a/carawayfold/coordination/claims.py
+++ b/carawayfold/coordination/claims.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import logbook
@@ -45,8 +44,7 @@
 ANSWERS_LIMIT = 8 << 20
 
 
-@dataclass(slots=True, eq=False)
-class OwnClaim:
+class OwnClaim(msgspec.Struct, eq=False):
     """A claim that this router has made.
 
     Attributes
@@ -65,12 +63,11 @@
     appended: bool = False
 
 
-@dataclass(slots=True)
-class Pending:
+class Pending(msgspec.Struct):
     """What the next append will carry."""
 
-    claims: dict[int, OwnClaim] = field(default_factory=dict)
-    ends: list[EndRecord] = field(default_factory=list)
+    claims: dict[int, OwnClaim] = msgspec.field(default_factory=dict)
+    ends: list[EndRecord] = msgspec.field(default_factory=list)
 
 
 class Claims:
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -10,11 +10,11 @@
 
 import asyncio
 from collections import OrderedDict
-from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from carawayfold.coordination.division import choose, divide
 from carawayfold.coordination.endpoint_load import Active
@@ -77,8 +77,7 @@
 PREFIXES_KEPT = 4000
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
+class Ticket(msgspec.Struct, eq=False):
     """A request that waits for a decision, or has one.
 
     Attributes
@@ -102,8 +101,7 @@
     timer: asyncio.TimerHandle | None = None
 
 
-@dataclass(slots=True, eq=False)
-class Placed:
+class Placed(msgspec.Struct, eq=False):
     """A request that this router has at an endpoint."""
 
     pool: PoolId
@@ -111,8 +109,7 @@
     endpoint: EndpointId
 
 
-@dataclass(slots=True, eq=False)
-class PoolDesk:
+class PoolDesk(msgspec.Struct, eq=False):
     """One pool, and this router's scheduler for it."""
 
     id: PoolId
@@ -387,11 +384,13 @@
         if desk.due is not None:
             desk.due.cancel()
             desk.due = None
+        if not desk.scheduler.waiting:
+            return
         now = self.loop.time()
         scheduler = desk.scheduler
         leads = self.decides_for(desk.id)
         share = 1.0 if leads else self.fleet.stand_in_share()
-        scheduler.plan = replace(scheduler.plan, share=share)
+        scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
         for decision in scheduler.decide(now):
             self._announce(decision)
         if scheduler.waiting:
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -22,8 +23,7 @@
 LEAST_FETCHED = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Donor:
+class Donor(msgspec.Struct, frozen=True):
     """An engine that keeps the beginning of a prompt.
 
     Attributes
--- a/carawayfold/coordination/endpoint_load.py
+++ b/carawayfold/coordination/endpoint_load.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.state.first_tokens import FirstTokenModel
 from carawayfold.state.prefixes import KeptPrefixes
 
@@ -21,8 +23,7 @@
 RESIDENCE = 0.05
 
 
-@dataclass(slots=True, eq=False)
-class Active:
+class Active(msgspec.Struct, eq=False):
     """A request at an endpoint.
 
     Attributes
--- a/carawayfold/coordination/exchange.py
+++ b/carawayfold/coordination/exchange.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from carawayfold.coordination.dispatch import GRANT_LIFETIME
 from carawayfold.coordination.membership import PeerState
@@ -44,8 +44,7 @@
 FORGET_AFTER = 600.0
 
 
-@dataclass(slots=True)
-class Granting:
+class Granting(msgspec.Struct):
     """A pool that this router grants.
 
     Attributes
@@ -60,7 +59,7 @@
 
     granter: PoolGranter
     since: float
-    reported: set[RouterId] = field(default_factory=set)
+    reported: set[RouterId] = msgspec.field(default_factory=set)
     settled: bool = False
 
 
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -159,6 +159,16 @@
         """Return the live routers of a data centre."""
         return [item for item in self.live() if item.data_centre == data_centre]
 
+    def expected_hubs(self) -> list[RouterId]:
+        """Return who should be the hubs of this data centre, by the entries."""
+        place = self.own.data_centre
+        listed = [
+            _listed_member(item)
+            for item in self.entries.values()
+            if item.data_centre == place
+        ]
+        return [item.router for item in choose_hubs([*listed, self.own])]
+
     def near_hubs(self) -> list[Member]:
         """Return the other hubs of this data centre."""
         near = self.near(self.own.data_centre)
@@ -451,9 +461,7 @@
         by_place: dict[DataCentreId, list[Member]] = {}
         for entry in self.entries.values():
             if entry.data_centre not in left_out:
-                member = Member(
-                    entry.router, entry.data_centre, 0, 0.0, processor=entry.processor
-                )
+                member = _listed_member(entry)
                 by_place.setdefault(entry.data_centre, []).append(member)
         names: list[RouterId] = []
         for members in by_place.values():
@@ -659,3 +667,8 @@
         self.leaves_told_at = 0.0
         self._beat_to_all()
         self._changed()
+
+
+def _listed_member(entry: PeerEntry) -> Member:
+    """Return a router as its entry tells of it, before it is heard."""
+    return Member(entry.router, entry.data_centre, 0, 0.0, processor=entry.processor)
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+import random
 from typing import TYPE_CHECKING
 
 import logbook
@@ -47,9 +47,9 @@
 #: more than one a second.
 DIRECTORY_INTERVAL_PER_ROUTER = 1.0
 #: Seconds for which a router that starts in a large fleet looks for a peer that
-#: tells it everything before it reads the store: the peers that started with it
-#: have read by then.
-ADOPTION_PATIENCE = 1.0
+#: tells it everything before it reads the store: the hubs that started with it, on
+#: instances as slow as its own, have read by then.
+ADOPTION_PATIENCE = 2.0
 #: Seconds that it waits for the routers' entries before that: two calls of the
 #: store take some ten milliseconds.
 LISTING_PATIENCE = 0.3
@@ -58,8 +58,10 @@
 #: Seconds for which a router that was told everything does not read the store, until
 #: it has heard who the readers are: two heartbeats of a large fleet.
 SETTLING = 1.2
-#: Routers of a data centre that read the store for the others once there are more
-#: than `ALL_READ` routers: two, so that the loss of one delays nothing.
+#: Routers of a data centre that look after reading the store for the others once
+#: there are more than `ALL_READ` routers: the first reads, the next one stands by.
+#: While one that is lost is being replaced, the hubs of other data centres tell what
+#: theirs have read. At their start all of them read.
 READERS = 2
 #: Routers up to which each one reads the store for itself.
 ALL_READ = 12
@@ -94,8 +96,7 @@
     endpoints: list[Endpoint]
 
 
-@dataclass(slots=True)
-class Backoff:
+class Backoff(msgspec.Struct):
     """Growing pauses between calls of a store that fails."""
 
     pause: float = RETRY_WAIT
@@ -111,8 +112,7 @@
         await asyncio.sleep(pause)
 
 
-@dataclass(slots=True)
-class StoreHealth:
+class StoreHealth(msgspec.Struct):
     """How the store answers this router.
 
     Attributes
@@ -224,7 +224,9 @@
     def snapshot(self) -> EndpointSnapshot:
         """Return the endpoints for a peer, without times of this process's clock."""
         entries = self.endpoints.entries.values()
-        known = [replace(endpoint, cold_until=0.0) for endpoint in entries]
+        known = [
+            msgspec.structs.replace(endpoint, cold_until=0.0) for endpoint in entries
+        ]
         return EndpointSnapshot(self.endpoints.offset, known)
 
     def expire(self) -> None:
@@ -393,8 +395,8 @@
 def is_reader(fleet: Fleet) -> bool:
     """Return whether this router should read the store.
 
-    In a large fleet the first hubs of each data centre by rendezvous hashing read for
-    the others, who follow them by their heartbeats. One whose readers have all lost
+    In a large fleet the first hub of each data centre by rendezvous hashing reads for
+    the others, who follow it by its heartbeats. One before whom all readers have lost
     the store reads for itself.
     """
     if fleet.size <= ALL_READ:
@@ -402,7 +404,9 @@
     near = [item for item in fleet.near(fleet.own.data_centre) if item.hub]
     readers = [item.router for item in rank("store", near)[:READERS]]
     if fleet.own.router in readers:
-        return True
+        readers = readers[: readers.index(fleet.own.router)]
+        if not readers:
+            return True
     ages = [fleet.beats[name].store_age for name in readers if name in fleet.beats]
     return not ages or min(ages) > READER_STALE_MS
 
@@ -441,19 +445,49 @@
             logger.info("routers not listed in time")
             return
         end = loop.time() + ADOPTION_PATIENCE
+        if self.fleet.own.router in self._first_readers():
+            return
         while len(self.fleet.addresses) >= ALL_READ and loop.time() < end:
-            await self._ask_any(self.fleet.pick_known())
+            await self._ask_any(self._pick_told())
             if self.knowledge.complete:
                 self.settled_at = loop.time() + SETTLING
                 return
             await asyncio.sleep(ADOPTION_INTERVAL)
 
+    def _first_readers(self) -> list[RouterId]:
+        """Return who of this data centre reads the store first, by the entries."""
+        return self.fleet.expected_hubs()[:READERS]
+
+    def _pick_told(self) -> RouterId:
+        """Return a peer that knows something, as far as it is heard, or may soon."""
+        told = [name for name, beat in self.fleet.beats.items() if beat.version]
+        expected = [name for name in told or self._first_readers()]
+        reached = [name for name in expected if name in self.fleet.addresses]
+        return random.choice(reached) if reached else self.fleet.pick_known()
+
     async def _ask_any(self, router: RouterId) -> None:
         if self.knowledge.routes is None:
             await self._ask(router, CONFIGURATION_PATH)
         if not self.knowledge.listed:
             await self._ask(router, ENDPOINTS_PATH)
 
+    def information_age(self) -> float:
+        """Return the seconds since the store told this router all it then knew.
+
+        Also by way of a peer that knows nothing newer.
+        """
+        now = asyncio.get_running_loop().time()
+        known = self.knowledge
+        ages = [now - known.store.answered]
+        for name, beat in self.fleet.beats.items():
+            ahead = beat.version > known.version
+            if ahead or beat.endpoints_offset > known.endpoints.offset:
+                continue
+            member = self.fleet.membership.members.get(name)
+            if member is not None and beat.version:
+                ages.append(now - member.heard + beat.store_age / 1000)
+        return min(ages)
+
     def may_read(self) -> bool:
         """Return whether this router should read the store."""
         if asyncio.get_running_loop().time() < self.settled_at:
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from carawayfold.coordination.attempts import Attempt, AttemptRequest
 from carawayfold.coordination.offers import Granted, Offer, Outcome, TurnedAway
@@ -52,8 +52,7 @@
 }
 
 
-@dataclass(slots=True, eq=False)
-class ForwardedCall:
+class ForwardedCall(msgspec.Struct, eq=False):
     """One request of a caller.
 
     Attributes
@@ -77,8 +76,8 @@
     ends_at: float
     due: float
     resume_after: int | None
-    attempts: Attempts = field(default_factory=Attempts)
-    tried: set[EndpointId] = field(default_factory=set)
+    attempts: Attempts = msgspec.field(default_factory=Attempts)
+    tried: set[EndpointId] = msgspec.field(default_factory=set)
     status: int = 0
     first_byte: float = 0.0
     waited: float = 0.0
--- a/carawayfold/coordination/health.py
+++ b/carawayfold/coordination/health.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -23,8 +24,7 @@
 LONGEST_REST = 8.0
 
 
-@dataclass(slots=True)
-class EndpointHealth:
+class EndpointHealth(msgspec.Struct):
     """Experience with one endpoint.
 
     Attributes
--- a/carawayfold/coordination/membership.py
+++ b/carawayfold/coordination/membership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from carawayfold.state.ids import DataCentreId, RouterId
@@ -29,8 +29,7 @@
     SILENT = "silent"
 
 
-@dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """One router of the fleet.
 
     Attributes
--- a/carawayfold/coordination/offers.py
+++ b/carawayfold/coordination/offers.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.ids import (
@@ -89,8 +91,7 @@
     UNREACHABLE = "unreachable"
 
 
-@dataclass(frozen=True, slots=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True):
     """A request may go to an endpoint.
 
     Attributes
@@ -105,8 +106,7 @@
     donor: EndpointId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class TurnedAway:
+class TurnedAway(msgspec.Struct, frozen=True):
     """A request can't be served in time.
 
     Attributes
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -48,8 +49,7 @@
 MEMORY_USED = 0.92
 
 
-@dataclass(slots=True, eq=False)
-class Backlog:
+class Backlog(msgspec.Struct, eq=False):
     """Load of an endpoint, with the requests that are meant for it added.
 
     What stays the same while a round of decisions lasts is worked out once: with
@@ -120,8 +120,7 @@
         self.memory += memory
 
 
-@dataclass(slots=True, eq=False)
-class Choice:
+class Choice(msgspec.Struct, eq=False):
     """An endpoint for a request.
 
     Attributes
--- a/carawayfold/coordination/pool.py
+++ b/carawayfold/coordination/pool.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.state.ids import EndpointId, OrganisationId, PoolId, RouterId
 from carawayfold.state.order import RankOrder
 
@@ -23,8 +24,7 @@
 PROMISED_AGE = 0.01
 
 
-@dataclass(frozen=True, slots=True)
-class PoolSpec:
+class PoolSpec(msgspec.Struct, frozen=True):
     """Which endpoints a pool holds.
 
     Attributes
@@ -39,8 +39,7 @@
     slots: dict[EndpointId, int]
 
 
-@dataclass(slots=True)
-class GrantRecord:
+class GrantRecord(msgspec.Struct):
     """A grant that its holder has not acknowledged yet."""
 
     sequence: int
@@ -48,8 +47,7 @@
     organisation: OrganisationId
 
 
-@dataclass(slots=True)
-class Demand:
+class Demand(msgspec.Struct):
     """Waiting work of one organisation at one holder.
 
     Attributes
@@ -73,14 +71,13 @@
         return self.count - self.promised
 
 
-@dataclass(slots=True)
-class Holder:
+class Holder(msgspec.Struct):
     """What the granter knows of one router that holds requests."""
 
-    demands: dict[OrganisationId, Demand] = field(default_factory=dict)
-    in_flight: dict[EndpointId, int] = field(default_factory=dict)
-    health: dict[EndpointId, float] = field(default_factory=dict)
-    pending: deque[GrantRecord] = field(default_factory=deque)
+    demands: dict[OrganisationId, Demand] = msgspec.field(default_factory=dict)
+    in_flight: dict[EndpointId, int] = msgspec.field(default_factory=dict)
+    health: dict[EndpointId, float] = msgspec.field(default_factory=dict)
+    pending: deque[GrantRecord] = msgspec.field(default_factory=deque)
     basis_ms: int = 0
 
     def can_reach(self, endpoint: EndpointId) -> bool:
@@ -88,8 +85,7 @@
         return self.health.get(endpoint, 1.0) > 0
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True):
     """A slot given to one organisation's work at one holder."""
 
     holder: RouterId
--- a/carawayfold/coordination/relay.py
+++ b/carawayfold/coordination/relay.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol.sse import EventScanner
 from carawayfold.transport.client import ExchangeError, Phase
@@ -34,8 +35,7 @@
 SECOND_COST = 1000.0
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True):
     """An answer that was received to its end.
 
     Attributes
--- a/carawayfold/coordination/repeats.py
+++ b/carawayfold/coordination/repeats.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.errors import ErrorKind, Ran, Refusal
 
 if TYPE_CHECKING:
@@ -26,8 +27,7 @@
     UNREACHABLE = "unreachable"
 
 
-@dataclass(slots=True)
-class Attempts:
+class Attempts(msgspec.Struct):
     """What became of a request so far.
 
     Attributes
--- a/carawayfold/coordination/reporting.py
+++ b/carawayfold/coordination/reporting.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.state.ids import EndpointId, OrganisationId, RouterId, ServiceId
 
 if TYPE_CHECKING:
@@ -24,8 +25,7 @@
 HOLD_BACK = 0.05
 
 
-@dataclass(slots=True)
-class KnownDemand:
+class KnownDemand(msgspec.Struct):
     """Demand as the granter knows it.
 
     Attributes
@@ -44,8 +44,7 @@
         return self.left <= count * COUNT_FACTOR and count <= self.left * COUNT_FACTOR
 
 
-@dataclass(slots=True)
-class SentReport:
+class SentReport(msgspec.Struct):
     """What one pool's granter was last told.
 
     Attributes
@@ -62,12 +61,12 @@
 
     granter: RouterId
     link: Link
-    waiting: dict[OrganisationId, KnownDemand] = field(default_factory=dict)
-    uses: dict[EndpointId, tuple[int, int]] = field(default_factory=dict)
-    dirty: set[OrganisationId] = field(default_factory=set)
+    waiting: dict[OrganisationId, KnownDemand] = msgspec.field(default_factory=dict)
+    uses: dict[EndpointId, tuple[int, int]] = msgspec.field(default_factory=dict)
+    dirty: set[OrganisationId] = msgspec.field(default_factory=set)
     acknowledged: int = 0
     told: int = 0
-    held_back: dict[OrganisationId, float] = field(default_factory=dict)
+    held_back: dict[OrganisationId, float] = msgspec.field(default_factory=dict)
 
 
 class Reporter:
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
 import xxhash
 
 from carawayfold.coordination.donors import find_donor
@@ -86,8 +87,7 @@
 SHORT_REQUEST = 300
 
 
-@dataclass(slots=True)
-class Served:
+class Served(msgspec.Struct):
     """How much of a kind of request was offered and granted, fading with time."""
 
     offered: float = 0.0
@@ -142,8 +142,7 @@
     offer: Offer = field(compare=False)
 
 
-@dataclass(frozen=True, slots=True)
-class PoolPlan:
+class PoolPlan(msgspec.Struct, frozen=True):
     """What a scheduler has to work with.
 
     Attributes
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -6,7 +6,6 @@
 import contextlib
 import random
 import signal
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import logbook
@@ -69,6 +68,8 @@
 IDLE_INTERVAL = 1.0
 #: Seconds between looks at how late the loop runs.
 PRESSURE_INTERVAL = 0.05
+#: The same while no request is under way.
+IDLE_PRESSURE_INTERVAL = 0.2
 
 
 class Gateway:
@@ -185,8 +186,10 @@
         """Measure for ever how late the loop runs."""
         loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + PRESSURE_INTERVAL
-            await asyncio.sleep(PRESSURE_INTERVAL)
+            idle = not self.forwarder.calls and not self.pressure.part
+            interval = IDLE_PRESSURE_INTERVAL if idle else PRESSURE_INTERVAL
+            due = loop.time() + interval
+            await asyncio.sleep(interval)
             now = loop.time()
             was_busy = self.pressure.is_busy(now)
             self.pressure.note(now - due, now)
@@ -242,7 +245,9 @@
             return
         taken = read.ok
         self.forwarder.budget.bounds = taken.budget
-        self.settings = replace(self.settings, stop_grace=taken.stop_grace)
+        self.settings = msgspec.structs.replace(
+            self.settings, stop_grace=taken.stop_grace
+        )
         logger.info("settings taken", extra={"stop_grace": taken.stop_grace})
 
     def begin_stop(self) -> None:
@@ -271,13 +276,12 @@
     # What the router knows
 
     def _beat(self) -> Beat:
-        age = asyncio.get_running_loop().time() - self.knowledge.store.answered
         return Beat(
             self.settings.data_centre,
             self.fleet.own.state is PeerState.STOPPING,
             self.knowledge.version,
             self.knowledge.endpoints.offset,
-            round(age * 1000),
+            round(self.relay.information_age() * 1000),
             self.settings.processor,
         )
 
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from expression import Ok, Result
 
 from carawayfold.settings import (
@@ -49,8 +49,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
+class GatewaySettings(msgspec.Struct, frozen=True):
     """Checked settings; see `TABLE` for units and meaning."""
 
     router: RouterId
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -6,7 +6,6 @@
 import base64
 import binascii
 import struct
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import logbook
@@ -54,8 +53,7 @@
 LOGGED_LENGTH = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
+class Record(msgspec.Struct, frozen=True):
     """One record of a topic with keys; `value` is None where the key was dropped.
 
     Bytes of a key that are no text are kept as escapes, so that they match no key.
--- a/carawayfold/protocol/callers.py
+++ b/carawayfold/protocol/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 
@@ -24,8 +23,7 @@
 PASSED_ON = ("content-type", "accept", "accept-language", "range")
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct, frozen=True):
     """One request of a caller.
 
     Attributes
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -31,7 +31,7 @@
     endpoints_offset : int
         How far it has read registrations of endpoints.
     store_age : int
-        Milliseconds since the store last answered it.
+        Milliseconds since the store last answered it, or a peer that told it all.
     processor : int
         What its processor can do, in hundredths of a usual core.
     hub : bool
--- a/carawayfold/protocol/exchanges.py
+++ b/carawayfold/protocol/exchanges.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 if TYPE_CHECKING:
     from carawayfold.errors import Refusal
     from carawayfold.state.endpoints import Endpoint
@@ -14,16 +15,14 @@
 HeaderList = list[tuple[str, str]]
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """A part of a prompt, which other requests may share."""
 
     id: PartId
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(msgspec.Struct, frozen=True):
     """What a request's headers say.
 
     Attributes
@@ -56,8 +55,7 @@
     forwarded: HeaderList
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
+class Load(msgspec.Struct, frozen=True):
     """What an endpoint says of its load."""
 
     running: int
@@ -65,8 +63,7 @@
     slots: int
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(msgspec.Struct, frozen=True):
     """What the head of an endpoint's answer says.
 
     Attributes
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
+import msgspec
+
 from carawayfold.state.ids import DataCentreId, EndpointName, RouterId
 
 if TYPE_CHECKING:
@@ -25,16 +26,14 @@
     """The records asked for are no longer kept; read the newest ones instead."""
 
 
-@dataclass(frozen=True, slots=True)
-class Registered:
+class Registered(msgspec.Struct, frozen=True):
     """An endpoint's entry was written, or is gone where `endpoint` is None."""
 
     name: EndpointName
     endpoint: Endpoint | None
 
 
-@dataclass(frozen=True, slots=True)
-class PeerEntry:
+class PeerEntry(msgspec.Struct, frozen=True):
     """A router's own entry: where its peers reach it.
 
     Attributes
@@ -50,8 +49,7 @@
     processor: int = 100
 
 
-@dataclass(frozen=True, slots=True)
-class Page(Generic[T]):
+class Page(msgspec.Struct, Generic[T], frozen=True):
     """What was read from a source.
 
     Attributes
--- a/carawayfold/settings.py
+++ b/carawayfold/settings.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import json5
+import msgspec
 from expression import Error, Ok, Result
 
 if TYPE_CHECKING:
@@ -18,8 +18,7 @@
 LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
 
 
-@dataclass(frozen=True, slots=True)
-class Setting:
+class Setting(msgspec.Struct, frozen=True):
     """One row of the settings table.
 
     Attributes
@@ -148,8 +147,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
+class Address(msgspec.Struct, frozen=True):
     """An IP number and a TCP port."""
 
     host: str
@@ -165,8 +163,7 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(msgspec.Struct, frozen=True):
     """Checked settings of one router; see `TABLE` for units and meaning."""
 
     router: str
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.state.usage import WindowSum
 
 if TYPE_CHECKING:
@@ -15,8 +16,7 @@
 USED_PART = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetBounds:
+class BudgetBounds(msgspec.Struct, frozen=True):
     """The fleet's bounds on repeats to a service.
 
     Attributes
@@ -34,12 +34,11 @@
     window: float = 10.0
 
 
-@dataclass(slots=True)
-class ServiceBudget:
+class ServiceBudget(msgspec.Struct):
     """Requests and repeats of one service within the window."""
 
-    requests: WindowSum = field(default_factory=WindowSum)
-    repeats: WindowSum = field(default_factory=WindowSum)
+    requests: WindowSum = msgspec.field(default_factory=WindowSum)
+    repeats: WindowSum = msgspec.field(default_factory=WindowSum)
 
 
 class RetryBudget:
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+import msgspec
 
 from carawayfold.settings import Address
 from carawayfold.state.ids import DataCentreId, EndpointId, EndpointName, ServiceId
@@ -19,8 +19,7 @@
 INCARNATIONS_KEPT = 2000
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(msgspec.Struct, frozen=True):
     """One registered endpoint.
 
     Attributes
@@ -58,8 +57,7 @@
         return EndpointId(f"{self.name}~{self.incarnation:x}")
 
 
-@dataclass(slots=True)
-class EndpointTable:
+class EndpointTable(msgspec.Struct):
     """Registered endpoints of all services.
 
     Attributes
@@ -78,9 +76,9 @@
     """
 
     offset: int = 0
-    entries: dict[EndpointName, Endpoint] = field(default_factory=dict)
-    lapsed: dict[EndpointName, float] = field(default_factory=dict)
-    incarnations: dict[EndpointName, int] = field(default_factory=dict)
+    entries: dict[EndpointName, Endpoint] = msgspec.field(default_factory=dict)
+    lapsed: dict[EndpointName, float] = msgspec.field(default_factory=dict)
+    incarnations: dict[EndpointName, int] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint) -> bool:
@@ -94,7 +92,7 @@
         self.lapsed.pop(endpoint.name, None)
         old = self.entries.get(endpoint.name)
         if old is not None and old.incarnation == endpoint.incarnation:
-            endpoint = replace(endpoint, cold_until=old.cold_until)
+            endpoint = msgspec.structs.replace(endpoint, cold_until=old.cold_until)
         self.entries[endpoint.name] = endpoint
         return old != endpoint
 
--- a/carawayfold/state/ledger.py
+++ b/carawayfold/state/ledger.py
@@ -11,9 +11,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -29,8 +30,7 @@
 FORGIVEN_ABOVE = 20.0
 
 
-@dataclass(slots=True)
-class Account:
+class Account(msgspec.Struct):
     """What the ledger knows of one organisation.
 
     Attributes
--- a/carawayfold/state/metrics.py
+++ b/carawayfold/state/metrics.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
@@ -26,8 +26,7 @@
     return HdrHistogram(LEAST_MS, MOST_MS, DIGITS)
 
 
-@dataclass(slots=True)
-class OrganisationMetrics:
+class OrganisationMetrics(msgspec.Struct):
     """What is measured of one organisation.
 
     Attributes
@@ -42,8 +41,8 @@
         Service units received.
     """
 
-    wait: HdrHistogram = field(default_factory=new_histogram)
-    first: HdrHistogram = field(default_factory=new_histogram)
+    wait: HdrHistogram = msgspec.field(default_factory=new_histogram)
+    first: HdrHistogram = msgspec.field(default_factory=new_histogram)
     whole: int = 0
     refused: int = 0
     broken: int = 0
--- a/carawayfold/state/patience.py
+++ b/carawayfold/state/patience.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+
+import msgspec
 
 #: Times left that are remembered of a route before all counts are halved.
 REMEMBERED = 400
@@ -13,8 +14,7 @@
 LEAST_PART = 0.04
 
 
-@dataclass(slots=True)
-class Patience:
+class Patience(msgspec.Struct):
     """Times that callers of one route had left, in milliseconds.
 
     Callers begin with a fixed time, so a time that comes up again and again is one
@@ -22,7 +22,7 @@
     change that without callers knowing.
     """
 
-    counts: Counter[int] = field(default_factory=Counter)
+    counts: Counter[int] = msgspec.field(default_factory=Counter)
     total: int = 0
 
     def waited(self, left: float) -> float:
--- a/carawayfold/state/pressure.py
+++ b/carawayfold/state/pressure.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 #: Samples of which the least delay counts: a process that stood still as a whole,
 #: such as a suspended instance, has one late sample.
@@ -32,8 +33,7 @@
 CALM_AFTER = 2.0
 
 
-@dataclass(slots=True)
-class PressureGauge:
+class PressureGauge(msgspec.Struct):
     """The part of requests to refuse, from the newest delays of the loop.
 
     Attributes
@@ -43,7 +43,7 @@
     """
 
     part: float = 0.0
-    delays: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    delays: deque[float] = msgspec.field(default_factory=lambda: deque(maxlen=SAMPLES))
     drawn: float = 0.0
     busy_at: float = float("-inf")
 
--- a/carawayfold/state/queue.py
+++ b/carawayfold/state/queue.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from carawayfold.errors import ErrorKind, Refusal
 
 if TYPE_CHECKING:
@@ -18,8 +19,7 @@
 NORMAL_EVERY = 5
 
 
-@dataclass(slots=True, eq=False)
-class Waiter:
+class Waiter(msgspec.Struct, eq=False):
     """One request that waits for a slot.
 
     Attributes
@@ -49,12 +49,11 @@
     avoid: frozenset[EndpointId] = frozenset()
 
 
-@dataclass(slots=True)
-class OrganisationQueue:
+class OrganisationQueue(msgspec.Struct):
     """Waiting requests of one organisation, in two classes."""
 
-    urgent: deque[Waiter] = field(default_factory=deque)
-    normal: deque[Waiter] = field(default_factory=deque)
+    urgent: deque[Waiter] = msgspec.field(default_factory=deque)
+    normal: deque[Waiter] = msgspec.field(default_factory=deque)
     taken: int = 0
 
     def __len__(self) -> int:
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from carawayfold.state.ids import OrganisationId, RouteId, ServiceId
 
 #: Organisation of requests on routes that need no key.
@@ -19,16 +20,14 @@
     NON_IDEMPOTENT = "non-idempotent"
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(msgspec.Struct, frozen=True):
     """One of the services that share a route's requests."""
 
     service: ServiceId
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Where requests of a host and path prefix go, and within which limits.
 
     Attributes
@@ -82,8 +81,7 @@
         return self.services[-1].service
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceConfig:
+class ServiceConfig(msgspec.Struct, frozen=True):
     """What the operators say of a service.
 
     Attributes
@@ -107,8 +105,7 @@
         return self.memory_tokens > 0
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Operators' limits on what callers send; times in seconds."""
 
     head_bytes: int = 16384
@@ -117,8 +114,7 @@
     idle_timeout: float = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(msgspec.Struct, frozen=True):
     """One version of the configuration.
 
     Attributes
--- a/carawayfold/state/service_rows.py
+++ b/carawayfold/state/service_rows.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -18,8 +19,7 @@
 SEEN_LIFETIME = 30.0
 
 
-@dataclass(slots=True)
-class OwnRow:
+class OwnRow(msgspec.Struct):
     """What this router has measured for one organisation at one service.
 
     Attributes
@@ -40,8 +40,7 @@
     born: int = 0
 
 
-@dataclass(slots=True)
-class RowCursor:
+class RowCursor(msgspec.Struct):
     """How far a reader has come.
 
     Attributes
@@ -104,8 +103,7 @@
             yield service, organisation, row
 
 
-@dataclass(slots=True)
-class SeenRow:
+class SeenRow(msgspec.Struct):
     """A peer's row as last heard.
 
     Attributes
--- a/carawayfold/state/usage.py
+++ b/carawayfold/state/usage.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -41,12 +42,11 @@
     return float("inf")
 
 
-@dataclass(slots=True)
-class WindowSum:
+class WindowSum(msgspec.Struct):
     """Sum of the amounts noted within a window."""
 
     total: float = 0.0
-    entries: deque[tuple[float, float]] = field(default_factory=deque)
+    entries: deque[tuple[float, float]] = msgspec.field(default_factory=deque)
 
     def add(self, now: float, amount: float) -> None:
         """Note an amount."""
@@ -59,12 +59,11 @@
             self.total -= self.entries.popleft()[1]
 
 
-@dataclass(slots=True)
-class OrganisationUsage:
+class OrganisationUsage(msgspec.Struct):
     """Tokens that one organisation asked for and was granted."""
 
-    asked: WindowSum = field(default_factory=WindowSum)
-    granted: WindowSum = field(default_factory=WindowSum)
+    asked: WindowSum = msgspec.field(default_factory=WindowSum)
+    granted: WindowSum = msgspec.field(default_factory=WindowSum)
 
 
 class UsageBook:
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -11,10 +11,10 @@
 import contextlib
 import errno
 import socket
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
 from circuits import BaseComponent
 
 from carawayfold.transport.messages import AnswerReader, MessageError, request_bytes
@@ -65,8 +65,7 @@
         self.reused = reused
 
 
-@dataclass(slots=True)
-class Head:
+class Head(msgspec.Struct):
     """Status and headers of an answer; header names in lower case.
 
     Attributes
@@ -79,19 +78,17 @@
 
     status: int
     headers: dict[str, str]
-    fields: list[tuple[str, str]] = field(default_factory=list)
+    fields: list[tuple[str, str]] = msgspec.field(default_factory=list)
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(msgspec.Struct):
     """A whole answer."""
 
     head: Head
     body: bytes
 
 
-@dataclass(slots=True, eq=False)
-class Exchange:
+class Exchange(msgspec.Struct, eq=False):
     """One request and its answer on one connection.
 
     Attributes
@@ -121,8 +118,7 @@
     method: str = "GET"
 
 
-@dataclass(slots=True, eq=False)
-class Connection:
+class Connection(msgspec.Struct, eq=False):
     """One TCP connection.
 
     Attributes
@@ -142,7 +138,7 @@
     reader: AnswerReader | None = None
     connected: bool = False
     exchange: Exchange | None = None
-    outgoing: bytearray = field(default_factory=bytearray)
+    outgoing: bytearray = msgspec.field(default_factory=bytearray)
     heard: float = 0.0
     used: int = 0
     lifetime: float = IDLE_LIFETIME
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import re
-from dataclasses import dataclass, field
 from enum import Enum
 from itertools import islice
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 from circuits import BaseComponent
 
 from carawayfold.errors import ErrorKind, Refusal
@@ -88,8 +88,7 @@
     CLOSED = "closed"
 
 
-@dataclass(frozen=True, slots=True)
-class EdgeLimits:
+class EdgeLimits(msgspec.Struct, frozen=True):
     """What a caller may send and how long it may take.
 
     Attributes
@@ -108,8 +107,7 @@
     idle_timeout: float = IDLE_TIMEOUT
 
 
-@dataclass(slots=True, eq=False)
-class Incoming:
+class Incoming(msgspec.Struct, eq=False):
     """A whole request of a caller.
 
     Attributes
@@ -216,8 +214,7 @@
         self.connection.close()
 
 
-@dataclass(slots=True, eq=False)
-class CallerConnection:
+class CallerConnection(msgspec.Struct, eq=False):
     """One connection of a caller.
 
     Attributes
@@ -231,10 +228,10 @@
     edge: Edge
     sock: socket
     stage: Stage = Stage.IDLE
-    pending: bytearray = field(default_factory=bytearray)
+    pending: bytearray = msgspec.field(default_factory=bytearray)
     head: RequestHead | None = None
     request: Incoming | None = None
-    body: list[bytes] = field(default_factory=list)
+    body: list[bytes] = msgspec.field(default_factory=list)
     body_size: int = 0
     timer: asyncio.TimerHandle | None = None
     skipped: int = 0
--- a/carawayfold/transport/messages.py
+++ b/carawayfold/transport/messages.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import httptools
+import msgspec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,8 +160,7 @@
 Body = ChunkedBody | CountedBody | EndlessBody
 
 
-@dataclass(slots=True)
-class RequestHead:
+class RequestHead(msgspec.Struct):
     """The head of a request, and how its body is framed.
 
     Attributes
@@ -187,8 +186,7 @@
     newer: bool
 
 
-@dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct):
     """The head of an answer; see `RequestHead`."""
 
     status: int
@@ -296,8 +294,7 @@
     return int(value), False
 
 
-@dataclass(slots=True)
-class AnswerReader:
+class AnswerReader(msgspec.Struct):
     """Reads one answer.
 
     Parameters
