Send the first message to a peer at once, gather only those right after it

Cause: a request waited 10 to 12 ms for its decision where the network takes 2: offer and grant each waited 1 ms to be gathered, and timers fire late on small instances. Ruled out: no gathering at all (a batch of grants to one busy instance would be as many datagrams). Change: PeerSocket.send sends at once and opens the millisecond in which others gather.

--- a/carawayfold/transport/datagrams.py
+++ b/carawayfold/transport/datagrams.py
@@ -24,7 +24,7 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds for which messages to one peer are gathered into one datagram.
+#: Seconds after a datagram to a peer for which further messages to it are gathered.
 GATHER = 0.001
 #: Datagrams read before others get their turn.
 READ_AT_ONCE = 128
@@ -91,11 +91,17 @@
         self.on_datagram(datagram, source)
 
     def send(self, address: Address, message: Message) -> None:
-        """Send a message soon, together with others for the same peer."""
+        """Send a message now, or with others for the same peer right after one.
+
+        Waiting for others before the first one cost a decision two rounds of a timer
+        each way: 10 ms of the 70 that a plain request takes, at 2 ms of network.
+        """
         gathered = self.gathered.get(address)
         if gathered is None:
-            gathered = self.gathered[address] = []
+            self.gathered[address] = []
             self.loop.call_later(GATHER, self._flush, address)
+            self._send_all(address, [message])
+            return
         gathered.append(message)
 
     def broadcast(self, addresses: Iterable[Address], message: Message) -> None:
--- a/tests/transport/test_datagrams.py
+++ b/tests/transport/test_datagrams.py
@@ -45,3 +45,26 @@
     assert sent == 3
     assert [item.messages for item in got] == [[BEAT]] * 3
     assert {(item.sender, item.incarnation) for item in got} == {("router-0", 5)}
+
+
+def test_the_first_message_goes_at_once_and_those_after_it_together():
+    ((sock, address),) = receivers(1)
+
+    async def run():
+        peer_socket = PeerSocket("router-0", 5, lambda *_: None)
+        peer_socket.open(Address("127.0.0.1", 0))
+        try:
+            for _ in range(3):
+                peer_socket.send(address, BEAT)
+            at_once = peer_socket.sent_datagrams
+            while peer_socket.gathered:
+                await asyncio.sleep(0.001)
+        finally:
+            peer_socket.close()
+        return at_once, peer_socket.sent_datagrams
+
+    counts = asyncio.run(run())
+    got = [decode(sock.recv(65536)) for _ in range(2)]
+    sock.close()
+    assert counts == (1, 2)
+    assert [len(item.messages) for item in got] == [1, 2]
