Give rosters and listeners modules of their own, roles to the hubs' module

Now: fleet.py (who there is, learning, losing, roles), hubs.py (who should be a hub, pure), listeners.py (whom heartbeats go to), rosters.py (who is told which hubs there are).

--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -4,20 +4,25 @@
 
 import asyncio
 import random
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import logbook
 
 from carawayfold.coordination.hubs import (
+    LEAF_INTERVAL,
     MESH_MOST,
+    Role,
     choose_hubs,
     fingerprint,
+    listed_member,
     main_hub,
+    role_of_hub,
 )
+from carawayfold.coordination.listeners import Listeners
 from carawayfold.coordination.membership import Member, Membership, PeerState
+from carawayfold.coordination.rosters import Rosters
 from carawayfold.coordination.suspects import Suspects
-from carawayfold.protocol.datagrams import Beat, HubEntry, RosterMessage
+from carawayfold.protocol.datagrams import Beat, RosterMessage
 from carawayfold.protocol.sources import PeerEntry
 from carawayfold.settings import Address
 
@@ -37,9 +42,6 @@
 BEAT_INTERVAL_PER_PEER = 0.005
 #: Peers up to which nothing is added.
 FEW_PEERS = 8
-#: Seconds between heartbeats of a leaf and the hubs of its data centre. Nobody waits
-#: for news of a leaf, and hubs tell at once when another hub is gone.
-LEAF_INTERVAL = 0.5
 #: Intervals without a heartbeat after which a peer is taken for dead; at 3 % loss
 #: a live one is mistaken once in a million intervals.
 SILENT_BEATS = 4
@@ -48,12 +50,6 @@
 #: Heartbeats after which a router that hears no hub counts on having heard everyone
 #: of its data centre that does not hear one either.
 LOST_BEATS = 2
-#: Routers of a data centre, besides those that should be its hubs, that are asked
-#: who its hubs are.
-ASKED_BESIDES = 2
-#: Least seconds between two lists of hubs from one hub to another: two that don't
-#: know each other are brought together by a third one.
-EVEN_OUT_INTERVAL = 1.0
 #: Seconds for which changes of the hubs are gathered before what depends on them is
 #: worked out anew: a fleet that starts changes two hundred times in a second.
 CHANGE_DELAY = 0.01
@@ -61,20 +57,6 @@
 FORGET_AFTER = 60.0
 
 
-class Role(Enum):
-    """How this router takes part.
-
-    A small fleet is a mesh. In a large one a router is a hub, or a leaf of its data
-    centre's hubs, or lost while it hears none of them: it then beats to everyone of
-    its data centre and becomes a hub if it should be one of those that it hears.
-    """
-
-    MESH = "mesh"
-    HUB = "hub"
-    LEAF = "leaf"
-    LOST = "lost"
-
-
 class Fleet:
     """The routers that this one hears, or hears of.
 
@@ -129,13 +111,8 @@
         self.lost_beats = 0
         #: Whether a hub has said that this router should be one.
         self.named_hub = False
-        #: Leaves of this data centre that should be hubs, as a hub sees it.
-        self.due_hubs: set[RouterId] = set()
-        #: Hubs that were told of and are not heard yet.
-        self.to_call: set[RouterId] = set()
-        #: When each hub was last told which ones this one knows.
-        self.evened_out: dict[RouterId, float] = {}
-        self.leaves_told_at = 0.0
+        self.listeners = Listeners(self)
+        self.rosters = Rosters(self)
         self.change_due: asyncio.TimerHandle | None = None
         self.known_hubs = fingerprint(self.hubs())
 
@@ -161,12 +138,7 @@
 
     def expected_hubs(self) -> list[RouterId]:
         """Return who should be the hubs of this data centre, by the entries."""
-        place = self.own.data_centre
-        listed = [
-            _listed_member(item)
-            for item in self.entries.values()
-            if item.data_centre == place
-        ]
+        listed = [listed_member(item) for item in self.listed_near()]
         return [item.router for item in choose_hubs([*listed, self.own])]
 
     def near_hubs(self) -> list[Member]:
@@ -174,6 +146,16 @@
         near = self.near(self.own.data_centre)
         return [item for item in near if item.hub and item is not self.own]
 
+    def leaves(self) -> list[Member]:
+        """Return the live routers of this data centre that are no hubs."""
+        near = self.near(self.own.data_centre)
+        return [item for item in near if not item.hub]
+
+    def listed_near(self) -> list[PeerEntry]:
+        """Return the entries of this data centre's other routers."""
+        place = self.own.data_centre
+        return [item for item in self.entries.values() if item.data_centre == place]
+
     def leader(self, subject: str) -> RouterId:
         """Return the router that decides on `subject`, by the heartbeats."""
         known = self.leading.get(subject)
@@ -212,12 +194,12 @@
         if not new:
             return
         self._settle_role()
-        beat = self._own_beat()
+        beat = self.own_beat()
         if self.role is Role.MESH:
             known = [self.addresses[item.router] for item in new]
             self.socket.broadcast(known, beat)
         else:
-            self.socket.broadcast(self._listeners(), beat)
+            self.socket.broadcast(self.listeners.addresses(), beat)
 
     def _learn_one(self, entry: PeerEntry) -> bool:
         if entry.router == self.own.router:
@@ -241,7 +223,7 @@
             if type(message) is Beat:
                 self._take_beat(router, datagram.incarnation, message)
             elif type(message) is RosterMessage:
-                self._take_roster(router, message)
+                self.rosters.take(router, message)
 
     def _take_beat(self, router: RouterId, incarnation: int, beat: Beat) -> None:
         self.beats[router] = beat
@@ -262,8 +244,8 @@
         if (member.state, member.hub) != before:
             extra = {"router": router, "state": member.state.value, "hub": beat.hub}
             logger.info("router heard", extra=extra)
-            self._changed()
-        self._answer_beat(member, beat)
+            self.changed()
+        self.rosters.answer(member, beat)
 
     def _note_entry(self, router: RouterId, beat: Beat) -> None:
         """Know a router that started after the entries were read."""
@@ -272,68 +254,6 @@
             router, beat.data_centre, address.host, address.port, beat.processor
         )
 
-    def _answer_beat(self, member: Member, beat: Beat) -> None:
-        """Tell a leaf what it does not know, or a far hub who is a hub here."""
-        if self.own.state is not PeerState.LIVE:
-            return
-        near = member.data_centre == self.own.data_centre
-        if self.role is Role.HUB and near and not member.hub:
-            behind = beat.roster not in (0, self.known_hubs)
-            if behind or member.router in self.due_hubs:
-                self._send_roster(member.router)
-        elif self.role is Role.HUB and member.hub:
-            self._even_out(member, beat)
-        elif self.role is Role.LEAF and not near and member.hub:
-            self._send_roster(member.router, self.own.data_centre)
-
-    def _even_out(self, hub: Member, beat: Beat) -> None:
-        """Tell a hub that knows other hubs than this one does whom it may call."""
-        now = self.loop.time()
-        due = self.evened_out.get(hub.router, 0.0) + EVEN_OUT_INTERVAL
-        if beat.roster in (0, self.known_hubs) or now < due:
-            return
-        self.evened_out[hub.router] = now
-        self._send_roster(hub.router)
-
-    def _take_roster(self, sender: RouterId, roster: RosterMessage) -> None:
-        """Take what a hub tells of the hubs of one data centre."""
-        if self.role is Role.MESH:
-            return
-        named = {entry.router: entry for entry in roster.hubs}
-        if roster.data_centre == self.own.data_centre and self.role is not Role.HUB:
-            self.named_hub = self.own.router in named
-        for entry in roster.hubs:
-            if entry.router != self.own.router:
-                self._take_told(entry, roster.data_centre)
-        if self.role is Role.HUB:
-            # A hub hears other hubs itself; it only learns whom to call.
-            return
-        # Hubs hear each other more often than a leaf hears them.
-        trusted = sender in [item.router for item in self.near_hubs()]
-        for member in self.membership.members.values():
-            here = member.hub and member.data_centre == roster.data_centre
-            if member is self.own or member.router == sender or not here:
-                continue
-            if member.router not in named and (member.told or trusted):
-                member.state = PeerState.SILENT
-        self._changed()
-
-    def _take_told(self, entry: HubEntry, data_centre: DataCentreId) -> None:
-        self.addresses[entry.router] = Address(entry.host, entry.port)
-        known = self.membership.members.get(entry.router)
-        heard = known is not None and known.state is PeerState.LIVE and not known.told
-        if heard:
-            return
-        if self.role is Role.HUB or data_centre == self.own.data_centre:
-            # It counts once it is heard. Called with the next heartbeat and not at
-            # once: its answer may name the next one to call.
-            self.to_call.add(entry.router)
-            return
-        self.membership.joined(
-            entry.router, data_centre, entry.incarnation, entry.processor
-        )
-        self.membership.members[entry.router].told = True
-
     # Beating
 
     @property
@@ -380,24 +300,19 @@
             self._beat_to_hubs()
         else:
             told = 0 if self.role is Role.MESH else self.known_hubs
-            self.socket.broadcast(self._listeners(), self._own_beat(told))
+            self.socket.broadcast(self.listeners.addresses(), self.own_beat(told))
 
     def _beat_to_hubs(self) -> None:
         """Beat to each hub of the data centre, to one of them with what is known."""
         hubs = self.near_hubs()
         main = main_hub(self.own.router, hubs)
-        names = {hub.router for hub in hubs} | self._take_calls()
+        names = {hub.router for hub in hubs} | self.rosters.take_calls()
         for name in names:
             told = self.known_hubs if name == main else 0
-            self.socket.broadcast([self.addresses[name]], self._own_beat(told))
-
-    def _take_calls(self) -> set[RouterId]:
-        """Return the hubs to call this once."""
-        calls = {name for name in self.to_call if name in self.addresses}
-        self.to_call = set()
-        return calls
+            self.socket.broadcast([self.addresses[name]], self.own_beat(told))
 
-    def _own_beat(self, roster: int = 0) -> Beat:
+    def own_beat(self, roster: int = 0) -> Beat:
+        """Return the heartbeat to send, with a fingerprint for one that tells hubs."""
         beat = self.beat()
         return Beat(
             beat.data_centre,
@@ -411,80 +326,13 @@
             roster,
         )
 
-    def _listeners(self) -> list[Address]:
-        """Return the addresses that this heartbeat goes to."""
-        if self.role is Role.MESH:
-            return list(self.addresses.values())
-        if self.role is Role.LEAF:
-            names = [item.router for item in self.near_hubs()]
-        elif self.role is Role.LOST:
-            names = self._listed_near()
-        else:
-            names = self._heard_by_hub()
-        return [self.addresses[name] for name in names if name in self.addresses]
-
-    def _heard_by_hub(self) -> list[RouterId]:
-        # Those that stop are told as well: they finish what they have.
-        heard = [
-            item
-            for item in self.membership.members.values()
-            if item is not self.own and item.state is not PeerState.SILENT
-        ]
-        names = [item.router for item in heard if item.hub]
-        now = self.loop.time()
-        if now - self.leaves_told_at >= LEAF_INTERVAL:
-            self.leaves_told_at = now
-            names += [item.router for item in heard if not item.hub]
-        with_hub = {item.data_centre for item in self.hubs()}
-        with_hub.add(self.own.data_centre)
-        names += self._unheard_near(alone=not self.near_hubs())
-        names += self._take_calls()
-        names += self._askable(with_hub)
-        return list(dict.fromkeys(names))
-
-    def _unheard_near(self, alone: bool) -> list[RouterId]:
-        """Return a router of this data centre that is not heard, or all of them.
-
-        Routers of one data centre that have found each other in two groups become one
-        group again.
-        """
-        heard = {item.router for item in self.near(self.own.data_centre)}
-        unheard = [name for name in self._listed_near() if name not in heard]
-        return unheard if alone or not unheard else [random.choice(unheard)]
-
-    def _leaves(self) -> list[Member]:
-        near = self.near(self.own.data_centre)
-        return [item for item in near if not item.hub]
-
-    def _askable(self, left_out: set[DataCentreId]) -> list[RouterId]:
-        """Return some routers of each data centre whose hubs are not known."""
-        by_place: dict[DataCentreId, list[Member]] = {}
-        for entry in self.entries.values():
-            if entry.data_centre not in left_out:
-                member = _listed_member(entry)
-                by_place.setdefault(entry.data_centre, []).append(member)
-        names: list[RouterId] = []
-        for members in by_place.values():
-            names += [item.router for item in choose_hubs(members)]
-            besides = min(ASKED_BESIDES, len(members))
-            names += [item.router for item in random.sample(members, besides)]
-        return list(dict.fromkeys(names))
-
-    def _listed_near(self) -> list[RouterId]:
-        place = self.own.data_centre
-        return [
-            name for name, item in self.entries.items() if item.data_centre == place
-        ]
-
     def tell_near(self) -> None:
         """Send a heartbeat now to the routers of this data centre that wait for it."""
         if self.role is Role.LEAF:
             return
         near = self.near(self.own.data_centre)
         names = [item.router for item in near if item.router in self.addresses]
-        self.socket.broadcast(
-            [self.addresses[name] for name in names], self._own_beat()
-        )
+        self.socket.broadcast([self.addresses[name] for name in names], self.own_beat())
 
     def send(self, router: RouterId, message: Message) -> bool:
         """Send a message to a router; return whether its address is known."""
@@ -512,7 +360,7 @@
     def _lost(self, router: RouterId, reason: str) -> None:
         self.beats.pop(router, None)
         logger.info("router silent", extra={"router": router, "reason": reason})
-        self._changed()
+        self.changed()
 
     def unanswered(self, router: RouterId) -> None:
         """Pass over a router that did not answer this one's offers."""
@@ -548,7 +396,7 @@
         """Choose this router's role by what it hears now."""
         before = self.role
         self.role = self._next_role()
-        self.due_hubs = self._find_due()
+        self.rosters.find_due()
         self.own.hub = self.role in (Role.MESH, Role.HUB)
         if self.role is before:
             return
@@ -560,7 +408,7 @@
             self.named_hub = False
             self._drop_leaves()
         self._turn_members()
-        self._changed()
+        self.changed()
 
     def _next_role(self) -> Role:
         if self.own.state is not PeerState.LIVE:
@@ -568,32 +416,21 @@
         if self.size <= MESH_MOST:
             return Role.MESH
         near = self.near(self.own.data_centre)
-        chosen = choose_hubs(near)
-        other_hubs = self.near_hubs()
         if self.role in (Role.MESH, Role.HUB):
-            replaced = all(item in other_hubs for item in chosen)
-            if self.own in chosen or not (chosen and replaced):
-                return Role.HUB if other_hubs or self.role is Role.HUB else Role.LOST
-            return Role.LEAF
+            return role_of_hub(self.own, near, self.role)
         if self.named_hub:
             self.named_hub = False
             return Role.HUB
-        if other_hubs:
+        if self.near_hubs():
             return Role.LEAF
         self.lost_beats += 1
-        if self.lost_beats > LOST_BEATS and self.own in chosen:
-            return Role.HUB
-        return Role.LOST
-
-    def _find_due(self) -> set[RouterId]:
-        if self.role is not Role.HUB:
-            return set()
-        chosen = choose_hubs(self.near(self.own.data_centre))
-        return {item.router for item in chosen if not item.hub}
+        alone_for_long = self.lost_beats > LOST_BEATS
+        chosen = self.own in choose_hubs(near)
+        return Role.HUB if alone_for_long and chosen else Role.LOST
 
     def _drop_leaves(self) -> None:
         """Forget routers that beat to the hubs from now on, and not to this one."""
-        for member in self._leaves():
+        for member in self.leaves():
             if member is not self.own:
                 del self.membership.members[member.router]
                 self.beats.pop(member.router, None)
@@ -609,31 +446,7 @@
                 member.heard = self.loop.time()
             member.told = by_telling
 
-    def _tells(self, leaf: Member) -> bool:
-        """Return whether this hub is the one that tells a leaf of the others."""
-        return main_hub(leaf.router, [*self.near_hubs(), self.own]) == self.own.router
-
-    def _send_roster(self, router: RouterId, only: DataCentreId | None = None) -> None:
-        by_place: dict[DataCentreId, list[Member]] = {}
-        for hub in self.hubs():
-            by_place.setdefault(hub.data_centre, []).append(hub)
-        due = [self.membership.members.get(name) for name in self.due_hubs]
-        here = by_place.setdefault(self.own.data_centre, [])
-        here += [item for item in due if item is not None]
-        places = {item.data_centre for item in self.membership.members.values()}
-        for place in places if only is None else [only]:
-            rows = [self._hub_entry(item) for item in by_place.get(place, ())]
-            self.send(router, RosterMessage(place, rows))
-
-    def _hub_entry(self, hub: Member) -> HubEntry:
-        address = self.socket.address
-        if hub is not self.own:
-            address = self.addresses[hub.router]
-        return HubEntry(
-            hub.router, address.host, address.port, hub.incarnation, hub.processor
-        )
-
-    def _changed(self) -> None:
+    def changed(self) -> None:
         """Work out anew, soon, what depends on who may decide."""
         self.leading.clear()
         self.deciding.clear()
@@ -646,10 +459,7 @@
         if known == self.known_hubs:
             return
         self.known_hubs = known
-        if self.role is Role.HUB and self.own.state is PeerState.LIVE:
-            for leaf in self._leaves():
-                if self._tells(leaf):
-                    self._send_roster(leaf.router)
+        self.rosters.tell_leaves()
         self.on_change()
 
     def stand_in_share(self) -> float:
@@ -664,11 +474,6 @@
     def stop(self) -> None:
         """Tell the peers that this router takes no new work."""
         self.own.state = PeerState.STOPPING
-        self.leaves_told_at = 0.0
+        self.listeners.leaves_told_at = 0.0
         self._beat_to_all()
-        self._changed()
-
-
-def _listed_member(entry: PeerEntry) -> Member:
-    """Return a router as its entry tells of it, before it is heard."""
-    return Member(entry.router, entry.data_centre, 0, 0.0, processor=entry.processor)
+        self.changed()
--- a/carawayfold/coordination/hubs.py
+++ b/carawayfold/coordination/hubs.py
@@ -10,16 +10,17 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import xxhash
 
-from carawayfold.coordination.membership import PeerState, rank, strongest
+from carawayfold.coordination.membership import Member, PeerState, rank, strongest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawayfold.coordination.membership import Member
+    from carawayfold.protocol.sources import PeerEntry
     from carawayfold.state.ids import RouterId
 
 #: Routers up to which all beat to all: with an interval of 0.27 s for 32 of them,
@@ -27,10 +28,27 @@
 MESH_MOST = 32
 #: Hubs of a data centre: the loss of two at the same moment leaves one.
 HUBS = 3
+#: Seconds between heartbeats of a leaf and the hubs of its data centre. Nobody waits
+#: for news of a leaf, and hubs tell at once when another hub is gone.
+LEAF_INTERVAL = 0.5
 #: What the members are ranked by as hubs.
 SUBJECT = "hub"
 
 
+class Role(Enum):
+    """How this router takes part.
+
+    A small fleet is a mesh. In a large one a router is a hub, or a leaf of its data
+    centre's hubs, or lost while it hears none of them: it then beats to everyone of
+    its data centre and becomes a hub if it should be one of those that it hears.
+    """
+
+    MESH = "mesh"
+    HUB = "hub"
+    LEAF = "leaf"
+    LOST = "lost"
+
+
 def choose_hubs(members: Iterable[Member]) -> list[Member]:
     """Return who should be the hubs among the live members of one data centre.
 
@@ -55,3 +73,30 @@
     """Return a number that is equal where the same hubs are known."""
     rows = sorted(f"{item.router}|{item.incarnation}" for item in hubs)
     return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> 1
+
+
+def role_of_hub(own: Member, near: list[Member], before: Role) -> Role:
+    """Return the role of a router of a large fleet that was a hub, or in a mesh.
+
+    It stays a hub until those that should be hubs in its place all are.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    near : list of Member
+        The live routers of its data centre, itself included.
+    before : Role
+        Its role up to now.
+    """
+    chosen = choose_hubs(near)
+    replaced = all(item.hub for item in chosen if item is not own)
+    if own not in chosen and chosen and replaced:
+        return Role.LEAF
+    alone = not any(item.hub for item in near if item is not own)
+    return Role.LOST if alone and before is Role.MESH else Role.HUB
+
+
+def listed_member(entry: PeerEntry) -> Member:
+    """Return a router as its entry tells of it, before it is heard."""
+    return Member(entry.router, entry.data_centre, 0, 0.0, processor=entry.processor)
