Free the place kept by a stand-in; hand nothing on after a head was refused

The request then runs where it said, and the next in line kept it waiting, or its place, until nobody had spoken of it for a second. It now gets a withdrawal. - Content that came in one read with an answer's head was handed on even where the taker of the head had given the exchange up: lost when the pieces of one read were joined.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -459,17 +459,22 @@
 
     @_take.register
     def _(self, message: GrantMessage, sender: RouterId) -> None:
-        self._resolve(Granted(message.call, message.endpoint, message.donor))
+        self._resolve(Granted(message.call, message.endpoint, message.donor), sender)
 
     @_take.register
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
         retry_after = message.retry_after / 1000
-        self._resolve(TurnedAway(message.call, message.reason, retry_after))
+        self._resolve(TurnedAway(message.call, message.reason, retry_after), sender)
 
-    def _resolve(self, decision: Decision) -> None:
+    def _resolve(self, decision: Decision, sender: RouterId) -> None:
         ticket = self.tickets.get(decision.call)
         if ticket is None or ticket.answered.done():
             return
+        asked = self.fleet.responsible(ticket.pool)
+        if asked not in (sender, self.fleet.own.router):
+            # A late answer of one that was passed over; the next in line may have
+            # kept a place meanwhile.
+            self.fleet.send(asked, WithdrawMessage(ticket.pool, decision.call))
         if ticket.local:
             desk = self.pools.get(ticket.pool)
             if desk is not None:
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -387,6 +387,9 @@
     ) -> bytes:
         """Take one answer or a part of it; return what follows it."""
         pieces, rest, complete = connection.reader.feed(data, take_head)
+        if connection.exchange is not exchange:
+            # Given up by whoever took the head.
+            return b""
         if pieces and not exchange.skipping:
             # Once for all that came: a stream's events come several at a time.
             exchange.on_data(b"".join(pieces))
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -13,7 +13,7 @@
 from carawayfold.coordination.membership import Member, Membership
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
 from carawayfold.coordination.suspects import Suspects
-from carawayfold.protocol.datagrams import Datagram, decode, encode
+from carawayfold.protocol.datagrams import Datagram, GrantMessage, decode, encode
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
 from tests.schedule_builders import endpoint, offer
@@ -172,6 +172,36 @@
     assert play(work) == (2, True, True, 0.25)
 
 
+def test_a_late_answer_of_the_one_passed_over_frees_the_place_at_the_next():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c", "d"], endpoints=1, slots=1)
+        first = decider(made)
+        fleet = made[first].fleet
+        second = fleet.membership.responsible("model/0", leaving_out={first})
+        asking = next(name for name in made if name not in (first, second))
+        wire.cut.add(first)
+        # The next in line has no place, so the request waits there.
+        blocking = request(made[second], "y")
+        made[second].pools["model/0"].scheduler.offer(blocking, 0.0)
+        made[second]._decide(made[second].pools["model/0"])
+        placing = asyncio.ensure_future(
+            made[asking].place(request(made[asking], "x", due=1e9), "model/0")
+        )
+        waiting = made[second].pools["model/0"].scheduler.waiting
+        while not waiting:
+            await asyncio.sleep(0.01)
+        wire.cut.clear()
+        call = next(iter(waiting))
+        grant = Datagram(first, 1, [GrantMessage(call, "e-0@0")])
+        made[asking].take(decode(encode(grant)))
+        await placing
+        await asyncio.sleep(0.05)
+        return waiting
+
+    assert play(work) == {}
+
+
 def test_a_router_that_nobody_answers_decides_alone_after_two():
     async def work():
         wire = Wire()
