--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -461,7 +461,7 @@
     def _pick_told(self) -> RouterId:
         """Return a peer that knows something, as far as it is heard, or may soon."""
         told = [name for name, beat in self.fleet.beats.items() if beat.version]
-        expected = [name for name in told or self._first_readers()]
+        expected = told or self._first_readers()
         reached = [name for name in expected if name in self.fleet.addresses]
         return random.choice(reached) if reached else self.fleet.pick_known()
 
--- a/carawayfold/coordination/suspects.py
+++ b/carawayfold/coordination/suspects.py
@@ -10,9 +10,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from carawayfold.coordination.membership import Member
     from carawayfold.state.ids import RouterId
 
 #: Seconds for which a router that did not answer is passed over, unless it is heard:
@@ -47,7 +44,3 @@
     def alone(self) -> bool:
         """Return whether this router rather than the others is cut off."""
         return len(self.until) >= PASSED_OVER_MOST
-
-    def without(self, members: Iterable[Member]) -> list[Member]:
-        """Return the members that are not passed over."""
-        return [item for item in members if item.router not in self.until]
--- a/carawayfold/transport/messages.py
+++ b/carawayfold/transport/messages.py
@@ -228,7 +228,7 @@
         fields=fields,
         body=_request_body(parser, collector, fields, newer),
         keep_alive=newer and b"close" not in options,
-        awaits_continue=newer and (b"expect", b"100-continue") in _lower(fields),
+        awaits_continue=newer and _awaits_continue(fields),
         newer=newer,
     )
 
@@ -243,8 +243,10 @@
         raise MessageError(str(error)) from None
 
 
-def _lower(fields: Fields) -> Fields:
-    return [(name, value.lower()) for name, value in fields]
+def _awaits_continue(fields: Fields) -> bool:
+    return any(
+        name == b"expect" and value.lower() == b"100-continue" for name, value in fields
+    )
 
 
 def _connection_options(fields: Fields) -> set[bytes]:
