Tell who chose an endpoint, on what, and who knew that it leaves

Cause: three explanations of a request at a leaving endpoint could not be told apart from logs: the router that decides did not know, the router that sends did not, or news were overwritten. Lists told by peers changed endpoints without a line for each. Change: a grant carries how far its decider had read and how old that is; the end of a request and a grant for an endpoint known to leave are logged with both; each change by a peer's list has its line, with source and offset. No decision changes. Ruled out: nothing yet.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -18,7 +18,13 @@
 
 from carawayfold.coordination.division import choose, divide
 from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.offers import Granted, Offer, Outcome, TurnedAway
+from carawayfold.coordination.offers import (
+    Basis,
+    Granted,
+    Offer,
+    Outcome,
+    TurnedAway,
+)
 from carawayfold.coordination.scheduler import UNSTATED_SPEED, PoolPlan, Scheduler
 from carawayfold.protocol.datagrams import (
     BegunMessage,
@@ -41,6 +47,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayfold.coordination.fleet import Fleet
     from carawayfold.coordination.offers import Decision
     from carawayfold.protocol.datagrams import Datagram, Message
@@ -126,11 +134,16 @@
         The routers.
     window : float
         Seconds over which an organisation's share is counted.
+    basis : callable, optional
+        Returns what this router knows of the endpoints now.
     """
 
-    def __init__(self, fleet: Fleet, window: float) -> None:
+    def __init__(
+        self, fleet: Fleet, window: float, basis: Callable[[], Basis] | None = None
+    ) -> None:
         self.fleet = fleet
         self.window = window
+        self.basis = basis or (lambda: Basis(fleet.own.router))
         self.loop = asyncio.get_running_loop()
         self.pools: dict[PoolId, PoolDesk] = {}
         #: Slots of each pool, by service.
@@ -141,6 +154,8 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         #: Newest incarnation of each endpoint by its name.
         self.newest: dict[EndpointName, Endpoint] = {}
+        #: When this router learnt of each endpoint that it leaves.
+        self.leaving_since: dict[EndpointName, float] = {}
         self.sent_prefixes: OrderedDict[str, EndpointId] = OrderedDict()
         self.numbers = 0
         #: When it was last logged that a router does not decide.
@@ -158,6 +173,7 @@
         """
         before = self.endpoints
         self.newest = dict(table.entries)
+        self.leaving_since = dict(table.leaving_since)
         self.endpoints = {endpoint.id: endpoint for endpoint in self.newest.values()}
         pools: dict[PoolId, PoolDesk] = {}
         self.weights = {}
@@ -403,10 +419,29 @@
         ticket = self.tickets.get(decision.call)
         if ticket is not None:
             if not ticket.answered.done():
-                ticket.answered.set_result(decision)
+                ticket.answered.set_result(self._based(decision))
             return
         router = RouterId(decision.call.rsplit(".", 2)[0])
-        self.fleet.send(router, _decision_message(decision))
+        self.fleet.send(router, self._decision_message(decision))
+
+    def _based(self, decision: Decision) -> Decision:
+        """Return a decision of this router with what it was made on."""
+        if isinstance(decision, TurnedAway):
+            return decision
+        return msgspec.structs.replace(decision, basis=self.basis())
+
+    def _decision_message(self, decision: Decision) -> Message:
+        if isinstance(decision, Granted):
+            basis = self.basis()
+            return GrantMessage(
+                decision.call,
+                decision.endpoint,
+                decision.donor,
+                basis.offset,
+                round(basis.age * 1000),
+            )
+        retry_after = round(decision.retry_after * 1000)
+        return TurnAwayMessage(decision.call, decision.reason, retry_after)
 
     def endpoint_lost(self, endpoint: EndpointId) -> None:
         """Send nothing more to an endpoint that has ended, whoever found out."""
@@ -429,7 +464,7 @@
     def _(self, message: OfferMessage, sender: RouterId) -> None:
         decision = self.decided.get(message.call)
         if decision is not None:
-            self.fleet.send(sender, _decision_message(decision))
+            self.fleet.send(sender, self._decision_message(decision))
             return
         desk = self.pools.get(message.pool)
         if desk is None:
@@ -465,7 +500,9 @@
 
     @_take.register
     def _(self, message: GrantMessage, sender: RouterId) -> None:
-        self._resolve(Granted(message.call, message.endpoint, message.donor), sender)
+        basis = Basis(sender, message.offset, message.age / 1000)
+        granted = Granted(message.call, message.endpoint, message.donor, basis)
+        self._resolve(granted, sender)
 
     @_take.register
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
@@ -553,10 +590,3 @@
         avoid=frozenset(message.avoid),
         kept_at=message.kept_at,
     )
-
-
-def _decision_message(decision: Decision) -> Message:
-    if isinstance(decision, Granted):
-        return GrantMessage(decision.call, decision.endpoint, decision.donor)
-    retry_after = round(decision.retry_after * 1000)
-    return TurnAwayMessage(decision.call, decision.reason, retry_after)
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -202,7 +202,7 @@
         now = self.loop.time()
         changed = False
         for item in page.items:
-            changed |= self._apply(item, now)
+            changed |= self._apply(item, now, page.next)
         self.endpoints.offset = max(self.endpoints.offset, page.next)
         self._settle(changed, now)
 
@@ -210,7 +210,7 @@
         """Take the complete list of registrations."""
         now = self.loop.time()
         listed = [item.endpoint for item in page.items if item.endpoint is not None]
-        self.endpoints.replace_all(listed, now)
+        self._replace_all(listed, now, "store", page.next)
         self.endpoints.offset = max(self.endpoints.offset, page.next)
         self.listed = True
         self._settle(True, now)
@@ -226,7 +226,7 @@
         now = self.loop.time()
         # A peer that the store answers knows what has lapsed and what has left.
         self.endpoints.outage_end = float("-inf")
-        self.endpoints.replace_all(snapshot.endpoints, now)
+        self._replace_all(snapshot.endpoints, now, source, snapshot.offset)
         self.endpoints.offset = snapshot.offset
         self.listed = True
         self._settle(True, now)
@@ -243,29 +243,52 @@
         """Drop endpoints whose entry has not come back."""
         gone = self.endpoints.expire(self.loop.time())
         for endpoint in gone:
-            logger.info("endpoint gone", extra={"endpoint": endpoint, "lapsed": True})
+            extra = {"endpoint": endpoint, "lapsed": True}
+            logger.info("endpoint gone", extra=extra)
         if gone:
             self.on_endpoints()
 
-    def _apply(self, item: Registered, now: float) -> bool:
+    def _replace_all(
+        self, endpoints: list[Endpoint], now: float, source: str, offset: int
+    ) -> None:
+        """Take a complete list, and log whose state it changes."""
+        before = dict(self.endpoints.entries)
+        self.endpoints.replace_all(endpoints, now)
+        for name, known in self.endpoints.entries.items():
+            old = before.get(name)
+            if old is None or old.leaving is not known.leaving:
+                self._log_registered(known, old is None, source, offset)
+        for name in before.keys() - self.endpoints.entries.keys():
+            extra = {"endpoint": name, "source": source, "offset": offset}
+            logger.info("endpoint gone", extra=extra)
+
+    def _log_registered(
+        self, endpoint: Endpoint, new: bool, source: str, offset: int
+    ) -> None:
+        logger.info(
+            "endpoint registered",
+            extra={
+                "endpoint": endpoint.name,
+                "service": endpoint.service,
+                "leaving": endpoint.leaving,
+                "incarnation": endpoint.incarnation,
+                "new": new,
+                "source": source,
+                "offset": offset,
+            },
+        )
+
+    def _apply(self, item: Registered, now: float, offset: int) -> bool:
         known = self.endpoints.entries.get(item.name)
         if item.endpoint is None:
             dropped = self.endpoints.remove(item.name, now)
             if dropped:
-                logger.info("endpoint gone", extra={"endpoint": item.name})
+                extra = {"endpoint": item.name, "source": "store", "offset": offset}
+                logger.info("endpoint gone", extra=extra)
             return dropped
-        changed = self.endpoints.put(item.endpoint)
+        changed = self.endpoints.put(item.endpoint, now)
         if changed:
-            logger.info(
-                "endpoint registered",
-                extra={
-                    "endpoint": item.name,
-                    "service": item.endpoint.service,
-                    "leaving": item.endpoint.leaving,
-                    "incarnation": item.endpoint.incarnation,
-                    "new": known is None,
-                },
-            )
+            self._log_registered(item.endpoint, known is None, "store", offset)
         return changed
 
     def _settle(self, changed: bool, now: float) -> None:
@@ -452,6 +475,8 @@
         self.http = http
         #: Loop time before which others are taken to read.
         self.settled_at = 0.0
+        #: Loop time at which this router last knew all that the store knew.
+        self.known_at = knowledge.store.answered
 
     async def adopt(self) -> None:
         """Ask peers for everything at the start of a router of a large fleet.
@@ -520,6 +545,7 @@
         """Look for ever whether a peer knows more."""
         while True:
             await asyncio.sleep(RELAY_INTERVAL)
+            self.known_at = asyncio.get_running_loop().time() - self.information_age()
             self.knowledge.expire()
             await self._look()
 
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -28,9 +28,11 @@
 
     from carawayfold.coordination.containment import Containment
     from carawayfold.coordination.desk import Desk
+    from carawayfold.coordination.offers import Basis
     from carawayfold.coordination.pulse import Pulse
     from carawayfold.protocol.exchanges import Answered, Asked, Dialect
     from carawayfold.state.budget import RetryBudget
+    from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.forwarded import ForwardMetrics
     from carawayfold.state.ids import (
         ContentId,
@@ -75,6 +77,8 @@
         Last whole event that the caller has.
     donor : EndpointId or None
         Engine that its endpoint was told to copy kept memory from.
+    basis : Basis or None
+        What its last endpoint was granted on.
     known_content : ContentId or None
         See `content`.
     attempt : Attempt or None
@@ -96,6 +100,7 @@
     first_byte: float = 0.0
     waited: float = 0.0
     donor: EndpointId | None = None
+    basis: Basis | None = None
     known_content: ContentId | None = None
     attempt: Attempt | None = None
 
@@ -281,7 +286,10 @@
         if endpoint is None:
             self.desk.ended(granted.call, Outcome.CANCELLED)
             return AttemptEnd.UNREACHABLE
+        if endpoint.leaving:
+            self._log_leaving(call, granted, endpoint)
         call.tried.add(granted.endpoint)
+        call.basis = granted.basis
         call.donor = granted.donor
         donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
         request = AttemptRequest(call, endpoint, offer.call, donor)
@@ -419,6 +427,27 @@
 
     # Logs
 
+    def _log_leaving(
+        self, call: ForwardedCall, granted: Granted, endpoint: Endpoint
+    ) -> None:
+        """Log a grant for an endpoint that this router knows to leave."""
+        self.metrics.leaving_grants += 1
+        since = self.desk.leaving_since.get(endpoint.name, self.loop.time())
+        known = self.desk.basis()
+        logger.info(
+            "granted an endpoint that leaves",
+            extra={
+                "request": call.asked.id,
+                "endpoint": endpoint.id,
+                "known_for_ms": round((self.loop.time() - since) * 1000, 1),
+                "offset": known.offset,
+                "age_ms": round(known.age * 1000, 1),
+                "decider": granted.basis.decider,
+                "decider_offset": granted.basis.offset,
+                "decider_age_ms": round(granted.basis.age * 1000, 1),
+            },
+        )
+
     def _log_attempt(
         self, call: ForwardedCall, end: AttemptEnd, attempt: Attempt
     ) -> None:
@@ -449,6 +478,7 @@
         arrived = call.incoming.received
         first = call.first_byte - arrived if call.first_byte else None
         self.metrics.ended(call.organisation, end, call.waited, first)
+        basis = call.basis
         logger.info(
             "request ended",
             extra={
@@ -461,6 +491,9 @@
                 "organisation": call.organisation,
                 "endpoints": sorted(call.tried),
                 "donor": call.donor or "",
+                "decider": basis.decider if basis is not None else "",
+                "offset": basis.offset if basis is not None else 0,
+                "age_ms": round(basis.age * 1000, 1) if basis is not None else None,
                 "version": self.version,
                 "waited_ms": round(call.waited * 1000, 1),
                 "first_ms": round(first * 1000, 1) if first is not None else None,
--- a/carawayfold/coordination/offers.py
+++ b/carawayfold/coordination/offers.py
@@ -91,6 +91,24 @@
     UNREACHABLE = "unreachable"
 
 
+class Basis(msgspec.Struct, frozen=True):
+    """What a router knew of the endpoints when it decided.
+
+    Attributes
+    ----------
+    decider : RouterId
+        The router.
+    offset : int
+        How far it had read registrations.
+    age : float
+        Seconds since it knew all that the store knew.
+    """
+
+    decider: RouterId
+    offset: int = 0
+    age: float = 0.0
+
+
 class Granted(msgspec.Struct, frozen=True):
     """A request may go to an endpoint.
 
@@ -99,11 +117,14 @@
     donor : EndpointId or None
         The engine from which the endpoint should copy what that one keeps of the
         prompt.
+    basis : Basis or None
+        What it was granted on; None before it is known who decided.
     """
 
     call: CallId
     endpoint: EndpointId
     donor: EndpointId | None = None
+    basis: Basis | None = None
 
 
 class TurnedAway(msgspec.Struct, frozen=True):
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -19,6 +19,7 @@
 from carawayfold.coordination.followers import Knowledge, Relay
 from carawayfold.coordination.forwarding import Forwarder
 from carawayfold.coordination.membership import Member, PeerState
+from carawayfold.coordination.offers import Basis
 from carawayfold.coordination.pulse import Pulse
 from carawayfold.coordination.shedding import ShedLog
 from carawayfold.platform.engines import EngineClient
@@ -111,7 +112,7 @@
         )
         self.socket = PeerSocket(settings.router, incarnation, self._on_datagram)
         self.fleet = Fleet(self.socket, own, self._beat, self._fleet_changed)
-        self.desk = Desk(self.fleet, settings.share_window)
+        self.desk = Desk(self.fleet, settings.share_window, self._basis)
         self.caches = CacheReader(EngineClient(self.http), self.desk, self._spawn)
         self.store = StoreClient(self.http, settings.store)
         self.directory = StoreDirectory(self.store)
@@ -304,6 +305,10 @@
             verdicts=self.containment.quarantine.checksum,
         )
 
+    def _basis(self) -> Basis:
+        age = asyncio.get_running_loop().time() - self.relay.known_at
+        return Basis(self.settings.router, self.knowledge.endpoints.offset, age)
+
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
         if datagram.sender == self.settings.router:
             return
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -90,11 +90,21 @@
 
 
 class GrantMessage(msgspec.Struct, array_like=True, tag=5, frozen=True):
-    """A request may go to an endpoint, which copies kept memory from `donor`."""
+    """A request may go to an endpoint, which copies kept memory from `donor`.
+
+    Attributes
+    ----------
+    offset : int
+        How far the sender has read registrations of endpoints.
+    age : int
+        Milliseconds since it knew all that the store knew.
+    """
 
     call: CallId
     endpoint: EndpointId
     donor: EndpointId | None = None
+    offset: int = 0
+    age: int = 0
 
 
 class TurnAwayMessage(msgspec.Struct, array_like=True, tag=6, frozen=True):
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -52,6 +52,11 @@
         yield CounterMetricFamily(
             "carawayfold_store_calls", "Calls of the store", gateway.store.calls
         )
+        yield CounterMetricFamily(
+            "carawayfold_leaving_grants",
+            "Grants of endpoints that leave",
+            gateway.metrics.leaving_grants,
+        )
         yield self._prediction_errors()
         yield from self._gauges()
 
@@ -73,12 +78,15 @@
         gateway = self.gateway
         quarantine = gateway.containment.quarantine
         held = quarantine.held(gateway.fleet.loop.time())
+        known = gateway.desk.basis()
         gauges = {
             "in_flight": len(gateway.forwarder.calls),
             "callers": len(gateway.front.connections),
             "live_routers": len(gateway.fleet.live()),
             "version": gateway.knowledge.version,
             "endpoints": len(gateway.knowledge.endpoints.entries),
+            "endpoints_offset": known.offset,
+            "endpoints_age_seconds": known.age,
             "quarantined": len(held),
             "suspected": len(quarantine.entries) - len(held),
             "left_out_log_lines": gateway.log_lines_left_out(),
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -71,6 +71,8 @@
         are kept.
     incarnations : dict
         Newest incarnation seen of each name.
+    leaving_since : dict
+        When each registered endpoint that leaves was first known to leave.
     outage_end : float
         Monotonic seconds at which the store was last found out of reach.
     """
@@ -79,9 +81,10 @@
     entries: dict[EndpointName, Endpoint] = msgspec.field(default_factory=dict)
     lapsed: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     incarnations: dict[EndpointName, int] = msgspec.field(default_factory=dict)
+    leaving_since: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
 
-    def put(self, endpoint: Endpoint) -> bool:
+    def put(self, endpoint: Endpoint, now: float = 0.0) -> bool:
         """Add or change an entry; return whether that matters to placement.
 
         An entry of an incarnation that is over is passed over.
@@ -94,6 +97,10 @@
         if old is not None and old.incarnation == endpoint.incarnation:
             endpoint = msgspec.structs.replace(endpoint, cold_until=old.cold_until)
         self.entries[endpoint.name] = endpoint
+        if not endpoint.leaving:
+            self.leaving_since.pop(endpoint.name, None)
+        elif old is None or not old.leaving:
+            self.leaving_since[endpoint.name] = now
         return old != endpoint
 
     def _note_incarnation(self, endpoint: Endpoint) -> None:
@@ -121,7 +128,7 @@
             if name not in listed:
                 self.remove(name, now)
         for endpoint in endpoints:
-            self.put(endpoint)
+            self.put(endpoint, now)
 
     def expire(self, now: float) -> list[EndpointName]:
         """Drop lapsed endpoints that have not come back, and return them."""
@@ -147,3 +154,4 @@
     def _drop(self, name: EndpointName) -> None:
         self.entries.pop(name, None)
         self.lapsed.pop(name, None)
+        self.leaving_since.pop(name, None)
--- a/carawayfold/state/forwarded.py
+++ b/carawayfold/state/forwarded.py
@@ -21,11 +21,14 @@
         Histograms by organisation.
     refusals : Counter
         Refusals by their kind.
+    leaving_grants : int
+        Grants of a router that did not know that the endpoint leaves.
     """
 
     def __init__(self) -> None:
         self.organisations = Metrics()
         self.refusals: Counter[ErrorKind] = Counter()
+        self.leaving_grants = 0
 
     def refused(self, kind: ErrorKind) -> None:
         """Count a refusal."""
