--- a/tests/integration/test_leaving_endpoints.py
+++ b/tests/integration/test_leaving_endpoints.py
@@ -5,8 +5,9 @@
 so it can't have known; the two that sent obeyed it and did not look at their own lists.
 Here the decider gets nothing of the store, and the other router has logged `endpoint
 registered`, `"leaving":true`: all of its next 12 requests went to that endpoint. Such a
-grant goes back now, and its line tells who was behind: `granted an endpoint that leaves`,
-`"known_for_ms":21.8`, `"offset":3`, `"decider":"router-1"`, `"decider_offset":2`.
+grant goes back now, and its line tells who was behind: `granted an endpoint that
+leaves`, `"known_for_ms":21.8`, `"offset":3`, `"decider":"router-1"`,
+`"decider_offset":2`.
 """
 
 from __future__ import annotations
