--- /dev/null
+++ b/carawayfold/coordination/anti_entropy.py
@@ -0,0 +1,194 @@
+"""Asks peers for what the store has not told this router.
+
+Heartbeats tell how far each peer is. One that starts asks for everything.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+
+from carawayfold.coordination.knowledge import EndpointSnapshot
+from carawayfold.coordination.readers import ALL_READ, READERS, is_reader
+from carawayfold.state.routes import RouteTable
+from carawayfold.transport.client import ExchangeError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayfold.coordination.fleet import Fleet
+    from carawayfold.coordination.knowledge import Knowledge
+    from carawayfold.protocol.datagrams import Beat
+    from carawayfold.settings import Address
+    from carawayfold.state.ids import RouterId
+    from carawayfold.transport.client import HttpClient
+
+logger = logbook.Logger(__name__)
+
+#: Seconds for which a router that starts in a large fleet looks for a peer that
+#: tells it everything before it reads the store: the hubs that started with it, on
+#: instances as slow as its own, have read by then.
+ADOPTION_PATIENCE = 2.0
+#: Seconds that it waits for the routers' entries before that: two calls of the
+#: store take some ten milliseconds.
+LISTING_PATIENCE = 0.3
+#: Seconds between questions to peers meanwhile.
+ADOPTION_INTERVAL = 0.2
+#: Seconds for which a router that was told everything does not read the store, until
+#: it has heard who the readers are: two heartbeats of a large fleet.
+SETTLING = 1.2
+#: Seconds between looks at whether a peer knows more.
+RELAY_INTERVAL = 0.25
+#: Seconds without an answer of the store after which peers are asked for endpoints:
+#: a read that waits, and the time until it is given up.
+STORE_SILENCE = 3.2
+#: Seconds for a peer's answer.
+RELAY_TIMEOUT = 1.0
+CONFIGURATION_PATH = "/configuration"
+ENDPOINTS_PATH = "/endpoints"
+
+
+class AntiEntropy:
+    """Asks peers for what the store has not told this router.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The peers, and how far each one is.
+    knowledge : Knowledge
+        What this router knows.
+    http : HttpClient
+        To ask with.
+    """
+
+    def __init__(self, fleet: Fleet, knowledge: Knowledge, http: HttpClient) -> None:
+        self.fleet = fleet
+        self.knowledge = knowledge
+        self.http = http
+        #: Loop time before which others are taken to read.
+        self.settled_at = 0.0
+        #: Loop time at which this router last knew all that the store knew.
+        self.known_at = knowledge.store.answered
+
+    async def adopt(self) -> None:
+        """Ask peers for everything at the start of a router of a large fleet.
+
+        Gives up after a while, or at once where the fleet is small: the router then
+        reads the store.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(LISTING_PATIENCE):
+                await self.fleet.listed.wait()
+        except TimeoutError:
+            logger.info("routers not listed in time")
+            return
+        end = loop.time() + ADOPTION_PATIENCE
+        if self.fleet.own.router in self._first_readers():
+            return
+        while len(self.fleet.addresses) >= ALL_READ and loop.time() < end:
+            await self._ask_any(self._pick_told())
+            if self.knowledge.complete:
+                self.settled_at = loop.time() + SETTLING
+                return
+            await asyncio.sleep(ADOPTION_INTERVAL)
+
+    def _first_readers(self) -> list[RouterId]:
+        """Return who of this data centre reads the store first, by the entries."""
+        return self.fleet.expected_hubs()[:READERS]
+
+    def _pick_told(self) -> RouterId:
+        """Return a peer that knows something, as far as it is heard, or may soon."""
+        told = [name for name, beat in self.fleet.beats.items() if beat.version]
+        expected = told or self._first_readers()
+        reached = [name for name in expected if name in self.fleet.addresses]
+        return random.choice(reached) if reached else self.fleet.pick_known()
+
+    async def _ask_any(self, router: RouterId) -> None:
+        if self.knowledge.routes is None:
+            await self._ask(router, CONFIGURATION_PATH)
+        if not self.knowledge.listed:
+            await self._ask(router, ENDPOINTS_PATH)
+
+    def information_age(self) -> float:
+        """Return the seconds since the store told this router all it then knew.
+
+        Also by way of a peer that knows nothing newer.
+        """
+        now = asyncio.get_running_loop().time()
+        known = self.knowledge
+        ages = [now - known.store.answered]
+        for name, beat in self.fleet.beats.items():
+            ahead = beat.version > known.version
+            if ahead or beat.endpoints_offset > known.endpoints.offset:
+                continue
+            member = self.fleet.membership.members.get(name)
+            if member is not None and beat.version:
+                ages.append(now - member.heard + beat.store_age / 1000)
+        return min(ages)
+
+    def may_read(self) -> bool:
+        """Return whether this router should read the store."""
+        if asyncio.get_running_loop().time() < self.settled_at:
+            return False
+        return is_reader(self.fleet)
+
+    async def keep_asking(self) -> None:
+        """Look for ever whether a peer knows more."""
+        while True:
+            await asyncio.sleep(RELAY_INTERVAL)
+            self.known_at = asyncio.get_running_loop().time() - self.information_age()
+            self.knowledge.expire()
+            await self._look()
+
+    async def _look(self) -> None:
+        best = self._furthest(lambda beat: beat.version)
+        if best and self.fleet.beats[best].version > self.knowledge.version:
+            await self._ask(best, CONFIGURATION_PATH)
+        if self._reads_itself() and self.knowledge.listed:
+            return
+        best = self._furthest(lambda beat: beat.endpoints_offset)
+        own = self.knowledge.endpoints.offset
+        if best and self.fleet.beats[best].endpoints_offset > own:
+            await self._ask(best, ENDPOINTS_PATH)
+
+    def _furthest(self, how_far: Callable[[Beat], int]) -> RouterId | None:
+        """Return the peer that knows most, one of this data centre if it can be."""
+        own = self.fleet.own.data_centre
+        beats = self.fleet.beats
+        return max(
+            beats,
+            key=lambda name: (how_far(beats[name]), beats[name].data_centre == own),
+            default=None,
+        )
+
+    def _reads_itself(self) -> bool:
+        store = self.knowledge.store
+        age = asyncio.get_running_loop().time() - store.answered
+        return self.may_read() and store.reachable and age < STORE_SILENCE
+
+    async def _ask(self, router: RouterId, path: str) -> None:
+        address: Address | None = self.fleet.addresses.get(router)
+        if address is None:
+            return
+        try:
+            answer = await self.http.fetch(address, "GET", path, timeout=RELAY_TIMEOUT)
+        except ExchangeError as error:
+            logger.info(
+                "peer did not tell", extra={"peer": router, "reason": str(error)}
+            )
+            return
+        if answer.head.status == 200:
+            self._take(router, path, answer.body)
+
+    def _take(self, router: RouterId, path: str, body: bytes) -> None:
+        if path == CONFIGURATION_PATH:
+            table = msgspec.msgpack.decode(body, type=RouteTable)
+            self.knowledge.take_routes(table, router)
+            return
+        snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
+        self.knowledge.take_snapshot(snapshot, router)
--- /dev/null
+++ b/carawayfold/coordination/directory.py
@@ -0,0 +1,69 @@
+"""Writes this router's entry to the store and looks for the others' entries."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+
+from carawayfold.coordination.followers import Backoff
+from carawayfold.protocol.sources import PeerEntry, QuarantineRecord, SourceError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayfold.coordination.fleet import Fleet
+    from carawayfold.protocol.sources import PeerDirectory
+
+logger = logbook.Logger(__name__)
+
+#: Seconds between looks at the routers' entries. A router that starts writes its own
+#: entry before it reads, and calls all others, so two that start together find each
+#: other by the later one's read; the looks are for what was lost on the way.
+DIRECTORY_INTERVAL = 15.0
+#: The same for each known router, so that the calls of a large fleet add up to no
+#: more than one a second.
+DIRECTORY_INTERVAL_PER_ROUTER = 1.0
+
+
+async def join(
+    directory: PeerDirectory,
+    entry: PeerEntry,
+    fleet: Fleet,
+    take_records: Callable[[list[QuarantineRecord]], None],
+) -> None:
+    """Write this router's entry, then look for others for ever.
+
+    Parameters
+    ----------
+    take_records : callable
+        Takes the refused contents that stand beside the entries.
+    """
+    await _announce(directory, entry)
+    backoff = Backoff()
+    while True:
+        try:
+            page = await directory.newest()
+        except SourceError as error:
+            logger.debug("routers not read", extra={"reason": str(error)})
+            await backoff.wait()
+            continue
+        backoff.reset()
+        fleet.learn([item for item in page.items if isinstance(item, PeerEntry)])
+        take_records([x for x in page.items if isinstance(x, QuarantineRecord)])
+        fleet.listed.set()
+        pause = DIRECTORY_INTERVAL_PER_ROUTER * len(fleet.addresses)
+        await asyncio.sleep(max(DIRECTORY_INTERVAL, pause))
+
+
+async def _announce(directory: PeerDirectory, entry: PeerEntry) -> None:
+    backoff = Backoff()
+    while True:
+        try:
+            await directory.announce(entry)
+        except SourceError as error:
+            logger.debug("not announced yet", extra={"reason": str(error)})
+            await backoff.wait()
+        else:
+            return
--- /dev/null
+++ b/carawayfold/coordination/knowledge.py
@@ -0,0 +1,204 @@
+"""What a router knows from the store, whoever told it.
+
+A version in force is never replaced by an older one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+
+from carawayfold.state.endpoints import Endpoint, EndpointTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from carawayfold.protocol.sources import Page, Registered, SourceError
+    from carawayfold.state.ids import RouterId
+    from carawayfold.state.routes import RouteTable
+
+logger = logbook.Logger(__name__)
+
+
+class EndpointSnapshot(msgspec.Struct):
+    """Endpoints as one router knows them, for another one."""
+
+    offset: int
+    endpoints: list[Endpoint]
+
+
+class StoreHealth(msgspec.Struct):
+    """How the store answers this router.
+
+    Attributes
+    ----------
+    answered : float
+        Loop time of its last answer.
+    reachable : bool
+        Whether the last call was answered.
+    """
+
+    answered: float = 0.0
+    reachable: bool = True
+
+
+class Knowledge:
+    """What this router knows from the store, and its age.
+
+    Parameters
+    ----------
+    on_routes : callable
+        Called with each newer configuration.
+    on_endpoints : callable
+        Called when the endpoints have changed.
+    """
+
+    def __init__(
+        self,
+        on_routes: Callable[[RouteTable], None],
+        on_endpoints: Callable[[], None],
+    ) -> None:
+        self.on_routes = on_routes
+        self.on_endpoints = on_endpoints
+        self.loop = asyncio.get_running_loop()
+        self.routes: RouteTable | None = None
+        self.endpoints = EndpointTable()
+        self.listed = False
+        self.store = StoreHealth(answered=self.loop.time())
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        return self.routes.version if self.routes is not None else 0
+
+    @property
+    def complete(self) -> bool:
+        """Return whether requests can be forwarded."""
+        return self.routes is not None and self.listed
+
+    def note_answer(self) -> None:
+        """Note that the store answered."""
+        now = self.loop.time()
+        if not self.store.reachable:
+            self.store.reachable = True
+            self.endpoints.note_outage(now)
+            outage = round(now - self.store.answered, 2)
+            logger.info("store reachable again", extra={"after_s": outage})
+        self.store.answered = now
+
+    def note_failure(self, error: SourceError) -> None:
+        """Note that the store did not answer, or refused."""
+        self.endpoints.note_outage(self.loop.time())
+        if self.store.reachable:
+            self.store.reachable = False
+            logger.warning("store unreachable", extra={"reason": str(error)})
+
+    def take_routes(self, table: RouteTable, source: str) -> None:
+        """Put a configuration in force unless it is older than the one in force."""
+        if table.version <= self.version:
+            return
+        extra = {"version": table.version, "before": self.version, "source": source}
+        self.routes = table
+        logger.info("configuration in force", extra=extra)
+        self.on_routes(table)
+
+    def take_registered(self, page: Page[Registered]) -> None:
+        """Apply registrations that were read from the store."""
+        now = self.loop.time()
+        changed = False
+        for item in page.items:
+            changed |= self._apply(item, now, page.next)
+        self.endpoints.offset = max(self.endpoints.offset, page.next)
+        self._settle(changed, now)
+
+    def take_listed(self, page: Page[Registered]) -> None:
+        """Take the complete list of registrations."""
+        now = self.loop.time()
+        listed = [item.endpoint for item in page.items if item.endpoint is not None]
+        self._replace_all(listed, now, "store", page.next)
+        self.endpoints.offset = max(self.endpoints.offset, page.next)
+        self.listed = True
+        self._settle(True, now)
+
+    def take_snapshot(self, snapshot: EndpointSnapshot, source: RouterId) -> None:
+        """Take a peer's list of endpoints if it has read further."""
+        if snapshot.offset <= self.endpoints.offset:
+            return
+        logger.info(
+            "endpoints from a peer",
+            extra={"peer": source, "offset": snapshot.offset},
+        )
+        now = self.loop.time()
+        # A peer that the store answers knows what has lapsed and what has left.
+        self.endpoints.outage_end = float("-inf")
+        self._replace_all(snapshot.endpoints, now, source, snapshot.offset)
+        self.endpoints.offset = snapshot.offset
+        self.listed = True
+        self._settle(True, now)
+
+    def snapshot(self) -> EndpointSnapshot:
+        """Return the endpoints for a peer, without times of this process's clock."""
+        entries = self.endpoints.entries.values()
+        known = [
+            msgspec.structs.replace(endpoint, cold_until=0.0) for endpoint in entries
+        ]
+        return EndpointSnapshot(self.endpoints.offset, known)
+
+    def expire(self) -> None:
+        """Drop endpoints whose entry has not come back."""
+        gone = self.endpoints.expire(self.loop.time())
+        for endpoint in gone:
+            extra = {"endpoint": endpoint, "lapsed": True}
+            logger.info("endpoint gone", extra=extra)
+        if gone:
+            self.on_endpoints()
+
+    def _replace_all(
+        self, endpoints: list[Endpoint], now: float, source: str, offset: int
+    ) -> None:
+        """Take a complete list, and log whose state it changes."""
+        before = dict(self.endpoints.entries)
+        self.endpoints.replace_all(endpoints, now)
+        for name, known in self.endpoints.entries.items():
+            old = before.get(name)
+            if old is None or old.leaving is not known.leaving:
+                self._log_registered(known, old is None, source, offset)
+        for name in before.keys() - self.endpoints.entries.keys():
+            extra = {"endpoint": name, "source": source, "offset": offset}
+            logger.info("endpoint gone", extra=extra)
+
+    def _log_registered(
+        self, endpoint: Endpoint, new: bool, source: str, offset: int
+    ) -> None:
+        logger.info(
+            "endpoint registered",
+            extra={
+                "endpoint": endpoint.name,
+                "service": endpoint.service,
+                "leaving": endpoint.leaving,
+                "incarnation": endpoint.incarnation,
+                "new": new,
+                "source": source,
+                "offset": offset,
+            },
+        )
+
+    def _apply(self, item: Registered, now: float, offset: int) -> bool:
+        known = self.endpoints.entries.get(item.name)
+        if item.endpoint is None:
+            dropped = self.endpoints.remove(item.name, now)
+            if dropped:
+                extra = {"endpoint": item.name, "source": "store", "offset": offset}
+                logger.info("endpoint gone", extra=extra)
+            return dropped
+        changed = self.endpoints.put(item.endpoint, now)
+        if changed:
+            self._log_registered(item.endpoint, known is None, "store", offset)
+        return changed
+
+    def _settle(self, changed: bool, now: float) -> None:
+        if self.endpoints.expire(now) or changed:
+            self.on_endpoints()
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -11,13 +11,14 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination import followers
+from carawayfold.coordination import anti_entropy, directory, followers
+from carawayfold.coordination.anti_entropy import AntiEntropy
 from carawayfold.coordination.caches import CacheReader
 from carawayfold.coordination.containment import Containment
 from carawayfold.coordination.desk import Desk
 from carawayfold.coordination.fleet import Fleet
-from carawayfold.coordination.followers import Knowledge, Relay
 from carawayfold.coordination.forwarding import Forwarder
+from carawayfold.coordination.knowledge import Knowledge
 from carawayfold.coordination.membership import Member, PeerState
 from carawayfold.coordination.offers import Basis
 from carawayfold.coordination.pulse import Pulse
@@ -117,7 +118,7 @@
         self.store = StoreClient(self.http, settings.store)
         self.directory = StoreDirectory(self.store)
         self.knowledge = Knowledge(self._on_routes, self._on_endpoints)
-        self.relay = Relay(self.fleet, self.knowledge, self.http)
+        self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
         self.metrics = ForwardMetrics()
         pulse = Pulse()
         self.containment = Containment(
@@ -165,11 +166,11 @@
         self._handle_signals()
         self._spawn(self._follow_store())
         learn = self.containment.learn_records
-        self._spawn(followers.join(self.directory, self._entry(), self.fleet, learn))
+        self._spawn(directory.join(self.directory, self._entry(), self.fleet, learn))
         self._spawn(self.fleet.keep_beating())
         self._spawn(self.desk.keep_telling())
         self._spawn(self.containment.keep_looking())
-        self._spawn(self.relay.keep_asking())
+        self._spawn(self.anti_entropy.keep_asking())
         self._spawn(self._keep_tidy())
         self._spawn(self._keep_measuring())
         logger.info("router started", extra={"router": self.settings.router})
@@ -188,8 +189,8 @@
 
     async def _follow_store(self) -> None:
         """Learn everything from peers or the store, then follow the store."""
-        await self.relay.adopt()
-        known, may_read = self.knowledge, self.relay.may_read
+        await self.anti_entropy.adopt()
+        known, may_read = self.knowledge, self.anti_entropy.may_read
         routes = configuration_source(self.store)
         endpoints = endpoint_source(self.store)
         self._spawn(followers.follow_configuration(routes, known, may_read).follow())
@@ -300,13 +301,13 @@
             self.fleet.own.state is PeerState.STOPPING,
             self.knowledge.version,
             self.knowledge.endpoints.offset,
-            round(self.relay.information_age() * 1000),
+            round(self.anti_entropy.information_age() * 1000),
             self.settings.processor,
             verdicts=self.containment.quarantine.checksum,
         )
 
     def _basis(self) -> Basis:
-        age = asyncio.get_running_loop().time() - self.relay.known_at
+        age = asyncio.get_running_loop().time() - self.anti_entropy.known_at
         return Basis(self.settings.router, self.knowledge.endpoints.offset, age)
 
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
@@ -359,9 +360,9 @@
         path = incoming.target.decode("latin-1")
         if path == "/metrics":
             self._serve_metrics(incoming)
-        elif path == followers.CONFIGURATION_PATH and self.knowledge.routes:
+        elif path == anti_entropy.CONFIGURATION_PATH and self.knowledge.routes:
             incoming.answer(200, [], msgspec.msgpack.encode(self.knowledge.routes))
-        elif path == followers.ENDPOINTS_PATH and self.knowledge.listed:
+        elif path == anti_entropy.ENDPOINTS_PATH and self.knowledge.listed:
             incoming.answer(200, [], msgspec.msgpack.encode(self.knowledge.snapshot()))
         elif path.startswith(quarantine_list.LIST_PATH):
             self._serve_quarantine(incoming, path)
--- /dev/null
+++ b/tests/coordination/test_anti_entropy.py
@@ -0,0 +1,118 @@
+"""Questions to peers that know more, and at the start."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from carawayfold.coordination import anti_entropy
+from carawayfold.coordination.knowledge import EndpointSnapshot
+from carawayfold.coordination.membership import Member
+from carawayfold.protocol.datagrams import Beat
+from carawayfold.settings import Address
+from carawayfold.transport.client import Answer, Head
+from tests.knowledge_builders import in_loop, knowledge, table
+from tests.schedule_builders import endpoint
+
+
+class FakePeer:
+    """Answers a router that starts, once it knows something itself."""
+
+    def __init__(self, ready_after=0):
+        self.ready_after = ready_after
+        self.asked = 0
+
+    async def fetch(self, address, method, path, timeout):
+        self.asked += 1
+        if self.asked <= self.ready_after:
+            return Answer(Head(404, {}), b"")
+        body = (
+            table(7)
+            if path == anti_entropy.CONFIGURATION_PATH
+            else EndpointSnapshot(9, [endpoint("a")])
+        )
+        return Answer(Head(200, {}), msgspec.msgpack.encode(body))
+
+
+def starting(peers, expected=("router-0",)):
+    """Return the fleet as a router sees it that has just read the entries."""
+    listed = asyncio.Event()
+    listed.set()
+    names = {f"router-{number}": Address("127.0.0.1", 1) for number in range(peers)}
+    own = Member("router-new", "north", 1, 0.0)
+    return SimpleNamespace(
+        own=own,
+        addresses=names,
+        size=peers + 1,
+        expected_hubs=lambda: list(expected),
+        beats={},
+        listed=listed,
+        pick_known=lambda: next(iter(names)),
+        live=lambda: [own],
+        near=lambda place: [own],
+    )
+
+
+@pytest.mark.parametrize(
+    ("peers", "ready_after", "told"), [(80, 0, True), (80, 2, True), (5, 0, False)]
+)
+def test_a_router_that_starts_in_a_large_fleet_is_told_by_a_peer(
+    monkeypatch, peers, ready_after, told
+):
+    monkeypatch.setattr(anti_entropy, "ADOPTION_INTERVAL", 0.0)
+
+    async def run():
+        known, _ = knowledge()
+        made = anti_entropy.AntiEntropy(starting(peers), known, FakePeer(ready_after))
+        await made.adopt()
+        return known.complete, made.may_read()
+
+    assert in_loop(run) == (told, not told)
+
+
+def test_the_first_hubs_of_a_large_fleet_read_at_once():
+    async def run():
+        known, _ = knowledge()
+        peer = FakePeer()
+        fleet = starting(80, expected=("router-3", "router-new"))
+        made = anti_entropy.AntiEntropy(fleet, known, peer)
+        await made.adopt()
+        return peer.asked, made.may_read()
+
+    assert in_loop(run) == (0, True)
+
+
+def test_what_a_peer_was_told_counts_from_when_it_was_told():
+    async def run():
+        known, _ = knowledge()
+        loop = asyncio.get_running_loop()
+        known.store.answered = loop.time() - 60
+        fleet = starting(80)
+        made = anti_entropy.AntiEntropy(fleet, known, FakePeer())
+        fleet.beats["router-1"] = Beat("north", False, 1, 1, 2000)
+        heard = Member("router-1", "north", 1, loop.time() - 1)
+        fleet.membership = SimpleNamespace(members={"router-1": heard})
+        ahead = made.information_age()
+        known.take_routes(table(1), "store")
+        known.endpoints.offset = 1
+        return round(ahead), round(made.information_age())
+
+    assert in_loop(run) == (60, 3)
+
+
+def test_a_router_whose_peers_know_nothing_reads_for_itself(monkeypatch):
+    monkeypatch.setattr(anti_entropy, "ADOPTION_PATIENCE", 0.05)
+    monkeypatch.setattr(anti_entropy, "ADOPTION_INTERVAL", 0.01)
+
+    async def run():
+        known, _ = knowledge()
+        made = anti_entropy.AntiEntropy(
+            starting(80), known, FakePeer(ready_after=10_000)
+        )
+        await made.adopt()
+        return known.complete, made.may_read()
+
+    assert in_loop(run) == (False, True)
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -13,6 +13,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
+
 from carawayfold.coordination.containment import Containment
 from carawayfold.coordination.crash_reports import Loss
 from carawayfold.coordination.pulse import Pulse
@@ -145,6 +147,7 @@
         for _ in range(engines):
             self.start_engine()
         fleet.attach = self.attach
+        fleet.fill_beat = self.fill_beat
 
     # Routers
 
@@ -162,6 +165,10 @@
         made.learn_records(list(self.records.kept.values()))
         return made
 
+    def fill_beat(self, name, beat):
+        checksum = self.containments[name].quarantine.checksum
+        return msgspec.structs.replace(beat, verdicts=checksum)
+
     def spawn(self, work):
         task = self.loop.create_task(work)
         self.tasks.add(task)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -98,6 +98,8 @@
     attach : callable or None
         Returns what else of a router takes datagrams and hears of changes, such as
         its containment.
+    fill_beat : callable or None
+        Returns a router's heartbeat with what else it tells.
     """
 
     seed: int = 1
@@ -113,6 +115,7 @@
     changes: Counter = field(default_factory=Counter)
     tasks: dict[str, asyncio.Task] = field(default_factory=dict)
     attach: Callable[[str, Fleet], object] | None = None
+    fill_beat: Callable[[str, Beat], Beat] | None = None
     attached: dict[str, object] = field(default_factory=dict)
     looks: dict[str, asyncio.Task] = field(default_factory=dict)
 
@@ -155,10 +158,9 @@
         socket = SimulatedSocket(self, name, incarnation, Address(name, 1))
 
         def beat():
-            known = self.attached.get(name)
-            verdicts = known.quarantine.checksum if known is not None else 0
             stopping = own.state is PeerState.STOPPING
-            return Beat(place, stopping, 1, 1, 0, processor, verdicts=verdicts)
+            plain = Beat(place, stopping, 1, 1, 0, processor)
+            return self.fill_beat(name, plain) if name in self.attached else plain
 
         def changed():
             self.changes[name] += 1
