--- /dev/null
+++ b/tests/coordination/test_registrations.py
@@ -0,0 +1,50 @@
+"""How long until every router knows that an endpoint leaves.
+
+All routers of a data centre learn of registrations through one that reads the store.
+Where the store no longer answered those, nobody else asked it for up to 3.8 s, although
+each other router could: with 81 routers, three `store unreachable` within two
+milliseconds, then nothing until `store reachable again` on another one 3.65 s later.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.simulated_registrations import TROUBLES, Trouble, ages_of
+
+#: Seconds after which nothing may be sent to an endpoint that leaves, on the deployment
+#: with the tightest bound.
+BOUND = 2.0
+#: Seeds of each case.
+SEEDS = range(3)
+#: Troubles that hit one router, or one data centre.
+SINGLE = {
+    "calm": Trouble(),
+    "loss": Trouble(loss=0.05),
+    "storm": Trouble(storm=True),
+    "one reader refused": replace(TROUBLES["readers refused"], places=1),
+    "one reader swallowed": replace(TROUBLES["readers swallowed"], places=1),
+    "one reader slow": replace(TROUBLES["readers slow"], places=1),
+    "one reader stops": replace(TROUBLES["readers stop"], places=1),
+    "cut": Trouble(apart=1),
+}
+MANY = {name: trouble for name, trouble in TROUBLES.items() if name not in SINGLE}
+
+
+def worst(count, places, trouble):
+    ages, _ = ages_of(count, places, trouble, SEEDS)
+    return ages[-1]
+
+
+@pytest.mark.parametrize("name", SINGLE)
+@pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
+def test_one_trouble_leaves_half_of_the_bound(count, places, name):
+    assert worst(count, places, SINGLE[name]) <= BOUND / 2
+
+
+@pytest.mark.parametrize("name", MANY)
+@pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
+def test_many_troubles_stay_within_the_bound(count, places, name):
+    assert worst(count, places, MANY[name]) <= BOUND
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -273,6 +273,8 @@
         Part of the datagrams that is lost.
     storm : bool
         Whether configurations come in quick succession.
+    places : int or None
+        Data centres whose readers are hit; all for None.
     before : float
         Seconds from the trouble to the word.
     """
@@ -285,6 +287,7 @@
     apart: int = 0
     loss: float = 0.0
     storm: bool = False
+    places: int | None = None
     before: float = 0.3
 
 
@@ -325,7 +328,7 @@
     for access, part in treated.items():
         for name in draw.sample(names, round(part * len(names))):
             world.store.access[name] = access
-    for number in range(places):
+    for number in range(places if trouble.places is None else trouble.places):
         first = readers_first(world, f"dc-{number}")
         if trouble.readers is not None:
             world.store.access[first[0]] = trouble.readers
