Let other routers read the store as soon as it fails those that read for them

Cause: one router of a data centre reads for all, and nobody noticed that it no longer told anything: its failed calls were told to nobody, its age was compared as it was when sent, and 3.5 s had to pass. Class: a single reader without a failover bound by the staleness that is allowed. Change: heartbeats tell that the store did not answer, and the next hub in line reads at once; every hub reads when what it knows is 1.3 s old, a leaf at 1.8 to 2.2 s; ages go on counting; reads of registrations for others wait 0.8 s, so that an age means something; one data centre alone has two readers. The turn to read is an event, not a poll. Why it holds: no router waits for another longer than its own limit of age.

--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/anti_entropy.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from typing import TYPE_CHECKING
 
@@ -13,7 +14,7 @@
 import msgspec
 
 from carawayfold.coordination.knowledge import EndpointSnapshot
-from carawayfold.coordination.readers import ALL_READ, READERS, is_reader
+from carawayfold.coordination.readers import ALL_READ, is_reader
 from carawayfold.state.routes import RouteTable
 from carawayfold.transport.client import ExchangeError
 
@@ -41,6 +42,8 @@
 #: Seconds for which a router that was told everything does not read the store, until
 #: it has heard who the readers are: two heartbeats of a large fleet.
 SETTLING = 1.2
+#: Routers of a data centre that read the store at their start for the others.
+FIRST_READERS = 2
 #: Seconds between looks at whether a peer knows more.
 RELAY_INTERVAL = 0.25
 #: Seconds without an answer of the store after which peers are asked for endpoints:
@@ -72,7 +75,11 @@
         #: Loop time before which others are taken to read.
         self.settled_at = 0.0
         #: Loop time at which this router last knew all that the store knew.
-        self.known_at = knowledge.store.answered
+        self.known_at = knowledge.store.registrations
+        #: Set while this router should read the store.
+        self.reading = asyncio.Event()
+        #: Set to look at once, and not after the usual interval.
+        self.woken = asyncio.Event()
 
     async def adopt(self) -> None:
         """Ask peers for everything at the start of a router of a large fleet.
@@ -99,7 +106,7 @@
 
     def _first_readers(self) -> list[RouterId]:
         """Return who of this data centre reads the store first, by the entries."""
-        return self.fleet.expected_hubs()[:READERS]
+        return self.fleet.expected_hubs()[:FIRST_READERS]
 
     def _pick_told(self) -> RouterId:
         """Return a peer that knows something, as far as it is heard, or may soon."""
@@ -115,13 +122,14 @@
             await self._ask(router, ENDPOINTS_PATH)
 
     def information_age(self) -> float:
-        """Return the seconds since the store told this router all it then knew.
+        """Return the seconds since this router knew all registrations.
 
-        Also by way of a peer that knows nothing newer.
+        From the store, or by way of a peer that knows nothing newer. What a peer said
+        of itself goes on counting after it was said.
         """
         now = asyncio.get_running_loop().time()
         known = self.knowledge
-        ages = [now - known.store.answered]
+        ages = [now - known.store.registrations]
         for name, beat in self.fleet.beats.items():
             ahead = beat.version > known.version
             if ahead or beat.endpoints_offset > known.endpoints.offset:
@@ -135,16 +143,39 @@
         """Return whether this router should read the store."""
         if asyncio.get_running_loop().time() < self.settled_at:
             return False
-        return is_reader(self.fleet)
+        return is_reader(self.fleet, self.information_age())
+
+    def reads_for_others(self) -> bool:
+        """Return whether other routers rely on what this one reads."""
+        return self.fleet.size > ALL_READ
+
+    async def turn(self) -> None:
+        """Wait until this router should read the store."""
+        await self.reading.wait()
+
+    def wake(self) -> None:
+        """Look soon whether a peer knows more, and who reads."""
+        self.woken.set()
 
     async def keep_asking(self) -> None:
         """Look for ever whether a peer knows more."""
         while True:
-            await asyncio.sleep(RELAY_INTERVAL)
-            self.known_at = asyncio.get_running_loop().time() - self.information_age()
+            self._settle()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RELAY_INTERVAL):
+                    await self.woken.wait()
+            self.woken.clear()
             self.knowledge.expire()
             await self._look()
 
+    def _settle(self) -> None:
+        """Find out how old this router's knowledge is, and whether it should read."""
+        self.known_at = asyncio.get_running_loop().time() - self.information_age()
+        if self.may_read():
+            self.reading.set()
+        else:
+            self.reading.clear()
+
     async def _look(self) -> None:
         best = self._furthest(lambda beat: beat.version)
         if best and self.fleet.beats[best].version > self.knowledge.version:
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from carawayfold.coordination.hubs import (
     LEAF_INTERVAL,
@@ -313,18 +314,9 @@
 
     def own_beat(self, roster: int = 0) -> Beat:
         """Return the heartbeat to send, with a fingerprint for one that tells hubs."""
-        beat = self.beat()
-        return Beat(
-            beat.data_centre,
-            beat.stopping,
-            beat.version,
-            beat.endpoints_offset,
-            beat.store_age,
-            beat.processor,
-            self.own.hub,
-            len(self.addresses) + 1 if self.role is Role.MESH else self.size,
-            roster,
-            beat.verdicts,
+        size = len(self.addresses) + 1 if self.role is Role.MESH else self.size
+        return msgspec.structs.replace(
+            self.beat(), hub=self.own.hub, size=size, roster=roster
         )
 
     def tell_near(self) -> None:
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -14,7 +14,7 @@
 from carawayfold.protocol.sources import HistoryLost, SourceError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from carawayfold.coordination.knowledge import Knowledge
     from carawayfold.protocol.sources import Page, Registered, Source
@@ -27,11 +27,12 @@
 CONFIGURATION_WAIT = 2.0
 #: Seconds that a read of registrations waits; renewals of a lease add no record.
 ENDPOINTS_WAIT = 2.0
+#: The same of a router that reads for others: they take it for cut off from the store
+#: when it has had no answer for a little longer.
+ENDPOINTS_WAIT_FOR_OTHERS = 0.8
 #: Seconds between two such reads, so that a whole service that registers at once
 #: takes a few reads and not one an endpoint.
 ENDPOINTS_PAUSE = 0.1
-#: Seconds between looks of a router whose peers read for it.
-READER_INTERVAL = 0.5
 #: Seconds before the store is asked again after it failed, twice as long after each
 #: further failure, and the most: what comes meanwhile is told by peers, and a store
 #: that refuses every call still counts them.
@@ -69,10 +70,12 @@
         Told how the store answers.
     on_newest, on_read : callable
         Take what was listed and what was read on.
-    wait : float
-        Seconds that a read waits.
-    may_read : callable
-        Returns whether this router should read the store at all.
+    wait : callable
+        Returns the seconds that a read waits.
+    turn : callable
+        Waits until this router should read the store.
+    on_answer : callable
+        Told of each answer.
     pause : float
         Seconds between two reads.
     """
@@ -83,11 +86,13 @@
         knowledge: Knowledge,
         on_newest: Callable[[Page], None],
         on_read: Callable[[Page], None],
-        wait: float,
-        may_read: Callable[[], bool],
+        wait: Callable[[], float],
+        turn: Callable[[], Awaitable[None]],
+        on_answer: Callable[[], None],
         pause: float = 0.0,
     ) -> None:
-        self.may_read = may_read
+        self.turn = turn
+        self.on_answer = on_answer
         self.source = source
         self.knowledge = knowledge
         self.on_newest = on_newest
@@ -112,18 +117,16 @@
                 await self.backoff.wait()
 
     async def step(self) -> None:
-        """Read once, unless others read for this router."""
-        begun = self.next is not None or self.knowledge.complete
-        if begun and not self.may_read():
-            await asyncio.sleep(READER_INTERVAL)
-            return
+        """Read once, when others no longer read for this router."""
+        if self.next is not None or self.knowledge.complete:
+            await self.turn()
         if self.next is None:
             page = await self.source.newest()
-            self.knowledge.note_answer()
+            self.on_answer()
             self.on_newest(page)
         else:
-            page = await self.source.read(self.next, self.wait)
-            self.knowledge.note_answer()
+            page = await self.source.read(self.next, self.wait())
+            self.on_answer()
             self.on_read(page)
         self.next = page.next
         if self.pause:
@@ -131,7 +134,9 @@
 
 
 def follow_configuration(
-    source: Source[RouteTable], knowledge: Knowledge, may_read: Callable[[], bool]
+    source: Source[RouteTable],
+    knowledge: Knowledge,
+    turn: Callable[[], Awaitable[None]],
 ) -> Follower:
     """Return a follower of the configuration."""
 
@@ -139,11 +144,22 @@
         for table in page.items:
             knowledge.take_routes(table, "store")
 
-    return Follower(source, knowledge, take, take, CONFIGURATION_WAIT, may_read)
+    return Follower(
+        source,
+        knowledge,
+        take,
+        take,
+        lambda: CONFIGURATION_WAIT,
+        turn,
+        knowledge.note_answer,
+    )
 
 
 def follow_endpoints(
-    source: Source[Registered], knowledge: Knowledge, may_read: Callable[[], bool]
+    source: Source[Registered],
+    knowledge: Knowledge,
+    turn: Callable[[], Awaitable[None]],
+    reads_for_others: Callable[[], bool],
 ) -> Follower:
     """Return a follower of registrations."""
     return Follower(
@@ -151,7 +167,8 @@
         knowledge,
         knowledge.take_listed,
         knowledge.take_registered,
-        ENDPOINTS_WAIT,
-        may_read,
+        lambda: ENDPOINTS_WAIT_FOR_OTHERS if reads_for_others() else ENDPOINTS_WAIT,
+        turn,
+        knowledge.note_registrations,
         ENDPOINTS_PAUSE,
     )
--- a/carawayfold/coordination/knowledge.py
+++ b/carawayfold/coordination/knowledge.py
@@ -37,11 +37,14 @@
     ----------
     answered : float
         Loop time of its last answer.
+    registrations : float
+        Loop time of its last answer that told all registrations.
     reachable : bool
         Whether the last call was answered.
     """
 
     answered: float = 0.0
+    registrations: float = 0.0
     reachable: bool = True
 
 
@@ -54,20 +57,25 @@
         Called with each newer configuration.
     on_endpoints : callable
         Called when the endpoints have changed.
+    on_store : callable
+        Called when the store begins to answer this router, or no longer does.
     """
 
     def __init__(
         self,
         on_routes: Callable[[RouteTable], None],
         on_endpoints: Callable[[], None],
+        on_store: Callable[[], None] = lambda: None,
     ) -> None:
         self.on_routes = on_routes
         self.on_endpoints = on_endpoints
+        self.on_store = on_store
         self.loop = asyncio.get_running_loop()
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
         self.listed = False
-        self.store = StoreHealth(answered=self.loop.time())
+        now = self.loop.time()
+        self.store = StoreHealth(answered=now, registrations=now)
 
     @property
     def version(self) -> int:
@@ -87,14 +95,21 @@
             self.endpoints.note_outage(now)
             outage = round(now - self.store.answered, 2)
             logger.info("store reachable again", extra={"after_s": outage})
+            self.on_store()
         self.store.answered = now
 
+    def note_registrations(self) -> None:
+        """Note that the store told all registrations that this router lacked."""
+        self.note_answer()
+        self.store.registrations = self.store.answered
+
     def note_failure(self, error: SourceError) -> None:
         """Note that the store did not answer, or refused."""
         self.endpoints.note_outage(self.loop.time())
         if self.store.reachable:
             self.store.reachable = False
             logger.warning("store unreachable", extra={"reason": str(error)})
+            self.on_store()
 
     def take_routes(self, table: RouteTable, source: str) -> None:
         """Put a configuration in force unless it is older than the one in force."""
--- a/carawayfold/coordination/readers.py
+++ b/carawayfold/coordination/readers.py
@@ -1,40 +1,68 @@
-"""Which routers read the store for the others."""
+"""Which routers read the store for the others.
+
+The loads it answers: a store whose calls are dear, so that one router of a data centre
+reads for the rest; and a store that refuses some routers or does not answer them, also
+just those that read, while the rest could reach it.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from carawayfold.coordination.membership import rank
 
 if TYPE_CHECKING:
     from carawayfold.coordination.fleet import Fleet
+    from carawayfold.coordination.membership import Member
 
-#: Routers of a data centre that look after reading the store for the others once
-#: there are more than `ALL_READ` routers: the first reads, the next one stands by.
-#: While one that is lost is being replaced, the hubs of other data centres tell what
-#: theirs have read. At their start all of them read.
-READERS = 2
 #: Routers up to which each one reads the store for itself.
 ALL_READ = 12
-#: Milliseconds since the store answered a reader, after which the others read for
-#: themselves: a read that waits, and the time until it is given up.
-READER_STALE_MS = 3500
+#: Readers of a fleet in one data centre; in several each has one, and what one of them
+#: misses the others tell.
+READERS_ALONE = 2
+#: Seconds since all was known after which each hub reads for itself: a read that waits,
+#: its pause, and a heartbeat.
+HUB_STALE = 1.3
+#: The same for leaves, which hear less often, and the time over which they spread their
+#: calls, so that hundreds don't ask a store at once that answers none of them.
+LEAF_STALE = 1.8
+LEAF_SPREAD = 0.4
+#: What the members are ranked by as readers.
+SUBJECT = "store"
 
 
-def is_reader(fleet: Fleet) -> bool:
+def is_reader(fleet: Fleet, age: float) -> bool:
     """Return whether this router should read the store.
 
-    In a large fleet the first hub of each data centre by rendezvous hashing reads for
-    the others, who follow it by its heartbeats. One before whom all readers have lost
-    the store reads for itself.
+    In a large fleet the first hub of each data centre by rendezvous hashing does, and
+    the first one that the store answers. The others follow them by their heartbeats,
+    until what they know is too old.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since this router knew all registrations.
     """
     if fleet.size <= ALL_READ:
         return True
+    if not fleet.own.hub:
+        return age > LEAF_STALE + LEAF_SPREAD * _place(fleet.own)
     near = [item for item in fleet.near(fleet.own.data_centre) if item.hub]
-    readers = [item.router for item in rank("store", near)[:READERS]]
-    if fleet.own.router in readers:
-        readers = readers[: readers.index(fleet.own.router)]
-        if not readers:
-            return True
-    ages = [fleet.beats[name].store_age for name in readers if name in fleet.beats]
-    return not ages or min(ages) > READER_STALE_MS
+    served = [item for item in near if not _is_refused(fleet, item)]
+    places = {item.data_centre for item in fleet.hubs()}
+    wanted = 1 if len(places) > 1 else READERS_ALONE
+    first = rank(SUBJECT, near)[:wanted] + rank(SUBJECT, served)[:wanted]
+    return fleet.own in first or age > HUB_STALE
+
+
+def _is_refused(fleet: Fleet, member: Member) -> bool:
+    """Return whether a peer says that the store does not answer it."""
+    beat = fleet.beats.get(member.router)
+    return beat is not None and beat.refused
+
+
+def _place(own: Member) -> float:
+    """Return a number from 0 to 1 that differs between routers."""
+    return xxhash.xxh3_64_intdigest(own.router.encode()) / 2**64
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -53,6 +53,7 @@
     from carawayfold.gateway_settings import GatewaySettings
     from carawayfold.protocol.datagrams import Datagram
     from carawayfold.settings import Address
+    from carawayfold.state.ids import RouterId
     from carawayfold.state.routes import RouteTable
     from carawayfold.transport.edge import Incoming
 
@@ -117,7 +118,9 @@
         self.caches = CacheReader(EngineClient(self.http), self.desk, self._spawn)
         self.store = StoreClient(self.http, settings.store)
         self.directory = StoreDirectory(self.store)
-        self.knowledge = Knowledge(self._on_routes, self._on_endpoints)
+        self.knowledge = Knowledge(
+            self._on_routes, self._on_endpoints, self._store_changed
+        )
         self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
         self.metrics = ForwardMetrics()
         pulse = Pulse()
@@ -190,11 +193,15 @@
     async def _follow_store(self) -> None:
         """Learn everything from peers or the store, then follow the store."""
         await self.anti_entropy.adopt()
-        known, may_read = self.knowledge, self.anti_entropy.may_read
+        known, peers = self.knowledge, self.anti_entropy
         routes = configuration_source(self.store)
         endpoints = endpoint_source(self.store)
-        self._spawn(followers.follow_configuration(routes, known, may_read).follow())
-        self._spawn(followers.follow_endpoints(endpoints, known, may_read).follow())
+        follow_routes = followers.follow_configuration(routes, known, peers.turn)
+        follow_endpoints = followers.follow_endpoints(
+            endpoints, known, peers.turn, peers.reads_for_others
+        )
+        self._spawn(follow_routes.follow())
+        self._spawn(follow_endpoints.follow())
 
     async def _keep_tidy(self) -> None:
         while True:
@@ -304,6 +311,7 @@
             round(self.anti_entropy.information_age() * 1000),
             self.settings.processor,
             verdicts=self.containment.quarantine.checksum,
+            refused=not self.knowledge.store.reachable,
         )
 
     def _basis(self) -> Basis:
@@ -313,15 +321,28 @@
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
         if datagram.sender == self.settings.router:
             return
+        refused = self._is_refused(datagram.sender)
         self.fleet.take(datagram, source)
+        if self._is_refused(datagram.sender) is not refused:
+            self.anti_entropy.wake()
         self.desk.take(datagram)
         self.containment.take(datagram)
 
+    def _is_refused(self, router: RouterId) -> bool:
+        beat = self.fleet.beats.get(router)
+        return beat is not None and beat.refused
+
     def _fleet_changed(self) -> None:
         self.desk.fleet_changed()
         self.containment.fleet_changed()
+        self.anti_entropy.wake()
         self.caches.look()
 
+    def _store_changed(self) -> None:
+        # Another router reads in its place from now on, or no longer.
+        self.fleet.tell_near()
+        self.anti_entropy.wake()
+
     def _on_routes(self, table: RouteTable) -> None:
         self.forwarder.index = RouteIndex(table)
         limits = table.limits
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -32,7 +32,7 @@
     endpoints_offset : int
         How far it has read registrations of endpoints.
     store_age : int
-        Milliseconds since the store last answered it, or a peer that told it all.
+        Milliseconds since it knew all registrations, from the store or from a peer.
     processor : int
         What its processor can do, in hundredths of a usual core.
     hub : bool
@@ -44,6 +44,8 @@
         0 for others.
     verdicts : int
         Checksum of the verdicts on contents that it knows; 0 for none.
+    refused : bool
+        Whether the store did not answer its last call.
     """
 
     data_centre: DataCentreId
@@ -56,6 +58,7 @@
     size: int = 0
     roster: int = 0
     verdicts: int = 0
+    refused: bool = False
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/test_anti_entropy.py
@@ -51,6 +51,7 @@
         beats={},
         listed=listed,
         pick_known=lambda: next(iter(names)),
+        hubs=lambda: [own],
         live=lambda: [own],
         near=lambda place: [own],
     )
@@ -89,7 +90,7 @@
     async def run():
         known, _ = knowledge()
         loop = asyncio.get_running_loop()
-        known.store.answered = loop.time() - 60
+        known.store.registrations = loop.time() - 60
         fleet = starting(80)
         made = anti_entropy.AntiEntropy(fleet, known, FakePeer())
         fleet.beats["router-1"] = Beat("north", False, 1, 1, 2000)
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -10,6 +10,10 @@
 from tests.knowledge_builders import in_loop, knowledge, table
 
 
+async def at_once():
+    """Let a follower read without waiting for its turn."""
+
+
 def test_lost_history_is_read_from_the_newest_records():
     class Source:
         def __init__(self):
@@ -25,7 +29,7 @@
     async def run():
         known, taken = knowledge()
         source = Source()
-        follower = followers.follow_configuration(source, known, lambda: True)
+        follower = followers.follow_configuration(source, known, at_once)
         work = asyncio.create_task(follower.follow())
         while len(taken) < 3:
             await asyncio.sleep(0)
@@ -35,8 +39,7 @@
     assert in_loop(run)[:3] == [1, 2, 3]
 
 
-def test_one_whose_peers_read_for_it_reads_only_at_the_start(monkeypatch):
-    monkeypatch.setattr(followers, "READER_INTERVAL", 0.0)
+def test_one_whose_peers_read_for_it_reads_only_at_the_start():
     calls = []
 
     class Source:
@@ -51,12 +54,21 @@
     async def run():
         known, _ = knowledge()
         nothing = lambda page: None  # noqa: E731
-        follower = Follower(Source(), known, nothing, nothing, 1.0, lambda: False)
-        for _ in range(5):
-            await follower.step()
+        turn = asyncio.Event()
+        follower = Follower(
+            Source(), known, nothing, nothing, lambda: 1.0, turn.wait, known.note_answer
+        )
+        await follower.step()
+        waiting = asyncio.create_task(follower.step())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        before = list(calls)
+        turn.set()
+        await waiting
+        return before
 
-    in_loop(run)
-    assert calls == ["newest"]
+    assert in_loop(run) == ["newest"]
+    assert calls == ["newest", "read"]
 
 
 def test_a_store_that_refuses_is_asked_less_and_less_often(monkeypatch):
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/test_readers.py
@@ -4,18 +4,23 @@
 
 from types import SimpleNamespace
 
+import pytest
+
 from carawayfold.coordination import readers
 from carawayfold.coordination.membership import Member
 from carawayfold.protocol.datagrams import Beat
 
 
-def fleet_of(count, own="router-0", data_centre="north", ages=None):
-    """Return a fleet of `count` routers in one data centre, all heard."""
+def fleet_of(count, own="router-0", refused=(), places=2):
+    """Return a fleet as the router `own` of its first data centre hears it."""
     members = [
-        Member(f"router-{number}", data_centre, 1, 0.0) for number in range(count)
+        Member(f"router-{number}", f"dc-{number % places}", 1, 0.0)
+        for number in range(count)
     ]
     beats = {
-        item.router: Beat(data_centre, False, 1, 1, (ages or {}).get(item.router, 0))
+        item.router: Beat(
+            item.data_centre, False, 1, 1, 0, refused=item.router in refused
+        )
         for item in members
         if item.router != own
     }
@@ -23,43 +28,61 @@
         own=next(item for item in members if item.router == own),
         beats=beats,
         size=count,
+        hubs=lambda: [item for item in members if item.hub],
         near=lambda place: [item for item in members if item.data_centre == place],
     )
 
 
-def reading(count, ages=None):
+def reading(count, age=0.0, refused=(), places=2):
+    """Return who reads in the first data centre where all know things of an age."""
     return [
-        name
-        for name in (f"router-{number}" for number in range(count))
-        if readers.is_reader(fleet_of(count, name, ages=ages))
+        f"router-{number}"
+        for number in range(0, count, places)
+        if readers.is_reader(fleet_of(count, f"router-{number}", refused, places), age)
     ]
 
 
 def test_every_router_of_a_small_fleet_reads():
-    assert len(reading(readers.ALL_READ)) == readers.ALL_READ
-
-
-def stale(*names):
-    return dict.fromkeys(names, readers.READER_STALE_MS + 1)
+    count = readers.ALL_READ
+    assert len(reading(count, places=1)) == count
 
 
 def test_one_router_of_a_data_centre_reads_for_a_large_fleet():
     assert len(reading(30)) == 1
 
 
-def test_the_next_one_reads_too_when_the_store_no_longer_answers_the_first():
-    (first,) = reading(30)
-    assert len(reading(30, stale(first))) == readers.READERS
-    assert first in reading(30, stale(first))
+def test_two_read_where_there_is_one_data_centre():
+    assert len(reading(30, places=1)) == readers.READERS_ALONE
 
 
-def test_all_read_when_the_store_no_longer_answers_the_readers():
+def test_the_next_one_reads_as_well_once_the_store_refuses_the_first():
     (first,) = reading(30)
-    both = reading(30, stale(first))
-    assert len(reading(30, stale(*both))) == 30
+    both = reading(30, refused=(first,))
+    assert first in both
+    assert len(both) == 2
 
 
-def test_one_reader_that_is_answered_suffices():
+def test_one_that_is_refused_is_passed_over_when_the_next_one_is_too():
     (first,) = reading(30)
-    (second,) = set(reading(30, stale(first))) - {first}
-    assert reading(30, stale(second)) == [first]
+    (second,) = set(reading(30, refused=(first,))) - {first}
+    third = set(reading(30, refused=(first, second))) - {first, second}
+    assert len(third) == 1
+
+
+@pytest.mark.parametrize(("over", "count"), [(-0.01, 1), (0.01, 15)])
+def test_all_hubs_read_when_what_they_know_is_too_old(over, count):
+    assert len(reading(30, age=readers.HUB_STALE + over)) == count
+
+
+def test_leaves_read_later_than_hubs_and_not_all_at_once():
+    def leaf_reads(number, age):
+        fleet = fleet_of(100, f"router-{number}")
+        fleet.own.hub = False
+        return readers.is_reader(fleet, age)
+
+    def count(age):
+        return sum(leaf_reads(number, age) for number in range(100))
+
+    assert count(readers.LEAF_STALE) == 0
+    assert 0 < count(readers.LEAF_STALE + readers.LEAF_SPREAD / 2) < 100
+    assert count(readers.LEAF_STALE + readers.LEAF_SPREAD) == 100
--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -1,9 +1,13 @@
 """How long until every router knows that an endpoint leaves.
 
 All routers of a data centre learn of registrations through one that reads the store.
-Where the store no longer answered those, nobody else asked it for up to 3.8 s, although
-each other router could: with 81 routers, three `store unreachable` within two
-milliseconds, then nothing until `store reachable again` on another one 3.65 s later.
+Where the store no longer answered those, nobody else asked it, although each other
+router could: with 81 routers, three `store unreachable` within two milliseconds, then
+nothing until another one read 3.65 s later, and 25 requests at an endpoint more than
+3.0 s after it had said that it leaves. Only the age of what the readers knew, 3.5 s,
+brought others to read; that a call had failed was told to nobody, and what a reader
+said of its age did not go on counting. Failed calls are in heartbeats now, and each hub
+reads once what it knows is 1.3 s old.
 """
 
 from __future__ import annotations
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -21,6 +21,7 @@
 from carawayfold.coordination.anti_entropy import AntiEntropy
 from carawayfold.coordination.knowledge import Knowledge
 from carawayfold.platform import store as platform_store
+from carawayfold.protocol.datagrams import Beat
 from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
 from carawayfold.state.routes import CallerLimits, RouteTable
 from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
@@ -160,7 +161,9 @@
         self.world = world
         self.name = name
         self.fleet = fleet
-        self.knowledge = Knowledge(lambda table: fleet.tell_near(), fleet.tell_near)
+        self.knowledge = Knowledge(
+            lambda table: fleet.tell_near(), fleet.tell_near, self.store_changed
+        )
         http = SimulatedHttp(world, name)
         self.anti_entropy = AntiEntropy(fleet, self.knowledge, http)
 
@@ -170,13 +173,20 @@
             version=self.knowledge.version,
             endpoints_offset=self.knowledge.endpoints.offset,
             store_age=round(self.anti_entropy.information_age() * 1000),
+            refused=not self.knowledge.store.reachable,
         )
 
+    def store_changed(self):
+        self.fleet.tell_near()
+        self.anti_entropy.wake()
+
     def take(self, datagram):
-        pass
+        for message in datagram.messages:
+            if isinstance(message, Beat) and message.refused:
+                self.anti_entropy.wake()
 
     def fleet_changed(self):
-        pass
+        self.anti_entropy.wake()
 
     def serve(self, path):
         if path == anti_entropy.CONFIGURATION_PATH and self.knowledge.routes:
@@ -192,12 +202,14 @@
         store = self.world.store
         tables = self.source(store.tables, lambda: store.tables[-1:])
         registered = self.source(store.records, store.newest)
-        may_read = self.anti_entropy.may_read
+        peers = self.anti_entropy
         async with asyncio.TaskGroup() as group:
             group.create_task(self.anti_entropy.keep_asking())
             await self.anti_entropy.adopt()
-            routes = followers.follow_configuration(tables, self.knowledge, may_read)
-            endpoints = followers.follow_endpoints(registered, self.knowledge, may_read)
+            routes = followers.follow_configuration(tables, self.knowledge, peers.turn)
+            endpoints = followers.follow_endpoints(
+                registered, self.knowledge, peers.turn, peers.reads_for_others
+            )
             group.create_task(routes.follow())
             group.create_task(endpoints.follow())
 
@@ -362,7 +374,10 @@
     ages = await world.leave("e-0")
     if world.storm is not None:
         world.storm.cancel()
+    failed = [task for task in fleet.looks.values() if task.done()]
     await fleet.close()
+    for task in failed:
+        task.result()
     return ages, calls
 
 
