Show four more ways for an endpoint's leaving to be learnt late, as failing tests

Older records and lists overwrite what a peer told; a router that begins to read lists and takes an endpoint that left for a lapse; a peer that does not answer is asked again and again; a reader whose call hangs asks nobody.

--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/test_anti_entropy.py
@@ -13,9 +13,10 @@
 from carawayfold.coordination.membership import Member
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.settings import Address
-from carawayfold.transport.client import Answer, Head
+from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
 from tests.knowledge_builders import in_loop, knowledge, table
 from tests.schedule_builders import endpoint
+from tests.simulated_fleet import simulate
 
 
 class FakePeer:
@@ -117,3 +118,59 @@
         return known.complete, made.may_read()
 
     assert in_loop(run) == (False, True)
+
+
+#: Seconds after which a router that still does not know is not waited for.
+PATIENCE = 5.0
+
+
+class SilentFirst:
+    """Peers of which one never answers."""
+
+    def __init__(self, silent):
+        self.silent = silent
+
+    async def fetch(self, address, method, path, timeout):
+        if address == self.silent:
+            await asyncio.sleep(timeout)
+            raise ExchangeError(Phase.SENT, "no answer in time")
+        body = EndpointSnapshot(9, [endpoint("a")])
+        return Answer(Head(200, {}), msgspec.msgpack.encode(body))
+
+
+def told_after(fleet, http):
+    """Return the seconds after which a leaf knows what its peers know."""
+
+    async def run():
+        known, _ = knowledge()
+        known.take_routes(table(1), "peer")
+        known.listed = True
+        made = anti_entropy.AntiEntropy(fleet, known, http)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        asking = asyncio.create_task(made.keep_asking())
+        while not known.endpoints.entries and loop.time() - begun < PATIENCE:
+            await asyncio.sleep(0.01)
+        asking.cancel()
+        return loop.time() - begun
+
+    return simulate(run)
+
+
+def test_a_peer_that_does_not_answer_is_not_asked_again_before_others():
+    """Each question to a hub that stood still took a second, for 2.5 s.
+
+    It counts as silent only then, and of hubs that know equally much the first one was
+    asked each time.
+    """
+    places = {f"router-{number}": Address("127.0.0.1", number + 1) for number in (0, 1)}
+    own = Member("router-new", "north", 1, 0.0, hub=False)
+    fleet = SimpleNamespace(
+        own=own,
+        addresses=places,
+        size=80,
+        beats={name: Beat("north", False, 1, 9, 0) for name in places},
+        membership=SimpleNamespace(members={}),
+    )
+    took = [told_after(fleet, SilentFirst(address)) for address in places.values()]
+    assert max(took) <= 1.0
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -6,8 +6,10 @@
 
 from carawayfold.coordination import followers
 from carawayfold.coordination.followers import Follower
-from carawayfold.protocol.sources import HistoryLost, Page
+from carawayfold.coordination.knowledge import EndpointSnapshot
+from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
 from tests.knowledge_builders import in_loop, knowledge, table
+from tests.schedule_builders import endpoint
 
 
 async def at_once():
@@ -88,3 +90,35 @@
 
     in_loop(run)
     assert pauses == [0.25, 0.5, 1.0, 1.0, 0.25]
+
+
+def test_one_that_peers_have_told_reads_on_from_there():
+    """A list holds no word of an endpoint that said it leaves and is gone since.
+
+    Such a router listed: the entry had vanished, was taken for a lapse in an outage,
+    and its endpoint got work for two more seconds (`endpoint gone`, `"lapsed":true`,
+    4.5 s after it had said that it leaves).
+    """
+    calls = []
+
+    class Source:
+        async def newest(self):
+            calls.append("newest")
+            return Page([], 12)
+
+        async def read(self, start, wait):
+            calls.append(start)
+            leaves = Registered("a", endpoint("a", leaving=True))
+            return Page([leaves, Registered("a", None)], start + 2)
+
+    async def run():
+        known, _ = knowledge()
+        known.take_routes(table(1), "peer")
+        known.take_snapshot(EndpointSnapshot(10, [endpoint("a")]), "peer")
+        known.note_failure(SourceError("the connection was reset"))
+        follower = followers.follow_endpoints(Source(), known, at_once, lambda: True)
+        await follower.step()
+        return list(known.endpoints.entries)
+
+    assert in_loop(run) == []
+    assert calls == [10]
--- a/tests/coordination/test_knowledge.py
+++ b/tests/coordination/test_knowledge.py
@@ -40,3 +40,29 @@
         return list(known.endpoints.entries)
 
     assert in_loop(run) == ["a"]
+
+
+def told_that_a_leaves():
+    """Return what a router knows that a peer told of records up to 11."""
+    known, _ = knowledge()
+    known.take_listed(Page([Registered("a", endpoint("a"))], 8))
+    known.take_snapshot(EndpointSnapshot(11, [endpoint("a", leaving=True)]), "peer")
+    return known
+
+
+def test_a_record_that_is_older_than_what_a_peer_told_changes_nothing():
+    async def run():
+        known = told_that_a_leaves()
+        known.take_registered(Page([Registered("a", endpoint("a"))], 9))
+        return known.endpoints.usable("model")
+
+    assert in_loop(run) == []
+
+
+def test_a_list_that_is_older_than_what_a_peer_told_changes_nothing():
+    async def run():
+        known = told_that_a_leaves()
+        known.take_listed(Page([Registered("a", endpoint("a"))], 10))
+        return known.endpoints.usable("model")
+
+    assert in_loop(run) == []
--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from tests.simulated_registrations import TROUBLES, Trouble, ages_of
+from tests.simulated_registrations import TROUBLES, SimulatedNews, Trouble, ages_of
 
 #: Seconds after which nothing may be sent to an endpoint that leaves, on the deployment
 #: with the tightest bound.
@@ -52,3 +52,11 @@
 @pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
 def test_many_troubles_stay_within_the_bound(count, places, name):
     assert worst(count, places, MANY[name]) <= BOUND
+
+
+@pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
+def test_a_reader_without_answers_is_told_by_peers_like_others(count, places):
+    """A read that hangs took three seconds to fail, and until then nobody was asked."""
+    trouble = SINGLE["one reader swallowed"]
+    ages, _ = ages_of(count, places, trouble, SEEDS, SimulatedNews.cut_off)
+    assert ages[-1] <= BOUND / 2
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -252,11 +252,19 @@
             and access.get(name, Access.SERVED) is Access.SERVED
         ]
 
-    async def leave(self, name):
-        """Let an endpoint leave; return after how long each router in touch knew."""
+    def cut_off(self):
+        """Return the routers that hear the others and get no answers of the store."""
+        access = self.store.access
+        return [name for name in access if access[name] is Access.SWALLOWED]
+
+    async def leave(self, name, watched=None):
+        """Let an endpoint leave; return after how long each router knew.
+
+        Those in touch are watched, unless others are named.
+        """
         self.register(name, leaving=True)
         begun = self.loop.time()
-        unaware = set(self.in_touch())
+        unaware = set(self.in_touch() if watched is None else watched)
         ages = {}
         while unaware and self.loop.time() - begun < PATIENCE:
             for router in list(unaware):
@@ -358,8 +366,14 @@
         await asyncio.sleep(0.1)
 
 
-async def play_round(count, places, trouble, seed):
-    """Return the ages of one round, and the calls of the store in a calm second."""
+async def play_round(count, places, trouble, seed, watch=None):
+    """Return the ages of one round, and the calls of the store in a calm second.
+
+    Parameters
+    ----------
+    watch : callable, optional
+        Returns the routers to watch; those in touch without it.
+    """
     fleet = started(count, places, seed=seed)
     world = SimulatedNews(fleet)
     await asyncio.sleep(SETTLED)
@@ -371,7 +385,8 @@
     world.storm = None
     await strike(world, trouble, places)
     await asyncio.sleep(trouble.before)
-    ages = await world.leave("e-0")
+    watched = watch(world) if watch is not None else None
+    ages = await world.leave("e-0", watched)
     if world.storm is not None:
         world.storm.cancel()
     failed = [task for task in fleet.looks.values() if task.done()]
@@ -381,12 +396,14 @@
     return ages, calls
 
 
-def ages_of(count, places, trouble, seeds):
+def ages_of(count, places, trouble, seeds, watch=None):
     """Return the ages of all rounds, sorted, and the calls in a calm second."""
     ages = []
     calls = 0.0
     for seed in seeds:
-        taken = simulate(lambda seed=seed: play_round(count, places, trouble, seed))
+        taken = simulate(
+            lambda seed=seed: play_round(count, places, trouble, seed, watch)
+        )
         ages += taken[0].values()
         calls = taken[1]
     return sorted(ages), calls
