Read on from where peers have told, in place of listing

Cause: a router that begins to read the store after peers have told it listed the newest records. An endpoint that had said it leaves and had gone since was missing there without a word, was taken for one whose lease lapsed in an outage, and kept for two seconds: with 81 routers 'endpoint gone', lapsed, came 4.5 s after its word. Class: a state lost where only the newest value of each key is looked at. Ruled out: the time until another router read (2.46 s of the 4.5). Change: the first read starts at the offset that is known; only lost history leads to a list. Why it holds: a word in the history is read by whoever reads on.

--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -76,6 +76,8 @@
         Waits until this router should read the store.
     on_answer : callable
         Told of each answer.
+    told : callable
+        Returns how far peers have told this router, None where they don't.
     pause : float
         Seconds between two reads.
     """
@@ -89,8 +91,10 @@
         wait: Callable[[], float],
         turn: Callable[[], Awaitable[None]],
         on_answer: Callable[[], None],
+        told: Callable[[], int | None] = lambda: None,
         pause: float = 0.0,
     ) -> None:
+        self.told = told
         self.turn = turn
         self.on_answer = on_answer
         self.source = source
@@ -100,6 +104,8 @@
         self.wait = wait
         self.pause = pause
         self.next: int | None = None
+        #: Whether the records after `next` are no longer kept.
+        self.lost = False
         self.backoff = Backoff()
 
     async def follow(self) -> None:
@@ -110,24 +116,35 @@
                 self.backoff.reset()
             except HistoryLost:
                 logger.info("history lost", extra={"from": self.next})
-                self.next = None
+                self.lost = True
                 await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
                 self.knowledge.note_failure(error)
                 await self.backoff.wait()
 
+    def _start(self) -> int | None:
+        """Return where to read on.
+
+        Also for one that only peers have told so far: a list has no word of what said
+        that it leaves and has gone since.
+        """
+        known = [place for place in (self.next, self.told()) if place is not None]
+        return max(known, default=None)
+
     async def step(self) -> None:
         """Read once, when others no longer read for this router."""
         if self.next is not None or self.knowledge.complete:
             await self.turn()
-        if self.next is None:
+        start = None if self.lost else self._start()
+        if start is None:
             page = await self.source.newest()
             self.on_answer()
             self.on_newest(page)
         else:
-            page = await self.source.read(self.next, self.wait())
+            page = await self.source.read(start, self.wait())
             self.on_answer()
             self.on_read(page)
+        self.lost = False
         self.next = page.next
         if self.pause:
             await asyncio.sleep(self.pause)
@@ -170,5 +187,6 @@
         lambda: ENDPOINTS_WAIT_FOR_OTHERS if reads_for_others() else ENDPOINTS_WAIT,
         turn,
         knowledge.note_registrations,
+        lambda: knowledge.endpoints.offset if knowledge.listed else None,
         ENDPOINTS_PAUSE,
     )
--- a/carawayfold/coordination/knowledge.py
+++ b/carawayfold/coordination/knowledge.py
@@ -135,7 +135,7 @@
         self._settle(changed, now)
 
     def take_listed(self, page: Page[Registered]) -> None:
-        """Take the complete list of registrations unless it is older than what is known."""
+        """Take the complete list of registrations unless more is known."""
         if self.listed and page.next < self.endpoints.offset:
             return
         now = self.loop.time()
