Let a router whose read hangs ask peers that know more

Cause: a router that reads the store itself asked no peer until its read had failed, 2 s of waiting and 1 s of grace; the one that reads for others often decides for them too, so a whole service's grants were that old. Class: trust in a connection that is silent. Ruled out: heartbeats (they told the peers' offsets all the while). Change: a router that is behind its peers for 0.3 s asks one of them, reader or not. Why it holds: progress is compared, not the state of a connection.

--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/anti_entropy.py
@@ -46,9 +46,9 @@
 FIRST_READERS = 2
 #: Seconds between looks at whether a peer knows more.
 RELAY_INTERVAL = 0.25
-#: Seconds without an answer of the store after which peers are asked for endpoints:
-#: a read that waits, and the time until it is given up.
-STORE_SILENCE = 3.2
+#: Seconds for which a router that reads the store itself waits for what a peer has read
+#: already: its own answer comes within some hundredths, if it comes.
+BEHIND_PATIENCE = 0.3
 #: Seconds for a peer's answer.
 RELAY_TIMEOUT = 1.0
 CONFIGURATION_PATH = "/configuration"
@@ -76,6 +76,8 @@
         self.settled_at = 0.0
         #: Loop time at which this router last knew all that the store knew.
         self.known_at = knowledge.store.registrations
+        #: Loop time since which peers have known more endpoints; None if none does.
+        self.behind_since: float | None = None
         #: Set while this router should read the store.
         self.reading = asyncio.Event()
         #: Set to look at once, and not after the usual interval.
@@ -180,11 +182,11 @@
         best = self._furthest(lambda beat: beat.version)
         if best and self.fleet.beats[best].version > self.knowledge.version:
             await self._ask(best, CONFIGURATION_PATH)
-        if self._reads_itself() and self.knowledge.listed:
-            return
         best = self._furthest(lambda beat: beat.endpoints_offset)
         own = self.knowledge.endpoints.offset
-        if best and self.fleet.beats[best].endpoints_offset > own:
+        if not best or self.fleet.beats[best].endpoints_offset <= own:
+            self.behind_since = None
+        elif self._waited_long_enough():
             await self._ask(best, ENDPOINTS_PATH)
 
     def _furthest(self, how_far: Callable[[Beat], int]) -> RouterId | None:
@@ -197,10 +199,19 @@
             default=None,
         )
 
-    def _reads_itself(self) -> bool:
-        store = self.knowledge.store
-        age = asyncio.get_running_loop().time() - store.answered
-        return self.may_read() and store.reachable and age < STORE_SILENCE
+    def _waited_long_enough(self) -> bool:
+        """Return whether a router that is behind its peers should ask them.
+
+        One that reads the store gives its read a moment; a read that hangs fails only
+        after seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.behind_since is None:
+            self.behind_since = now
+        reads = self.reading.is_set() and self.knowledge.store.reachable
+        if not reads or not self.knowledge.listed:
+            return True
+        return now - self.behind_since >= BEHIND_PATIENCE
 
     async def _ask(self, router: RouterId, path: str) -> None:
         address: Address | None = self.fleet.addresses.get(router)
