Recognise a store that comes back from a copy, and order all that is read by its era

Cause: how far a router has read was an offset. A store that comes back from a copy gives offsets out again: a router that had read further than its end got 410, one whose offset existed again read on in other records, and peers that held the lost ones counted as further and were asked. Endpoints that had said that they leave stood in the copy as staying, and routers' entries and verdicts written since were gone for good. Class: a sequence number without its epoch. Change: a position is era and offset in one number, taken from the header of every answer; records of another era are no continuation, and lead to a list. An endpoint that leaves goes on leaving whatever an older entry says; one that went within 30 s is not taken back from a list within 10 s of the return, only from a record written after it. Routers write their entry again if they wrote it within a minute or miss it later; verdicts that are missing from a listing are written again by their home. The stand-in store takes copies and comes back from them. Ruled out: comparing record contents (peers compare positions in each heartbeat). Why it holds: positions are totally ordered, and what is final stays final.

--- a/carawayfold/coordination/directory.py
+++ b/carawayfold/coordination/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import logbook
@@ -27,11 +28,19 @@
 DIRECTORY_INTERVAL_PER_ROUTER = 1.0
 
 
+#: Seconds for which what a router wrote may be missing from a copy of the store; what
+#: is missing for longer is found when the entries are looked at.
+COPY_AGE = 60.0
+#: Seconds over which the routers of a fleet spread what they write again.
+COPY_SPREAD = 1.0
+
+
 async def join(
     directory: PeerDirectory,
     entry: PeerEntry,
     fleet: Fleet,
     take_records: Callable[[list[QuarantineRecord]], None],
+    copied: asyncio.Event,
 ) -> None:
     """Write this router's entry, then look for others for ever.
 
@@ -39,8 +48,12 @@
     ----------
     take_records : callable
         Takes the refused contents that stand beside the entries.
+    copied : asyncio.Event
+        Set whenever the store has come back from a copy.
     """
+    loop = asyncio.get_running_loop()
     await _announce(directory, entry)
+    announced_at = loop.time()
     backoff = Backoff()
     while True:
         try:
@@ -50,11 +63,31 @@
             await backoff.wait()
             continue
         backoff.reset()
-        fleet.learn([item for item in page.items if isinstance(item, PeerEntry)])
+        entries = [item for item in page.items if isinstance(item, PeerEntry)]
+        fleet.learn(entries)
         take_records([x for x in page.items if isinstance(x, QuarantineRecord)])
         fleet.listed.set()
+        if entry not in entries:
+            await _announce(directory, entry)
+            announced_at = loop.time()
         pause = DIRECTORY_INTERVAL_PER_ROUTER * len(fleet.addresses)
-        await asyncio.sleep(max(DIRECTORY_INTERVAL, pause))
+        due = loop.time() + max(DIRECTORY_INTERVAL, pause)
+        while await _is_copied(copied, due):
+            if loop.time() - announced_at < COPY_AGE:
+                await asyncio.sleep(random.uniform(0, COPY_SPREAD))
+                await _announce(directory, entry)
+                announced_at = loop.time()
+
+
+async def _is_copied(copied: asyncio.Event, due: float) -> bool:
+    """Wait until the store has come back from a copy; return whether before `due`."""
+    try:
+        async with asyncio.timeout_at(due):
+            await copied.wait()
+    except TimeoutError:
+        return False
+    copied.clear()
+    return True
 
 
 async def _announce(directory: PeerDirectory, entry: PeerEntry) -> None:
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -18,6 +18,7 @@
 
     from carawayfold.coordination.knowledge import Knowledge
     from carawayfold.protocol.sources import Page, Registered, Source
+    from carawayfold.state.ids import Position
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -91,7 +92,7 @@
         wait: Callable[[], float],
         turn: Callable[[], Awaitable[None]],
         on_answer: Callable[[], None],
-        told: Callable[[], int | None] = lambda: None,
+        told: Callable[[], Position | None] = lambda: None,
         pause: float = 0.0,
     ) -> None:
         self.told = told
@@ -103,7 +104,7 @@
         self.on_read = on_read
         self.wait = wait
         self.pause = pause
-        self.next: int | None = None
+        self.next: Position | None = None
         #: Whether the records after `next` are no longer kept.
         self.lost = False
         self.backoff = Backoff()
@@ -122,7 +123,7 @@
                 self.knowledge.note_failure(error)
                 await self.backoff.wait()
 
-    def _start(self) -> int | None:
+    def _start(self) -> Position | None:
         """Return where to read on.
 
         Also for one that only peers have told so far: a list has no word of what said
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -21,6 +21,7 @@
 from carawayfold.protocol import problem
 from carawayfold.state.contents import content_id
 from carawayfold.state.patience import Patience
+from carawayfold.state.positions import offset_of
 from carawayfold.state.routes import ANONYMOUS
 
 if TYPE_CHECKING:
@@ -471,10 +472,10 @@
                 "request": call.asked.id,
                 "endpoint": endpoint.id,
                 "known_for_ms": round((self.loop.time() - since) * 1000, 1),
-                "offset": known.offset,
+                "offset": offset_of(known.offset),
                 "age_ms": round(known.age * 1000, 1),
                 "decider": granted.basis.decider,
-                "decider_offset": granted.basis.offset,
+                "decider_offset": offset_of(granted.basis.offset),
                 "decider_age_ms": round(granted.basis.age * 1000, 1),
             },
         )
@@ -523,7 +524,7 @@
                 "endpoints": sorted(call.tried),
                 "donor": call.donor or "",
                 "decider": basis.decider if basis is not None else "",
-                "offset": basis.offset if basis is not None else 0,
+                "offset": offset_of(basis.offset) if basis is not None else 0,
                 "age_ms": round(basis.age * 1000, 1) if basis is not None else None,
                 "version": self.version,
                 "waited_ms": round(call.waited * 1000, 1),
--- a/carawayfold/coordination/knowledge.py
+++ b/carawayfold/coordination/knowledge.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from carawayfold.state.endpoints import Endpoint, EndpointTable
+from carawayfold.state.ids import Position
+from carawayfold.state.positions import era_of, offset_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,11 +24,15 @@
 
 logger = logbook.Logger(__name__)
 
+#: Seconds after the store came back from a copy in which endpoints that had gone before
+#: may still be listed: their leases run out within a few heartbeats.
+COPY_GRACE = 10.0
+
 
 class EndpointSnapshot(msgspec.Struct):
     """Endpoints as one router knows them, for another one."""
 
-    offset: int
+    offset: Position
     endpoints: list[Endpoint]
 
 
@@ -59,6 +65,8 @@
         Called when the endpoints have changed.
     on_store : callable
         Called when the store begins to answer this router, or no longer does.
+    on_copy : callable
+        Called when the store has come back from a copy without what was written lately.
     """
 
     def __init__(
@@ -66,14 +74,18 @@
         on_routes: Callable[[RouteTable], None],
         on_endpoints: Callable[[], None],
         on_store: Callable[[], None] = lambda: None,
+        on_copy: Callable[[], None] = lambda: None,
     ) -> None:
         self.on_routes = on_routes
         self.on_endpoints = on_endpoints
         self.on_store = on_store
+        self.on_copy = on_copy
         self.loop = asyncio.get_running_loop()
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
         self.listed = False
+        #: Loop time until which lists may come from a copy that holds what is gone.
+        self.copied_until = float("-inf")
         now = self.loop.time()
         self.store = StoreHealth(answered=now, registrations=now)
 
@@ -151,7 +163,7 @@
             return
         logger.info(
             "endpoints from a peer",
-            extra={"peer": source, "offset": snapshot.offset},
+            extra={"peer": source, "offset": offset_of(snapshot.offset)},
         )
         now = self.loop.time()
         # A peer that the store answers knows what has lapsed and what has left.
@@ -179,21 +191,28 @@
             self.on_endpoints()
 
     def _replace_all(
-        self, endpoints: list[Endpoint], now: float, source: str, offset: int
+        self, endpoints: list[Endpoint], now: float, source: str, offset: Position
     ) -> None:
         """Take a complete list, and log whose state it changes."""
         before = dict(self.endpoints.entries)
+        if self.listed and era_of(offset) > era_of(self.endpoints.offset):
+            self.copied_until = now + COPY_GRACE
+            extra = {"era": era_of(offset), "offset": offset_of(offset)}
+            logger.warning("store came back from a copy", extra=extra)
+            self.on_copy()
+        if now < self.copied_until:
+            endpoints = self.endpoints.without_departed(endpoints, now)
         self.endpoints.replace_all(endpoints, now)
         for name, known in self.endpoints.entries.items():
             old = before.get(name)
             if old is None or old.leaving is not known.leaving:
                 self._log_registered(known, old is None, source, offset)
         for name in before.keys() - self.endpoints.entries.keys():
-            extra = {"endpoint": name, "source": source, "offset": offset}
+            extra = {"endpoint": name, "source": source, "offset": offset_of(offset)}
             logger.info("endpoint gone", extra=extra)
 
     def _log_registered(
-        self, endpoint: Endpoint, new: bool, source: str, offset: int
+        self, endpoint: Endpoint, new: bool, source: str, offset: Position
     ) -> None:
         logger.info(
             "endpoint registered",
@@ -204,16 +223,20 @@
                 "incarnation": endpoint.incarnation,
                 "new": new,
                 "source": source,
-                "offset": offset,
+                "offset": offset_of(offset),
             },
         )
 
-    def _apply(self, item: Registered, now: float, offset: int) -> bool:
+    def _apply(self, item: Registered, now: float, offset: Position) -> bool:
         known = self.endpoints.entries.get(item.name)
         if item.endpoint is None:
             dropped = self.endpoints.remove(item.name, now)
             if dropped:
-                extra = {"endpoint": item.name, "source": "store", "offset": offset}
+                extra = {
+                    "endpoint": item.name,
+                    "source": "store",
+                    "offset": offset_of(offset),
+                }
                 logger.info("endpoint gone", extra=extra)
             return dropped
         changed = self.endpoints.put(item.endpoint, now)
--- a/carawayfold/coordination/offers.py
+++ b/carawayfold/coordination/offers.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from carawayfold.state.ids import Position
+
 if TYPE_CHECKING:
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.ids import (
@@ -100,14 +102,14 @@
     ----------
     decider : RouterId
         The router.
-    offset : int
+    offset : Position
         How far it had read registrations.
     age : float
         Seconds since it knew all that the store knew.
     """
 
     decider: RouterId
-    offset: int = 0
+    offset: Position = Position(0)
     age: float = 0.0
 
 
--- a/carawayfold/coordination/verdict_records.py
+++ b/carawayfold/coordination/verdict_records.py
@@ -56,6 +56,8 @@
         """Note what the store holds; return the verdicts that are not over."""
         now, wall = self.loop.time(), time.time()
         entries = []
+        # What a store that came back from a copy has lost is written again.
+        self.written.clear()
         for record in records:
             self.written[record.content] = record.stamp
             held = now + record.held_until - wall
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -118,8 +118,10 @@
         self.caches = CacheReader(EngineClient(self.http), self.desk, self._spawn)
         self.store = StoreClient(self.http, settings.store)
         self.directory = StoreDirectory(self.store)
+        #: Set when the store has come back from a copy.
+        self.copied = asyncio.Event()
         self.knowledge = Knowledge(
-            self._on_routes, self._on_endpoints, self._store_changed
+            self._on_routes, self._on_endpoints, self._store_changed, self.copied.set
         )
         self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
         self.metrics = ForwardMetrics()
@@ -169,7 +171,9 @@
         self._handle_signals()
         self._spawn(self._follow_store())
         learn = self.containment.learn_records
-        self._spawn(directory.join(self.directory, self._entry(), self.fleet, learn))
+        entry = self._entry()
+        joining = directory.join(self.directory, entry, self.fleet, learn, self.copied)
+        self._spawn(joining)
         self._spawn(self.fleet.keep_beating())
         self._spawn(self.desk.keep_telling())
         self._spawn(self.containment.keep_looking())
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -20,7 +20,8 @@
     Registered,
     SourceError,
 )
-from carawayfold.state.ids import EndpointName
+from carawayfold.state.ids import EndpointName, Position
+from carawayfold.state.positions import era_of, offset_of, position
 from carawayfold.transport.client import ExchangeError
 
 if TYPE_CHECKING:
@@ -29,7 +30,7 @@
     from carawayfold.settings import Address
     from carawayfold.state.ids import ContentId
     from carawayfold.state.routes import RouteTable
-    from carawayfold.transport.client import HttpClient
+    from carawayfold.transport.client import Head, HttpClient
 
 logger = logbook.Logger(__name__)
 
@@ -44,6 +45,8 @@
 CONTENT_KEY = "content/"
 #: The only partition of these topics.
 PARTITION = 0
+#: Header of every answer that counts how often the store came back from a copy.
+ERA_HEADER = "store-era"
 #: Seconds after which an unanswered call is given up: an answer takes 4 ms, and a
 #: connection on which one is lost stays silent for good.
 TIMEOUT = 1.0
@@ -67,6 +70,13 @@
     value: bytes | None
 
 
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """What the store answered, and how often it had come back from a copy by then."""
+
+    era: int
+    body: bytes
+
+
 class WireEntry(msgspec.Struct):
     """One row of the newest records; its value is in base64."""
 
@@ -100,24 +110,38 @@
     async def newest(self, topic: str) -> Page[Record]:
         """Return the newest record of each key of `topic`."""
         found: list[Record] = []
-        first_end: int | None = None
+        first_end: Position | None = None
         after = ""
         while True:
             path = f"/log-newest?topic={topic}&part={PARTITION}"
-            page = _decode_newest(await self._ask("GET", f"{path}{after}"))
-            first_end = page.end if first_end is None else first_end
+            answer = await self._ask("GET", f"{path}{after}")
+            page = _decode_newest(answer.body)
+            if first_end is None:
+                first_end = position(answer.era, page.end)
+            elif era_of(first_end) != answer.era:
+                raise HistoryLost("the store came back from a copy")
             found.extend(_listed_record(item) for item in page.entries)
             if not page.more_pages or not page.entries:
                 return Page(found, first_end)
             after = f"&after={page.entries[-1].key}"
 
-    async def read(self, topic: str, start: int, wait: float) -> Page[Record]:
-        """Return records of `topic` from `start` on, waiting up to `wait` seconds."""
+    async def read(self, topic: str, start: Position, wait: float) -> Page[Record]:
+        """Return records of `topic` from `start` on, waiting up to `wait` seconds.
+
+        Raises
+        ------
+        HistoryLost
+            If they are no longer kept, or if the store has come back from a copy: its
+            offsets then tell nothing of records from before.
+        """
         path = (
-            f"/log-read?topic={topic}&part={PARTITION}&from={start}"
+            f"/log-read?topic={topic}&part={PARTITION}&from={offset_of(start)}"
             f"&wait_ms={round(wait * 1000)}"
         )
-        return _decode_records(await self._ask("GET", path, wait=wait), start)
+        answer = await self._ask("GET", path, wait=wait)
+        if answer.era != era_of(start):
+            raise HistoryLost("the store came back from a copy")
+        return _decode_records(answer.body, start)
 
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of `key`."""
@@ -129,7 +153,7 @@
 
     async def _ask(
         self, method: str, path: str, body: bytes = b"", wait: float = 0.0
-    ) -> bytes:
+    ) -> StoreAnswer:
         self.calls += 1
         try:
             answer = await self.http.fetch(
@@ -141,7 +165,7 @@
             raise HistoryLost("the records are no longer kept")
         if answer.head.status != 200:
             raise SourceError(f"status {answer.head.status}")
-        return answer.body
+        return StoreAnswer(_era(answer.head), answer.body)
 
 
 class StoreSource(Generic[T]):
@@ -177,7 +201,7 @@
         """Return the newest record of each key."""
         return self._decoded(await self.store.newest(self.topic))
 
-    async def read(self, start: int, wait: float) -> Page[T]:
+    async def read(self, start: Position, wait: float) -> Page[T]:
         """Return records from `start` on, waiting up to `wait` seconds for one."""
         return self._decoded(await self.store.read(self.topic, start, wait))
 
@@ -272,7 +296,14 @@
         raise SourceError(str(error)) from None
 
 
-def _decode_records(data: bytes, start: int) -> Page[Record]:
+def _era(head: Head) -> int:
+    text = head.headers.get(ERA_HEADER, "0")
+    if not text.isdecimal():
+        raise SourceError(f"no era: {text[:LOGGED_LENGTH]}")
+    return int(text)
+
+
+def _decode_records(data: bytes, start: Position) -> Page[Record]:
     if len(data) < READ_HEAD.size:
         raise SourceError("a read without its head")
     place = READ_HEAD.size
@@ -284,7 +315,7 @@
             raise SourceError("a read that ends within a record")
         found.append(_decode_record(data[place : place + size]))
         place += size
-    return Page(found, start + len(found))
+    return Page(found, Position(start + len(found)))
 
 
 def _decode_record(data: bytes) -> Record:
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -12,6 +12,7 @@
     OrganisationId,
     PartId,
     PoolId,
+    Position,
     RouteId,
     RouterId,
 )
@@ -29,7 +30,7 @@
         Whether it takes no new work.
     version : int
         Configuration in force at it; 0 for none.
-    endpoints_offset : int
+    endpoints_offset : Position
         How far it has read registrations of endpoints.
     store_age : int
         Milliseconds since it knew all registrations, from the store or from a peer.
@@ -51,7 +52,7 @@
     data_centre: DataCentreId
     stopping: bool
     version: int
-    endpoints_offset: int
+    endpoints_offset: Position
     store_age: int
     processor: int = 100
     hub: bool = True
@@ -97,7 +98,7 @@
 
     Attributes
     ----------
-    offset : int
+    offset : Position
         How far the sender has read registrations of endpoints.
     age : int
         Milliseconds since it knew all that the store knew.
@@ -106,7 +107,7 @@
     call: CallId
     endpoint: EndpointId
     donor: EndpointId | None = None
-    offset: int = 0
+    offset: Position = Position(0)
     age: int = 0
 
 
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -9,6 +9,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from carawayfold.protocol.exposition import organisation_requests, organisation_times
+from carawayfold.state.positions import offset_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -85,7 +86,7 @@
             "live_routers": len(gateway.fleet.live()),
             "version": gateway.knowledge.version,
             "endpoints": len(gateway.knowledge.endpoints.entries),
-            "endpoints_offset": known.offset,
+            "endpoints_offset": offset_of(known.offset),
             "endpoints_age_seconds": known.age,
             "quarantined": len(held),
             "suspected": len(quarantine.entries) - len(held),
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -15,6 +15,7 @@
     EndpointId,
     EndpointName,
     OrganisationId,
+    Position,
     RouterId,
 )
 
@@ -86,12 +87,12 @@
     ----------
     items : list
         In the order in which they were written.
-    next : int
+    next : Position
         Where to read on.
     """
 
     items: list[T]
-    next: int
+    next: Position
 
 
 class Source(Protocol[T]):
@@ -100,7 +101,7 @@
     async def newest(self) -> Page[T]:
         """Return the newest record of each key."""
 
-    async def read(self, start: int, wait: float) -> Page[T]:
+    async def read(self, start: Position, wait: float) -> Page[T]:
         """Return records from `start` on, waiting up to `wait` seconds for one."""
 
 
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from carawayfold.settings import Address
-from carawayfold.state.ids import DataCentreId, EndpointId, EndpointName, ServiceId
+from carawayfold.state.ids import (
+    DataCentreId,
+    EndpointId,
+    EndpointName,
+    Position,
+    ServiceId,
+)
 
 #: Seconds after an outage of the store for which an endpoint is still used whose
 #: entry vanished in it: its lease may have run out only because it could not be
@@ -17,6 +23,9 @@
 #: Names of endpoints that are gone whose newest incarnation is remembered, so that a
 #: record that was delayed does not bring an older one back.
 INCARNATIONS_KEPT = 2000
+#: Seconds for which it is remembered that an endpoint went: a copy from which the store
+#: comes back is some seconds old, and holds entries of endpoints that went since.
+DEPARTED_FOR = 30.0
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -62,7 +71,7 @@
 
     Attributes
     ----------
-    offset : int
+    offset : Position
         Next record of the store that is not yet applied.
     entries : dict
         Registered endpoints by name, leaving ones included.
@@ -71,23 +80,27 @@
         are kept.
     incarnations : dict
         Newest incarnation seen of each name.
+    departed : dict
+        When each endpoint went that went lately.
     leaving_since : dict
         When each registered endpoint that leaves was first known to leave.
     outage_end : float
         Monotonic seconds at which the store was last found out of reach.
     """
 
-    offset: int = 0
+    offset: Position = Position(0)
     entries: dict[EndpointName, Endpoint] = msgspec.field(default_factory=dict)
     lapsed: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     incarnations: dict[EndpointName, int] = msgspec.field(default_factory=dict)
+    departed: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     leaving_since: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint, now: float = 0.0) -> bool:
         """Add or change an entry; return whether that matters to placement.
 
-        An entry of an incarnation that is over is passed over.
+        An entry of an incarnation that is over is passed over, and one that leaves goes
+        on leaving: an older entry of it may come back with a copy of the store.
         """
         if endpoint.incarnation < self.incarnations.get(endpoint.name, 0):
             return False
@@ -95,7 +108,11 @@
         self.lapsed.pop(endpoint.name, None)
         old = self.entries.get(endpoint.name)
         if old is not None and old.incarnation == endpoint.incarnation:
-            endpoint = msgspec.structs.replace(endpoint, cold_until=old.cold_until)
+            leaving = endpoint.leaving or old.leaving
+            endpoint = msgspec.structs.replace(
+                endpoint, cold_until=old.cold_until, leaving=leaving
+            )
+        self.departed.pop(endpoint.name, None)
         self.entries[endpoint.name] = endpoint
         if not endpoint.leaving:
             self.leaving_since.pop(endpoint.name, None)
@@ -119,8 +136,25 @@
             self.lapsed.setdefault(name, self.outage_end + LAPSE_GRACE)
             return False
         self._drop(name)
+        self._note_departed(name, now)
         return True
 
+    def _note_departed(self, name: EndpointName, now: float) -> None:
+        # The latest are last.
+        self.departed.pop(name, None)
+        self.departed[name] = now
+        oldest = now - DEPARTED_FOR
+        while (first := next(iter(self.departed))) and self.departed[first] < oldest:
+            del self.departed[first]
+
+    def without_departed(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
+        """Return those of a list from a copy that did not go before the copy came."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if now - self.departed.get(endpoint.name, float("-inf")) > DEPARTED_FOR
+        ]
+
     def replace_all(self, endpoints: list[Endpoint], now: float) -> None:
         """Take a complete list in place of what is known."""
         listed = {endpoint.name for endpoint in endpoints}
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -24,6 +24,8 @@
 PoolId = NewType("PoolId", str)
 #: Position of a record in a stream of the platform's log.
 Offset = NewType("Offset", int)
+#: Place of a record in a log that may come back from a copy; see `state.positions`.
+Position = NewType("Position", int)
 #: Name of a route of the operators' configuration.
 RouteId = NewType("RouteId", str)
 #: Name of one call at the scheduler: the router's name and a number.
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -1,12 +1,14 @@
 """Stand-in for the users' platform store: keyed topics that are read by offset.
 
-``POST /faults`` sets faults; ``POST /forget`` drops the history of a topic.
+``POST /faults`` sets faults; ``POST /forget`` drops the history of a topic; ``POST
+/copy`` takes a copy of all topics, and ``POST /restore`` comes back from it.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import struct
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -20,6 +22,8 @@
 
 #: Seconds between looks for new records while a read waits.
 LOOK_INTERVAL = 0.01
+#: Header of every answer that counts how often the store came back from a copy.
+ERA_HEADER = "Store-Era"
 
 
 class StoreFaults(msgspec.Struct):
@@ -72,6 +76,9 @@
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
+        self.copied: dict[str, Topic] = {}
+        #: How often it came back from a copy.
+        self.era = 0
         self.faults = StoreFaults()
         self.calls = 0
 
@@ -83,6 +90,21 @@
         self, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
         """Serve one call."""
+        answer = await self._serve(request, connection)
+        if answer is not None:
+            answer.headers.append((ERA_HEADER, str(self.era)))
+        return answer
+
+    async def _serve(
+        self, request: WebRequest, connection: WebConnection
+    ) -> WebAnswer | None:
+        if request.path == "/copy":
+            self.copied = copy.deepcopy(self.topics)
+            return WebAnswer.json({})
+        if request.path == "/restore":
+            self.topics = copy.deepcopy(self.copied)
+            self.era += 1
+            return WebAnswer.json({})
         if request.path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=StoreFaults)
             return WebAnswer.json({})
@@ -121,13 +143,17 @@
         self, topic: Topic, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
         start = int(request.query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return WebAnswer.json({"first": topic.first}, 410)
         loop = asyncio.get_running_loop()
         until = loop.time() + int(request.query.get("wait_ms", "0")) / 1000
+        era = self.era
         while start >= topic.end and loop.time() < until:
             if connection.gone.is_set():
                 return None
+            if self.era != era:
+                connection.break_off()
+                return None
             await asyncio.sleep(LOOK_INTERVAL)
         body = [struct.pack(">QQ", topic.end, topic.first)]
         for key, value in topic.records[start - topic.first :]:
--- a/tests/coordination/test_knowledge.py
+++ b/tests/coordination/test_knowledge.py
@@ -4,6 +4,7 @@
 
 from carawayfold.coordination.knowledge import EndpointSnapshot
 from carawayfold.protocol.sources import Page, Registered, SourceError
+from carawayfold.state.positions import position
 from tests.knowledge_builders import in_loop, knowledge, table
 from tests.schedule_builders import endpoint
 
@@ -70,3 +71,58 @@
         return known.endpoints.usable("model")
 
     assert in_loop(run) == []
+
+
+def listed(era, offset, *endpoints):
+    items = [Registered(item.name, item) for item in endpoints]
+    return Page(items, position(era, offset))
+
+
+def test_a_list_of_a_later_era_counts_although_its_offset_is_smaller():
+    async def run():
+        copies = []
+        known, _ = knowledge(on_copy=lambda: copies.append(1))
+        known.take_listed(listed(0, 50, endpoint("a")))
+        known.take_listed(listed(1, 20, endpoint("a"), endpoint("b")))
+        return sorted(known.endpoints.entries), len(copies)
+
+    assert in_loop(run) == (["a", "b"], 1)
+
+
+def test_a_peer_that_still_holds_the_earlier_era_is_not_believed():
+    async def run():
+        known, _ = knowledge()
+        known.take_listed(listed(1, 20, endpoint("a")))
+        stale = EndpointSnapshot(position(0, 90), [endpoint("b")])
+        known.take_snapshot(stale, "peer")
+        return list(known.endpoints.entries)
+
+    assert in_loop(run) == ["a"]
+
+
+def test_what_said_that_it_leaves_does_not_stay_by_an_older_entry():
+    async def run():
+        known, _ = knowledge()
+        known.take_listed(listed(0, 50, endpoint("a"), endpoint("b", leaving=True)))
+        known.take_listed(listed(1, 20, endpoint("a"), endpoint("b")))
+        return [item.name for item in known.endpoints.usable("model")]
+
+    assert in_loop(run) == ["a"]
+
+
+def test_what_has_gone_does_not_come_back_with_a_copy_but_with_a_new_record():
+    async def run():
+        known, _ = knowledge()
+        both = [endpoint("a"), endpoint("b")]
+        known.take_listed(listed(0, 50, *both))
+        known.take_registered(Page([Registered("b", None)], position(0, 51)))
+        known.take_listed(listed(1, 20, *both))
+        after_copy = sorted(known.endpoints.entries)
+        told = EndpointSnapshot(position(1, 21), both)
+        known.take_snapshot(told, "peer")
+        after_peer = sorted(known.endpoints.entries)
+        written = Page([Registered("b", endpoint("b"))], position(1, 22))
+        known.take_registered(written)
+        return after_copy, after_peer, sorted(known.endpoints.entries)
+
+    assert in_loop(run) == (["a"], ["a"], ["a", "b"])
--- a/tests/integration/test_leaving_endpoints.py
+++ b/tests/integration/test_leaving_endpoints.py
@@ -88,3 +88,73 @@
     given_back = read_log(fleet, sender, event="granted an endpoint that leaves")
     assert given_back["decider"] == decider
     assert given_back["decider_offset"] < given_back["offset"]
+
+
+def wait_in_force(fleet, version):
+    """Wait until all routers have a configuration in force."""
+    for router in ROUTERS:
+        read_log(fleet, router, event="configuration in force", version=version)
+
+
+def write_again(fleet, version):
+    """Write what operators and endpoints write again after the store came back."""
+    fleet.configure(configuration(version))
+    fleet.register("d-1", state="draining")
+    fleet.register("d-2")
+
+
+def test_a_store_that_comes_back_from_a_copy_brings_no_endpoint_back(fleet):
+    """Offsets were given out again, and who had read further was asked for more.
+
+    Twice: the copy holds the endpoint as staying, and an older configuration.
+    """
+    for turn in range(2):
+        fleet.register("d-1")
+        fleet.configure(configuration(10 * turn + 2))
+        for router in ROUTERS:
+            read_log(
+                fleet, router, event="configuration in force", version=10 * turn + 2
+            )
+        fleet.call_store("POST", "/copy")
+        for number in range(3):
+            fleet.configure(configuration(10 * turn + 3 + number))
+        fleet.register("d-1", state="draining")
+        for router in ROUTERS:
+            read_log(
+                fleet, router, event="configuration in force", version=10 * turn + 5
+            )
+        if turn == 0:
+            for router in ROUTERS:
+                wanted = {"event": "endpoint registered", "endpoint": "d-1"}
+                read_log(fleet, router, leaving=True, **wanted)
+        fleet.call_store("POST", "/restore")
+        for router in ROUTERS:
+            read_log(fleet, router, event="store came back from a copy", era=turn + 1)
+        late = [f"copied-{turn}-{number}" for number in range(SENDS)]
+        for number, request in enumerate(late):
+            assert ask(fleet, ROUTERS[number % 2], request).status == 200
+        assert ran(fleet, "d-1", late) == []
+        write_again(fleet, 10 * turn + 6)
+        for router in ROUTERS:
+            read_log(
+                fleet, router, event="configuration in force", version=10 * turn + 6
+            )
+
+
+def test_routers_write_their_entries_again_into_a_store_from_a_copy(processes):
+    fleet = HostedFleet(processes)
+    fleet.configure(configuration())
+    fleet.start_endpoint("d-1", "desk")
+    fleet.call_store("POST", "/copy")
+    fleet.start_router("router-0")
+    asyncio.run(fleet.wait_ready("router-0"))
+    fleet.call_store("POST", "/restore")
+    read_log(fleet, "router-0", event="store came back from a copy")
+
+    async def written():
+        while b"router-0" not in fleet.call_store(
+            "GET", "/log-newest?topic=keyed.routers&part=0"
+        ):
+            await asyncio.sleep(0.02)
+
+    asyncio.run(asyncio.wait_for(written(), 20))
--- a/tests/knowledge_builders.py
+++ b/tests/knowledge_builders.py
@@ -19,7 +19,8 @@
     return asyncio.run(run())
 
 
-def knowledge():
+def knowledge(**callbacks):
+    """Return what a router knows, nothing yet, and the versions that it takes."""
     taken = []
-    made = Knowledge(lambda item: taken.append(item.version), lambda: None)
+    made = Knowledge(lambda item: taken.append(item.version), lambda: None, **callbacks)
     return made, taken
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,70 @@
+"""Calls of the store, around its return from a copy."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+
+import msgspec
+import pytest
+
+from carawayfold.platform.store import StoreClient
+from carawayfold.protocol.sources import HistoryLost, SourceError
+from carawayfold.state.positions import position
+from carawayfold.transport.client import Answer, Head
+
+
+class FakeHttp:
+    """Answers each call with the next body, in the era that stands beside it."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.paths = []
+
+    async def fetch(self, address, method, path, body, timeout):
+        self.paths.append(path)
+        era, answer = self.answers.pop(0)
+        headers = {} if era is None else {"store-era": era}
+        return Answer(Head(200, headers), answer)
+
+
+def page(end, **other):
+    fields = {"entries": [], "end": end, "more_pages": False, **other}
+    return msgspec.json.encode(fields)
+
+
+RECORDS = struct.pack(">QQ", 8, 0) + struct.pack(">I", 4) + b"\x01kv!"
+
+
+def test_what_is_read_stands_in_the_era_of_the_store():
+    http = FakeHttp(("2", page(7)), ("2", RECORDS))
+    client = StoreClient(http, None)
+    listed = asyncio.run(client.newest("t"))
+    assert listed.next == position(2, 7)
+    assert asyncio.run(client.read("t", listed.next, 0.5)).next == position(2, 8)
+    assert "from=7&" in http.paths[1]
+
+
+def test_a_store_that_tells_no_era_has_never_come_back():
+    http = FakeHttp((None, page(7)))
+    assert asyncio.run(StoreClient(http, None).newest("t")).next == 7
+
+
+def test_records_of_another_era_are_no_continuation():
+    client = StoreClient(FakeHttp(("2", RECORDS)), None)
+    with pytest.raises(HistoryLost):
+        asyncio.run(client.read("t", position(1, 7), 0.5))
+
+
+def test_a_list_that_spans_a_return_is_no_list():
+    entry = {"key": "k", "value": "", "offset": 1}
+    first = page(7, entries=[entry], more_pages=True)
+    client = StoreClient(FakeHttp(("1", first), ("2", page(5))), None)
+    with pytest.raises(HistoryLost):
+        asyncio.run(client.newest("t"))
+
+
+def test_an_era_that_is_no_number_is_an_error_of_the_store():
+    client = StoreClient(FakeHttp(("later", page(7))), None)
+    with pytest.raises(SourceError):
+        asyncio.run(client.newest("t"))
