Let the soak and the simulated fleet come back from a copy of the store

A router that has been told everything at its start settles at once who reads, so that it makes no call of the store meanwhile.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -32,6 +32,8 @@
 PACE = 0.01
 #: Seconds before a write to the store is tried again.
 STORE_AGAIN = 0.1
+#: Seconds after which what a copy of the store lacked is written again.
+WRITTEN_AGAIN_AFTER = 0.5
 #: Seconds that an endpoint goes on serving after it has announced its leaving.
 LINGERS = 3.0
 
@@ -79,6 +81,7 @@
             self.reload,
             self.break_store,
             self.forget,
+            self.come_back,
             self.cut_store,
             self.break_endpoint,
             self.break_link,
@@ -192,6 +195,18 @@
         topic = self.chance.choice(["keyed.op", "keyed.servers", "keyed.routers"])
         await post_json(self.fleet.store.port, f"/forget?topic={topic}", {})
 
+    async def come_back(self) -> None:
+        """Let the store come back from a copy; what others wrote is written again."""
+        async with self.claimed("store") as free:
+            if not free:
+                return
+            port = self.fleet.store.port
+            await post_json(port, "/copy", {})
+            await asyncio.sleep(self.lasts())
+            with self.disturbed(*self.fleet.routers):
+                await post_json(port, f"/restore?again={WRITTEN_AGAIN_AFTER}", {})
+                await asyncio.sleep(WRITTEN_AGAIN_AFTER)
+
     async def cut_store(self) -> None:
         """Cut, silence or delay one router's connections to the store."""
         name = self.pick_router()
--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/anti_entropy.py
@@ -108,6 +108,7 @@
             await self._ask_any(self._pick_told())
             if self.knowledge.complete:
                 self.settled_at = loop.time() + SETTLING
+                self._settle()
                 return
             await asyncio.sleep(ADOPTION_INTERVAL)
 
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the users' platform store: keyed topics that are read by offset.
 
 ``POST /faults`` sets faults; ``POST /forget`` drops the history of a topic; ``POST
-/copy`` takes a copy of all topics, and ``POST /restore`` comes back from it.
+/copy`` takes a copy of all topics, and ``POST /restore`` comes back from it; with
+``?again=SECONDS`` what operators and endpoints wrote since is written again after that.
 """
 
 from __future__ import annotations
@@ -24,6 +25,8 @@
 LOOK_INTERVAL = 0.01
 #: Header of every answer that counts how often the store came back from a copy.
 ERA_HEADER = "Store-Era"
+#: Topics that operators and endpoints write to.
+WRITTEN_AGAIN = ("keyed.op", "keyed.servers")
 
 
 class StoreFaults(msgspec.Struct):
@@ -102,8 +105,7 @@
             self.copied = copy.deepcopy(self.topics)
             return WebAnswer.json({})
         if request.path == "/restore":
-            self.topics = copy.deepcopy(self.copied)
-            self.era += 1
+            self._restore(request.query.get("again"))
             return WebAnswer.json({})
         if request.path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=StoreFaults)
@@ -124,6 +126,26 @@
             return _newest(topic)
         return await self._read(topic, request, connection)
 
+    def _restore(self, again: str | None) -> None:
+        """Come back from the copy."""
+        before = self.topics
+        self.topics = copy.deepcopy(self.copied)
+        self.era += 1
+        if again is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(float(again), self._write_again, before)
+
+    def _write_again(self, before: dict[str, Topic]) -> None:
+        """Write what others than the system wrote since the copy was taken."""
+        for name in WRITTEN_AGAIN:
+            topic = self.topic(name)
+            old = self.copied.get(name, Topic()).newest
+            lost = before.get(name, Topic()).newest
+            for key in sorted(old.keys() | lost.keys()):
+                value, copied = lost.get(key, (b"", 0))[0], old.get(key, (b"", 0))[0]
+                if value != copied == topic.newest.get(key, (b"", 0))[0]:
+                    topic.append(key, value)
+
     def _append(
         self, topic: Topic, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -23,6 +23,7 @@
 from carawayfold.platform import store as platform_store
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
+from carawayfold.state.positions import era_of, offset_of, position
 from carawayfold.state.routes import CallerLimits, RouteTable
 from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
 from tests.schedule_builders import endpoint
@@ -60,6 +61,7 @@
     tables: list[RouteTable] = field(default_factory=list)
     calls: Counter = field(default_factory=Counter)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    era: int = 0
 
     def write(self, item):
         self.records.append(item)
@@ -74,6 +76,16 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def come_back(self, lost):
+        """Come back from a copy that lacks the last `lost` registrations."""
+        del self.records[-lost:]
+        self.era += 1
+        self._tell()
+
+    def place(self, records):
+        """Return the position after all records."""
+        return position(self.era, len(records))
+
     def newest(self):
         by_name = {item.name: item for item in self.records}
         return [item for item in by_name.values() if item.endpoint is not None]
@@ -101,17 +113,15 @@
 
     async def newest(self):
         await self.store.admit(self.router, platform_store.TIMEOUT)
-        return Page(self.newest_of(), len(self.records))
+        return Page(self.newest_of(), self.store.place(self.records))
 
     async def read(self, start, wait):
         loop = asyncio.get_running_loop()
         patience = wait + platform_store.TIMEOUT
         end = loop.time() + patience
         await self.store.admit(self.router, patience)
-        if start > len(self.records):
-            raise HistoryLost("beyond the end")
         until = loop.time() + wait
-        while start >= len(self.records) and loop.time() < until:
+        while start == self.store.place(self.records) and loop.time() < until:
             changed = self.store.changed
             try:
                 async with asyncio.timeout_at(until):
@@ -122,7 +132,10 @@
             if access is not Access.SERVED:
                 break
         await self._stay_cut(end)
-        return Page(self.records[start:], len(self.records))
+        if era_of(start) != self.store.era or offset_of(start) > len(self.records):
+            raise HistoryLost("the store came back from a copy")
+        read = self.records[offset_of(start) :]
+        return Page(read, self.store.place(self.records))
 
     async def _stay_cut(self, end):
         """Fail a read that waited when its router was cut off."""
@@ -291,6 +304,8 @@
         Data centres that are cut off.
     loss : float
         Part of the datagrams that is lost.
+    copied : int
+        Registrations that are lost with a return of the store from a copy.
     storm : bool
         Whether configurations come in quick succession.
     places : int or None
@@ -306,6 +321,7 @@
     dead: int = 0
     apart: int = 0
     loss: float = 0.0
+    copied: int = 0
     storm: bool = False
     places: int | None = None
     before: float = 0.3
@@ -323,6 +339,9 @@
     "readers stop": Trouble(dead=1),
     "three of each stop": Trouble(dead=3),
     "cut": Trouble(apart=1),
+    "store from a copy": Trouble(copied=3),
+    "store from a copy, cut": Trouble(copied=3, apart=1),
+    "store from a copy, 6 of 10 refused": Trouble(copied=3, refused=0.6),
     "cut, 6 of 10 swallowed": Trouble(apart=1, swallowed=0.6),
     "loss, readers swallowed": Trouble(loss=0.05, readers=Access.SWALLOWED),
     "readers stop, 6 of 10 refused": Trouble(dead=1, refused=0.6),
@@ -354,6 +373,11 @@
             world.store.access[first[0]] = trouble.readers
         fleet.dead |= set(first[: trouble.dead])
     fleet.apart |= {f"dc-{number}" for number in range(trouble.apart)}
+    if trouble.copied:
+        for number in range(trouble.copied):
+            world.register(f"e-{ENDPOINTS - 1 - number}", leaving=True)
+        await asyncio.sleep(1.0)
+        world.store.come_back(trouble.copied)
     if trouble.storm:
         world.storm = world.loop.create_task(keep_configuring(world))
 
@@ -385,6 +409,12 @@
     world.storm = None
     await strike(world, trouble, places)
     await asyncio.sleep(trouble.before)
+    world.back = [
+        name
+        for number in range(trouble.copied)
+        for name, router in world.routers.items()
+        if not router.knows(f"e-{ENDPOINTS - 1 - number}")
+    ]
     watched = watch(world) if watch is not None else None
     ages = await world.leave("e-0", watched)
     if world.storm is not None:
@@ -393,6 +423,7 @@
     await fleet.close()
     for task in failed:
         task.result()
+    assert not world.back, f"endpoints that left are back at {world.back}"
     return ages, calls
 
 
