Let a lifted content be judged as if nothing were known of it

Cause: an operator's lift was told as the verdict of a run that ended well, which speaks for a content for two minutes: five further endpoints had to end under it, and it was refused for ten seconds only. Ruled out: that the lift was not told to all (the test waits until it is). Change: a lift is a verdict of its own, which forgets what counts against the content and says nothing for it. Before: the test fails (not refused after three crashes), after: refused after three.

--- a/carawayfold/coordination/containment.py
+++ b/carawayfold/coordination/containment.py
@@ -228,9 +228,9 @@
     def lift(self, content: ContentId) -> bool:
         """Clear a content at an operator's word; return whether it was known."""
         entry = self.quarantine.get(content)
-        if entry is None or entry.level is Level.CLEARED:
+        if entry is None or entry.level.is_clear:
             return False
-        self._give(content, entry.organisation, Level.CLEARED, self.loop.time(), ())
+        self._give(content, entry.organisation, Level.LIFTED, self.loop.time(), ())
         return True
 
     def learn_records(self, records: Iterable[QuarantineRecord]) -> None:
@@ -353,7 +353,7 @@
         since = self._since(content)
         weights = dict(ended)
         named: set[EndpointId] = set()
-        if known is not None and known.level is not Level.CLEARED:
+        if known is not None and not known.level.is_clear:
             named = set(known.endpoints)
             since = min(since, known.since)
             weights = dict.fromkeys(named, 1.0) | ended
@@ -365,7 +365,7 @@
     def _reconsider(self, content: ContentId, since: float) -> None:
         """Lower a verdict if what counts against a content has become less."""
         known = self.quarantine.get(content)
-        if known is None or known.level is Level.CLEARED:
+        if known is None or known.level.is_clear:
             return
         left = self._ended_under(content)
         level = level_for(list(left.values()), self._ran_well(content))
@@ -458,6 +458,11 @@
                 "source": source,
             },
         )
+        if entry.level is Level.LIFTED:
+            # Not a run that ended well, which would let five endpoints end.
+            self.book.clear(entry.content)
+            self.reports.forget(entry.content, entry.since)
+            return True
         if entry.level is Level.CLEARED:
             self.book.note_well(entry.content, entry.organisation, entry.since)
             self.reports.forget(entry.content, entry.since)
--- a/carawayfold/coordination/verdict_records.py
+++ b/carawayfold/coordination/verdict_records.py
@@ -96,7 +96,7 @@
         backoff = Backoff()
         while self.quarantine.get(entry.content) is entry:
             try:
-                if entry.level is Level.CLEARED:
+                if entry.level.is_clear:
                     await self.records.drop_verdict(entry.content)
                 else:
                     await self.records.keep_verdict(self._record_of(entry))
--- a/carawayfold/protocol/quarantine_list.py
+++ b/carawayfold/protocol/quarantine_list.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from carawayfold.state.quarantine import Level
-
 if TYPE_CHECKING:
     from carawayfold.state.quarantine import Quarantine
 
@@ -41,7 +39,7 @@
 def encode(quarantine: Quarantine, now: float) -> bytes:
     """Return the contents that are refused or watched as JSON, the newest first."""
     entries = sorted(
-        (x for x in quarantine.entries.values() if x.level is not Level.CLEARED),
+        (x for x in quarantine.entries.values() if not x.level.is_clear),
         key=lambda entry: -entry.stamp,
     )
     listed = [
--- a/carawayfold/state/quarantine.py
+++ b/carawayfold/state/quarantine.py
@@ -41,14 +41,22 @@
     """What the fleet thinks of a content.
 
     One that is rested is refused for a short while although it ran well not long
-    before; one that is quarantined never did, as far as is known.
+    before; one that is quarantined never did, as far as is known. One that is cleared
+    has run well since; one that is lifted is allowed by an operator's word, which says
+    nothing of how it will run.
     """
 
     CLEARED = "cleared"
+    LIFTED = "lifted"
     SUSPECTED = "suspected"
     RESTED = "rested"
     QUARANTINED = "quarantined"
 
+    @property
+    def is_clear(self) -> bool:
+        """Return whether nothing counts against a content."""
+        return self in (Level.CLEARED, Level.LIFTED)
+
 
 #: Levels at which a content is refused, and for how many seconds.
 REFUSED_FOR = {Level.RESTED: HELD_BRIEFLY, Level.QUARANTINED: HELD_FOR}
@@ -130,7 +138,7 @@
     def is_suspected(self, content: ContentId) -> bool:
         """Return whether endpoints ended under it, and it has not run well since."""
         entry = self.entries.get(content)
-        return entry is not None and entry.level is not Level.CLEARED
+        return entry is not None and not entry.level.is_clear
 
     def held(self, now: float) -> list[Entry]:
         """Return the contents that are refused now."""
--- a/tests/coordination/test_containment.py
+++ b/tests/coordination/test_containment.py
@@ -204,6 +204,24 @@
     assert told(work) == (pytest.approx(0.0, abs=ALLOWED_FOR), [])
 
 
+def test_a_content_that_was_lifted_is_refused_again_after_as_many_crashes():
+    """A lift counted as a run that ended well, which speaks for a content.
+
+    Five further endpoints ended before it was refused, and then for ten seconds only.
+    """
+
+    async def work(fleet, world):
+        [killer] = killers_of(1)
+        await end_engines(world, killer, ALLOWED_CRASHES)
+        await fleet.until(lambda: all_know(world, killer), ALLOWED_FOR)
+        world.containments[world.any_router()].lift(killer)
+        await fleet.until(lambda: not knowing(world, killer), ALLOWED_FOR)
+        await end_engines(world, killer, 2 * ALLOWED_CRASHES)
+        return await fleet.until(lambda: all_know(world, killer), ALLOWED_FOR)
+
+    assert told(work) is not None
+
+
 def test_after_its_time_one_more_crash_has_a_content_refused_again():
     async def work(fleet, world):
         [killer] = killers_of(1)
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -23,7 +23,6 @@
 from carawayfold.state.contents import content_id
 from carawayfold.state.crashes import QUARANTINED_AT
 from carawayfold.state.endpoints import Endpoint
-from carawayfold.state.quarantine import Level
 from carawayfold.transport.probes import Reach
 from tests.simulated_fleet import simulate, started
 
@@ -329,7 +328,7 @@
             name
             for made in self.containments.values()
             for name, entry in made.quarantine.entries.items()
-            if entry.level is not Level.CLEARED
+            if not entry.level.is_clear
         }
         return names - set(self.tally.crashes)
 
