--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from carawayfold.protocol.sources import HistoryLost, SourceError
+from carawayfold.state.positions import offset_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -116,7 +117,8 @@
                 await self.step()
                 self.backoff.reset()
             except HistoryLost:
-                logger.info("history lost", extra={"from": self.next})
+                begun = offset_of(self.next) if self.next is not None else None
+                logger.info("history lost", extra={"from": begun})
                 self.lost = True
                 await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
