Take the store for away only where no peer was told all meanwhile

Cause: a router that the store refused, or that was cut off from it, took each entry that vanished within half a second of its own return for one whose lease had run out, although its peers had been told everything all the while; it kept the endpoint for two seconds. Class: a local failure taken for a global one. Ruled out: that the endpoint had said that it leaves (it goes without a word, as some do). Change: an outage is one only while what this router knows, by itself or by way of peers, is older than 2.3 s, or was so at its last failed call less than 1.5 s before. Why it holds: leases run out when endpoints can't reach the store, which is told by what the fleet knows and not by one router's calls.

--- a/carawayfold/coordination/knowledge.py
+++ b/carawayfold/coordination/knowledge.py
@@ -27,6 +27,12 @@
 #: Seconds after the store came back from a copy in which endpoints that had gone before
 #: may still be listed: their leases run out within a few heartbeats.
 COPY_GRACE = 10.0
+#: Seconds since all was known from which on the store counts as away: above the longest
+#: read that waits, and below the silence after which a lease runs out.
+OUTAGE_AGE = 2.3
+#: Seconds within which routers find that a store which was away is back: the longest
+#: pause between calls that fail, and a call.
+RETURN_SPREAD = 1.5
 
 
 class EndpointSnapshot(msgspec.Struct):
@@ -96,6 +102,8 @@
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
         self.listed = False
+        #: Loop time at which the store was last found to be away for all.
+        self.away_at = float("-inf")
         #: Loop time until which lists may come from a copy that holds what is gone.
         self.copied_until = float("-inf")
         now = self.loop.time()
@@ -119,7 +127,7 @@
         now = self.loop.time()
         if not self.store.reachable:
             self.store.reachable = True
-            self.endpoints.note_outage(now)
+            self._note_outage(now)
             outage = round(now - self.store.answered, 2)
             logger.info("store reachable again", extra={"after_s": outage})
             self.on_store()
@@ -132,12 +140,23 @@
 
     def note_failure(self, error: SourceError) -> None:
         """Note that the store did not answer, or refused."""
-        self.endpoints.note_outage(self.loop.time())
+        self._note_outage(self.loop.time())
         if self.store.reachable:
             self.store.reachable = False
             logger.warning("store unreachable", extra={"reason": str(error)})
             self.on_store()
 
+    def _note_outage(self, now: float) -> None:
+        """Take the store for away unless it has told somebody all the while.
+
+        No lease runs out because the store refuses this router alone, so an entry that
+        vanishes then has left.
+        """
+        if self.age() > OUTAGE_AGE:
+            self.away_at = now
+        if now - self.away_at < RETURN_SPREAD:
+            self.endpoints.note_outage(now)
+
     def take_routes(self, table: RouteTable, source: str) -> None:
         """Put a configuration in force unless it is older than the one in force."""
         if table.version <= self.version:
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -121,7 +121,11 @@
         #: Set when the store has come back from a copy.
         self.copied = asyncio.Event()
         self.knowledge = Knowledge(
-            self._on_routes, self._on_endpoints, self._store_changed, self.copied.set
+            self._on_routes,
+            self._on_endpoints,
+            self._store_changed,
+            self.copied.set,
+            lambda: self.anti_entropy.information_age(),
         )
         self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
         self.metrics = ForwardMetrics()
