--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -12,11 +12,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 import pytest
 
-from tests.simulated_registrations import TROUBLES, SimulatedNews, Trouble, ages_of
+from tests.simulated_fleet import simulate, started
+from tests.simulated_registrations import (
+    SETTLED,
+    TROUBLES,
+    Access,
+    SimulatedNews,
+    Trouble,
+    ages_of,
+    readers_first,
+)
 
 #: Seconds after which nothing may be sent to an endpoint that leaves, on the deployment
 #: with the tightest bound.
@@ -60,3 +70,33 @@
     trouble = SINGLE["one reader swallowed"]
     ages, _ = ages_of(count, places, trouble, SEEDS, SimulatedNews.cut_off)
     assert ages[-1] <= BOUND / 2
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
+def test_an_endpoint_that_goes_as_a_reader_comes_back_is_gone_everywhere(
+    count, places, seed
+):
+    """The reader took it for lapsed and told its peers that it stays.
+
+    81 routers: `store reachable again`, `"after_s":9.37`, on the reader, and the entry
+    vanished 0.1 s later; an endpoint that says nothing before it goes.
+    """
+
+    async def play():
+        fleet = started(count, places, seed=seed)
+        world = SimulatedNews(fleet)
+        await asyncio.sleep(SETTLED)
+        reader = readers_first(world, "dc-0")[0]
+        world.store.access[reader] = Access.REFUSED
+        await asyncio.sleep(8.0)
+        calls = world.store.calls[reader]
+        world.store.access[reader] = Access.SERVED
+        while world.store.calls[reader] == calls:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        ages = await world.vanish("e-0")
+        await fleet.close()
+        return max(ages.values())
+
+    assert simulate(play) <= BOUND / 2
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -175,7 +175,10 @@
         self.name = name
         self.fleet = fleet
         self.knowledge = Knowledge(
-            lambda table: fleet.tell_near(), fleet.tell_near, self.store_changed
+            lambda table: fleet.tell_near(),
+            fleet.tell_near,
+            self.store_changed,
+            age=lambda: self.anti_entropy.information_age(),
         )
         http = SimulatedHttp(world, name)
         self.anti_entropy = AntiEntropy(fleet, self.knowledge, http)
@@ -276,6 +279,15 @@
         Those in touch are watched, unless others are named.
         """
         self.register(name, leaving=True)
+        return await self.watch(name, watched)
+
+    async def vanish(self, name):
+        """Let an endpoint go without a word; return after how long each router knew."""
+        self.store.write(Registered(name, None))
+        return await self.watch(name)
+
+    async def watch(self, name, watched=None):
+        """Return after how long each router knew that an endpoint is not to be used."""
         begun = self.loop.time()
         unaware = set(self.in_touch() if watched is None else watched)
         ages = {}
