--- a/tests/integration/test_routers.py
+++ b/tests/integration/test_routers.py
@@ -52,11 +52,11 @@
 
 
 def test_rolling_restart_under_load_loses_nothing(small_fleet):
-    # The next router stops once the balancer has the one before it back, as in a rolling
-    # restart by hand. When it stopped as soon as that one called itself ready, the
+    # The next router stops once the balancer has the one before it back, as an
+    # operator does it. When it stopped as soon as that one called itself ready, the
     # balancer knew only the stopping one for up to a check's interval: six callers that
-    # come back without a pause were refused 287 times more than usual, all of them
-    # truthfully, and only 66 of 358 answers were whole.
+    # come back without a pause were refused hundreds of times, and 66 of 358 answers
+    # were whole.
     async def scenario():
         balancer = small_fleet.start_balancer()
         replies = []
