Show that requests wait for endpoints that rest beyond their objective, as failing tests

What callers saw: with every endpoint of a service leaving, ended or out of reach for seconds, a request was held until its objective had passed and then refused with 0.3 s to come back after, again and again. Cause: a request without a usable endpoint waits until its objective whenever any endpoint is registered; for how long those rest is not looked at. Ruled out: that it waits for room (the endpoints are idle); that nothing is registered (that is refused at once already, test_desk). Conclusion: the end of the earliest rest is known, so the answer can be given at once.

--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -317,3 +317,46 @@
     offers = [offer(f"r.1.{number}", f"t-{number}") for number in range(1, 4)]
     later = granted(decide(made, 0.01 + REVIEW_INTERVAL, *offers))
     assert set(later.values()) == {"e-0", "e-1"} - {first}
+
+
+# All endpoints of a service had refused connections and rest for 4 s. Requests that want
+# their answer within a second were kept for that second and then refused with 0.3 s to
+# come back after, again and again: each caller spent its time on waits of which the
+# scheduler knew from the start that they lead nowhere.
+
+
+def test_a_request_is_refused_at_once_if_all_endpoints_rest_beyond_its_objective():
+    made = scheduler(2)
+    made.lost("e-0", 0.0)
+    made.lost("e-1", 0.5)
+    wants = offer("r.1.0", now=0.5, due=1.5, expires=20.5)
+    refused = turned_away(decide(made, 0.5, wants))["r.1.0"]
+    # The first of them may be tried again at 4.0 s.
+    assert 3.5 * 0.75 <= refused.retry_after <= 3.5 * 1.25
+
+
+def test_a_request_waits_for_an_endpoint_that_rests_within_its_objective():
+    made = scheduler(2)
+    made.lost("e-0", 0.0)
+    made.lost("e-1", 0.0)
+    wants = offer("r.1.0", now=3.5, due=4.5, expires=13.5)
+    assert decide(made, 3.5, wants) == []
+    assert granted(made.decide(4.01)).keys() == {"r.1.0"}
+
+
+def test_a_request_that_has_tried_all_endpoints_is_refused_at_once():
+    made = scheduler(1)
+    wants = offer("r.1.0", avoid=frozenset({"e-0"}))
+    assert turned_away(decide(made, 0.0, wants)).keys() == {"r.1.0"}
+
+
+def test_a_request_waits_for_an_endpoint_that_only_its_router_cannot_reach():
+    pool = scheduler(2)
+    pool.lost("e-1", 1.0)
+    decide(pool, 1.0, offer("a.0.1", now=1.0, router="a"))
+    pool.ended("a.0.1", Outcome.UNREACHABLE, 1.1)
+    soon = offer("a.0.2", now=1.2, due=1.3, router="a")
+    later = offer("a.0.3", now=1.2, due=2.2, router="a")
+    decisions = decide(pool, 1.2, soon, later)
+    assert turned_away(decisions).keys() == {"a.0.2"}
+    assert granted(pool.decide(1.65)).keys() == {"a.0.3"}
