Send heartbeats and rosters in the same order in each process

Cause: a case of the propagation tests (67 routers, readers stop, 6 of 10 refused) failed once beside other work, above its bound of 2.0 s, and passed when it was run again. The simulated fleet has a seed, but routers sent to hubs and told data centres in the order of sets of text, which differs from process to process, so that the same seed was another round each time: seed 0 took 0.56, 0.41, 0.49 and 0.41 s with four hash seeds. Ruled out: real time (the same hash seed gives the same output twice); the product's and the test's own draws (seeded). Change: lists and dictionaries in place of the three sets; the test that picks a hub picks the least name. A new test runs one round in processes with three hash seeds. Conclusion: verdicts repeat now. The one failure itself is not explained by this; seeds are searched for it next.

--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -307,8 +307,8 @@
         """Beat to each hub of the data centre, to one of them with what is known."""
         hubs = self.near_hubs()
         main = main_hub(self.own.router, hubs)
-        names = {hub.router for hub in hubs} | self.rosters.take_calls()
-        for name in names:
+        names = [hub.router for hub in hubs] + self.rosters.take_calls()
+        for name in dict.fromkeys(names):
             told = self.known_hubs if name == main else 0
             self.socket.broadcast([self.addresses[name]], self.own_beat(told))
 
--- a/carawayfold/coordination/rosters.py
+++ b/carawayfold/coordination/rosters.py
@@ -34,7 +34,7 @@
         #: Leaves of this data centre that should be hubs, as a hub sees it.
         self.due: list[Member] = []
         #: Hubs that were told of and are not heard yet.
-        self.to_call: set[RouterId] = set()
+        self.to_call: list[RouterId] = []
         #: When each hub was last told which ones this one knows.
         self.evened_out: dict[RouterId, float] = {}
 
@@ -99,17 +99,18 @@
         if self.fleet.role is Role.HUB or data_centre == self.fleet.own.data_centre:
             # It counts once it is heard. Called with the next heartbeat and not at
             # once: its answer may name the next one to call.
-            self.to_call.add(entry.router)
+            if entry.router not in self.to_call:
+                self.to_call.append(entry.router)
             return
         self.fleet.membership.joined(
             entry.router, data_centre, entry.incarnation, entry.processor
         )
         self.fleet.membership.members[entry.router].told = True
 
-    def take_calls(self) -> set[RouterId]:
+    def take_calls(self) -> list[RouterId]:
         """Return the hubs to call this once."""
-        calls = {name for name in self.to_call if name in self.fleet.addresses}
-        self.to_call = set()
+        calls = [name for name in self.to_call if name in self.fleet.addresses]
+        self.to_call = []
         return calls
 
     def tell_leaves(self) -> None:
@@ -138,7 +139,9 @@
         for hub in self.fleet.hubs():
             by_place.setdefault(hub.data_centre, []).append(hub)
         by_place.setdefault(self.fleet.own.data_centre, []).extend(self.due)
-        places = {item.data_centre for item in self.fleet.membership.members.values()}
+        members = self.fleet.membership.members.values()
+        # Not a set: all that is sent in an order is sent in the same one each time.
+        places = dict.fromkeys(item.data_centre for item in members)
         for place in places if only is None else [only]:
             rows = [self._hub_entry(item) for item in by_place.get(place, ())]
             self.fleet.send(router, RosterMessage(place, rows))
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -212,7 +212,7 @@
 
 def test_a_hub_that_nobody_hears_does_not_become_one_by_being_told():
     async def scenario(fleet):
-        sender = next(iter(fleet.hubs("dc-0")))
+        sender = min(fleet.hubs("dc-0"))
         leaf = next(
             name
             for name, item in fleet.routers.items()
--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -13,6 +13,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import subprocess
+import sys
 from dataclasses import replace
 
 import pytest
@@ -100,3 +103,26 @@
         return max(ages.values())
 
     assert simulate(play) <= BOUND / 2
+
+
+#: Prints what a round of 67 routers comes to.
+ONE_ROUND = """
+from tests.simulated_registrations import TROUBLES, ages_of
+ages, calls = ages_of(67, 3, TROUBLES["readers stop, 6 of 10 refused"], [0])
+print(len(ages), sum(ages), ages[-1], calls)
+"""
+
+
+def printed(hash_seed):
+    environment = os.environ | {"PYTHONHASHSEED": hash_seed}
+    command = [sys.executable, "-c", ONE_ROUND]
+    return subprocess.check_output(command, env=environment, text=True)
+
+
+def test_a_seed_gives_the_same_round_in_each_process():
+    """Heartbeats went out in the order of a set, which differs between processes.
+
+    A case of this module failed once, beside other work, and passed with the same seeds
+    ever after; seed 0 of it took 0.56, 0.41, 0.49 and 0.41 s in four processes.
+    """
+    assert printed("0") == printed("1") == printed("2")
