Refuse at once what only endpoints are left for that rest beyond its objective

What callers saw: with all endpoints of a service leaving, ended or out of reach, a request was held for its whole objective, then refused with 0.3 s to come back after. Cause: a request without a usable endpoint waited as soon as any endpoint was registered. Ruled out: waiting for room; a service without registrations (refused at once before). Change: the scheduler works out when the first endpoint that the request may go to can be tried again; beyond the objective, or where there is none, it refuses at once and says that time to come back after, not twice that time. A refusal for want of time is as before. Test corrected: one of the four new tests left out that the desk drops overdue entries before it decides (Scheduler.expire). The objective is the time in which an answer is worth waiting for.

--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -77,6 +77,9 @@
 #: Least and most seconds told to callers who are turned away.
 LEAST_RETRY = 0.3
 MOST_RETRY = 5.0
+#: After how many times the wait for an answer callers come back that could not have
+#: been answered in time, so that the queue has gone down meanwhile.
+LATE_RETRY = 2.0
 #: Part of the time left that callers wait at most before they come back.
 RETRY_PART = 1 / 3
 #: Seconds between looks at every waiting request, to order them anew and to find
@@ -87,8 +90,6 @@
 HEAD = 24
 #: The same between two such looks, whenever an endpoint has room.
 LOOKED_AT = 8
-#: Why most requests are turned away.
-TOO_LATE = "no answer in time"
 #: Tokens a second that an engine is taken to read where the operators state no
 #: throughput: the least of the deployments known.
 UNSTATED_SPEED = 60_000.0
@@ -380,7 +381,7 @@
             unread += offer.prompt_tokens - offer.shared_tokens
             first_in = max(unread / speed, behind * residence / places)
             if self._is_hopeless(offer, first_in, now):
-                decisions.append(self._turn_away(offer, TOO_LATE, first_in, now))
+                decisions.append(self._turn_away_late(offer, first_in, now))
 
     def _drop_decided(self, decisions: list[Decision]) -> None:
         if not decisions:
@@ -418,14 +419,14 @@
         share = self._share_of(offer)
         choice = choose(offer, usable, donor, share, now)
         if choice is None:
-            return self._without_endpoint(offer, now)
+            return self._without_endpoint(offer, backlogs, now)
         if choice.starts_in <= 0:
             self._grant(offer, choice, now)
             choice.backlog.add(choice.unread, choice.memory)
             named = donor.load.endpoint.id if choice.fetched else None
             return Granted(offer.call, choice.backlog.id, named)
         if self._is_hopeless(offer, choice.first_in, now):
-            return self._turn_away(offer, TOO_LATE, choice.first_in, now)
+            return self._turn_away_late(offer, choice.first_in, now)
         choice.backlog.add(choice.unread, choice.memory)
         return None
 
@@ -483,18 +484,49 @@
         reading = offer.prompt_tokens / self.speed * OWN_READING
         return now + first_in > offer.due + margin + reading
 
-    def _without_endpoint(self, offer: Offer, now: float) -> Decision | None:
-        """Wait a little for an endpoint that rests, not for one that is not there."""
-        if self.loads and now < min(offer.due, offer.expires):
+    def _without_endpoint(
+        self, offer: Offer, backlogs: list[Backlog], now: float
+    ) -> Decision | None:
+        """Wait for an endpoint that rests only if it can still answer in time.
+
+        A caller that is told at once when to come back has the rest of its time left.
+        """
+        usable_at = self._usable_at(offer, backlogs)
+        if now < offer.expires and usable_at < offer.due:
             return None
-        return self._turn_away(offer, "no endpoint to be reached", LEAST_RETRY, now)
+        rest = max(0.0, usable_at - now) if usable_at < math.inf else 0.0
+        return self._turn_away(offer, "no endpoint to be reached", rest, now)
+
+    def _usable_at(self, offer: Offer, backlogs: list[Backlog]) -> float:
+        """Return when the first endpoint may be tried again, infinity for never."""
+        return min(
+            (
+                max(
+                    item.load.suspended_until,
+                    self.unreachable.get((offer.router, item.id), 0.0),
+                )
+                for item in backlogs
+                if item.id not in offer.avoid
+            ),
+            default=math.inf,
+        )
+
+    def _turn_away_late(self, offer: Offer, first_in: float, now: float) -> TurnedAway:
+        """Refuse a request that could not be answered in time."""
+        return self._turn_away(offer, "no answer in time", LATE_RETRY * first_in, now)
 
     def _turn_away(
-        self, offer: Offer, reason: str, needed: float, now: float
+        self, offer: Offer, reason: str, wait: float, now: float
     ) -> TurnedAway:
-        """Refuse, with a time to come back that differs between callers."""
+        """Refuse, with a time to come back that differs between callers.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds before which coming back does not help.
+        """
         draw = xxhash.xxh3_64_intdigest(offer.call.encode()) % 1000 / 1000
-        wanted = max(LEAST_RETRY, needed * 2) * (0.75 + 0.5 * draw)
+        wanted = max(LEAST_RETRY, wait) * (0.75 + 0.5 * draw)
         longest = max(LEAST_RETRY, (offer.expires - now) * RETRY_PART)
         return TurnedAway(offer.call, reason, min(wanted, longest, MOST_RETRY))
 
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -319,10 +319,10 @@
     assert set(later.values()) == {"e-0", "e-1"} - {first}
 
 
-# All endpoints of a service had refused connections and rest for 4 s. Requests that want
-# their answer within a second were kept for that second and then refused with 0.3 s to
-# come back after, again and again: each caller spent its time on waits of which the
-# scheduler knew from the start that they lead nowhere.
+# All endpoints of a service had refused connections and rest for 4 s. Requests that
+# want their answer within a second were kept for that second and then refused with
+# 0.3 s to come back after, again and again: each caller spent its time on waits of
+# which the scheduler knew from the start that they lead nowhere.
 
 
 def test_a_request_is_refused_at_once_if_all_endpoints_rest_beyond_its_objective():
@@ -359,4 +359,5 @@
     later = offer("a.0.3", now=1.2, due=2.2, router="a")
     decisions = decide(pool, 1.2, soon, later)
     assert turned_away(decisions).keys() == {"a.0.2"}
+    pool.expire(1.65)
     assert granted(pool.decide(1.65)).keys() == {"a.0.3"}
