Count what a peer said of its knowledge from its heartbeat, not from when it was named

Cause: the age of a peer's knowledge went on counting from when its sender was last heard of. A roster that names a hub of another data centre, and a leaf that becomes a hub, renew that moment without a heartbeat, so that an age told long before counted as new; the router told it on, and the whole fleet believed that somebody knew everything. Nobody then read the store who could. Class: a time stamp that is renewed without what it stamps. Ruled out: clocks, hung reads, lists of peers (see the failing tests before). Change: each heartbeat keeps the time at which it came; ages count from it. Test changed: the one of the age that goes on counting sets that time, and lets the sender be named since, which made the old code take 2 s for 3.

--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/anti_entropy.py
@@ -133,7 +133,8 @@
         """Return the seconds since this router knew all registrations.
 
         From the store, or by way of a peer that knows nothing newer. What a peer said
-        of itself goes on counting after it was said.
+        of itself goes on counting from its heartbeat, not from when a roster named it
+        or a role changed: what is old would pass for new, and be told on.
         """
         now = asyncio.get_running_loop().time()
         known = self.knowledge
@@ -142,9 +143,9 @@
             ahead = beat.version > known.version
             if ahead or beat.endpoints_offset > known.endpoints.offset:
                 continue
-            member = self.fleet.membership.members.get(name)
-            if member is not None and beat.version:
-                ages.append(now - member.heard + beat.store_age / 1000)
+            if beat.version:
+                passed = now - self.fleet.beaten_at[name]
+                ages.append(passed + beat.store_age / 1000)
         return min(ages)
 
     def may_read(self) -> bool:
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet.py
@@ -80,6 +80,8 @@
         Every router that was listed.
     beats : dict
         Last heartbeat of each router that is heard.
+    beaten_at : dict
+        Loop time at which it came; a member may have been heard of since by others.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         self.addresses: dict[RouterId, Address] = {}
         self.entries: dict[RouterId, PeerEntry] = {}
         self.beats: dict[RouterId, Beat] = {}
+        self.beaten_at: dict[RouterId, float] = {}
         #: Who leads on which subject, until the members change.
         self.leading: dict[str, RouterId] = {}
         #: Who is asked on which subject, until they or the suspects change.
@@ -228,6 +231,7 @@
 
     def _take_beat(self, router: RouterId, incarnation: int, beat: Beat) -> None:
         self.beats[router] = beat
+        self.beaten_at[router] = self.loop.time()
         if router not in self.entries:
             self._note_entry(router, beat)
         known = self.membership.members.get(router)
@@ -379,8 +383,12 @@
         for router in lost:
             self._lost(router, "silent")
 
-    def _lost(self, router: RouterId, reason: str) -> None:
+    def _drop_beat(self, router: RouterId) -> None:
         self.beats.pop(router, None)
+        self.beaten_at.pop(router, None)
+
+    def _lost(self, router: RouterId, reason: str) -> None:
+        self._drop_beat(router)
         logger.info("router silent", extra={"router": router, "reason": reason})
         self.changed()
 
@@ -455,7 +463,7 @@
         for member in self.leaves():
             if member is not self.own:
                 del self.membership.members[member.router]
-                self.beats.pop(member.router, None)
+                self._drop_beat(member.router)
 
     def _turn_members(self) -> None:
         """Take hubs of other data centres by what is told, or by their own beats."""
--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/test_anti_entropy.py
@@ -95,8 +95,10 @@
         fleet = starting(80)
         made = anti_entropy.AntiEntropy(fleet, known, FakePeer())
         fleet.beats["router-1"] = Beat("north", False, 1, 1, 2000)
-        heard = Member("router-1", "north", 1, loop.time() - 1)
-        fleet.membership = SimpleNamespace(members={"router-1": heard})
+        fleet.beaten_at = {"router-1": loop.time() - 1}
+        # Heard of since, from another router.
+        named = Member("router-1", "north", 1, loop.time())
+        fleet.membership = SimpleNamespace(members={"router-1": named})
         ahead = made.information_age()
         known.take_routes(table(1), "store")
         known.endpoints.offset = 1
