--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -22,6 +22,7 @@
 from carawayfold.coordination.membership import Member, PeerState
 from carawayfold.coordination.offers import Basis
 from carawayfold.coordination.pulse import Pulse
+from carawayfold.coordination.readers import can_tell
 from carawayfold.coordination.shedding import ShedLog
 from carawayfold.platform.engines import EngineClient
 from carawayfold.platform.headers import REQUEST_ID, PlatformDialect
@@ -53,7 +54,6 @@
     from carawayfold.gateway_settings import GatewaySettings
     from carawayfold.protocol.datagrams import Datagram
     from carawayfold.settings import Address
-    from carawayfold.state.ids import RouterId
     from carawayfold.state.routes import RouteTable
     from carawayfold.transport.edge import Incoming
 
@@ -329,17 +329,13 @@
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
         if datagram.sender == self.settings.router:
             return
-        refused = self._is_refused(datagram.sender)
+        could_tell = can_tell(self.fleet, datagram.sender)
         self.fleet.take(datagram, source)
-        if self._is_refused(datagram.sender) is not refused:
+        if can_tell(self.fleet, datagram.sender) is not could_tell:
             self.anti_entropy.wake()
         self.desk.take(datagram)
         self.containment.take(datagram)
 
-    def _is_refused(self, router: RouterId) -> bool:
-        beat = self.fleet.beats.get(router)
-        return beat is not None and beat.refused
-
     def _fleet_changed(self) -> None:
         self.desk.fleet_changed()
         self.containment.fleet_changed()
--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/test_anti_entropy.py
@@ -172,7 +172,8 @@
         addresses=places,
         size=80,
         beats={name: Beat("north", False, 1, 9, 0) for name in places},
-        membership=SimpleNamespace(members={}),
+        beaten_at=dict.fromkeys(places, 0.0),
+        near_hubs=list,
     )
     took = [told_after(fleet, SilentFirst(address)) for address in places.values()]
     assert max(took) <= 1.0
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -21,6 +21,7 @@
 from carawayfold.coordination.anti_entropy import AntiEntropy
 from carawayfold.coordination.hubs import MESH_MOST
 from carawayfold.coordination.knowledge import Knowledge
+from carawayfold.coordination.readers import can_tell
 from carawayfold.platform import store as platform_store
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
@@ -199,7 +200,8 @@
 
     def take(self, datagram):
         for message in datagram.messages:
-            if isinstance(message, Beat) and message.refused:
+            told = isinstance(message, Beat) and message.hub
+            if told and not can_tell(self.fleet, datagram.sender):
                 self.anti_entropy.wake()
 
     def fleet_changed(self):
