Count as suspected only what counts against a content

Ruled out: a wrong label on the verdict itself (its log line is right). Change: the quarantine tells which are suspected; the gauges ask it. The new test fails without the method.

--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -78,7 +78,7 @@
     def _gauges(self) -> Iterator[Metric]:
         gateway = self.gateway
         quarantine = gateway.containment.quarantine
-        held = quarantine.held(gateway.fleet.loop.time())
+        now = gateway.fleet.loop.time()
         known = gateway.desk.basis()
         gauges = {
             "in_flight": len(gateway.forwarder.calls),
@@ -88,8 +88,8 @@
             "endpoints": len(gateway.knowledge.endpoints.entries),
             "endpoints_offset": offset_of(known.offset),
             "endpoints_age_seconds": known.age,
-            "quarantined": len(held),
-            "suspected": len(quarantine.entries) - len(held),
+            "quarantined": len(quarantine.held(now)),
+            "suspected": len(quarantine.suspected(now)),
             "left_out_log_lines": gateway.log_lines_left_out(),
         }
         for name, value in gauges.items():
--- a/carawayfold/state/quarantine.py
+++ b/carawayfold/state/quarantine.py
@@ -148,6 +148,17 @@
             if self.held_for(entry.content, now) > 0
         ]
 
+    def suspected(self, now: float) -> list[Entry]:
+        """Return the contents that something counts against and that are not refused.
+
+        One more crash has them refused, or refused again.
+        """
+        return [
+            entry
+            for entry in self.entries.values()
+            if not entry.level.is_clear and not self.held_for(entry.content, now)
+        ]
+
     def expire(self, now: float) -> None:
         """Forget what lies too far back."""
         over = [name for name, entry in self.entries.items() if entry.forget_at <= now]
--- a/tests/state/test_quarantine.py
+++ b/tests/state/test_quarantine.py
@@ -64,6 +64,17 @@
         assert known([entry(level=level)]).held_for("c-1", 0.0) == 0.0
 
 
+def test_suspected_are_those_that_count_against_a_content_and_do_not_refuse_it():
+    # The gauge took contents for suspected that had run well since, or that an operator
+    # had lifted.
+    levels = {level.value: entry(level.value, level) for level in Level}
+    made = known(levels.values())
+    refused = {"rested", "quarantined"}
+    assert {item.content for item in made.held(0.0)} == refused
+    assert {item.content for item in made.suspected(0.0)} == {"suspected"}
+    assert {item.content for item in made.suspected(100.0)} == {"suspected", *refused}
+
+
 def test_an_older_verdict_does_not_replace_a_newer_one():
     made = known([entry(level=Level.CLEARED, stamp=2)])
     assert not made.put(entry(stamp=1))
