Let the routers that read for the others stop one after the other in the simulated fleet

Cause: a planned restart stops them in turn, and each loss changes the rosters; troubles so far struck once. Ruled out: that such a series breaks the bound today. Change: three more troubles, which the tests of the bound play as well. Conclusion: kept as tests.

--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -43,6 +43,8 @@
 ENDPOINTS = 6
 #: Seconds in which a fleet has surely settled.
 SETTLED = 6.0
+#: Seconds between stops of routers one after the other.
+ROLLING_INTERVAL = 0.5
 
 
 class Access(Enum):
@@ -326,6 +328,9 @@
         Routers of each data centre that stop, those that read for others first.
     dead_hubs : bool
         Whether all hubs stop.
+    rolling : int
+        Routers of each data centre that stop one after the other, each time one that
+        reads for the others then.
     apart : int
         Data centres that are cut off.
     loss : float
@@ -347,6 +352,7 @@
     hubs: Access | None = None
     dead: int = 0
     dead_hubs: bool = False
+    rolling: int = 0
     apart: int = 0
     loss: float = 0.0
     copied: int = 0
@@ -373,6 +379,13 @@
     "cut, 6 of 10 swallowed": Trouble(apart=1, swallowed=0.6),
     "loss, readers swallowed": Trouble(loss=0.05, readers=Access.SWALLOWED),
     "readers stop, 6 of 10 refused": Trouble(dead=1, refused=0.6),
+    "readers stop in turn": Trouble(rolling=4, before=1.0),
+    "readers stop in turn, 3 of 10 refused": Trouble(
+        rolling=4, refused=0.3, before=1.0
+    ),
+    "readers stop in turn, 3 of 10 swallowed": Trouble(
+        rolling=4, swallowed=0.3, before=1.0
+    ),
 }
 #: Troubles of all hubs of a large fleet just as the word comes; leaves stay in touch.
 HUB_TROUBLES = {
@@ -417,10 +430,29 @@
             world.register(f"e-{ENDPOINTS - 1 - number}", leaving=True)
         await asyncio.sleep(1.0)
         world.store.come_back(trouble.copied)
+    if trouble.rolling:
+        stopping = stop_in_turn(world, trouble.rolling, places)
+        fleet.tasks["rolling"] = world.loop.create_task(stopping)
     if trouble.storm:
         world.storm = world.loop.create_task(keep_configuring(world))
 
 
+async def stop_in_turn(world, times, places):
+    """Stop a router that reads in each data centre, again and again."""
+    fleet = world.fleet
+    for _ in range(times):
+        for number in range(places):
+            reading = [
+                name
+                for name in fleet.routers
+                if name not in fleet.dead
+                and fleet.places[name] == f"dc-{number}"
+                and world.routers[name].anti_entropy.reading.is_set()
+            ]
+            fleet.dead |= set(reading[:1])
+        await asyncio.sleep(ROLLING_INTERVAL)
+
+
 async def keep_configuring(world):
     version = 2
     while True:
