Emulate requests that end their engines, with what containment and repeats are worth

Change: an emulated engine can end and lose what it has; harmful contents come again and again; what is lost is sent once more by the product's own budget; a content is refused from its third end on, or never. `python -m benchmarks.emulation contain`; two tests.

--- a/benchmarks/emulation/__main__.py
+++ b/benchmarks/emulation/__main__.py
@@ -9,6 +9,7 @@
 import typer
 
 from benchmarks.emulation.deployments import DEPLOYMENTS, EmulatedDeployment
+from benchmarks.emulation.harm import HarmPlan
 from benchmarks.emulation.load import Load
 from benchmarks.emulation.run import Emulation, Policy, Report
 
@@ -46,6 +47,7 @@
     seconds: float,
     flood: bool = False,
     lost: bool = False,
+    harmful: HarmPlan | None = None,
 ) -> Report:
     """Play one load.
 
@@ -55,6 +57,8 @@
         Whether one organisation sends many times its usual.
     lost : bool
         Whether an engine is lost for a quarter of the run.
+    harmful : HarmPlan, optional
+        Requests that end the engines that run them.
     """
     hot = {"organisation-3": FLOOD} if flood else {}
     down = {0: (seconds / 4, seconds / 2)} if lost else {}
@@ -66,6 +70,7 @@
         seconds,
         down,
         policy,
+        harmful=harmful,
     )
     return emulation.run()
 
@@ -97,6 +102,42 @@
         draw(rows, name, plot)
 
 
+@app.command()
+def contain(
+    name: Annotated[
+        str, typer.Argument(help="altiplano, tipanan or resale.")
+    ] = "altiplano",
+    contents: int = 1,
+    seeds: int = 3,
+    seconds: float = 18.0,
+    factor: float = 0.8,
+) -> None:
+    """Compare harmful requests that are contained with such that go on."""
+    deployment = DEPLOYMENTS[name]
+    plans = {
+        "none": None,
+        "go on": HarmPlan(contents, contained=False),
+        "contained": HarmPlan(contents),
+    }
+    for title, plan in plans.items():
+        for seed in range(1, seeds + 1):
+            report = play(deployment, Policy.ONE, factor, seed, seconds, harmful=plan)
+            typer.echo(f"{title:10} seed {seed}  {describe(report, deployment)}")
+
+
+def describe(report: Report, deployment: EmulatedDeployment) -> str:
+    """Return the worth of a run, and what harmful requests did in it."""
+    row = f"earned {report.benefit:6.3f}  net {net_of(report, deployment):6.3f}"
+    harm = report.harm
+    if harm is None:
+        return row
+    return (
+        f"{row}  engines ended {harm.ends.total():3}  requests lost {harm.lost:4}"
+        f"  sent again {harm.repeated:4}  no budget {harm.unaffordable:4}"
+        f"  refused {harm.refused:3}"
+    )
+
+
 def draw(rows: list[Row], name: str, path: Path) -> None:
     """Write a plot of the net worth over the load."""
     import matplotlib
--- a/benchmarks/emulation/engine.py
+++ b/benchmarks/emulation/engine.py
@@ -114,6 +114,15 @@
                 if run.name == name:
                     queue.remove(run)
 
+    def end(self) -> list[Run]:
+        """Lose all requests and everything in memory; return the requests."""
+        lost = [*self.waiting, *self.reading, *self.making]
+        self.waiting.clear()
+        self.reading.clear()
+        self.making.clear()
+        self.prefixes = KeptPrefixes(self.model.memory_tokens)
+        return lost
+
     def advance(self, until: float) -> tuple[list[Run], list[Run]]:
         """Work up to a time; return the requests that began and those that ended."""
         begun: list[Run] = []
--- a/benchmarks/emulation/load.py
+++ b/benchmarks/emulation/load.py
@@ -63,7 +63,13 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """One request of a caller."""
+    """One request of a caller.
+
+    Attributes
+    ----------
+    harm : str
+        The harmful content that it has; empty for the others.
+    """
 
     name: str
     kind: Kind
@@ -74,7 +80,7 @@
     asked: float
     first_asked: float
     retries: int = 1
-    offered: list[str] = field(default_factory=list)
+    harm: str = ""
 
 
 @dataclass(slots=True)
--- a/benchmarks/emulation/run.py
+++ b/benchmarks/emulation/run.py
@@ -12,8 +12,11 @@
 import xxhash
 
 from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
+from benchmarks.emulation.harm import Harm, HarmPlan
+from benchmarks.emulation.load import Request
 from carawayfold.coordination.offers import Granted, Offer, Outcome
 from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from carawayfold.protocol.exchanges import Part
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
 from carawayfold.state.ids import (
@@ -21,13 +24,14 @@
     DataCentreId,
     EndpointId,
     OrganisationId,
+    PartId,
     RouteId,
     RouterId,
     ServiceId,
 )
 
 if TYPE_CHECKING:
-    from benchmarks.emulation.load import Load, Request
+    from benchmarks.emulation.load import Load
 
 #: Simulated seconds of one tick of the run.
 TICK = 0.002
@@ -60,6 +64,7 @@
     in_time: int = 0
     late: int = 0
     refused: int = 0
+    lost: int = 0
     owed: float = 0.0
     earned: float = 0.0
 
@@ -76,6 +81,8 @@
         Worth of requests that came back and were refused once more.
     decision_time : float
         Real seconds spent in the scheduler.
+    harm : Harm or None
+        What harmful requests did.
     """
 
     kinds: dict[str, KindResult]
@@ -84,6 +91,7 @@
     busy: float
     refused_again: float
     decision_time: float
+    harm: Harm | None = None
 
     @property
     def benefit(self) -> float:
@@ -102,6 +110,8 @@
         When engines are lost: from and until, by number.
     routers : int
         Routers that decide, if each decides alone.
+    harmful : HarmPlan or None
+        Requests that end the engines that run them.
     """
 
     load: Load
@@ -112,6 +122,7 @@
     down: dict[int, tuple[float, float]] = field(default_factory=dict)
     policy: Policy = Policy.ONE
     routers: int = 6
+    harmful: HarmPlan | None = None
     draw: random.Random = field(default_factory=lambda: random.Random(7))
     schedulers: list[Scheduler] = field(init=False)
     fleet: dict[str, EmulatedEngine] = field(init=False)
@@ -119,8 +130,11 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     results: dict[str, KindResult] = field(default_factory=dict)
     refused_again: float = 0.0
+    harm: Harm | None = field(init=False, default=None)
 
     def __post_init__(self) -> None:
+        if self.harmful is not None:
+            self.harm = Harm(self.harmful)
         known: set[str] = set()
         self.fleet = {
             f"engine-{number}": EmulatedEngine(f"engine-{number}", self.model, known)
@@ -140,7 +154,7 @@
                 self.model.slots,
             )
             for number, name in enumerate(self.fleet)
-            if not self._is_down(number, now)
+            if not self._is_down(number, name, now)
         ]
         plan = PoolPlan(
             self.throughput / len(self.schedulers),
@@ -154,7 +168,9 @@
     def _scheduler_of(self, name: str) -> Scheduler:
         return self.schedulers[hash_of(name) % len(self.schedulers)]
 
-    def _is_down(self, number: int, now: float) -> bool:
+    def _is_down(self, number: int, name: str, now: float) -> bool:
+        if self.harm is not None and name in self.harm.down_until:
+            return True
         since, until = self.down.get(number, (0.0, 0.0))
         return since <= now < until
 
@@ -166,6 +182,7 @@
             result = self.results.setdefault(request.kind.name, KindResult())
             result.asked += 1
             result.owed += self._worth(request)
+        self._add_harmful()
         heapq.heapify(self.arrivals)
         spent = self._play()
         engines = self.fleet.values()
@@ -176,8 +193,25 @@
             sum(engine.busy for engine in engines) / self.engines / self.seconds,
             self.refused_again,
             spent,
+            self.harm,
         )
 
+    def _add_harmful(self) -> None:
+        """Add the harmful requests, which are owed nothing."""
+        if self.harm is None:
+            return
+        plan = self.harm.plan
+        kind = min(self.load.kinds, key=lambda item: item.own_tokens)
+        for number, (at, content) in enumerate(plan.arrivals(self.seconds)):
+            prompt = (Part(PartId(f"{content}-own"), round(kind.own_tokens)),)
+            tokens = prompt[0].tokens
+            output = round(kind.output_tokens)
+            name = f"r.1.{number}"
+            self.requests[name] = Request(
+                name, kind, content, prompt, tokens, output, at, at, 0, content
+            )
+            self.arrivals.append((at, name))
+
     def _worth(self, request: Request) -> float:
         kind = request.kind
         size = request.prompt_tokens + 10 * request.output_tokens
@@ -192,13 +226,9 @@
             now += TICK
             if self.down:
                 self._set_endpoints(now)
+            self._start_again(now)
             for engine in self.fleet.values():
-                begun, ended = engine.advance(now)
-                for run in begun:
-                    scheduler = self._scheduler_of(run.name)
-                    scheduler.begun(CallId(run.name), run.first_at - run.sent)
-                for run in ended:
-                    self._end(run, now)
+                self._advance(engine, now)
             started = time.perf_counter()
             self._offer_arrivals(now)
             decisions = [
@@ -215,6 +245,46 @@
             self._keep_alive(now)
         return spent
 
+    def _advance(self, engine: EmulatedEngine, now: float) -> None:
+        """Let an engine work, and note what began and what ended there."""
+        begun, ended = engine.advance(now)
+        for run in begun:
+            scheduler = self._scheduler_of(run.name)
+            scheduler.begun(CallId(run.name), run.first_at - run.sent)
+        for run in ended:
+            self._end(run, now)
+        harmful = self._harmful_of(begun)
+        if harmful is not None:
+            self._end_engine(engine, harmful, now)
+
+    def _start_again(self, now: float) -> None:
+        """Let engines start in place of those that ended."""
+        if self.harm is not None and self.harm.take_back(now):
+            self._set_endpoints(now)
+
+    def _harmful_of(self, begun: list[Run]) -> Run | None:
+        """Return a harmful request among those that made their first token."""
+        if self.harm is None:
+            return None
+        return next((run for run in begun if self.requests[run.name].harm), None)
+
+    def _end_engine(self, engine: EmulatedEngine, harmful: Run, now: float) -> None:
+        """End an engine under a request; the others there are lost with it."""
+        self.harm.note_end(self.requests[harmful.name].harm, engine.name, now)
+        for run in engine.end():
+            scheduler = self._scheduler_of(run.name)
+            scheduler.ended(CallId(run.name), Outcome.FAILED, now)
+            if not self.requests[run.name].harm:
+                self._lose(run.name, now)
+        self._set_endpoints(now)
+
+    def _lose(self, name: str, now: float) -> None:
+        """Send a request that was lost once more, or leave it."""
+        if self.harm.may_repeat(name, now):
+            heapq.heappush(self.arrivals, (now, name))
+            return
+        self.results[self.requests[name].kind.name].lost += 1
+
     def _keep_alive(self, now: float) -> None:
         for scheduler in self.schedulers:
             for call in scheduler.refreshed:
@@ -224,6 +294,8 @@
         while self.arrivals and self.arrivals[0][0] <= now:
             _, name = heapq.heappop(self.arrivals)
             request = self.requests[name]
+            if not self._is_admitted(request, now):
+                continue
             kind = request.kind
             offer = Offer(
                 call=CallId(name),
@@ -245,6 +317,16 @@
             else:
                 self._scheduler_of(name).offer(offer, now)
 
+    def _is_admitted(self, request: Request, now: float) -> bool:
+        """Return whether a request may go to an engine, by its content."""
+        if self.harm is None:
+            return True
+        if request.harm:
+            return not self.harm.is_refused(request.harm)
+        if request.name not in self.harm.again:
+            self.harm.note_request(now)
+        return True
+
     def _send(self, decision: Granted, now: float) -> None:
         request = self.requests[decision.call]
         run = Run(
@@ -264,6 +346,8 @@
 
     def _refuse(self, name: str, retry_after: float, now: float) -> None:
         request = self.requests[name]
+        if request.harm:
+            return
         if request.retries <= 0:
             self.refused_again += self._worth(request)
             self.results[request.kind.name].refused += 1
--- a/tests/benchmarks/test_emulation.py
+++ b/tests/benchmarks/test_emulation.py
@@ -8,8 +8,11 @@
 from benchmarks.emulation.ablation import MECHANISMS
 from benchmarks.emulation.deployments import DEPLOYMENTS
 from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
+from benchmarks.emulation.harm import HarmPlan
 from benchmarks.emulation.run import Policy
 from carawayfold.protocol.exchanges import Part
+from carawayfold.state.budget import BudgetBounds
+from carawayfold.state.crashes import QUARANTINED_AT
 
 SECONDS = 4.0
 
@@ -88,3 +91,27 @@
     assert without.copied == 0
     assert with_copies.reread < without.reread / 2
     assert net_of(with_copies, deployment) > net_of(without, deployment)
+
+
+def harmed(**plan):
+    plan = HarmPlan(**{"begins": 0.5, "restart": 1.0, **plan})
+    deployment = DEPLOYMENTS["altiplano"]
+    return play(deployment, Policy.ONE, 0.8, 2, SECONDS, harmful=plan)
+
+
+def test_a_harmful_content_ends_one_engine_each_time_until_it_is_contained():
+    without, contained = harmed(contained=False), harmed()
+    assert contained.harm.ends == {"harmful-0": QUARANTINED_AT}
+    assert contained.harm.refused > 0
+    assert without.harm.ends.total() > QUARANTINED_AT
+    assert without.harm.refused == 0
+    assert contained.benefit > without.benefit
+
+
+def test_what_is_lost_with_an_engine_is_sent_again_within_the_budget():
+    harm = harmed().harm
+    assert harm.repeated > 0
+    assert harm.lost >= harm.repeated + harm.unaffordable
+    poor = harmed(budget=BudgetBounds(ratio=0.0, extra=0.0)).harm
+    assert poor.repeated == 0
+    assert poor.unaffordable > 0
