Fuzz the decoding of datagrams

Ruled out: that a name which is no text escapes as another error than the decoder's own. Change: tests with hypothesis: damaged, cut and foreign bytes are refused with the one error that the socket takes, or read; what is read is written the same way.

--- /dev/null
+++ b/tests/protocol/test_datagrams.py
@@ -0,0 +1,65 @@
+"""Datagrams of strangers and of broken senders: refused whole, or read whole."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayfold.protocol.datagrams import (
+    Beat,
+    Datagram,
+    EndedMessage,
+    GrantMessage,
+    Held,
+    HoldingMessage,
+    HubEntry,
+    OfferMessage,
+    RosterMessage,
+    VerdictMessage,
+    decode,
+    encode,
+)
+
+MESSAGES = [
+    Beat("north", False, 3, 7, 120),
+    OfferMessage("model/0", "r.0.1", "alder", "summary", 1, [("p", 9)], 9, 4, 80, 900),
+    GrantMessage("r.0.1", "e-1", None, 7, 12),
+    EndedMessage("model/0", "r.0.1", "whole"),
+    HoldingMessage("model/0", [Held("r.0.1", "e-1", 3, 9, True)]),
+    RosterMessage("north", [HubEntry("router-1", "127.0.0.1", 7400, 1, 100)]),
+    VerdictMessage("c", "alder", "rested", 5, 10, 20, 30, ["e-1"]),
+]
+VALID = [encode(Datagram("router-1", 1, [message])) for message in MESSAGES]
+
+
+@given(st.sampled_from(VALID), st.data())
+def test_a_datagram_that_was_damaged_on_its_way_is_refused_or_read(whole, data):
+    place = data.draw(st.integers(0, len(whole) - 1))
+    byte = data.draw(st.integers(0, 255))
+    cut = data.draw(st.integers(1, len(whole)))
+    damaged = (whole[:place] + bytes([byte]) + whole[place + 1 :])[:cut]
+    try:
+        read = decode(damaged)
+    except msgspec.MsgspecError:
+        return
+    assert decode(encode(read)) == read
+
+
+@given(st.binary(max_size=200))
+def test_bytes_of_a_stranger_are_refused_or_read(data):
+    try:
+        decode(data)
+    except msgspec.MsgspecError:
+        return
+
+
+def test_a_name_that_is_no_text_is_refused():
+    with pytest.raises(msgspec.MsgspecError):
+        decode(b"\x93\xa1\xff\x01\x90")
+
+
+def test_all_messages_come_back_as_they_were():
+    for message, data in zip(MESSAGES, VALID, strict=True):
+        assert decode(data) == Datagram("router-1", 1, [message])
