Give the simulated store and the troubles modules of their own

Cause: the module of simulated registrations had grown to 530 lines with four jobs. Ruled out: a change of any case; the code moves as it is.

--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -21,16 +21,9 @@
 import pytest
 
 from tests.simulated_fleet import simulate, started
-from tests.simulated_registrations import (
-    HUB_TROUBLES,
-    SETTLED,
-    TROUBLES,
-    Access,
-    SimulatedNews,
-    Trouble,
-    ages_of,
-    readers_first,
-)
+from tests.simulated_registrations import SETTLED, SimulatedNews, ages_of
+from tests.simulated_store import Access
+from tests.simulated_troubles import HUB_TROUBLES, TROUBLES, Trouble, readers_first
 
 #: Seconds after which nothing may be sent to an endpoint that leaves, on the deployment
 #: with the tightest bound.
@@ -131,7 +124,8 @@
 
 #: Prints what a round of 67 routers comes to.
 ONE_ROUND = """
-from tests.simulated_registrations import TROUBLES, ages_of
+from tests.simulated_registrations import ages_of
+from tests.simulated_troubles import TROUBLES
 ages, calls = ages_of(67, 3, TROUBLES["readers stop, 6 of 10 refused"], [0])
 print(len(ages), sum(ages), ages[-1], calls)
 """
--- /dev/null
+++ b/tests/simulated_store.py
@@ -0,0 +1,122 @@
+"""A simulated store: what it keeps, and how it treats the routers that call it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from carawayfold.platform import store as platform_store
+from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
+from carawayfold.state.positions import era_of, offset_of, position
+from carawayfold.state.routes import CallerLimits, RouteTable
+
+#: Seconds for an answer of the store.
+STORE_DELAY = 0.004
+#: The same while the store is slow.
+SLOW_DELAY = 0.2
+
+
+class Access(Enum):
+    """How the store treats a router."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    SWALLOWED = "swallowed"
+    SLOW = "slow"
+
+
+@dataclass
+class SimulatedStore:
+    """One topic of registrations and one of the configuration."""
+
+    access: dict[str, Access] = field(default_factory=dict)
+    records: list[Registered] = field(default_factory=list)
+    tables: list[RouteTable] = field(default_factory=list)
+    calls: Counter = field(default_factory=Counter)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    era: int = 0
+
+    def write(self, item):
+        self.records.append(item)
+        self._tell()
+
+    def configure(self, version):
+        table = RouteTable(version, (), {}, {}, {}, CallerLimits(), 0.0)
+        self.tables.append(table)
+        self._tell()
+
+    def _tell(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def come_back(self, lost):
+        """Come back from a copy that lacks the last `lost` registrations."""
+        del self.records[-lost:]
+        self.era += 1
+        self._tell()
+
+    def place(self, records):
+        """Return the position after all records."""
+        return position(self.era, len(records))
+
+    def newest(self):
+        by_name = {item.name: item for item in self.records}
+        return [item for item in by_name.values() if item.endpoint is not None]
+
+    async def admit(self, router, patience):
+        """Let a call of a router in, or fail as the store does with it."""
+        self.calls[router] += 1
+        access = self.access.get(router, Access.SERVED)
+        if access is Access.SWALLOWED:
+            await asyncio.sleep(patience)
+            raise SourceError("no answer in time")
+        await asyncio.sleep(SLOW_DELAY if access is Access.SLOW else STORE_DELAY)
+        if access is Access.REFUSED:
+            raise SourceError("status 503")
+
+
+@dataclass
+class SimulatedSource:
+    """One router's way to a topic of the store."""
+
+    store: SimulatedStore
+    router: str
+    records: list
+    newest_of: object
+
+    async def newest(self):
+        await self.store.admit(self.router, platform_store.TIMEOUT)
+        return Page(self.newest_of(), self.store.place(self.records))
+
+    async def read(self, start, wait):
+        loop = asyncio.get_running_loop()
+        patience = wait + platform_store.TIMEOUT
+        end = loop.time() + patience
+        await self.store.admit(self.router, patience)
+        until = loop.time() + wait
+        while start == self.store.place(self.records) and loop.time() < until:
+            changed = self.store.changed
+            try:
+                async with asyncio.timeout_at(until):
+                    await changed.wait()
+            except TimeoutError:
+                break
+            access = self.store.access.get(self.router, Access.SERVED)
+            if access is not Access.SERVED:
+                break
+        await self._stay_cut(end)
+        if era_of(start) != self.store.era or offset_of(start) > len(self.records):
+            raise HistoryLost("the store came back from a copy")
+        read = self.records[offset_of(start) :]
+        return Page(read, self.store.place(self.records))
+
+    async def _stay_cut(self, end):
+        """Fail a read that waited when its router was cut off."""
+        access = self.store.access.get(self.router, Access.SERVED)
+        if access is Access.SWALLOWED:
+            await asyncio.sleep(end - asyncio.get_running_loop().time())
+            raise SourceError("no answer in time")
+        if access is Access.REFUSED:
+            raise SourceError("the connection was reset")
