Leave an endpoint of the soak alone until it is registered

An endpoint that had started waited for the store to take its registration; another fault chose it meanwhile and took it away, so that it was gone when the store was back. Ruled out: the product (no promise was broken; the run of the soak itself ended); the endpoint's own end under a harmful request (it got none yet). Change: a name is claimed from its start until it is registered. Conclusion: a fault of the harness; no check is changed.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -293,9 +293,11 @@
         self.starts += 1
         name = f"{service}-{self.starts}"
         launch = self.fleet.launch_endpoint
-        await asyncio.to_thread(launch, name, service, behind_proxy=True, pace=PACE)
-        self.all_endpoints[name] = self.fleet.endpoints[name]
-        await self.operate(self.fleet.register, name)
+        # Its registration takes as long as the store is away; it must be there for it.
+        async with self.claimed(name):
+            await asyncio.to_thread(launch, name, service, behind_proxy=True, pace=PACE)
+            self.all_endpoints[name] = self.fleet.endpoints[name]
+            await self.operate(self.fleet.register, name)
 
     async def remove_endpoint(self, name: str) -> None:
         """Kill an endpoint and drop its entry, with nothing run unrecorded."""
--- /dev/null
+++ b/tests/benchmarks/test_soak_faults.py
@@ -0,0 +1,31 @@
+"""The faults of a soak, among each other."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from benchmarks.soak.faults import Faults
+
+
+def test_an_endpoint_is_left_alone_until_it_is_registered():
+    # While the store was away, an endpoint that had started waited to be registered;
+    # another fault chose it and took it away, and the run ended: KeyError('model-7').
+    taken = []
+    fleet = SimpleNamespace(endpoints={})
+    faults = Faults(fleet, random.Random(1), None, None)
+
+    def launch(name, service, **_):
+        fleet.endpoints[name] = service
+        taken.append(name in faults.busy)
+
+    def register(name):
+        taken.append(name in faults.busy)
+        if len(taken) == 2:
+            raise OSError("the store is away")
+
+    fleet.launch_endpoint, fleet.register = launch, register
+    asyncio.run(faults.start_endpoint("model"))
+    assert taken == [True, True, True]
+    assert not faults.busy
