Offer what a pool can't serve in time to a further pool

Ruled out: accounts told between deciders alone. By arithmetic, an organisation that is asked for in one of four pools gets at most a quarter, all of that pool.

Change: a request that is turned away is offered once more, to a pool drawn by its own name, so each pool weighs whole demands against one another. A pool that has not read its prefix copies it from the engine that read it last for that router, which is now noted at the first token and not at the grant.

--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -10,13 +10,14 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
 
-from carawayfold.coordination.division import choose, divide
+from carawayfold.coordination.division import choose, choose_further, divide
 from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import (
     Basis,
@@ -81,6 +82,10 @@
 DECIDE_INTERVAL = 0.03
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
+#: Further pools that are asked for a request which its own one can't serve in time.
+#: Without them an organisation whose requests share a prefix gets its part of one pool
+#: only, however much the others can do.
+FURTHER_POOLS = 1
 #: Prefixes of which this router remembers where it sent them.
 PREFIXES_KEPT = 4000
 
@@ -115,6 +120,7 @@
     pool: PoolId
     active: Active
     endpoint: EndpointId
+    prompt: tuple[Part, ...]
 
 
 class PoolDesk(msgspec.Struct, eq=False):
@@ -222,6 +228,26 @@
 
     # This router's requests
 
+    async def place_in_any(self, offer: Offer, service: ServiceId) -> Decision:
+        """Return the decision of the pool of a request's prefix, or of a further one.
+
+        Cancel to withdraw the request.
+        """
+        pool = self.pool_for(service, offer.prompt)
+        asked = [pool]
+        refusals: list[TurnedAway] = []
+        while True:
+            decision = await self.place(offer, pool)
+            if isinstance(decision, Granted):
+                return decision
+            refusals.append(decision)
+            pool = choose_further(self.weights.get(service, {}), asked, offer.call)
+            if pool is None or len(asked) > FURTHER_POOLS:
+                return min(refusals, key=lambda item: item.retry_after)
+            asked.append(pool)
+            # Who decides may remember its answer under the old name.
+            offer = replace(offer, call=self.next_call())
+
     async def place(self, offer: Offer, pool: PoolId) -> Decision:
         """Return the decision on a request; cancel to withdraw it."""
         ticket = Ticket(offer, pool, self.loop.create_future())
@@ -305,17 +331,22 @@
         load = desk.scheduler.loads.get(decision.endpoint) if desk else None
         known = load.active.get(offer.call) if load else None
         self.placed[offer.call] = Placed(
-            ticket.pool, known or active, decision.endpoint
+            ticket.pool, known or active, decision.endpoint, offer.prompt
         )
-        if len(offer.prompt) > 1:
-            self.sent_prefixes[offer.prompt[-2].id] = decision.endpoint
-            self.sent_prefixes.move_to_end(offer.prompt[-2].id)
-            if len(self.sent_prefixes) > PREFIXES_KEPT:
-                self.sent_prefixes.popitem(last=False)
 
     def kept_at(self, prompt: tuple[Part, ...]) -> EndpointId | None:
-        """Return where this router last sent the same prefix."""
-        return self.sent_prefixes.get(prompt[-2].id) if len(prompt) > 1 else None
+        """Return the endpoint that last read the same prefix for this router."""
+        found = self.sent_prefixes.get(prompt[-2].id) if len(prompt) > 1 else None
+        return found if found in self.endpoints else None
+
+    def _note_prefix(self, placed: Placed) -> None:
+        if len(placed.prompt) < 2:
+            return
+        prefix = placed.prompt[-2].id
+        self.sent_prefixes[prefix] = placed.endpoint
+        self.sent_prefixes.move_to_end(prefix)
+        if len(self.sent_prefixes) > PREFIXES_KEPT:
+            self.sent_prefixes.popitem(last=False)
 
     def begun(self, call: CallId, waited: float) -> None:
         """Tell the scheduler that a request's first byte came."""
@@ -328,6 +359,7 @@
             desk.scheduler.begun(call, waited)
             self._decide_soon(desk)
         placed.active.begun = True
+        self._note_prefix(placed)
         if granter != self.fleet.own.router:
             message = BegunMessage(placed.pool, call, round(waited * 1000))
             self.fleet.send(granter, message)
--- a/carawayfold/coordination/division.py
+++ b/carawayfold/coordination/division.py
@@ -13,10 +13,10 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from carawayfold.state.endpoints import Endpoint
-    from carawayfold.state.ids import PoolId
+    from carawayfold.state.ids import CallId, PoolId
 
 #: Endpoints decided on by one router, so that its work is bounded at any size.
 POOL_SIZE = 16
@@ -51,6 +51,30 @@
     return max(weights, key=lambda pool: _score(f"{pool}|{prefix}", weights[pool]))
 
 
+def choose_further(
+    weights: Mapping[PoolId, int], asked: Collection[PoolId], call: CallId
+) -> PoolId | None:
+    """Return the pool to ask for a request that others could not serve in time.
+
+    Parameters
+    ----------
+    weights : mapping
+        What each pool can do.
+    asked : collection of PoolId
+        Those that have turned it away.
+    call : CallId
+        Draws the pool: requests that share a prefix spread over all pools, so that
+        each pool weighs the organisations' whole demand against one another.
+
+    Returns
+    -------
+    PoolId or None
+        None where all were asked.
+    """
+    left = {pool: weight for pool, weight in weights.items() if pool not in asked}
+    return choose(left, call) if left else None
+
+
 def _score(text: str, weight: int) -> float:
     """Return a draw that is the highest in proportion to `weight`."""
     drawn = (_hash(text) + 1) / (HASH_RANGE + 1)
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -12,11 +12,11 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
-    from carawayfold.coordination.endpoint_load import EndpointLoad
     from carawayfold.coordination.offers import Offer
     from carawayfold.coordination.placement import Backlog
+    from carawayfold.state.ids import EndpointId
 
 #: Tokens below which a copy is not worth its set-up: reading 200 tokens takes an
 #: engine one to two milliseconds.
@@ -28,24 +28,27 @@
 
     Attributes
     ----------
+    id : EndpointId
+        Its name.
     kept : int
         Tokens of the prompt, from its beginning, that it has read already.
     """
 
-    load: EndpointLoad
+    id: EndpointId
     kept: int
 
-    def fetched(self, load: EndpointLoad, kept: int) -> int:
-        """Return the tokens that `load` would copy, which keeps `kept` itself."""
+    def fetched(self, endpoint: EndpointId, kept: int) -> int:
+        """Return the tokens that `endpoint` would copy, which keeps `kept` itself."""
         more = self.kept - kept
-        return more if load is not self.load and more >= LEAST_FETCHED else 0
+        return more if endpoint != self.id and more >= LEAST_FETCHED else 0
 
 
-def find_donor(offer: Offer, backlogs: Iterable[Backlog]) -> Donor | None:
+def find_donor(offer: Offer, backlogs: Collection[Backlog]) -> Donor | None:
     """Return the engine that has read most of a prompt, if any has read enough.
 
     What an engine was only told to read does not count: it may not have begun, and
-    a copy would bring nothing.
+    a copy would bring nothing. Where no engine of the pool has read it, the one that
+    the request's router names is taken: it has read it in another pool.
     """
     if offer.shared_tokens < LEAST_FETCHED:
         return None
@@ -59,5 +62,8 @@
         present = prefixes.present(prompt)
         if present > most:
             most = present
-            found = Donor(backlog.load, present)
+            found = Donor(backlog.id, present)
+    if found is None and offer.kept_at is not None:
+        if all(offer.kept_at != backlog.id for backlog in backlogs):
+            return Donor(offer.kept_at, offer.shared_tokens)
     return found
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -238,9 +238,9 @@
 
     async def _try_endpoints(self, call: ForwardedCall) -> None:
         while True:
-            granted, offer = await self._place(call)
+            granted = await self._place(call)
             self._refuse_granted(call, granted)
-            end = await self._attempt(call, granted, offer)
+            end = await self._attempt(call, granted)
             if end is AttemptEnd.WITHDRAWN:
                 continue
             if end is AttemptEnd.WHOLE:
@@ -250,15 +250,13 @@
             call.attempts.note(end)
             self._check_repeat(call, end)
 
-    async def _place(self, call: ForwardedCall) -> tuple[Granted, Offer]:
-        offer = self._offer(call)
-        pool = self.desk.pool_for(call.service, offer.prompt)
+    async def _place(self, call: ForwardedCall) -> Granted:
         asked_at = self.loop.time()
-        decision = await self.desk.place(offer, pool)
+        decision = await self.desk.place_in_any(self._offer(call), call.service)
         call.waited = self.loop.time() - asked_at
         if isinstance(decision, TurnedAway):
             raise self._turned_away(call, decision)
-        return decision, offer
+        return decision
 
     def _offer(self, call: ForwardedCall) -> Offer:
         asked = call.asked
@@ -286,9 +284,7 @@
             ErrorKind.OVERLOADED, decision.reason, Ran.NO, decision.retry_after
         )
 
-    async def _attempt(
-        self, call: ForwardedCall, granted: Granted, offer: Offer
-    ) -> AttemptEnd:
+    async def _attempt(self, call: ForwardedCall, granted: Granted) -> AttemptEnd:
         endpoint = self._check_granted(call, granted)
         if endpoint is None:
             return AttemptEnd.WITHDRAWN
@@ -296,7 +292,7 @@
         call.basis = granted.basis
         call.donor = granted.donor
         donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
-        request = AttemptRequest(call, endpoint, offer.call, donor)
+        request = AttemptRequest(call, endpoint, granted.call, donor)
         attempt = call.attempt = Attempt(self, request)
         outcome = Outcome.CANCELLED
         try:
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -207,7 +207,7 @@
     load = backlog.load
     speed = backlog.speed
     kept = load.prefixes.kept(offer.prompt)
-    fetched = donor.fetched(load, kept) if donor is not None else 0
+    fetched = donor.fetched(backlog.id, kept) if donor is not None else 0
     unread = offer.prompt_tokens - kept - fetched
     memory = unread + fetched + offer.output_tokens
     starts_in = _wait(backlog, unread, memory, share)
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -423,7 +423,7 @@
         if choice.starts_in <= 0:
             self._grant(offer, choice, now)
             choice.backlog.add(choice.unread, choice.memory)
-            named = donor.load.endpoint.id if choice.fetched else None
+            named = donor.id if choice.fetched else None
             return Granted(offer.call, choice.backlog.id, named)
         if self._is_hopeless(offer, choice.first_in, now):
             return self._turn_away_late(offer, choice.first_in, now)
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -10,6 +10,7 @@
 
 from carawayfold.coordination.desk import Desk
 from carawayfold.coordination.division import POOL_SIZE
+from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.membership import Member, Membership
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
 from carawayfold.coordination.suspects import Suspects
@@ -258,6 +259,47 @@
     assert isinstance(decision, Granted)
 
 
+def fill(desk, pool):
+    """Let nothing of a pool be free in time."""
+    now = asyncio.get_running_loop().time()
+    scheduler = desk.pools[pool].scheduler
+    for name, load in scheduler.loads.items():
+        load.residence = 100.0
+        for number in range(load.endpoint.slots):
+            call = f"b.0.{name}-{number}"
+            scheduler.holds(name, Active(call, "b", 0, 1, now, now, begun=True))
+
+
+def test_a_request_that_its_pool_cannot_serve_in_time_goes_to_another_one():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"], endpoints=2 * POOL_SIZE)
+        desk = made["a"]
+        asked = request(desk, "x")
+        own = desk.pool_for("model", asked.prompt)
+        for each in made.values():
+            fill(each, own)
+        decision = await desk.place_in_any(asked, "model")
+        (other,) = desk.pools.keys() - {own}
+        return decision, desk.pools[other], desk.placed[decision.call].pool == other
+
+    decision, other, placed_there = play(work)
+    assert isinstance(decision, Granted)
+    assert decision.endpoint in other.scheduler.loads
+    assert placed_there
+
+
+def test_what_no_pool_can_serve_in_time_is_turned_away_with_the_shorter_wait():
+    async def work():
+        made = desks(Wire(), ["a"], endpoints=2 * POOL_SIZE)
+        desk = made["a"]
+        for pool in desk.pools:
+            fill(desk, pool)
+        return await desk.place_in_any(request(desk, "x"), "model")
+
+    assert isinstance(play(work), TurnedAway)
+
+
 def test_a_service_without_endpoints_is_refused_at_once():
     async def work():
         made = desks(Wire(), ["a"])
--- a/tests/coordination/test_division.py
+++ b/tests/coordination/test_division.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from carawayfold.coordination.division import POOL_SIZE, choose, divide
+from carawayfold.coordination.division import POOL_SIZE, choose, choose_further, divide
 from carawayfold.state.ids import PoolId
 from tests.schedule_builders import endpoint
 
@@ -46,3 +46,22 @@
     prefixes = [f"p-{number}" for number in range(2000)]
     moved = sum(choose(before, item) != choose(after, item) for item in prefixes)
     assert moved < 60
+
+
+def test_a_further_pool_is_one_that_was_not_asked():
+    weights = {f"model/{number}": 2 for number in range(3)}
+    first = choose(weights, "topic")
+    second = choose_further(weights, [first], "r.1.1")
+    third = choose_further(weights, [first, second], "r.1.1")
+    assert {first, second, third} == weights.keys()
+    assert choose_further(weights, list(weights), "r.1.1") is None
+
+
+def test_requests_of_one_prefix_spread_over_all_further_pools():
+    weights = {f"model/{number}": 2 for number in range(5)}
+    first = choose(weights, "topic")
+    drawn = Counter(
+        choose_further(weights, [first], f"r.1.{number}") for number in range(400)
+    )
+    assert drawn.keys() == weights.keys() - {first}
+    assert min(drawn.values()) > 60
--- a/tests/coordination/test_donors.py
+++ b/tests/coordination/test_donors.py
@@ -53,7 +53,7 @@
     assert find_donor(item, pool._backlogs(1.01)) is None
     pool.begun("r.0.1", 0.05)
     found = find_donor(item, pool._backlogs(1.06))
-    assert found.load.endpoint.id == first.endpoint
+    assert found.id == first.endpoint
 
 
 def test_an_engine_that_keeps_it_itself_asks_nobody():
@@ -89,3 +89,16 @@
     blocked = Active("r.0.8", "r", 10**6, 10, 1.0, 1.0)
     pool.holds("e-0", blocked)
     assert grant(pool, offer(tokens=5000, now=1.1), 1.1).donor is None
+
+
+def test_an_engine_of_another_pool_hands_over_what_it_has_read():
+    item = offer(tokens=5000, own=700, now=1.0, kept_at="far-1")
+    pool = scheduler(endpoints=2)
+    decision = grant(pool, item, 1.0)
+    assert decision.donor == "far-1"
+    assert pool.loads[decision.endpoint].unread == 700
+
+
+def test_an_engine_of_the_pool_is_asked_before_one_of_another_pool():
+    item = offer(tokens=5000, now=1.0, kept_at="far-1")
+    assert grant(keeper_that_is_full(), item, 1.0).donor == "e-0"
--- /dev/null
+++ b/tests/simulated_pools.py
@@ -0,0 +1,124 @@
+"""Plays organisations that flood a service whose endpoints form several pools."""
+
+from __future__ import annotations
+
+import argparse
+from collections import Counter
+from dataclasses import dataclass, field
+
+from carawayfold.coordination.desk import FURTHER_POOLS
+from carawayfold.coordination.division import choose, choose_further
+from carawayfold.coordination.offers import Granted, Outcome
+from tests.schedule_builders import offer, scheduler
+
+#: Seconds that are played, and between two rounds of requests.
+LENGTH = 6.0
+INTERVAL = 0.02
+#: Requests of each organisation in a round: as many as four pools can serve.
+IN_ROUND = 8
+TOKENS = 3000
+
+
+@dataclass
+class PoolsRun:
+    """One run.
+
+    Attributes
+    ----------
+    prefixes : dict
+        How many prefixes the requests of each organisation share.
+    pools : int
+        Pools of the service, one engine of two slots each.
+    further : int
+        Further pools that are asked for what one can't serve in time.
+    in_round : int
+        Requests of each organisation in a round.
+    got : Counter
+        Requests served of each organisation.
+    offers : int
+        Requests offered to any pool, each time counted.
+    """
+
+    prefixes: dict[str, int]
+    pools: int = 4
+    further: int = FURTHER_POOLS
+    in_round: int = IN_ROUND
+    got: Counter = field(default_factory=Counter)
+    offers: int = 0
+    reread: int = 0
+
+    def __post_init__(self) -> None:
+        names = [f"model/{number}" for number in range(self.pools)]
+        self.weights = dict.fromkeys(names, 2)
+        self.made = {pool: scheduler(throughput=10_000, slots=2) for pool in names}
+        self.asked = {}
+        self.seen = set()
+
+    def play(self) -> Counter:
+        """Return what each organisation got."""
+        for number in range(round(LENGTH / INTERVAL)):
+            now = 1.0 + number * INTERVAL
+            for name, count in self.prefixes.items():
+                for wants in self._offers_of(name, count, now, number * self.in_round):
+                    pool = choose(self.weights, wants.prompt[0].id)
+                    self._offer(wants, pool, now)
+            for name, pool in self.made.items():
+                for decision in pool.decide(now):
+                    self._take(decision, name, now)
+        return self.got
+
+    def _offers_of(self, name, prefixes, now, first):
+        return [
+            offer(
+                f"{name}.0.{number}",
+                f"{name}-{number % prefixes}",
+                1,
+                TOKENS,
+                now=now,
+                organisation=name,
+                due=now + 0.5,
+            )
+            for number in range(first, first + self.in_round)
+        ]
+
+    def _offer(self, wants, pool, now):
+        self.offers += 1
+        self.asked.setdefault(wants.call, (wants, []))[1].append(pool)
+        self.made[pool].offer(wants, now)
+
+    def _take(self, decision, name, now):
+        wants, asked = self.asked[decision.call]
+        if isinstance(decision, Granted):
+            self.got[wants.organisation] += 1
+            prefix = (name, wants.prompt[0].id)
+            self.reread += prefix not in self.seen
+            self.seen.add(prefix)
+            self.made[name].begun(decision.call, 0.03)
+            self.made[name].ended(decision.call, Outcome.WHOLE, now)
+            return
+        further = choose_further(self.weights, asked, decision.call)
+        if further is not None and len(asked) <= self.further:
+            self._offer(wants, further, now)
+
+
+def main() -> None:
+    """Print what two equal floods get, whatever prefixes they have."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--further", type=int, nargs="+", default=[0, 1, 2, 11])
+    wanted = parser.parse_args().further
+    print("pools prefixes further    one    two   part offers prefixes read")
+    for pools in (1, 4, 12):
+        for prefixes in (1, 2, 40):
+            for further in wanted:
+                floods = {"one": prefixes, "two": 40}
+                run = PoolsRun(floods, pools, further, in_round=2 * pools)
+                got = run.play()
+                part = got["one"] / max(1, got["two"])
+                print(
+                    f"{pools:5} {prefixes:8} {further:7} {got['one']:6} "
+                    f"{got['two']:6} {part:6.2f} {run.offers:6} {run.reread:8}"
+                )
+
+
+if __name__ == "__main__":
+    main()
