--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -63,7 +63,8 @@
         if present > most:
             most = present
             found = Donor(backlog.id, present)
-    if found is None and offer.kept_at is not None:
-        if all(offer.kept_at != backlog.id for backlog in backlogs):
-            return Donor(offer.kept_at, offer.shared_tokens)
-    return found
+    if found is not None or offer.kept_at is None:
+        return found
+    if any(offer.kept_at == backlog.id for backlog in backlogs):
+        return None
+    return Donor(offer.kept_at, offer.shared_tokens)
