--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/anti_entropy.py
@@ -15,6 +15,7 @@
 
 from carawayfold.coordination.knowledge import EndpointSnapshot
 from carawayfold.coordination.readers import ALL_READ, is_reader
+from carawayfold.state.evacuations import EvacuationSnapshot
 from carawayfold.state.routes import RouteTable
 from carawayfold.transport.client import ExchangeError
 
@@ -60,6 +61,7 @@
 HOP_TIME = 0.01
 CONFIGURATION_PATH = "/configuration"
 ENDPOINTS_PATH = "/endpoints"
+EVACUATIONS_PATH = "/evacuations"
 
 
 class AntiEntropy:
@@ -132,6 +134,8 @@
             await self._ask(router, CONFIGURATION_PATH)
         if not self.knowledge.listed:
             await self._ask(router, ENDPOINTS_PATH)
+        if not self.knowledge.evacuations.known:
+            await self._ask(router, EVACUATIONS_PATH)
 
     def information_age(self) -> float:
         """Return the seconds since this router knew all registrations.
@@ -194,6 +198,10 @@
         told = self._furthest(lambda beat: beat.version, known.version)
         if told is not None:
             await self._ask(told, CONFIGURATION_PATH)
+        changed_at = known.evacuations.changed_at
+        told = self._furthest(lambda beat: beat.evacuations_changed, changed_at)
+        if told is not None:
+            await self._ask(told, EVACUATIONS_PATH)
         offset = known.endpoints.offset
         told = self._furthest(lambda beat: beat.endpoints_offset, offset)
         if told is None:
@@ -254,5 +262,9 @@
             table = msgspec.msgpack.decode(body, type=RouteTable)
             self.knowledge.take_routes(table, router)
             return
+        if path == EVACUATIONS_PATH:
+            evacuations = msgspec.msgpack.decode(body, type=EvacuationSnapshot)
+            self.knowledge.take_evacuations(evacuations, router)
+            return
         snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
         self.knowledge.take_snapshot(snapshot, router)
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/desk.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict
 from dataclasses import replace
 from functools import singledispatchmethod
@@ -20,6 +21,7 @@
 from carawayfold.coordination.division import choose, choose_further, divide
 from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import (
+    Bar,
     Basis,
     Granted,
     Offer,
@@ -48,13 +50,13 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from carawayfold.coordination.fleet import Fleet
     from carawayfold.coordination.offers import Decision
     from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.state.endpoints import Endpoint, EndpointTable
-    from carawayfold.state.ids import ServiceId
+    from carawayfold.state.ids import DataCentreId, ServiceId
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -82,6 +84,9 @@
 DECIDE_INTERVAL = 0.03
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
+#: Seconds after which a router that begins to decide for a pool gives requests to
+#: endpoints that warm up: what they got before counts by the second.
+TAKEOVER_PAUSE = 1.0
 #: Further pools that are asked for a request which its own one can't serve in time.
 #: Without them an organisation whose requests share a prefix gets its part of one pool
 #: only, however much the others can do.
@@ -129,6 +134,19 @@
     id: PoolId
     scheduler: Scheduler
     due: asyncio.TimerHandle | None = None
+    leads: bool = False
+
+    def lead(self, leads: bool, now: float) -> None:
+        """Note whether this router decides for the fleet.
+
+        One that has just begun does not know what endpoints that warm up got of the
+        one before, and one that stands in does not know what others give them.
+        """
+        if not leads:
+            self.scheduler.warming_from = math.inf
+        elif not self.leads:
+            self.scheduler.warming_from = now + TAKEOVER_PAUSE
+        self.leads = leads
 
 
 class Desk:
@@ -160,6 +178,8 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         #: Newest incarnation of each endpoint by its name.
         self.newest: dict[EndpointName, Endpoint] = {}
+        #: Data centres whose endpoints get nothing.
+        self.evacuated: frozenset[DataCentreId] = frozenset()
         #: When this router learnt of each endpoint that it leaves.
         self.leaving_since: dict[EndpointName, float] = {}
         self.sent_prefixes: OrderedDict[str, EndpointId] = OrderedDict()
@@ -169,9 +189,17 @@
 
     # Pools
 
-    def refresh(self, table: EndpointTable, routes: RouteTable) -> list[Endpoint]:
+    def refresh(
+        self,
+        table: EndpointTable,
+        routes: RouteTable,
+        evacuated: Collection[DataCentreId] = (),
+    ) -> list[Endpoint]:
         """Divide the endpoints of each service into pools.
 
+        Those of evacuated data centres stay in their pools, so that the others keep
+        theirs, and get nothing.
+
         Returns
         -------
         list of Endpoint
@@ -181,18 +209,21 @@
         self.newest = dict(table.entries)
         self.leaving_since = dict(table.leaving_since)
         self.endpoints = {endpoint.id: endpoint for endpoint in self.newest.values()}
+        self.evacuated = frozenset(evacuated)
         pools: dict[PoolId, PoolDesk] = {}
         self.weights = {}
         for service in routes.services:
             weights = self.weights[service] = {}
             usable = table.usable(service)
-            for number, members in enumerate(divide(usable)):
+            for number, divided in enumerate(divide(usable)):
+                members = [item for item in divided if not self.is_evacuated(item)]
                 pool = PoolId(f"{service}/{number}")
                 desk = self.pools.get(pool) or PoolDesk(pool, Scheduler(self.window))
                 plan = self._plan(service, routes, len(members), len(usable))
                 desk.scheduler.set_endpoints(members, plan)
                 pools[pool] = desk
-                weights[pool] = sum(item.slots for item in members)
+                if members:
+                    weights[pool] = sum(item.slots for item in members)
         self.pools = pools
         for desk in pools.values():
             self._decide_soon(desk)
@@ -203,27 +234,74 @@
         newest = self.newest.get(endpoint.name)
         return newest is not None and newest.incarnation > endpoint.incarnation
 
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is in an evacuated data centre."""
+        return endpoint.data_centre in self.evacuated
+
+    def find_bar(self, endpoint: Endpoint, granted: Granted) -> Bar | None:
+        """Return why a request must not go where it was granted, None if it may.
+
+        The router that decides may be cut off from the store, so each router also goes
+        by what it has been told itself before it sends.
+        """
+        if endpoint.leaving:
+            return Bar.LEAVING
+        if self.is_evacuated(endpoint):
+            return Bar.EVACUATED
+        decider_knows = granted.basis.offset >= self.basis().offset
+        if endpoint.is_warming(self.loop.time()) and not decider_knows:
+            return Bar.WARMING
+        return None
+
     def _plan(
         self, service: ServiceId, routes: RouteTable, members: int, usable: int
     ) -> PoolPlan:
         config = routes.services[service]
         if not config.is_model:
-            return PoolPlan()
+            return PoolPlan(warm_up_rate=config.warm_up_rate)
         models = [item.id for item in routes.services.values() if item.is_model]
         count = sum(item.service in models for item in self.endpoints.values())
         throughput = routes.throughput * members / max(1, count)
         speed = routes.throughput / max(1, count) or UNSTATED_SPEED
-        return PoolPlan(throughput, config.memory_tokens, speed)
+        return PoolPlan(
+            throughput, config.memory_tokens, speed, warm_up_rate=config.warm_up_rate
+        )
 
     def decides_for(self, pool: PoolId) -> bool:
         """Return whether this router decides for a pool."""
         return self.fleet.leader(pool) == self.fleet.own.router
 
-    def pool_for(self, service: ServiceId, prompt: tuple[Part, ...]) -> PoolId:
-        """Return the pool of `service` that requests with this prefix go to."""
+    def weights_for(
+        self, service: ServiceId, allowed: Collection[DataCentreId] | None
+    ) -> dict[PoolId, int]:
+        """Return what each pool can do for requests kept to some data centres.
+
+        Pools that can do nothing are left out.
+        """
         weights = self.weights.get(service, {})
-        if len(weights) < 2:
+        if allowed is None:
+            return weights
+        able = {}
+        for pool in weights:
+            loads = self.pools[pool].scheduler.loads.values()
+            places = [load.endpoint for load in loads]
+            able[pool] = sum(
+                item.slots for item in places if item.data_centre in allowed
+            )
+        return {pool: slots for pool, slots in able.items() if slots}
+
+    def pool_for(
+        self,
+        service: ServiceId,
+        prompt: tuple[Part, ...],
+        allowed: Collection[DataCentreId] | None = None,
+    ) -> PoolId:
+        """Return the pool of `service` that requests with this prefix go to."""
+        weights = self.weights_for(service, allowed)
+        if not weights:
             return PoolId(f"{service}/0")
+        if len(weights) == 1:
+            return next(iter(weights))
         return choose(weights, prompt[-2].id if len(prompt) > 1 else str(self.numbers))
 
     # This router's requests
@@ -233,7 +311,8 @@
 
         Cancel to withdraw the request.
         """
-        pool = self.pool_for(service, offer.prompt)
+        pool = self.pool_for(service, offer.prompt, offer.allowed)
+        weights = self.weights_for(service, offer.allowed)
         asked = [pool]
         refusals: list[TurnedAway] = []
         while True:
@@ -241,7 +320,7 @@
             if isinstance(decision, Granted):
                 return decision
             refusals.append(decision)
-            pool = choose_further(self.weights.get(service, {}), asked, offer.call)
+            pool = choose_further(weights, asked, offer.call)
             if pool is None or len(asked) > FURTHER_POOLS:
                 return min(refusals, key=lambda item: item.retry_after)
             asked.append(pool)
@@ -334,10 +413,20 @@
             ticket.pool, known or active, decision.endpoint, offer.prompt
         )
 
-    def kept_at(self, prompt: tuple[Part, ...]) -> EndpointId | None:
-        """Return the endpoint that last read the same prefix for this router."""
+    def kept_at(
+        self,
+        prompt: tuple[Part, ...],
+        allowed: Collection[DataCentreId] | None = None,
+    ) -> EndpointId | None:
+        """Return the endpoint that last read the same prefix for this router.
+
+        None where it may get nothing any more, or is in no allowed data centre.
+        """
         found = self.sent_prefixes.get(prompt[-2].id) if len(prompt) > 1 else None
-        return found if found in self.endpoints else None
+        endpoint = self.endpoints.get(found) if found is not None else None
+        if endpoint is None or endpoint.leaving or self.is_evacuated(endpoint):
+            return None
+        return found if allowed is None or endpoint.data_centre in allowed else None
 
     def _note_prefix(self, placed: Placed) -> None:
         if len(placed.prompt) < 2:
@@ -437,6 +526,7 @@
         now = self.loop.time()
         scheduler = desk.scheduler
         leads = self.decides_for(desk.id)
+        desk.lead(leads, now)
         share = 1.0 if leads else self.fleet.stand_in_share()
         scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
         for decision in scheduler.decide(now):
@@ -602,6 +692,7 @@
         avoid=list(offer.avoid),
         kept_at=offer.kept_at,
         data_centre=offer.data_centre,
+        allowed=sorted(offer.allowed or ()),
     )
 
 
@@ -621,4 +712,5 @@
         expires=now + message.expires / 1000,
         avoid=frozenset(message.avoid),
         kept_at=message.kept_at,
+        allowed=frozenset(message.allowed) or None,
     )
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/donors.py
@@ -57,6 +57,8 @@
     most = LEAST_FETCHED - 1
     for backlog in backlogs:
         prefixes = backlog.load.prefixes
+        if offer.allowed is not None and backlog.data_centre not in offer.allowed:
+            continue
         if not backlog.may_donate or prefixes.kept(prompt) <= most:
             continue
         present = prefixes.present(prompt)
--- a/carawayfold/coordination/endpoint_load.py
+++ b/carawayfold/coordination/endpoint_load.py
@@ -69,6 +69,8 @@
         Recent part of its answers that failed, 0 to 1.
     suspended_until : float
         When it may be tried again after it fell silent.
+    next_warm_up : float
+        When it may get its next request, if it warms up.
     unread : int
         Tokens that wait to be read in it.
     """
@@ -80,6 +82,7 @@
     failing: float = 0.0
     failing_at: float = 0.0
     suspended_until: float = 0.0
+    next_warm_up: float = 0.0
     silences: int = 0
     unread: int = 0
     memory: int = 0
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/followers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 import logbook
@@ -18,7 +19,7 @@
     from collections.abc import Awaitable, Callable
 
     from carawayfold.coordination.knowledge import Knowledge
-    from carawayfold.protocol.sources import Page, Registered, Source
+    from carawayfold.protocol.sources import Evacuation, Page, Registered, Source
     from carawayfold.state.ids import Position
     from carawayfold.state.routes import RouteTable
 
@@ -153,22 +154,17 @@
             await asyncio.sleep(self.pause)
 
 
-def follow_configuration(
-    source: Source[RouteTable],
+def follow_operators(
+    source: Source[RouteTable | Evacuation],
     knowledge: Knowledge,
     turn: Callable[[], Awaitable[None]],
 ) -> Follower:
-    """Return a follower of the configuration."""
-
-    def take(page: Page[RouteTable]) -> None:
-        for table in page.items:
-            knowledge.take_routes(table, "store")
-
+    """Return a follower of the operators' configurations and evacuations."""
     return Follower(
         source,
         knowledge,
-        take,
-        take,
+        partial(knowledge.take_operators, listed=True),
+        knowledge.take_operators,
         lambda: CONFIGURATION_WAIT,
         turn,
         knowledge.note_answer,
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/forwarding.py
@@ -10,7 +10,7 @@
 
 from carawayfold.coordination.attempts import Attempt, AttemptRequest
 from carawayfold.coordination.crash_reports import Loss
-from carawayfold.coordination.offers import Granted, Offer, Outcome, TurnedAway
+from carawayfold.coordination.offers import Bar, Granted, Offer, Outcome, TurnedAway
 from carawayfold.coordination.repeats import (
     AttemptEnd,
     Attempts,
@@ -22,10 +22,11 @@
 from carawayfold.state.contents import content_id
 from carawayfold.state.patience import Patience
 from carawayfold.state.positions import offset_of
+from carawayfold.state.residency import allowed_data_centres
 from carawayfold.state.routes import ANONYMOUS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from carawayfold.coordination.containment import Containment
     from carawayfold.coordination.desk import Desk
@@ -37,8 +38,10 @@
     from carawayfold.state.forwarded import ForwardMetrics
     from carawayfold.state.ids import (
         ContentId,
+        DataCentreId,
         EndpointId,
         OrganisationId,
+        RegionId,
         RouteId,
         ServiceId,
     )
@@ -66,6 +69,14 @@
 }
 
 
+#: What is logged of a grant that is given back.
+BARRED_LINES = {
+    Bar.LEAVING: "granted an endpoint that leaves",
+    Bar.EVACUATED: "granted an endpoint of an evacuated data centre",
+    Bar.WARMING: "granted an endpoint that warms up",
+}
+
+
 class ForwardedCall(msgspec.Struct, eq=False):
     """One request of a caller.
 
@@ -79,6 +90,8 @@
         Last whole event that the caller has.
     passed_over : set of EndpointId
         Granted endpoints that it was not sent to, since they leave or are not known.
+    allowed : frozenset of DataCentreId or None
+        Data centres in which it may run; None for any.
     donor : EndpointId or None
         Engine that its endpoint was told to copy kept memory from.
     basis : Basis or None
@@ -98,6 +111,7 @@
     ends_at: float
     due: float
     resume_after: int | None
+    allowed: frozenset[DataCentreId] | None = None
     attempts: Attempts = msgspec.field(default_factory=Attempts)
     tried: set[EndpointId] = msgspec.field(default_factory=set)
     passed_over: set[EndpointId] = msgspec.field(default_factory=set)
@@ -133,6 +147,7 @@
         containment: Containment,
         metrics: ForwardMetrics,
         draw: Callable[[], float],
+        regions: Mapping[DataCentreId, RegionId],
     ) -> None:
         self.desk = desk
         self.http = http
@@ -142,6 +157,8 @@
         self.containment = containment
         self.metrics = metrics
         self.draw = draw
+        #: Region of each data centre, by the settings.
+        self.regions = regions
         self.loop = asyncio.get_running_loop()
         #: The configuration in force; None until one is known.
         self.index: RouteIndex | None = None
@@ -184,6 +201,7 @@
         left = DEFAULT_TIME if asked.time_left is None else asked.time_left
         # What a caller that comes back has waited counts against the objective.
         waited = self.patience.setdefault(route.id, Patience()).waited(left)
+        allowed = allowed_data_centres(route, organisation, routes, self.regions)
         return ForwardedCall(
             incoming=incoming,
             asked=asked,
@@ -194,6 +212,7 @@
             ends_at=now + min(left, route.timeout) - ANSWER_MARGIN,
             due=now + route.objective - waited,
             resume_after=asked.resume_after,
+            allowed=allowed,
         )
 
     def _organisation(
@@ -251,6 +270,8 @@
             self._check_repeat(call, end)
 
     async def _place(self, call: ForwardedCall) -> Granted:
+        if call.allowed is not None:
+            self._refuse_homeless(call)
         asked_at = self.loop.time()
         decision = await self.desk.place_in_any(self._offer(call), call.service)
         call.waited = self.loop.time() - asked_at
@@ -258,6 +279,15 @@
             raise self._turned_away(call, decision)
         return decision
 
+    def _refuse_homeless(self, call: ForwardedCall) -> None:
+        """Raise the answer to a request for which no endpoint is in its regions."""
+        if self.desk.weights_for(call.service, call.allowed):
+            return
+        detail = "no endpoint in an allowed region"
+        if call.attempts.may_have_run:
+            raise Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
+        raise Refusal(ErrorKind.NO_ENDPOINT, detail, Ran.NO)
+
     def _offer(self, call: ForwardedCall) -> Offer:
         asked = call.asked
         return Offer(
@@ -274,7 +304,8 @@
             due=call.due,
             expires=call.ends_at,
             avoid=frozenset(call.tried | call.passed_over),
-            kept_at=self.desk.kept_at(asked.prompt),
+            kept_at=self.desk.kept_at(asked.prompt, call.allowed),
+            allowed=call.allowed,
         )
 
     def _turned_away(self, call: ForwardedCall, decision: TurnedAway) -> Refusal:
@@ -291,7 +322,7 @@
         call.tried.add(granted.endpoint)
         call.basis = granted.basis
         call.donor = granted.donor
-        donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
+        donor = self._check_donor(call, granted)
         request = AttemptRequest(call, endpoint, granted.call, donor)
         attempt = call.attempt = Attempt(self, request)
         outcome = Outcome.CANCELLED
@@ -311,30 +342,40 @@
         return end
 
     def _check_granted(self, call: ForwardedCall, granted: Granted) -> Endpoint | None:
-        """Return a granted endpoint, or give the grant back if it must not be used.
-
-        The router that decides may be cut off from the store, so each router also goes
-        by what it has been told itself before it sends.
-        """
+        """Return a granted endpoint, or give the grant back if it must not be used."""
         endpoint = self.desk.endpoints.get(granted.endpoint)
-        if endpoint is not None and not endpoint.leaving:
+        bar = self.desk.find_bar(endpoint, granted) if endpoint is not None else None
+        allowed = endpoint is not None and self._is_allowed(call, endpoint)
+        if allowed and bar is None:
             return endpoint
         call.passed_over.add(granted.endpoint)
         outcome = Outcome.CANCELLED
-        if endpoint is not None:
-            outcome = Outcome.LEAVING
-            self._log_leaving(call, granted, endpoint)
+        if bar is not None:
+            outcome = bar.outcome
+            self._log_barred(call, granted, endpoint, bar)
         self.desk.ended(granted.call, outcome)
         return None
 
-    def withdraw_leaving(self) -> None:
-        """Send nothing over connections that are being opened to what leaves."""
+    def _is_allowed(self, call: ForwardedCall, endpoint: Endpoint) -> bool:
+        return call.allowed is None or endpoint.data_centre in call.allowed
+
+    def _check_donor(self, call: ForwardedCall, granted: Granted) -> Endpoint | None:
+        """Return the engine to copy from, None if it must not be used."""
+        donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
+        if donor is None or donor.leaving or self.desk.is_evacuated(donor):
+            return None
+        return donor if self._is_allowed(call, donor) else None
+
+    def withdraw_barred(self) -> None:
+        """Send nothing over connections being opened to what gets nothing any more."""
         for call in list(self.calls):
             attempt = call.attempt
             if attempt is None or attempt.sent:
                 continue
             endpoint = self.desk.endpoints.get(attempt.endpoint.id)
-            if endpoint is not None and endpoint.leaving:
+            if endpoint is None:
+                continue
+            if endpoint.leaving or self.desk.is_evacuated(endpoint):
                 call.passed_over.add(endpoint.id)
                 attempt.withdraw()
 
@@ -457,15 +498,15 @@
 
     # Logs
 
-    def _log_leaving(
-        self, call: ForwardedCall, granted: Granted, endpoint: Endpoint
+    def _log_barred(
+        self, call: ForwardedCall, granted: Granted, endpoint: Endpoint, bar: Bar
     ) -> None:
-        """Log a grant for an endpoint that this router knows to leave."""
-        self.metrics.leaving_grants += 1
+        """Log a grant that this router knows better about than who gave it."""
+        self.metrics.barred_grants[bar.value] += 1
         since = self.desk.leaving_since.get(endpoint.name, self.loop.time())
         known = self.desk.basis()
         logger.info(
-            "granted an endpoint that leaves",
+            BARRED_LINES[bar],
             extra={
                 "request": call.asked.id,
                 "endpoint": endpoint.id,
--- a/carawayfold/coordination/knowledge.py
+++ b/carawayfold/coordination/knowledge.py
@@ -11,8 +11,10 @@
 import logbook
 import msgspec
 
+from carawayfold.protocol.sources import Evacuation
 from carawayfold.state.endpoints import Endpoint, EndpointTable
-from carawayfold.state.ids import EndpointName, Position
+from carawayfold.state.evacuations import EvacuationSnapshot, EvacuationTable
+from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of
 
 if TYPE_CHECKING:
@@ -42,11 +44,14 @@
     ----------
     lapsed : dict
         Seconds until it drops each endpoint whose entry has vanished in an outage.
+    warming : dict
+        Seconds for which each endpoint that warms up still does.
     """
 
     offset: Position
     endpoints: list[Endpoint]
     lapsed: dict[EndpointName, float] = {}
+    warming: dict[EndpointName, float] = {}
 
 
 class StoreHealth(msgspec.Struct):
@@ -101,6 +106,7 @@
         self.loop = asyncio.get_running_loop()
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
+        self.evacuations = EvacuationTable()
         self.listed = False
         #: Loop time at which the store was last found to be away for all.
         self.away_at = float("-inf")
@@ -120,7 +126,7 @@
     @property
     def complete(self) -> bool:
         """Return whether requests can be forwarded."""
-        return self.routes is not None and self.listed
+        return self.routes is not None and self.listed and self.evacuations.known
 
     def note_answer(self) -> None:
         """Note that the store answered."""
@@ -166,6 +172,44 @@
         logger.info("configuration in force", extra=extra)
         self.on_routes(table)
 
+    def take_operators(
+        self, page: Page[RouteTable | Evacuation], listed: bool = False
+    ) -> None:
+        """Take the operators' words that the store told, or the list of all."""
+        words: dict[DataCentreId, bool] = {}
+        for item in page.items:
+            if isinstance(item, Evacuation):
+                words[item.data_centre] = item.active
+            else:
+                self.take_routes(item, "store")
+        before = self.evacuations.active
+        if listed:
+            active = [name for name, evacuated in words.items() if evacuated]
+            now = self.loop.time()
+            changed = self.evacuations.listed(active, page.next, now)
+        else:
+            changed = self.evacuations.read(words, page.next)
+        if changed:
+            self._evacuations_changed(before, "store")
+
+    def take_evacuations(self, snapshot: EvacuationSnapshot, source: RouterId) -> None:
+        """Take a peer's list of evacuated data centres if it knows later changes."""
+        before = self.evacuations.active
+        if self.evacuations.told(snapshot, self.loop.time()):
+            self._evacuations_changed(before, source)
+
+    def _evacuations_changed(self, before: set[DataCentreId], source: str) -> None:
+        active = self.evacuations.active
+        for name in sorted(active - before):
+            places = self.endpoints.entries.values()
+            count = sum(endpoint.data_centre == name for endpoint in places)
+            extra = {"data_centre": name, "source": source, "endpoints": count}
+            logger.info("data centre evacuated", extra=extra)
+        for name in sorted(before - active):
+            extra = {"data_centre": name, "source": source}
+            logger.info("evacuation over", extra=extra)
+        self.on_endpoints()
+
     def take_registered(self, page: Page[Registered]) -> None:
         """Apply registrations that were read from the store.
 
@@ -202,7 +246,15 @@
         now = self.loop.time()
         # A peer that the store answers knows what has lapsed and what has left.
         self.endpoints.outage_end = float("-inf")
-        self._replace_all(snapshot.endpoints, now, source, snapshot.offset)
+        endpoints = [
+            msgspec.structs.replace(
+                endpoint, warm_at=now + snapshot.warming[endpoint.name]
+            )
+            if endpoint.name in snapshot.warming
+            else endpoint
+            for endpoint in snapshot.endpoints
+        ]
+        self._replace_all(endpoints, now, source, snapshot.offset)
         self.endpoints.offset = snapshot.offset
         # The peer drops them without a new offset, so they lapse here by themselves.
         for name, left in snapshot.lapsed.items():
@@ -213,15 +265,21 @@
     def snapshot(self) -> EndpointSnapshot:
         """Return the endpoints for a peer, without times of this process's clock."""
         entries = self.endpoints.entries.values()
-        known = [
-            msgspec.structs.replace(endpoint, cold_until=0.0) for endpoint in entries
-        ]
+        known = [msgspec.structs.replace(endpoint, warm_at=0.0) for endpoint in entries]
         now = self.loop.time()
         lapsed = {name: until - now for name, until in self.endpoints.lapsed.items()}
-        return EndpointSnapshot(self.endpoints.offset, known, lapsed)
+        warming = {
+            endpoint.name: endpoint.warm_at - now
+            for endpoint in entries
+            if endpoint.is_warming(now)
+        }
+        return EndpointSnapshot(self.endpoints.offset, known, lapsed, warming)
 
     def expire(self) -> None:
-        """Drop endpoints whose entry has not come back."""
+        """Drop what a store that was away has not confirmed."""
+        before = self.evacuations.active
+        if self.evacuations.expire(self.loop.time()):
+            self._evacuations_changed(before, "store")
         gone = self.endpoints.expire(self.loop.time())
         for endpoint in gone:
             extra = {"endpoint": endpoint, "lapsed": True}
@@ -241,7 +299,7 @@
             self.on_copy()
         if now < self.copied_until:
             endpoints = self.endpoints.without_departed(endpoints, now)
-        self.endpoints.replace_all(endpoints, now)
+        self.endpoints.replace_all(endpoints, now, listed_by_store=source == "store")
         for name, known in self.endpoints.entries.items():
             old = before.get(name)
             if old is None or old.leaving is not known.leaving:
@@ -259,6 +317,7 @@
                 "endpoint": endpoint.name,
                 "service": endpoint.service,
                 "leaving": endpoint.leaving,
+                "warm_in_ms": round(endpoint.warm_up * 1000),
                 "incarnation": endpoint.incarnation,
                 "new": new,
                 "source": source,
--- a/carawayfold/coordination/offers.py
+++ b/carawayfold/coordination/offers.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 
 from carawayfold.state.ids import Position
@@ -21,6 +22,10 @@
         RouterId,
     )
 
+logger = logbook.Logger(__name__)
+
+#: Characters of an unknown word that a log line holds.
+LOGGED_LENGTH = 40
 #: Weight of a generated token against a read one in what an organisation is owed,
 #: as the platform counts it.
 GENERATED_WEIGHT = 2
@@ -44,6 +49,8 @@
         Endpoints that it has been to already.
     kept_at : EndpointId or None
         Where its router last sent the same prefix.
+    allowed : frozenset of DataCentreId or None
+        Data centres in which it may run; None for any.
     density : int
         What its answer is worth for the engine's time, in powers of two.
     shared_tokens : int
@@ -64,6 +71,7 @@
     expires: float
     avoid: frozenset[EndpointId] = frozenset()
     kept_at: EndpointId | None = None
+    allowed: frozenset[DataCentreId] | None = None
     density: int = 0
     shared_tokens: int = field(init=False)
 
@@ -91,8 +99,33 @@
     FAILED = "failed"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
-    #: Not sent: its router knows that the endpoint leaves.
+    #: Not sent: its router knows that the endpoint leaves, or is to get nothing.
     LEAVING = "leaving"
+    #: Not sent: its router knows that the endpoint warms up, who granted it did not.
+    WARMING = "warming"
+
+    @classmethod
+    def _missing_(cls, value: object) -> Outcome:
+        """Take a word that only a later version knows for an attempt that was given up.
+
+        Routers of two versions work side by side during an update.
+        """
+        logger.warning("unknown outcome", extra={"outcome": str(value)[:LOGGED_LENGTH]})
+        return cls.CANCELLED
+
+
+class Bar(Enum):
+    """Why nothing is sent to an endpoint that was granted."""
+
+    LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    #: It warms up, and the router that decides does not know.
+    WARMING = "warming"
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what the router that decides hears."""
+        return Outcome.WARMING if self is Bar.WARMING else Outcome.LEAVING
 
 
 class Basis(msgspec.Struct, frozen=True):
--- a/carawayfold/coordination/placement.py
+++ b/carawayfold/coordination/placement.py
@@ -78,6 +78,10 @@
         Whether it fell silent and may not be used yet.
     may_donate : bool
         Whether others may copy from it what it keeps.
+    spacing : float
+        Seconds between two requests that it may get; 0 unless it warms up.
+    opens_in : float
+        Seconds until it may get the next one.
     """
 
     load: EndpointLoad
@@ -94,6 +98,8 @@
     unread: float
     running: float
     memory: float
+    spacing: float = 0.0
+    opens_in: float = 0.0
 
     @classmethod
     def of(cls, load: EndpointLoad, now: float, reachable: bool = True) -> Backlog:
@@ -133,6 +139,13 @@
         self.unread += unread
         self.running += 1
         self.memory += memory
+        if self.spacing:
+            self.opens_in = max(0.0, self.opens_in) + self.spacing
+
+    def warm_up(self, spacing: float, opens_in: float) -> None:
+        """Let it get one request each `spacing` seconds, from `opens_in` seconds on."""
+        self.spacing = spacing
+        self.opens_in = opens_in
 
 
 class Choice(msgspec.Struct, eq=False):
@@ -246,7 +259,7 @@
 
 def _wait(backlog: Backlog, unread: int, memory: int, share: float) -> float:
     """Return the seconds until an endpoint has room to read, a slot and memory."""
-    longest = 0.0
+    longest = max(0.0, backlog.opens_in)
     if backlog.unread > 0:
         over = backlog.unread + unread - backlog.speed * READ_AHEAD * share
         longest = max(longest, over / backlog.speed)
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduler.py
@@ -56,6 +56,13 @@
 #: Seconds for which one rests that refuses connections, or leaves by the word of a
 #: router that has read so: its registration tells within that.
 LOST_REST = 4.0
+#: Seconds for which one rests that a router knows to warm up and this one does not:
+#: its registration tells within that.
+WARMING_REST = 0.5
+#: Part of the rate that an endpoint tolerates while it warms up which it is given.
+#: Grants don't arrive as evenly as they are given, and two routers may decide at once
+#: while a partition lasts.
+WARM_UP_PART = 0.8
 #: Part of an engine's read-ahead and slots that work beyond a share may fill, so
 #: that owed work finds room at once.
 BEYOND_SHARE_PART = 0.5
@@ -165,12 +172,15 @@
         Tokens a second that an engine reads, before anything is measured.
     share : float
         Part of each endpoint that this scheduler may fill, 0 to 1.
+    warm_up_rate : float
+        Requests a second that an endpoint tolerates while it warms up; 0 for any.
     """
 
     throughput: float = 0.0
     memory_tokens: int = 0
     speed: float = UNSTATED_SPEED
     share: float = 1.0
+    warm_up_rate: float = 0.0
 
 
 @dataclass(slots=True)
@@ -188,6 +198,9 @@
         Until when a router is taken not to reach an endpoint.
     speed : float
         Tokens that an engine reads a second, the mean of what is measured.
+    warming_from : float
+        Monotonic seconds from which endpoints that warm up may get requests by this
+        scheduler, infinity for never.
     """
 
     window: float
@@ -201,6 +214,7 @@
     order: list[Ranked] = field(default_factory=list)
     reviewed: float = 0.0
     speed: float = UNSTATED_SPEED
+    warming_from: float = 0.0
     usage: UsageBook = field(init=False)
 
     def __post_init__(self) -> None:
@@ -275,6 +289,9 @@
         if outcome is Outcome.LEAVING:
             self.lost(load.endpoint.id, now)
             return
+        if outcome is Outcome.WARMING:
+            load.suspended_until = max(load.suspended_until, now + WARMING_REST)
+            return
         if outcome is not Outcome.CANCELLED:
             load.measure_failure(outcome is not Outcome.WHOLE, now)
         if outcome is Outcome.SILENT:
@@ -370,11 +387,12 @@
         tail = self.order[HEAD:]
         if not tail or not backlogs:
             return
-        speed = self.speed * len(backlogs)
-        places = sum(item.slots for item in backlogs)
-        residence = sum(item.residence for item in backlogs) / len(backlogs)
-        unread = sum(item.unread for item in backlogs)
-        behind = sum(item.running for item in backlogs) - places
+        able = [item for item in backlogs if not item.spacing] or backlogs
+        speed = self.speed * len(able)
+        places = sum(item.slots for item in able)
+        residence = sum(item.residence for item in able) / len(able)
+        unread = sum(item.unread for item in able)
+        behind = sum(item.running for item in able) - places
         for entry in tail:
             offer = entry.offer
             behind += 1
@@ -442,13 +460,26 @@
             Backlog.of(load, now, endpoint not in lost)
             for endpoint, load in self.loads.items()
         ]
+        for backlog in backlogs:
+            self._limit_warming(backlog, now)
         if backlogs:
             self.speed = sum(item.speed for item in backlogs) / len(backlogs)
             tell_failing_apart(backlogs)
         return backlogs
 
+    def _limit_warming(self, backlog: Backlog, now: float) -> None:
+        """Give an endpoint that warms up one request at a time, evenly spaced."""
+        rate = self.plan.warm_up_rate
+        load = backlog.load
+        if rate and load.endpoint.is_warming(now):
+            opens_at = max(load.next_warm_up, self.warming_from)
+            opens_at = min(opens_at, load.endpoint.warm_at)
+            backlog.warm_up(1 / (WARM_UP_PART * rate), opens_at - now)
+
     def _usable(self, offer: Offer, backlogs: list[Backlog]) -> list[Backlog]:
         usable = [item for item in backlogs if not item.resting]
+        if offer.allowed is not None:
+            usable = [item for item in usable if item.data_centre in offer.allowed]
         if not offer.avoid and not self.unreachable:
             return usable
         return [
@@ -471,6 +502,7 @@
         )
         load.add(active)
         load.prefixes.send(offer.prompt)
+        load.next_warm_up = now + choice.backlog.spacing
         self.places[offer.call] = load.endpoint.id
         self.usage.granted(offer.organisation, now, offer.share_tokens)
         served = self.served[offer.route]
@@ -507,6 +539,7 @@
                 )
                 for item in backlogs
                 if item.id not in offer.avoid
+                and (offer.allowed is None or item.data_centre in offer.allowed)
             ),
             default=math.inf,
         )
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -29,8 +29,8 @@
 from carawayfold.platform.store import (
     StoreClient,
     StoreDirectory,
-    configuration_source,
     endpoint_source,
+    operator_source,
 )
 from carawayfold.protocol import quarantine_list
 from carawayfold.protocol.datagrams import Beat
@@ -149,6 +149,7 @@
             self.containment,
             self.metrics,
             random.random,
+            settings.regions,
         )
         self.front = self._listen(
             settings.listen, self.forwarder.serve, "front", id_header=REQUEST_ID
@@ -202,13 +203,13 @@
         """Learn everything from peers or the store, then follow the store."""
         await self.anti_entropy.adopt()
         known, peers = self.knowledge, self.anti_entropy
-        routes = configuration_source(self.store)
+        operators = operator_source(self.store)
         endpoints = endpoint_source(self.store)
-        follow_routes = followers.follow_configuration(routes, known, peers.turn)
+        follow_operators = followers.follow_operators(operators, known, peers.turn)
         follow_endpoints = followers.follow_endpoints(
             endpoints, known, peers.turn, peers.reads_for_others
         )
-        self._spawn(follow_routes.follow())
+        self._spawn(follow_operators.follow())
         self._spawn(follow_endpoints.follow())
 
     async def _keep_tidy(self) -> None:
@@ -320,6 +321,7 @@
             self.settings.processor,
             verdicts=self.containment.quarantine.checksum,
             refused=not self.knowledge.store.reachable,
+            evacuations_changed=self.knowledge.evacuations.changed_at,
         )
 
     def _basis(self) -> Basis:
@@ -363,10 +365,12 @@
         self.fleet.tell_near()
         if self.knowledge.routes is not None:
             known = self.knowledge
-            for endpoint in self.desk.refresh(known.endpoints, known.routes):
+            evacuated = known.evacuations.active
+            gone = self.desk.refresh(known.endpoints, known.routes, evacuated)
+            for endpoint in gone:
                 self.http.drop_idle(endpoint.address)
                 self.containment.endpoint_gone(endpoint)
-            self.forwarder.withdraw_leaving()
+            self.forwarder.withdraw_barred()
             self.caches.look()
 
     def is_ready(self) -> bool:
@@ -389,6 +393,10 @@
             incoming.answer(200, [], msgspec.msgpack.encode(self.knowledge.routes))
         elif path == anti_entropy.ENDPOINTS_PATH and self.knowledge.listed:
             incoming.answer(200, [], msgspec.msgpack.encode(self.knowledge.snapshot()))
+        elif path == anti_entropy.EVACUATIONS_PATH and self.knowledge.evacuations.known:
+            now = asyncio.get_running_loop().time()
+            told = self.knowledge.evacuations.snapshot(now)
+            incoming.answer(200, [], msgspec.msgpack.encode(told))
         elif path.startswith(quarantine_list.LIST_PATH):
             self._serve_quarantine(incoming, path)
         else:
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -20,7 +20,7 @@
     read_object,
 )
 from carawayfold.state.budget import BudgetBounds
-from carawayfold.state.ids import DataCentreId, RouterId
+from carawayfold.state.ids import DataCentreId, RegionId, RouterId
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -29,6 +29,15 @@
 #: of a caller and one to an endpoint, and idle ones of callers come on top.
 CALLERS_PART = 0.55
 
+
+def region_names(value: dict[str, Any]) -> str:
+    """Accept data centres with the names of their regions."""
+    for data_centre, region in value.items():
+        if not isinstance(region, str) or not region:
+            return f"the region of {data_centre} must be a text that is not empty"
+    return ""
+
+
 #: Every setting of a router that forwards.
 TABLE: tuple[Setting, ...] = (
     Setting("router", str, REQUIRED, "", not_empty, "Name of this instance."),
@@ -40,6 +49,7 @@
     Setting("core_share", float, 1.0, "", between(0.01, 64), "Of a core, for it."),
     Setting("core_speed", float, 1.0, "", between(0.01, 64), "To a usual core's."),
     Setting("descriptors", int, 4096, "", between(256, 1e6), "Sockets, files."),
+    Setting("regions", dict, {}, "", region_names, "Region of each data centre."),
     Setting("stop_grace", float, 8.0, "s", between(0, 3600), "From SIGTERM to kill."),
     Setting("retry_ratio", float, 0.2, "", between(0, 1), "Repeats a request."),
     Setting("retry_extra", float, 10.0, "", between(0, 1e6), "Repeats besides."),
@@ -66,6 +76,7 @@
     retry_extra: float
     retry_window: float
     share_window: float
+    regions: dict[DataCentreId, RegionId]
     log_level: str
 
     @property
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -15,6 +15,7 @@
     DataCentreId,
     EndpointName,
     OrganisationId,
+    RegionId,
     RouteId,
     ServiceId,
 )
@@ -62,6 +63,7 @@
     anonymous: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class WireEngine(msgspec.Struct):
@@ -77,6 +79,7 @@
     health_path: str = "/"
     max_connections: int = 0
     engine: WireEngine | None = None
+    cold_per_s: float = 0.0
 
 
 class WireLimits(msgspec.Struct):
@@ -95,6 +98,7 @@
     name: str
     api_keys: list[str] = []
     priority: int = DEFAULT_PRIORITY
+    allowed_regions: list[str] = []
 
 
 class WireConfig(msgspec.Struct):
@@ -155,6 +159,11 @@
         },
         limits=_limits(wire.limits),
         throughput=wire.limits.tokens_per_s,
+        regions={
+            OrganisationId(tenant.name): _regions(tenant.allowed_regions)
+            for tenant in wire.tenants
+            if tenant.allowed_regions
+        },
     )
 
 
@@ -174,7 +183,8 @@
         data_centre=DataCentreId(wire.zone),
         slots=wire.slots,
         leaving=wire.state is WireState.DRAINING,
-        cold_until=now + wire.cold_remaining_ms / 1000,
+        warm_up=wire.cold_remaining_ms / 1000,
+        warm_at=now + wire.cold_remaining_ms / 1000 if wire.cold_remaining_ms else 0.0,
         incarnation=wire.born,
     )
 
@@ -207,15 +217,21 @@
         anonymous=wire.anonymous,
         resumable=wire.resumable,
         pause=wire.gap_target_ms / 1000,
+        regions=_regions(wire.allowed_regions),
     )
 
 
+def _regions(names: list[str]) -> tuple[RegionId, ...]:
+    return tuple(RegionId(name) for name in names)
+
+
 def _service(wire: WireService) -> ServiceConfig:
     return ServiceConfig(
         id=ServiceId(wire.name),
         health_path=wire.health_path,
         connections=wire.max_connections,
         memory_tokens=wire.engine.kv_capacity_tokens if wire.engine else 0,
+        warm_up_rate=wire.cold_per_s,
     )
 
 
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -13,6 +13,7 @@
 
 from carawayfold.platform import records
 from carawayfold.protocol.sources import (
+    Evacuation,
     HistoryLost,
     Page,
     PeerEntry,
@@ -20,7 +21,7 @@
     Registered,
     SourceError,
 )
-from carawayfold.state.ids import EndpointName, Position
+from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of, position
 from carawayfold.transport.client import ExchangeError
 
@@ -41,6 +42,8 @@
 ENDPOINT_TOPIC = "keyed.servers"
 PEER_TOPIC = "keyed.routers"
 CONFIG_KEY = "config"
+#: What the key of an evacuated data centre begins with.
+EVACUATION_KEY = "evacuate/"
 #: What the key of a refused content begins with; names of routers hold no slash.
 CONTENT_KEY = "content/"
 #: The only partition of these topics.
@@ -251,9 +254,9 @@
         await self.store.append(PEER_TOPIC, CONTENT_KEY + content, b"")
 
 
-def configuration_source(store: StoreClient) -> StoreSource[RouteTable]:
-    """Return the source of the operators' configuration."""
-    return StoreSource(store, CONFIG_TOPIC, _decode_configuration)
+def operator_source(store: StoreClient) -> StoreSource[RouteTable | Evacuation]:
+    """Return the source of the operators' configurations and evacuations."""
+    return StoreSource(store, CONFIG_TOPIC, _decode_operators_word)
 
 
 def endpoint_source(store: StoreClient) -> StoreSource[Registered]:
@@ -261,7 +264,10 @@
     return StoreSource(store, ENDPOINT_TOPIC, _decode_registered, _not_registered)
 
 
-def _decode_configuration(record: Record) -> RouteTable | None:
+def _decode_operators_word(record: Record) -> RouteTable | Evacuation | None:
+    if record.key.startswith(EVACUATION_KEY):
+        data_centre = DataCentreId(record.key.removeprefix(EVACUATION_KEY))
+        return Evacuation(data_centre, bool(record.value))
     if record.key != CONFIG_KEY or not record.value:
         return None
     return records.decode_routes(record.value)
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -47,6 +47,9 @@
         Checksum of the verdicts on contents that it knows; 0 for none.
     refused : bool
         Whether the store did not answer its last call.
+    evacuations_changed : Position
+        Where the last word stands that changed which data centres are evacuated, as
+        far as it knows.
     """
 
     data_centre: DataCentreId
@@ -60,10 +63,17 @@
     roster: int = 0
     verdicts: int = 0
     refused: bool = False
+    evacuations_changed: Position = Position(0)
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """A request wants an endpoint; times are milliseconds from now."""
+    """A request wants an endpoint; times are milliseconds from now.
+
+    Attributes
+    ----------
+    allowed : list of DataCentreId
+        Those in which it may run; empty for any.
+    """
 
     pool: PoolId
     call: CallId
@@ -78,6 +88,7 @@
     avoid: list[EndpointId] = []
     kept_at: EndpointId | None = None
     data_centre: DataCentreId = DataCentreId("")
+    allowed: list[DataCentreId] = []
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -53,11 +53,12 @@
         yield CounterMetricFamily(
             "carawayfold_store_calls", "Calls of the store", gateway.store.calls
         )
-        yield CounterMetricFamily(
-            "carawayfold_leaving_grants",
-            "Grants of endpoints that leave",
-            gateway.metrics.leaving_grants,
+        barred = CounterMetricFamily(
+            "carawayfold_barred_grants", "Grants given back", labels=("reason",)
         )
+        for reason, count in gateway.metrics.barred_grants.items():
+            barred.add_metric((reason,), count)
+        yield barred
         yield self._prediction_errors()
         yield from self._gauges()
 
@@ -80,12 +81,18 @@
         quarantine = gateway.containment.quarantine
         now = gateway.fleet.loop.time()
         known = gateway.desk.basis()
+        endpoints = gateway.knowledge.endpoints.entries.values()
+        evacuated = gateway.knowledge.evacuations.active
         gauges = {
             "in_flight": len(gateway.forwarder.calls),
             "callers": len(gateway.front.connections),
             "live_routers": len(gateway.fleet.live()),
             "version": gateway.knowledge.version,
             "endpoints": len(gateway.knowledge.endpoints.entries),
+            "endpoints_warming": sum(item.is_warming(now) for item in endpoints),
+            "endpoints_evacuated": sum(
+                item.data_centre in evacuated for item in endpoints
+            ),
             "endpoints_offset": offset_of(known.offset),
             "endpoints_age_seconds": known.age,
             "quarantined": len(quarantine.held(now)),
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -41,6 +41,13 @@
     endpoint: Endpoint | None
 
 
+class Evacuation(msgspec.Struct, frozen=True):
+    """The operators' word that a data centre's endpoints get nothing, or are back."""
+
+    data_centre: DataCentreId
+    active: bool
+
+
 class PeerEntry(msgspec.Struct, frozen=True):
     """A router's own entry: where its peers reach it.
 
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -39,8 +39,10 @@
         Requests that it runs at once.
     leaving : bool
         Whether it has announced that it stops.
-    cold_until : float
-        Monotonic seconds until which it is slow after its start.
+    warm_up : float
+        Seconds of warm-up that were left when its entry was written; 0 if warm.
+    warm_at : float
+        Monotonic seconds at which its warm-up ends.
     incarnation : int
         Unix milliseconds of its start; 0 where it does not say.
     """
@@ -51,9 +53,14 @@
     data_centre: DataCentreId
     slots: int
     leaving: bool = False
-    cold_until: float = 0.0
+    warm_up: float = 0.0
+    warm_at: float = 0.0
     incarnation: int = 0
 
+    def is_warming(self, now: float) -> bool:
+        """Return whether it still warms up."""
+        return now < self.warm_at
+
     @property
     def id(self) -> EndpointId:
         """Return what tells this incarnation from others of the same name.
@@ -96,11 +103,21 @@
     leaving_since: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
 
-    def put(self, endpoint: Endpoint, now: float = 0.0) -> bool:
+    def put(self, endpoint: Endpoint, now: float = 0.0, listed: bool = False) -> bool:
         """Add or change an entry; return whether that matters to placement.
 
         An entry of an incarnation that is over is passed over, and one that leaves goes
         on leaving: an older entry of it may come back with a copy of the store.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The entry.
+        now : float
+            Monotonic seconds.
+        listed : bool
+            Whether the entry may have been written long ago. The same words about its
+            warm-up then tell nothing new.
         """
         if endpoint.incarnation < self.incarnations.get(endpoint.name, 0):
             return False
@@ -109,8 +126,10 @@
         old = self.entries.get(endpoint.name)
         if old is not None and old.incarnation == endpoint.incarnation:
             leaving = endpoint.leaving or old.leaving
+            known = listed and endpoint.warm_up == old.warm_up
+            warm_at = old.warm_at if known else endpoint.warm_at
             endpoint = msgspec.structs.replace(
-                endpoint, cold_until=old.cold_until, leaving=leaving
+                endpoint, warm_at=warm_at, leaving=leaving
             )
         self.departed.pop(endpoint.name, None)
         self.entries[endpoint.name] = endpoint
@@ -155,14 +174,16 @@
             if now - self.departed.get(endpoint.name, float("-inf")) > DEPARTED_FOR
         ]
 
-    def replace_all(self, endpoints: list[Endpoint], now: float) -> None:
+    def replace_all(
+        self, endpoints: list[Endpoint], now: float, listed_by_store: bool = True
+    ) -> None:
         """Take a complete list in place of what is known."""
         listed = {endpoint.name for endpoint in endpoints}
         for name in list(self.entries):
             if name not in listed:
                 self.remove(name, now)
         for endpoint in endpoints:
-            self.put(endpoint, now)
+            self.put(endpoint, now, listed=listed_by_store)
 
     def expire(self, now: float) -> list[EndpointName]:
         """Drop lapsed endpoints that have not come back, and return them."""
--- a/carawayfold/state/forwarded.py
+++ b/carawayfold/state/forwarded.py
@@ -21,14 +21,14 @@
         Histograms by organisation.
     refusals : Counter
         Refusals by their kind.
-    leaving_grants : int
-        Grants of a router that did not know that the endpoint leaves.
+    barred_grants : Counter
+        Grants given back by what their router did not know of the endpoint.
     """
 
     def __init__(self) -> None:
         self.organisations = Metrics()
         self.refusals: Counter[ErrorKind] = Counter()
-        self.leaving_grants = 0
+        self.barred_grants: Counter[str] = Counter()
 
     def refused(self, kind: ErrorKind) -> None:
         """Count a refusal."""
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -16,6 +16,8 @@
 EndpointId = NewType("EndpointId", str)
 #: Name of a data centre.
 DataCentreId = NewType("DataCentreId", str)
+#: Name of a region, which holds several data centres.
+RegionId = NewType("RegionId", str)
 #: Name of a router process's instance.
 RouterId = NewType("RouterId", str)
 #: Identifier of one request, chosen by the caller or made here.
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carawayfold.state.ids import OrganisationId, RouteId, ServiceId
+from carawayfold.state.ids import OrganisationId, RegionId, RouteId, ServiceId
 
 #: Organisation of requests on routes that need no key.
 ANONYMOUS = OrganisationId("")
@@ -48,6 +48,8 @@
         Whether a stream may go on at another endpoint.
     pause : float
         Longest wanted pause between events of a stream, in seconds.
+    regions : tuple of RegionId
+        Those in which its requests may run; empty for any.
     """
 
     id: RouteId
@@ -62,6 +64,7 @@
     anonymous: bool
     resumable: bool
     pause: float
+    regions: tuple[RegionId, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -92,12 +95,16 @@
         Most connections that an endpoint takes from the whole fleet.
     memory_tokens : int
         Tokens that a model engine keeps in memory; 0 for applications.
+    warm_up_rate : float
+        Requests a second that an endpoint tolerates while it warms up; 0 where its
+        endpoints need no warm-up.
     """
 
     id: ServiceId
     health_path: str
     connections: int
     memory_tokens: int = 0
+    warm_up_rate: float = 0.0
 
     @property
     def is_model(self) -> bool:
@@ -124,6 +131,8 @@
     throughput : float
         Tokens a second that the model engines handle together, a generated token
         counted twice; 0 where the operators state none.
+    regions : dict
+        Regions in which requests of an organisation may run, where they are limited.
     """
 
     version: int
@@ -133,6 +142,7 @@
     priorities: dict[OrganisationId, int]
     limits: CallerLimits
     throughput: float
+    regions: dict[OrganisationId, tuple[RegionId, ...]] = {}
 
 
 class RouteIndex:
--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/test_anti_entropy.py
@@ -13,6 +13,7 @@
 from carawayfold.coordination.membership import Member
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.settings import Address
+from carawayfold.state.evacuations import EvacuationSnapshot
 from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
 from tests.knowledge_builders import in_loop, knowledge, table
 from tests.schedule_builders import endpoint
@@ -30,12 +31,12 @@
         self.asked += 1
         if self.asked <= self.ready_after:
             return Answer(Head(404, {}), b"")
-        body = (
-            table(7)
-            if path == anti_entropy.CONFIGURATION_PATH
-            else EndpointSnapshot(9, [endpoint("a")])
-        )
-        return Answer(Head(200, {}), msgspec.msgpack.encode(body))
+        known = {
+            anti_entropy.CONFIGURATION_PATH: table(7),
+            anti_entropy.ENDPOINTS_PATH: EndpointSnapshot(9, [endpoint("a")]),
+            anti_entropy.EVACUATIONS_PATH: EvacuationSnapshot(0, []),
+        }
+        return Answer(Head(200, {}), msgspec.msgpack.encode(known[path]))
 
 
 def starting(peers, expected=("router-0",)):
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/test_desk.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 import pytest
 from msgspec import structs
 
-from carawayfold.coordination.desk import Desk
+from carawayfold.coordination.desk import TAKEOVER_PAUSE, Desk, PoolDesk
 from carawayfold.coordination.division import POOL_SIZE
 from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.membership import Member, Membership
-from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
+from carawayfold.coordination.offers import (
+    Bar,
+    Basis,
+    Granted,
+    Outcome,
+    TurnedAway,
+)
+from carawayfold.coordination.scheduler import Scheduler
 from carawayfold.coordination.suspects import Suspects
 from carawayfold.protocol.datagrams import Datagram, GrantMessage, decode, encode
 from carawayfold.state.endpoints import EndpointTable
@@ -364,3 +372,109 @@
         return await desk.place(request(desk, "x"), "model/0")
 
     assert isinstance(play(work), Granted)
+
+
+def placed_desk(evacuated=()):
+    """Return a desk over an endpoint in each of two data centres."""
+    table = EndpointTable()
+    for place in ("north", "south"):
+        table.put(endpoint(f"e-{place}", data_centre=place))
+    desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0, lambda: Basis("a", 9))
+    desk.refresh(table, routes(), evacuated)
+    return desk, table
+
+
+def test_an_evacuated_data_centre_gets_nothing():
+    async def work():
+        desk, table = placed_desk({"north"})
+        decisions = [
+            await desk.place_in_any(request(desk, str(number)), "model")
+            for number in range(2)
+        ]
+        before = {decision.endpoint for decision in decisions}
+        desk.refresh(table, routes())
+        return before, set(desk.pools["model/0"].scheduler.loads)
+
+    assert play(work) == ({"e-south"}, {"e-north", "e-south"})
+
+
+def test_the_pools_of_others_stay_while_a_data_centre_is_evacuated():
+    async def work():
+        table = EndpointTable()
+        for number in range(4 * POOL_SIZE):
+            place = ("north", "south", "east")[number % 3]
+            table.put(endpoint(f"e-{number}", data_centre=place))
+        desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
+
+        def places():
+            return {
+                name: pool
+                for pool, item in desk.pools.items()
+                for name, load in item.scheduler.loads.items()
+                if load.endpoint.data_centre != "north"
+            }
+
+        desk.refresh(table, routes())
+        before = places()
+        desk.refresh(table, routes(), {"north"})
+        return before == places()
+
+    assert play(work)
+
+
+def test_a_service_whose_data_centres_are_all_evacuated_is_refused_at_once():
+    async def work():
+        desk, _ = placed_desk({"north", "south"})
+        return await desk.place_in_any(request(desk, "x"), "model")
+
+    decision = play(work)
+    assert isinstance(decision, TurnedAway)
+    assert decision.retry_after > 0
+
+
+def barred(endpoint_fields, offset, evacuated=()):
+    """Return why a grant of a router that has read up to `offset` is given back."""
+
+    async def work():
+        desk, _ = placed_desk(evacuated)
+        granted = Granted("a.1.1", "e-north", basis=Basis("b", offset))
+        fields = {"data_centre": "north", **endpoint_fields}
+        return desk.find_bar(endpoint("e-north", **fields), granted)
+
+    return play(work)
+
+
+@pytest.mark.parametrize(
+    ("fields", "offset", "evacuated", "expected"),
+    [
+        ({}, 0, (), None),
+        ({"leaving": True}, 9, (), Bar.LEAVING),
+        ({}, 9, ("north",), Bar.EVACUATED),
+        ({}, 9, ("south",), None),
+        ({"warm_at": math.inf}, 8, (), Bar.WARMING),
+        ({"warm_at": math.inf}, 9, (), None),
+    ],
+)
+def test_each_router_looks_at_what_it_knows_itself_before_it_sends(
+    fields, offset, evacuated, expected
+):
+    assert barred(fields, offset, evacuated) is expected
+
+
+def test_a_router_that_begins_to_decide_waits_before_it_gives_to_what_warms_up():
+    desk = PoolDesk("model/0", Scheduler(4.0))
+    desk.lead(False, 10.0)
+    assert desk.scheduler.warming_from == math.inf
+    desk.lead(True, 20.0)
+    assert desk.scheduler.warming_from == 20.0 + TAKEOVER_PAUSE
+    desk.lead(True, 30.0)
+    assert desk.scheduler.warming_from == 20.0 + TAKEOVER_PAUSE
+
+
+def test_requests_kept_to_data_centres_go_to_pools_that_have_them():
+    async def work():
+        desk, _ = placed_desk()
+        south = desk.weights_for("model", {"south"})
+        return south, desk.weights_for("model", {"east"})
+
+    assert play(work) == ({"model/0": 4}, {})
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/test_followers.py
@@ -31,7 +31,7 @@
     async def run():
         known, taken = knowledge()
         source = Source()
-        follower = followers.follow_configuration(source, known, at_once)
+        follower = followers.follow_operators(source, known, at_once)
         work = asyncio.create_task(follower.follow())
         while len(taken) < 3:
             await asyncio.sleep(0)
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/test_scheduler.py
@@ -8,9 +8,14 @@
 
 from carawayfold.coordination.endpoint_load import Active
 from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
-from carawayfold.coordination.scheduler import HEAD, REVIEW_INTERVAL, Scheduler
+from carawayfold.coordination.scheduler import (
+    HEAD,
+    REVIEW_INTERVAL,
+    PoolPlan,
+    Scheduler,
+)
 from carawayfold.protocol.exchanges import Part
-from tests.schedule_builders import endpoint, offer, scheduler
+from tests.schedule_builders import WINDOW, endpoint, offer, scheduler
 
 
 def decide(scheduler, now, *offers):
@@ -361,3 +366,35 @@
     assert turned_away(decisions).keys() == {"a.0.2"}
     pool.expire(1.65)
     assert granted(pool.decide(1.65)).keys() == {"a.0.3"}
+
+
+def two_places():
+    """Return a scheduler with an engine in each of two data centres."""
+    made = Scheduler(WINDOW)
+    members = [endpoint(place, data_centre=place) for place in ("north", "south")]
+    made.set_endpoints(members, PoolPlan(0.0, 1_000_000, 100_000.0))
+    return made
+
+
+@pytest.mark.parametrize("place", ["north", "south"])
+def test_a_request_runs_only_where_it_is_allowed(place):
+    made = two_places()
+    made.offer(offer(now=1.0, allowed=frozenset({place})), 1.0)
+    (decision,) = made.decide(1.0)
+    assert decision.endpoint == place
+
+
+def test_nothing_is_copied_from_where_it_is_not_allowed():
+    made = two_places()
+    made.learn_kept("north", [Part("topic", 5000)])
+    item = offer(tokens=5000, now=1.0, allowed=frozenset({"south"}))
+    made.offer(item, 1.0)
+    (decision,) = made.decide(1.0)
+    assert (decision.endpoint, decision.donor) == ("south", None)
+
+
+def test_a_request_that_is_allowed_nowhere_is_refused_at_once():
+    made = two_places()
+    made.offer(offer(now=1.0, allowed=frozenset({"east"})), 1.0)
+    (decision,) = made.decide(1.0)
+    assert isinstance(decision, TurnedAway)
--- /dev/null
+++ b/tests/coordination/test_slow_start.py
@@ -0,0 +1,128 @@
+"""Requests to endpoints that warm up, of all routers together.
+
+The loads it answers: a data centre's engines come back at once and cold while more is
+asked for than the others can do; and routers that take over, stand in or are late.
+"""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from msgspec import structs
+
+from carawayfold.coordination.endpoint_load import Active
+from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
+from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from tests.schedule_builders import WINDOW, endpoint, offer
+
+#: Requests a second that a warming endpoint tolerates.
+RATE = 8.7
+#: Most that may reach it in any second.
+BOUND = RATE * 1.5 + 5
+SPEED = 100_000.0
+
+
+def pool(warm=1, warming=2, until=3.0, rate=RATE):
+    """Return a scheduler over engines of which some warm up until a time."""
+    made = Scheduler(WINDOW)
+    members = [endpoint(f"w-{number}", slots=16) for number in range(warm)]
+    members += [
+        endpoint(f"c-{number}", slots=16, warm_up=until, warm_at=until)
+        for number in range(warming)
+    ]
+    made.set_endpoints(members, PoolPlan(0.0, 1_000_000, SPEED, warm_up_rate=rate))
+    return made
+
+
+def play(made, begin=0.0, end=5.0, each=10, step=0.02):
+    """Offer short requests without end, and return when each endpoint got one."""
+    got = {name: [] for name in made.loads}
+    number = 0
+    now = begin
+    while now < end:
+        for _ in range(each):
+            number += 1
+            call = f"r.0.{begin}-{number}"
+            made.offer(offer(call, f"t-{call}", 10, 10, now=now, due=now + 0.5), now)
+        for decision in made.decide(now):
+            if isinstance(decision, Granted):
+                got[decision.endpoint].append(now)
+                made.begun(decision.call, 0.01)
+                made.ended(decision.call, Outcome.WHOLE, now + 0.01)
+        now += step
+    return got
+
+
+def most_in_a_second(times):
+    times = sorted(times)
+    return max((sum(at <= x < at + 1.0 for x in times) for at in times), default=0)
+
+
+def test_a_warming_endpoint_gets_less_than_it_tolerates():
+    got = play(pool(), end=2.9)
+    for name in ("c-0", "c-1"):
+        assert 0 < most_in_a_second(got[name]) <= RATE
+
+
+def test_it_gets_its_full_part_once_it_is_warm():
+    got = play(pool(warm=0, warming=1, until=1.0), begin=1.0, end=2.0)
+    assert most_in_a_second(got["c-0"]) > BOUND
+
+
+def test_a_service_that_needs_no_warm_up_is_not_held_back():
+    got = play(pool(warm=0, warming=1, rate=0.0), end=1.0)
+    assert most_in_a_second(got["c-0"]) > BOUND
+
+
+def test_two_routers_that_both_decide_stay_within_the_bound():
+    sides = [play(pool(), end=2.9), play(pool(), end=2.9)]
+    both = sides[0]["c-0"] + sides[1]["c-0"]
+    assert most_in_a_second(both) <= BOUND
+
+
+def test_one_that_stands_in_gives_nothing_to_what_warms_up():
+    made = pool(warm=0, warming=1)
+    made.warming_from = math.inf
+    got = play(made, end=2.9)
+    assert got["c-0"] == []
+    assert play(made, begin=3.0, end=3.5)["c-0"]
+
+
+def test_grants_of_two_seconds_that_arrive_at_once_stay_within_the_bound():
+    times = play(pool(), end=2.9)["c-0"]
+    assert sum(at < 2.0 for at in times) <= BOUND
+
+
+def test_one_that_becomes_cold_while_it_serves_is_held_back_from_then_on():
+    made = pool(warm=2, warming=0)
+    play(made, end=1.0)
+    load = made.loads["w-0"]
+    load.endpoint = structs.replace(load.endpoint, warm_up=3.0, warm_at=4.0)
+    got = play(made, begin=1.0, end=3.9)
+    assert most_in_a_second(got["w-0"]) <= RATE
+    assert most_in_a_second(got["w-1"]) > RATE
+
+
+def test_what_only_warming_endpoints_could_serve_too_late_is_turned_away_at_once():
+    made = pool(warm=0, warming=1)
+    for number in range(20):
+        call = f"r.0.{number}"
+        made.offer(offer(call, f"t-{number}", 10, 10, now=1.0, due=1.3), 1.0)
+    decisions = made.decide(1.0)
+    assert sum(isinstance(item, Granted) for item in decisions) == 1
+    assert sum(isinstance(item, TurnedAway) for item in decisions) > 10
+
+
+def test_an_endpoint_that_its_sender_knows_to_warm_up_rests_until_that_is_known():
+    made = pool(warm=1, warming=0)
+    made.holds("w-0", Active("r.0.1", "r", 0, 10, 1.0, 1.0))
+    made.ended("r.0.1", Outcome.WARMING, 1.0)
+    assert made.loads["w-0"].suspended_until > 1.0
+    assert made.loads["w-0"].failing == 0.0
+
+
+@pytest.mark.parametrize("word", ["warming", "whole", "a-later-word"])
+def test_outcomes_of_a_later_version_are_not_taken_for_failures(word):
+    known = {"warming": Outcome.WARMING, "whole": Outcome.WHOLE}
+    assert Outcome(word) is known.get(word, Outcome.CANCELLED)
--- a/tests/integration/test_leaving_endpoints.py
+++ b/tests/integration/test_leaving_endpoints.py
@@ -24,6 +24,7 @@
     configuration,
     plain_headers,
 )
+from tests.log_readers import read_log
 
 ROUTERS = ["router-0", "router-1"]
 ENDPOINTS = ["d-1", "d-2"]
@@ -50,20 +51,6 @@
     return asyncio.run(call(port, "POST", "/once/x", b"body", headers))
 
 
-async def logged(fleet, router, **wanted):
-    """Wait for a line of a router's log with the fields `wanted`, and return it."""
-    while True:
-        for line in fleet.processes.output_of(router).splitlines():
-            fields = json.loads(line)
-            if wanted.items() <= fields.items():
-                return fields
-        await asyncio.sleep(0.02)
-
-
-def read_log(fleet, router, **wanted):
-    return asyncio.run(asyncio.wait_for(logged(fleet, router, **wanted), 20))
-
-
 def swallow_store(fleet, router):
     """Let nothing of the store come through to a router any more."""
     control = fleet.proxies[f"store-of-{router}"].control
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -13,7 +13,7 @@
 from benchmarks.hosted import KEY, configuration
 from carawayfold.platform import records, store
 from carawayfold.platform.store import Record
-from carawayfold.protocol.sources import Page, SourceError
+from carawayfold.protocol.sources import Evacuation, Page, SourceError
 from carawayfold.state.routes import RouteKind
 from tests.platform.record_builders import ENTRY, entry
 
@@ -127,10 +127,42 @@
 def test_an_unreadable_configuration_hides_no_other_record():
     good = Record("config", json.dumps(configuration(7)).encode())
     rows = [Record("config", b"{"), good]
-    page = asyncio.run(store.configuration_source(FakeStore(rows)).newest())
+    page = asyncio.run(store.operator_source(FakeStore(rows)).newest())
     assert [table.version for table in page.items] == [7]
 
 
+def test_evacuations_stand_beside_the_configuration():
+    rows = [
+        Record("evacuate/north", b"{}"),
+        Record("config", json.dumps(configuration(7)).encode()),
+        Record("evacuate/south", None),
+        Record("other", b"{}"),
+    ]
+    page = asyncio.run(store.operator_source(FakeStore(rows)).newest())
+    words = [item for item in page.items if isinstance(item, Evacuation)]
+    assert words == [Evacuation("north", True), Evacuation("south", False)]
+
+
+def test_regions_and_warm_up_are_read():
+    config = configuration()
+    config["routes"][0]["allowed_regions"] = ["hills"]
+    config["tenants"][0]["allowed_regions"] = ["hills", "coast"]
+    config["services"][0]["cold_per_s"] = 8.7
+    routes = records.decode_routes(json.dumps(config).encode())
+    (organisation,) = set(routes.organisations.values())
+    assert routes.routes[0].regions == ("hills",)
+    assert routes.routes[1].regions == ()
+    assert routes.regions == {organisation: ("hills", "coast")}
+    service = routes.services[config["services"][0]["name"]]
+    assert service.warm_up_rate == 8.7
+
+
+@pytest.mark.parametrize(("left_ms", "warm_at"), [(0, 0.0), (3000, 13.0)])
+def test_an_endpoint_warms_up_from_when_its_entry_was_read(left_ms, warm_at):
+    endpoint = records.decode_endpoint("i-1", entry(cold_remaining_ms=left_ms), 10.0)
+    assert (endpoint.warm_up, endpoint.warm_at) == (left_ms / 1000, warm_at)
+
+
 @pytest.mark.parametrize("record", [b"", b"\x02\xff\xfevalue", b"\x09abc"])
 def test_a_record_with_an_unreadable_key_hides_no_other(record):
     good = b"\x03abcvalue"
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -79,6 +79,7 @@
             endpoints_offset=self.knowledge.endpoints.offset,
             store_age=round(self.anti_entropy.information_age() * 1000),
             refused=not self.knowledge.store.reachable,
+            evacuations_changed=self.knowledge.evacuations.changed_at,
         )
 
     def store_changed(self):
@@ -99,6 +100,9 @@
             return msgspec.msgpack.encode(self.knowledge.routes)
         if path == anti_entropy.ENDPOINTS_PATH and self.knowledge.listed:
             return msgspec.msgpack.encode(self.knowledge.snapshot())
+        evacuations = self.knowledge.evacuations
+        if path == anti_entropy.EVACUATIONS_PATH and evacuations.known:
+            return msgspec.msgpack.encode(evacuations.snapshot(self.fleet.loop.time()))
         return b""
 
     def source(self, records, newest):
@@ -112,7 +116,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.anti_entropy.keep_asking())
             await self.anti_entropy.adopt()
-            routes = followers.follow_configuration(tables, self.knowledge, peers.turn)
+            routes = followers.follow_operators(tables, self.knowledge, peers.turn)
             endpoints = followers.follow_endpoints(
                 registered, self.knowledge, peers.turn, peers.reads_for_others
             )
--- a/tests/state/test_endpoints.py
+++ b/tests/state/test_endpoints.py
@@ -62,16 +62,16 @@
 
 def test_the_kept_heartbeat_changes_nothing():
     table = EndpointTable()
-    assert table.put(endpoint("a", cold_until=3.0))
-    assert not table.put(endpoint("a", cold_until=4.0))
+    assert table.put(endpoint("a", warm_up=3.0, warm_at=3.0))
+    assert not table.put(endpoint("a", warm_up=3.0, warm_at=4.0), 1.0, listed=True)
 
 
 def test_a_restart_under_the_same_name_is_another_endpoint():
     table = EndpointTable()
-    table.put(endpoint("a", incarnation=1000, cold_until=50.0))
-    assert table.put(endpoint("a", incarnation=2000, cold_until=70.0))
+    table.put(endpoint("a", incarnation=1000, warm_at=50.0))
+    assert table.put(endpoint("a", incarnation=2000, warm_at=70.0))
     assert [item.incarnation for item in table.usable("model")] == [2000]
-    assert table.entries["a"].cold_until == 70.0
+    assert table.entries["a"].warm_at == 70.0
 
 
 def test_a_delayed_record_of_an_earlier_incarnation_changes_nothing():
