Give coordination a folder for each job, and hold the order of imports

Cause: 43 modules lay flat, and seven circles of imports for type checkers; no newcomer could tell which belong together.

Change: by git mv six folders: fleet, knowledge, containment, scheduling, slots, requests; tests likewise. The circle of donors and placement is gone (Backlog has a module of its own), and directory and verdict records no longer import followers (Backoff has one).

No behaviour changes.

--- a/benchmarks/capacity/inside.py
+++ b/benchmarks/capacity/inside.py
@@ -11,9 +11,9 @@
 from benchmarks.capacity.slopes import Slope
 from benchmarks.fleet import key_of
 from carawayfold import settings
-from carawayfold.coordination.configuration import pack, unpack
-from carawayfold.coordination.pool import PoolGranter, PoolSpec
-from carawayfold.coordination.pools import build_pools
+from carawayfold.coordination.knowledge.configuration import pack, unpack
+from carawayfold.coordination.slots.pool import PoolGranter, PoolSpec
+from carawayfold.coordination.slots.pools import build_pools
 from carawayfold.protocol import peer_pb2
 from carawayfold.protocol.names import NameTable
 from carawayfold.state.claims import Batch, ClaimBook, ClaimRecord, batch_encoder
@@ -143,7 +143,7 @@
 
 def row_slopes() -> list[Slope]:
     """Measure the frames and the memory of service rows."""
-    from carawayfold.coordination.service_book import ServiceBook
+    from carawayfold.coordination.slots.service_book import ServiceBook
 
     first, later, memory, heard, tidy = [], [], [], [], []
     for count in ORGANISATIONS:
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.claims import APPEND_GAP, APPENDS_BUDGET
+from carawayfold.coordination.requests.claims import APPEND_GAP, APPENDS_BUDGET
 
 if TYPE_CHECKING:
     from benchmarks.capacity.slopes import Slope
@@ -152,7 +152,7 @@
     cpu += slopes["caller edge: tokens"].each(size.node_tokens)
     memory = slopes["caller edge: memory"].each(streams)
     messages = 2 * size.node_tokens
-    module = "transport/server.py, transport/client.py, coordination/relay.py"
+    module = "transport/server.py, transport/client.py, coordination/requests/relay.py"
     return Cost(
         "caller edge and endpoint connections", module, cpu, memory, 0, messages, False
     )
@@ -162,7 +162,7 @@
     cpu = slopes["scheduling: grants, processor"].each(size.node_requests)
     memory = slopes["scheduling: granter memory"].each(POOLS_GRANTED * size.backlogged)
     sent = slopes["scheduling: grants, sent"].each(size.node_requests)
-    module = "coordination/pool.py, coordination/dispatch.py, coordination/reporting.py"
+    module = "coordination/slots: pool.py, dispatch.py, reporting.py"
     messages = 2 * size.node_requests
     return Cost("queueing and scheduling", module, cpu, memory, sent, messages)
 
@@ -178,7 +178,7 @@
     seen = slopes["exchange: memory of peers' rows"].each(size.rows) * size.peers
     links = slopes["membership: resident memory"].each(size.peers)
     memory = rows + seen + links
-    module = "coordination/exchange.py, coordination/service_book.py"
+    module = "coordination/slots: exchange.py, service_book.py"
     messages = size.beats * size.peers
     stretched = not slopes["exchange: heartbeats, sent"].reaches(size.peers)
     return Cost(
@@ -198,7 +198,7 @@
     memory = slopes["configuration: memory"].each(size.organisations)
     memory += slopes["endpoints: memory of pools"].each(size.endpoints)
     taking += slopes["endpoints: forming pools anew"].each(size.endpoints)
-    module = "coordination/configuration.py, state/configuration.py"
+    module = "coordination/knowledge/configuration.py, state/configuration.py"
     # The log is asked once a second where nothing changes.
     return Cost(
         "configuration", module, taking * rate / 10, memory, rate * CHANGE_BYTES, 1.0
@@ -209,7 +209,7 @@
     cpu = slopes["claims: taking"].each(size.claims) * 1e-4
     memory = slopes["claims: memory"].each(size.claims * KEY_LIFETIME)
     sent = slopes["claims: log, in batches of ten"].each(size.claims) * 4 / 3
-    module = "coordination/claims.py, state/claims.py"
+    module = "coordination/requests/claims.py, state/claims.py"
     stretched = not slopes["claims: memory"].reaches(size.claims * KEY_LIFETIME)
     return Cost(
         "keys of requests run at most once",
--- a/benchmarks/capacity/outside.py
+++ b/benchmarks/capacity/outside.py
@@ -13,7 +13,7 @@
 from benchmarks.fleet import Fleet, key_of, organisation_objects, spread
 from benchmarks.load import offer
 from benchmarks.processes import Processes
-from carawayfold.coordination.configuration import pack
+from carawayfold.coordination.knowledge.configuration import pack
 from carawayfold.state.configuration import (
     Brand,
     Change,
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -17,7 +17,7 @@
 from benchmarks.fleet import Fleet, key_of, organisation_objects, spread
 from benchmarks.load import percentile
 from benchmarks.processes import Processes
-from carawayfold.coordination.relay import PROMPT_COST, SECOND_COST
+from carawayfold.coordination.requests.relay import PROMPT_COST, SECOND_COST
 from carawayfold.state.configuration import ConfigObject, Endpoint, Service
 
 ENGINE_SLOTS = 8
--- a/benchmarks/emulation/ablation.py
+++ b/benchmarks/emulation/ablation.py
@@ -16,7 +16,7 @@
 from benchmarks.emulation.__main__ import net_of, play
 from benchmarks.emulation.deployments import DEPLOYMENTS
 from benchmarks.emulation.run import Policy
-from carawayfold.coordination import donors, placement, scheduler
+from carawayfold.coordination.scheduling import donors, placement, scheduler
 from carawayfold.state import usage
 
 if TYPE_CHECKING:
--- a/benchmarks/emulation/run.py
+++ b/benchmarks/emulation/run.py
@@ -14,8 +14,8 @@
 from benchmarks.emulation.engine import EmulatedEngine, EngineModel, Run
 from benchmarks.emulation.harm import Harm, HarmPlan
 from benchmarks.emulation.load import Request
-from carawayfold.coordination.offers import Granted, Offer, Outcome
-from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from carawayfold.coordination.scheduling.offers import Granted, Offer, Outcome
+from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.exchanges import Part
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -23,7 +23,7 @@
 from benchmarks.load import percentile
 from benchmarks.processes import Processes
 from benchmarks.report import figure
-from carawayfold.coordination.relay import PROMPT_COST
+from carawayfold.coordination.requests.relay import PROMPT_COST
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/carawayfold/application.py
+++ b/carawayfold/application.py
@@ -13,29 +13,29 @@
 import logbook
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
-from carawayfold.coordination.administration import AdminService
-from carawayfold.coordination.calls import CallHandler, registration
-from carawayfold.coordination.claims import Claims
-from carawayfold.coordination.configuration import (
-    ConfigFollower,
-    ConfigState,
-    pack,
-    unpack,
-)
-from carawayfold.coordination.containment import Containment
-from carawayfold.coordination.dispatch import Dispatcher
-from carawayfold.coordination.exchange import Exchange
-from carawayfold.coordination.health import HealthBook
-from carawayfold.coordination.link_fleet import LinkFleet
-from carawayfold.coordination.loads import LoadWatcher
-from carawayfold.coordination.membership import (
+from carawayfold.coordination.containment.containment import Containment
+from carawayfold.coordination.containment.pulse import Pulse
+from carawayfold.coordination.fleet.membership import (
     SILENCE_LIMIT,
     Member,
     Membership,
     PeerState,
 )
-from carawayfold.coordination.pools import build_pools
-from carawayfold.coordination.pulse import Pulse
+from carawayfold.coordination.knowledge.administration import AdminService
+from carawayfold.coordination.knowledge.configuration import (
+    ConfigFollower,
+    ConfigState,
+    pack,
+    unpack,
+)
+from carawayfold.coordination.requests.calls import CallHandler, registration
+from carawayfold.coordination.requests.claims import Claims
+from carawayfold.coordination.slots.dispatch import Dispatcher
+from carawayfold.coordination.slots.exchange import Exchange
+from carawayfold.coordination.slots.health import HealthBook
+from carawayfold.coordination.slots.link_fleet import LinkFleet
+from carawayfold.coordination.slots.loads import LoadWatcher
+from carawayfold.coordination.slots.pools import build_pools
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.protocol import peer_pb2, peer_pb2_grpc, problem
 from carawayfold.protocol.exposition import render
--- /dev/null
+++ b/carawayfold/coordination/containment/__init__.py
@@ -0,0 +1,1 @@
+"""Contents under which endpoints end, and how they are kept from the others."""
--- a/carawayfold/coordination/containment.py
+++ b/carawayfold/coordination/containment/containment.py
@@ -16,8 +16,8 @@
 
 import logbook
 
-from carawayfold.coordination.crash_reports import CrashReports, subject
-from carawayfold.coordination.verdict_records import VerdictRecorder
+from carawayfold.coordination.containment.crash_reports import CrashReports, subject
+from carawayfold.coordination.containment.verdict_records import VerdictRecorder
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.protocol.datagrams import (
     Beat,
@@ -46,8 +46,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine, Iterable
 
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.pulse import Pulse
+    from carawayfold.coordination.containment.pulse import Pulse
+    from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.protocol.sources import QuarantineRecord, VerdictStore
     from carawayfold.settings import Address
--- a/carawayfold/coordination/crash_reports.py
+++ b/carawayfold/coordination/containment/crash_reports.py
@@ -20,8 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.pulse import Pulse
+    from carawayfold.coordination.containment.pulse import Pulse
+    from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.settings import Address
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import (
--- a/carawayfold/coordination/verdict_records.py
+++ b/carawayfold/coordination/containment/verdict_records.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from carawayfold.coordination.followers import Backoff
+from carawayfold.coordination.backoff import Backoff
 from carawayfold.protocol.sources import QuarantineRecord, SourceError
 from carawayfold.state.quarantine import REMEMBERED_FOR, Entry, Level
 
--- a/carawayfold/coordination/directory.py
+++ b/carawayfold/coordination/fleet/directory.py
@@ -8,13 +8,13 @@
 
 import logbook
 
-from carawayfold.coordination.followers import Backoff
+from carawayfold.coordination.backoff import Backoff
 from carawayfold.protocol.sources import PeerEntry, QuarantineRecord, SourceError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.coordination.fleet import Fleet
+    from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.protocol.sources import PeerDirectory
 
 logger = logbook.Logger(__name__)
--- a/carawayfold/coordination/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.hubs import (
+from carawayfold.coordination.fleet.hubs import (
     LEAF_INTERVAL,
     MESH_MOST,
     Role,
@@ -19,10 +19,10 @@
     main_hub,
     role_of_hub,
 )
-from carawayfold.coordination.listeners import Listeners
-from carawayfold.coordination.membership import Member, Membership, PeerState
-from carawayfold.coordination.rosters import Rosters
-from carawayfold.coordination.suspects import Suspects
+from carawayfold.coordination.fleet.listeners import Listeners
+from carawayfold.coordination.fleet.membership import Member, Membership, PeerState
+from carawayfold.coordination.fleet.rosters import Rosters
+from carawayfold.coordination.fleet.suspects import Suspects
 from carawayfold.protocol.datagrams import Beat, RosterMessage
 from carawayfold.protocol.sources import PeerEntry
 from carawayfold.settings import Address
--- a/carawayfold/coordination/hubs.py
+++ b/carawayfold/coordination/fleet/hubs.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-from carawayfold.coordination.membership import Member, PeerState, rank, strongest
+from carawayfold.coordination.fleet.membership import Member, PeerState, rank, strongest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/carawayfold/coordination/listeners.py
+++ b/carawayfold/coordination/fleet/listeners.py
@@ -5,17 +5,17 @@
 import random
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.hubs import (
+from carawayfold.coordination.fleet.hubs import (
     LEAF_INTERVAL,
     Role,
     choose_hubs,
     listed_member,
 )
-from carawayfold.coordination.membership import PeerState
+from carawayfold.coordination.fleet.membership import PeerState
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.membership import Member
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.fleet.membership import Member
     from carawayfold.settings import Address
     from carawayfold.state.ids import DataCentreId, RouterId
 
--- a/carawayfold/coordination/readers.py
+++ b/carawayfold/coordination/fleet/readers.py
@@ -11,12 +11,12 @@
 
 import xxhash
 
-from carawayfold.coordination.hubs import LEAF_INTERVAL
-from carawayfold.coordination.membership import rank
+from carawayfold.coordination.fleet.hubs import LEAF_INTERVAL
+from carawayfold.coordination.fleet.membership import rank
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.membership import Member
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.fleet.membership import Member
     from carawayfold.state.ids import RouterId
 
 #: Routers up to which each one reads the store for itself.
--- a/carawayfold/coordination/rosters.py
+++ b/carawayfold/coordination/fleet/rosters.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.hubs import Role, choose_hubs, main_hub
-from carawayfold.coordination.membership import PeerState
+from carawayfold.coordination.fleet.hubs import Role, choose_hubs, main_hub
+from carawayfold.coordination.fleet.membership import PeerState
 from carawayfold.protocol.datagrams import HubEntry, RosterMessage
 from carawayfold.settings import Address
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.membership import Member
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.fleet.membership import Member
     from carawayfold.protocol.datagrams import Beat
     from carawayfold.state.ids import DataCentreId, RouterId
 
--- a/carawayfold/coordination/administration.py
+++ b/carawayfold/coordination/knowledge/administration.py
@@ -7,8 +7,8 @@
 import grpc
 
 from carawayfold import __version__
-from carawayfold.coordination.configuration import ConfigState
-from carawayfold.coordination.membership import PeerState
+from carawayfold.coordination.fleet.membership import PeerState
+from carawayfold.coordination.knowledge.configuration import ConfigState
 from carawayfold.protocol import admin_pb2, admin_pb2_grpc
 from carawayfold.protocol.objects import KINDS, from_message, to_message
 from carawayfold.state.configuration import Change, ChangeState
--- a/carawayfold/coordination/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -13,8 +13,8 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.knowledge import EndpointSnapshot
-from carawayfold.coordination.readers import ALL_READ, is_reader
+from carawayfold.coordination.fleet.readers import ALL_READ, is_reader
+from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.state.evacuations import EvacuationSnapshot
 from carawayfold.state.routes import RouteTable
 from carawayfold.transport.client import ExchangeError
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.knowledge import Knowledge
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.protocol.datagrams import Beat
     from carawayfold.settings import Address
     from carawayfold.state.ids import RouterId
--- a/carawayfold/coordination/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -10,15 +10,15 @@
 from typing import TYPE_CHECKING
 
 import logbook
-import msgspec
 
+from carawayfold.coordination.backoff import Backoff
 from carawayfold.protocol.sources import HistoryLost, SourceError
 from carawayfold.state.positions import offset_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from carawayfold.coordination.knowledge import Knowledge
+    from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.protocol.sources import Evacuation, Page, Registered, Source
     from carawayfold.state.ids import Position
     from carawayfold.state.routes import RouteTable
@@ -36,32 +36,11 @@
 #: Seconds between two such reads, so that a whole service that registers at once
 #: takes a few reads and not one an endpoint.
 ENDPOINTS_PAUSE = 0.1
-#: Seconds before the store is asked again after it failed, twice as long after each
-#: further failure, and the most: what comes meanwhile is told by peers, and a store
-#: that refuses every call still counts them.
-RETRY_WAIT = 0.25
-RETRY_WAIT_MOST = 1.0
 #: Seconds before the newest records are read after the history was lost, so that a
 #: store that loses it again and again is not called without a pause.
 HISTORY_WAIT = 0.05
 
 
-class Backoff(msgspec.Struct):
-    """Growing pauses between calls of a store that fails."""
-
-    pause: float = RETRY_WAIT
-
-    def reset(self) -> None:
-        """Note that a call was answered."""
-        self.pause = RETRY_WAIT
-
-    async def wait(self) -> None:
-        """Pause, for longer the next time."""
-        pause = self.pause
-        self.pause = min(RETRY_WAIT_MOST, 2 * pause)
-        await asyncio.sleep(pause)
-
-
 class Follower:
     """Follows one source of the store for ever.
 
--- /dev/null
+++ b/carawayfold/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: attempts, repeats, claims and what callers hear."""
--- a/carawayfold/coordination/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from carawayfold.coordination.repeats import AttemptEnd
+from carawayfold.coordination.requests.repeats import AttemptEnd
 from carawayfold.protocol.events import NumberedEvents
 from carawayfold.state.routes import RouteKind
 from carawayfold.transport.client import ExchangeError, Phase
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.forwarding import ForwardedCall, Forwarder
+    from carawayfold.coordination.requests.forwarding import ForwardedCall, Forwarder
     from carawayfold.protocol.exchanges import Answered
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId
--- a/carawayfold/coordination/calls.py
+++ b/carawayfold/coordination/requests/calls.py
@@ -8,9 +8,9 @@
 
 import logbook
 
-from carawayfold.coordination.crash_reports import Loss
-from carawayfold.coordination.once import OnceRunner
-from carawayfold.coordination.relay import DECLINED, Relay, WholeAnswer
+from carawayfold.coordination.containment.crash_reports import Loss
+from carawayfold.coordination.requests.once import OnceRunner
+from carawayfold.coordination.requests.relay import DECLINED, Relay, WholeAnswer
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol import callers, problem
 from carawayfold.settings import Address
@@ -22,11 +22,11 @@
 if TYPE_CHECKING:
     from circuits.web.wrappers import Request, Response
 
-    from carawayfold.coordination.claims import Claims, OwnClaim
-    from carawayfold.coordination.containment import Containment
-    from carawayfold.coordination.dispatch import Dispatcher
-    from carawayfold.coordination.health import HealthBook
-    from carawayfold.coordination.once import AskOwner
+    from carawayfold.coordination.containment.containment import Containment
+    from carawayfold.coordination.requests.claims import Claims, OwnClaim
+    from carawayfold.coordination.requests.once import AskOwner
+    from carawayfold.coordination.slots.dispatch import Dispatcher
+    from carawayfold.coordination.slots.health import HealthBook
     from carawayfold.protocol.callers import CallerRequest
     from carawayfold.settings import Settings
     from carawayfold.state.configuration import Endpoint as ConfiguredEndpoint
--- a/carawayfold/coordination/claims.py
+++ b/carawayfold/coordination/requests/claims.py
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.membership import Member
+    from carawayfold.coordination.fleet.membership import Member
     from carawayfold.protocol.log_service import LogClient, LogRecord
 
 logger = logbook.Logger(__name__)
--- a/carawayfold/coordination/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -8,15 +8,21 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.attempts import Attempt, AttemptRequest
-from carawayfold.coordination.crash_reports import Loss
-from carawayfold.coordination.offers import Bar, Granted, Offer, Outcome, TurnedAway
-from carawayfold.coordination.repeats import (
+from carawayfold.coordination.containment.crash_reports import Loss
+from carawayfold.coordination.requests.attempts import Attempt, AttemptRequest
+from carawayfold.coordination.requests.repeats import (
     AttemptEnd,
     Attempts,
     final_refusal,
     may_repeat,
 )
+from carawayfold.coordination.scheduling.offers import (
+    Bar,
+    Granted,
+    Offer,
+    Outcome,
+    TurnedAway,
+)
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol import problem
 from carawayfold.state.contents import content_id
@@ -28,10 +34,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from carawayfold.coordination.containment import Containment
-    from carawayfold.coordination.desk import Desk
-    from carawayfold.coordination.offers import Basis
-    from carawayfold.coordination.pulse import Pulse
+    from carawayfold.coordination.containment.containment import Containment
+    from carawayfold.coordination.containment.pulse import Pulse
+    from carawayfold.coordination.scheduling.desk import Desk
+    from carawayfold.coordination.scheduling.offers import Basis
     from carawayfold.protocol.exchanges import Answered, Asked, Dialect
     from carawayfold.state.budget import RetryBudget
     from carawayfold.state.endpoints import Endpoint
--- a/carawayfold/coordination/once.py
+++ b/carawayfold/coordination/requests/once.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeAlias
 
-from carawayfold.coordination.relay import WholeAnswer
+from carawayfold.coordination.requests.relay import WholeAnswer
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol import peer_pb2
 from carawayfold.state.claims import (
@@ -17,8 +17,8 @@
 )
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.calls import Call
-    from carawayfold.coordination.claims import Claims, OwnClaim
+    from carawayfold.coordination.requests.calls import Call
+    from carawayfold.coordination.requests.claims import Claims, OwnClaim
 
 #: Header that marks an answer given again.
 REPLAYED = "idempotent-replayed"
--- a/carawayfold/coordination/caches.py
+++ b/carawayfold/coordination/scheduling/caches.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from carawayfold.coordination.desk import Desk, PoolDesk
+    from carawayfold.coordination.scheduling.desk import Desk, PoolDesk
     from carawayfold.protocol.sources import CacheSource
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import EndpointId, PoolId
--- a/carawayfold/coordination/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -18,9 +18,9 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.division import choose, choose_further, divide
-from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.offers import (
+from carawayfold.coordination.scheduling.division import choose, choose_further, divide
+from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.offers import (
     Bar,
     Basis,
     Granted,
@@ -28,7 +28,11 @@
     Outcome,
     TurnedAway,
 )
-from carawayfold.coordination.scheduler import UNSTATED_SPEED, PoolPlan, Scheduler
+from carawayfold.coordination.scheduling.scheduler import (
+    UNSTATED_SPEED,
+    PoolPlan,
+    Scheduler,
+)
 from carawayfold.protocol.datagrams import (
     BegunMessage,
     EndedMessage,
@@ -52,8 +56,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from carawayfold.coordination.fleet import Fleet
-    from carawayfold.coordination.offers import Decision
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.scheduling.offers import Decision
     from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.state.endpoints import Endpoint, EndpointTable
     from carawayfold.state.ids import DataCentreId, ServiceId
--- a/carawayfold/coordination/donors.py
+++ b/carawayfold/coordination/scheduling/donors.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from carawayfold.coordination.offers import Offer
-    from carawayfold.coordination.placement import Backlog
+    from carawayfold.coordination.scheduling.backlog import Backlog
+    from carawayfold.coordination.scheduling.offers import Offer
     from carawayfold.state.ids import EndpointId
 
 #: Tokens below which a copy is not worth its set-up: reading 200 tokens takes an
--- a/carawayfold/coordination/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -22,9 +22,14 @@
 import msgspec
 import xxhash
 
-from carawayfold.coordination.donors import find_donor
-from carawayfold.coordination.endpoint_load import RESIDENCE, Active, EndpointLoad
-from carawayfold.coordination.offers import (
+from carawayfold.coordination.scheduling.backlog import Backlog
+from carawayfold.coordination.scheduling.donors import find_donor
+from carawayfold.coordination.scheduling.endpoint_load import (
+    RESIDENCE,
+    Active,
+    EndpointLoad,
+)
+from carawayfold.coordination.scheduling.offers import (
     GENERATED_WEIGHT,
     Decision,
     Granted,
@@ -32,8 +37,7 @@
     Outcome,
     TurnedAway,
 )
-from carawayfold.coordination.placement import (
-    Backlog,
+from carawayfold.coordination.scheduling.placement import (
     Choice,
     choose,
     has_room,
--- a/carawayfold/coordination/exchange.py
+++ b/carawayfold/coordination/slots/exchange.py
@@ -8,12 +8,12 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.dispatch import GRANT_LIFETIME
-from carawayfold.coordination.link_fleet import take_messages
-from carawayfold.coordination.membership import PeerState
-from carawayfold.coordination.pool import PoolGranter
-from carawayfold.coordination.reporting import Reporter
-from carawayfold.coordination.service_book import ServiceBook
+from carawayfold.coordination.fleet.membership import PeerState
+from carawayfold.coordination.slots.dispatch import GRANT_LIFETIME
+from carawayfold.coordination.slots.link_fleet import take_messages
+from carawayfold.coordination.slots.pool import PoolGranter
+from carawayfold.coordination.slots.reporting import Reporter
+from carawayfold.coordination.slots.service_book import ServiceBook
 from carawayfold.protocol import peer_pb2
 from carawayfold.state.ids import (
     DataCentreId,
@@ -28,10 +28,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.coordination.dispatch import Dispatcher
-    from carawayfold.coordination.health import HealthBook
-    from carawayfold.coordination.membership import Membership
-    from carawayfold.coordination.pool import Decision, PoolSpec
+    from carawayfold.coordination.fleet.membership import Membership
+    from carawayfold.coordination.slots.dispatch import Dispatcher
+    from carawayfold.coordination.slots.health import HealthBook
+    from carawayfold.coordination.slots.pool import Decision, PoolSpec
     from carawayfold.protocol.datagrams import Datagram
     from carawayfold.settings import Settings
     from carawayfold.state.service_rows import OwnRows
--- a/carawayfold/coordination/link_fleet.py
+++ b/carawayfold/coordination/slots/link_fleet.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.coordination.exchange import Exchange
-    from carawayfold.coordination.membership import Membership
+    from carawayfold.coordination.fleet.membership import Membership
+    from carawayfold.coordination.slots.exchange import Exchange
     from carawayfold.protocol.datagrams import Message
     from carawayfold.state.ids import RouterId
     from carawayfold.transport.links import Link
--- a/carawayfold/coordination/loads.py
+++ b/carawayfold/coordination/slots/loads.py
@@ -16,8 +16,8 @@
 from carawayfold.transport.client import ExchangeError
 
 if TYPE_CHECKING:
-    from carawayfold.coordination.exchange import Exchange
-    from carawayfold.coordination.pool import PoolGranter
+    from carawayfold.coordination.slots.exchange import Exchange
+    from carawayfold.coordination.slots.pool import PoolGranter
     from carawayfold.state.ids import EndpointId
     from carawayfold.state.view import ConfigView
     from carawayfold.transport.client import HttpClient
--- a/carawayfold/coordination/pools.py
+++ b/carawayfold/coordination/slots/pools.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.pool import PoolSpec
+from carawayfold.coordination.slots.pool import PoolSpec
 from carawayfold.state.configuration import Endpoint
 from carawayfold.state.ids import EndpointId, PoolId
 
--- a/carawayfold/coordination/reporting.py
+++ b/carawayfold/coordination/slots/reporting.py
@@ -11,9 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from carawayfold.coordination.dispatch import Dispatcher
-    from carawayfold.coordination.health import HealthBook
-    from carawayfold.coordination.pool import PoolSpec
+    from carawayfold.coordination.slots.dispatch import Dispatcher
+    from carawayfold.coordination.slots.health import HealthBook
+    from carawayfold.coordination.slots.pool import PoolSpec
     from carawayfold.protocol import peer_pb2
     from carawayfold.state.queue import OrganisationQueue
     from carawayfold.transport.links import Link
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -11,19 +11,20 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination import anti_entropy, directory, followers
-from carawayfold.coordination.anti_entropy import AntiEntropy
-from carawayfold.coordination.caches import CacheReader
-from carawayfold.coordination.containment import Containment
-from carawayfold.coordination.desk import Desk
-from carawayfold.coordination.fleet import Fleet
-from carawayfold.coordination.forwarding import Forwarder
-from carawayfold.coordination.knowledge import Knowledge
-from carawayfold.coordination.membership import Member, PeerState
-from carawayfold.coordination.offers import Basis
-from carawayfold.coordination.pulse import Pulse
-from carawayfold.coordination.readers import can_tell
-from carawayfold.coordination.shedding import ShedLog
+from carawayfold.coordination.containment.containment import Containment
+from carawayfold.coordination.containment.pulse import Pulse
+from carawayfold.coordination.fleet import directory
+from carawayfold.coordination.fleet.fleet import Fleet
+from carawayfold.coordination.fleet.membership import Member, PeerState
+from carawayfold.coordination.fleet.readers import can_tell
+from carawayfold.coordination.knowledge import anti_entropy, followers
+from carawayfold.coordination.knowledge.anti_entropy import AntiEntropy
+from carawayfold.coordination.knowledge.knowledge import Knowledge
+from carawayfold.coordination.requests.forwarding import Forwarder
+from carawayfold.coordination.requests.shedding import ShedLog
+from carawayfold.coordination.scheduling.caches import CacheReader
+from carawayfold.coordination.scheduling.desk import Desk
+from carawayfold.coordination.scheduling.offers import Basis
 from carawayfold.platform.engines import EngineClient
 from carawayfold.platform.headers import REQUEST_ID, PlatformDialect
 from carawayfold.platform.store import (
--- a/carawayfold/transport/rpc.py
+++ b/carawayfold/transport/rpc.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from carawayfold.coordination.configuration import ConfigFollower
+    from carawayfold.coordination.knowledge.configuration import ConfigFollower
     from carawayfold.settings import Settings
     from carawayfold.transport.links import Links
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,8 +6,8 @@
 import random
 
 from benchmarks.deployments import Deployment
-from carawayfold.coordination.calls import Call
-from carawayfold.coordination.pool import PoolGranter, PoolSpec
+from carawayfold.coordination.requests.calls import Call
+from carawayfold.coordination.slots.pool import PoolGranter, PoolSpec
 from carawayfold.protocol import peer_pb2
 from carawayfold.protocol.callers import CallerRequest
 from carawayfold.protocol.log_service import LogPage, LogRecord, PlatformError
--- a/tests/coordination/test_crash_reports.py
+++ b/tests/coordination/containment/test_crash_reports.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from carawayfold.coordination.crash_reports import CrashReports, Loss
-from carawayfold.coordination.membership import Member
-from carawayfold.coordination.pulse import Pulse
+from carawayfold.coordination.containment.crash_reports import CrashReports, Loss
+from carawayfold.coordination.containment.pulse import Pulse
+from carawayfold.coordination.fleet.membership import Member
 from carawayfold.state.contents import content_id
 from carawayfold.transport.probes import Reach
 from tests.schedule_builders import endpoint
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from carawayfold.coordination.fleet import Role
-from carawayfold.coordination.hubs import HUBS, MESH_MOST
+from carawayfold.coordination.fleet.fleet import Role
+from carawayfold.coordination.fleet.hubs import HUBS, MESH_MOST
 from carawayfold.protocol.datagrams import HubEntry, RosterMessage
 from tests.simulated_fleet import WEAK, simulate, started
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/fleet/test_membership.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from carawayfold.coordination.membership import Member, Membership
+from carawayfold.coordination.fleet.membership import Member, Membership
 
 
 def membership(processors):
--- a/tests/coordination/test_readers.py
+++ b/tests/coordination/fleet/test_readers.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from carawayfold.coordination import readers
-from carawayfold.coordination.membership import Member
+from carawayfold.coordination.fleet import readers
+from carawayfold.coordination.fleet.membership import Member
 from carawayfold.protocol.datagrams import Beat
 
 
--- /dev/null
+++ b/tests/coordination/knowledge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `carawayfold.coordination.knowledge`."""
--- a/tests/coordination/test_anti_entropy.py
+++ b/tests/coordination/knowledge/test_anti_entropy.py
@@ -8,9 +8,9 @@
 import msgspec
 import pytest
 
-from carawayfold.coordination import anti_entropy
-from carawayfold.coordination.knowledge import EndpointSnapshot
-from carawayfold.coordination.membership import Member
+from carawayfold.coordination.fleet.membership import Member
+from carawayfold.coordination.knowledge import anti_entropy
+from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.settings import Address
 from carawayfold.state.evacuations import EvacuationSnapshot
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/knowledge/test_configuration.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from carawayfold.coordination import configuration
-from carawayfold.coordination.configuration import ConfigFollower, ConfigState
+from carawayfold.coordination.knowledge import configuration
+from carawayfold.coordination.knowledge.configuration import ConfigFollower, ConfigState
 from carawayfold.protocol.log_service import PlatformError
 from carawayfold.state.configuration import ChangeState, record_encoder
 from tests.builders import FakeLog, organisation_change
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
-from carawayfold.coordination import followers
-from carawayfold.coordination.followers import Follower
-from carawayfold.coordination.knowledge import EndpointSnapshot
+from carawayfold.coordination.backoff import Backoff
+from carawayfold.coordination.knowledge import followers
+from carawayfold.coordination.knowledge.followers import Follower
+from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
 from tests.knowledge_builders import in_loop, knowledge, table
 from tests.schedule_builders import endpoint
@@ -82,7 +83,7 @@
     monkeypatch.setattr(followers.asyncio, "sleep", sleep)
 
     async def run():
-        backoff = followers.Backoff()
+        backoff = Backoff()
         for _ in range(4):
             await backoff.wait()
         backoff.reset()
--- a/tests/coordination/test_knowledge.py
+++ b/tests/coordination/knowledge/test_knowledge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from carawayfold.coordination.knowledge import EndpointSnapshot
+from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.protocol.sources import Page, Registered, SourceError
 from carawayfold.state.endpoints import LAPSE_GRACE
 from carawayfold.state.positions import position
--- a/tests/coordination/test_knowledge_model.py
+++ b/tests/coordination/knowledge/test_knowledge_model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from carawayfold.coordination.knowledge import Knowledge
+from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.state.endpoints import EndpointTable
 from tests.knowledge_model import Event, check
 
--- a/tests/coordination/test_attempts.py
+++ b/tests/coordination/requests/test_attempts.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from carawayfold.coordination.attempts import Attempt, AttemptRequest
-from carawayfold.coordination.repeats import AttemptEnd
+from carawayfold.coordination.requests.attempts import Attempt, AttemptRequest
+from carawayfold.coordination.requests.repeats import AttemptEnd
 from carawayfold.state.routes import RouteKind
 from carawayfold.transport.client import ExchangeError, Phase
 from tests.schedule_builders import endpoint, route
--- a/tests/coordination/test_calls.py
+++ b/tests/coordination/requests/test_calls.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from carawayfold.coordination.calls import AttemptFailed, CallHandler, RetryBudget
+from carawayfold.coordination.requests.calls import (
+    AttemptFailed,
+    CallHandler,
+    RetryBudget,
+)
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from tests.builders import call, small_view
 
--- a/tests/coordination/test_repeats.py
+++ b/tests/coordination/requests/test_repeats.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from carawayfold.coordination.repeats import (
+from carawayfold.coordination.requests.repeats import (
     AttemptEnd,
     Attempts,
     final_refusal,
--- a/tests/coordination/test_caches.py
+++ b/tests/coordination/scheduling/test_caches.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
-from carawayfold.coordination.caches import CacheReader
-from carawayfold.coordination.offers import Granted
+from carawayfold.coordination.scheduling.caches import CacheReader
+from carawayfold.coordination.scheduling.offers import Granted
 from carawayfold.protocol.exchanges import Part
 from carawayfold.protocol.sources import SourceError
-from tests.coordination.test_desk import Wire, decider, desks, play, request
+from tests.coordination.scheduling.test_desk import Wire, decider, desks, play, request
 
 
 class FakeCaches:
--- a/tests/coordination/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -9,19 +9,19 @@
 import pytest
 from msgspec import structs
 
-from carawayfold.coordination.desk import TAKEOVER_PAUSE, Desk, PoolDesk
-from carawayfold.coordination.division import POOL_SIZE
-from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.membership import Member, Membership
-from carawayfold.coordination.offers import (
+from carawayfold.coordination.fleet.membership import Member, Membership
+from carawayfold.coordination.fleet.suspects import Suspects
+from carawayfold.coordination.scheduling.desk import TAKEOVER_PAUSE, Desk, PoolDesk
+from carawayfold.coordination.scheduling.division import POOL_SIZE
+from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.offers import (
     Bar,
     Basis,
     Granted,
     Outcome,
     TurnedAway,
 )
-from carawayfold.coordination.scheduler import Scheduler
-from carawayfold.coordination.suspects import Suspects
+from carawayfold.coordination.scheduling.scheduler import Scheduler
 from carawayfold.protocol.datagrams import Datagram, GrantMessage, decode, encode
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
--- a/tests/coordination/test_division.py
+++ b/tests/coordination/scheduling/test_division.py
@@ -4,7 +4,12 @@
 
 from collections import Counter
 
-from carawayfold.coordination.division import POOL_SIZE, choose, choose_further, divide
+from carawayfold.coordination.scheduling.division import (
+    POOL_SIZE,
+    choose,
+    choose_further,
+    divide,
+)
 from carawayfold.state.ids import PoolId
 from tests.schedule_builders import endpoint
 
--- a/tests/coordination/test_donors.py
+++ b/tests/coordination/scheduling/test_donors.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from carawayfold.coordination.donors import LEAST_FETCHED, find_donor
-from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.offers import Granted, Outcome
+from carawayfold.coordination.scheduling.donors import LEAST_FETCHED, find_donor
+from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.offers import Granted, Outcome
 from carawayfold.protocol.exchanges import Part
 from tests.schedule_builders import offer, scheduler
 
--- a/tests/coordination/test_scheduler.py
+++ b/tests/coordination/scheduling/test_scheduler.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
-from carawayfold.coordination.scheduler import (
+from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.offers import Granted, Outcome, TurnedAway
+from carawayfold.coordination.scheduling.scheduler import (
     HEAD,
     REVIEW_INTERVAL,
     PoolPlan,
--- a/tests/coordination/test_slow_start.py
+++ b/tests/coordination/scheduling/test_slow_start.py
@@ -11,9 +11,9 @@
 import pytest
 from msgspec import structs
 
-from carawayfold.coordination.endpoint_load import Active
-from carawayfold.coordination.offers import Granted, Outcome, TurnedAway
-from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.offers import Granted, Outcome, TurnedAway
+from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from tests.schedule_builders import WINDOW, endpoint, offer
 
 #: Requests a second that a warming endpoint tolerates.
--- a/tests/knowledge_builders.py
+++ b/tests/knowledge_builders.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from carawayfold.coordination.knowledge import Knowledge
+from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.state.routes import CallerLimits, RouteTable
 
 
--- a/tests/schedule_builders.py
+++ b/tests/schedule_builders.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from carawayfold.coordination.offers import Offer
-from carawayfold.coordination.scheduler import PoolPlan, Scheduler
+from carawayfold.coordination.scheduling.offers import Offer
+from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.exchanges import Part
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from carawayfold.coordination.containment import Containment
-from carawayfold.coordination.crash_reports import Loss
-from carawayfold.coordination.pulse import Pulse
+from carawayfold.coordination.containment.containment import Containment
+from carawayfold.coordination.containment.crash_reports import Loss
+from carawayfold.coordination.containment.pulse import Pulse
 from carawayfold.protocol.sources import SourceError
 from carawayfold.settings import Address
 from carawayfold.state.contents import content_id
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.fleet import Fleet
-from carawayfold.coordination.membership import Member, PeerState
+from carawayfold.coordination.fleet.fleet import Fleet
+from carawayfold.coordination.fleet.membership import Member, PeerState
 from carawayfold.protocol.datagrams import Beat, Datagram, decode, encode
 from carawayfold.protocol.sources import PeerEntry
 from carawayfold.settings import Address
--- a/tests/simulated_pools.py
+++ b/tests/simulated_pools.py
@@ -6,9 +6,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from carawayfold.coordination.desk import FURTHER_POOLS
-from carawayfold.coordination.division import choose, choose_further
-from carawayfold.coordination.offers import Granted, Outcome
+from carawayfold.coordination.scheduling.desk import FURTHER_POOLS
+from carawayfold.coordination.scheduling.division import choose, choose_further
+from carawayfold.coordination.scheduling.offers import Granted, Outcome
 from tests.schedule_builders import offer, scheduler
 
 #: Seconds that are played, and between two rounds of requests.
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -15,11 +15,11 @@
 
 import msgspec
 
-from carawayfold.coordination import anti_entropy, followers
-from carawayfold.coordination.anti_entropy import AntiEntropy
-from carawayfold.coordination.hubs import MESH_MOST
-from carawayfold.coordination.knowledge import Knowledge
-from carawayfold.coordination.readers import can_tell
+from carawayfold.coordination.fleet.hubs import MESH_MOST
+from carawayfold.coordination.fleet.readers import can_tell
+from carawayfold.coordination.knowledge import anti_entropy, followers
+from carawayfold.coordination.knowledge.anti_entropy import AntiEntropy
+from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.protocol.datagrams import Beat
 from carawayfold.protocol.sources import Registered
 from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
--- a/tests/state/test_configuration.py
+++ b/tests/state/test_configuration.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawayfold.coordination.configuration import pack, unpack
+from carawayfold.coordination.knowledge.configuration import pack, unpack
 from carawayfold.state.configuration import (
     ApiKey,
     Change,
