--- a/carawayfold/coordination/fleet/membership.py
+++ b/carawayfold/coordination/fleet/membership.py
@@ -16,8 +16,7 @@
 #: Least silence limit, in seconds.
 SILENCE_LIMIT = 2.0
 #: Least processor of those who look after something, as a part of the strongest one's.
-#: Chosen, not measured: near enough for instances of one size to share the work, and
-#: far from the weakest, which have a quarter of what the strongest have.
+#: Instances of nearly one size share the work, the weakest are left out.
 STRONG_PART = 0.75
 
 
--- a/carawayfold/coordination/scheduling/placement.py
+++ b/carawayfold/coordination/scheduling/placement.py
@@ -23,18 +23,13 @@
 #: requests, more lets long prompts pile up in front of short ones.
 READ_AHEAD = 0.1
 #: How much dearer it is to read a shared part again than its time alone: it takes
-#: time from all that runs beside it. In the emulator at full load, 16 reads 45 and
-#: 90 % of the tokens again that 6 does, for the two deployments it knows, and earns
-#: 0.009 and 0.008 more of what is owed.
+#: time from all that runs beside it.
 REREAD_WEIGHT = 16.0
-#: How much a token that is copied from another engine weighs, in the same unit. A
-#: copy costs a tenth of reading again, but with 1.5 nothing holds requests back where
-#: their prefixes are: copies then cost 0.017 of all worth and rereads 0.022, with 4
-#: they cost 0.012 and 0.018 (means of two heavy days of nine engines).
+#: How much a token that is copied from another engine weighs, in the same unit. More
+#: than a copy costs, so that requests stay where their prefixes are.
 FETCH_WEIGHT = 4.0
-#: Seconds that a choice which misses the objective is taken to be slower: without
-#: it, calm days lose a tenth of their worth to requests that wait for their prefix
-#: beside idle engines. Of 0, 0.5, 1 and 2, 1 earned most there.
+#: Seconds that a choice which misses the objective is taken to be slower, so that no
+#: request waits too long for its prefix beside idle engines.
 LATE_PENALTY = 1.0
 #: Seconds that an endpoint in another data centre is taken to be slower: the way,
 #: and the traffic between data centres.
@@ -47,9 +42,8 @@
 #: The same for plain requests: how much slower an endpoint is taken to be that fails
 #: everything while others fail nothing, in objectives of the request: a failed answer
 #: may lose the request or takes a second one, a wait of an objective makes it late.
-#: With the engines' 2 s, requests that want their answer in 0.2 s waited beside idle
-#: endpoints that had failed one answer: 15 % of them, with one in ten failing by
-#: itself and a quarter of the places taken.
+#: A penalty of seconds would let requests that want their answer in tenths of one wait
+#: beside idle endpoints that have failed a single answer.
 FAILURE_OBJECTIVES = 1.5
 #: Seconds that a request is taken to want its answer in at least: what comes back
 #: late has no time left, and still should not go where it fails.
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -96,8 +96,8 @@
 #: Seconds between looks at every waiting request, to order them anew and to find
 #: those that can't be in time any more.
 REVIEW_INTERVAL = 0.04
-#: Requests at the head of the queue for which each endpoint is weighed: without the
-#: limit, a queue of 300 took a whole core.
+#: Requests at the head of the queue for which each endpoint is weighed, so that the
+#: time of a decision does not grow with the queue.
 HEAD = 24
 #: The same between two such looks, whenever an endpoint has room.
 LOOKED_AT = 8
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -416,8 +416,7 @@
             incoming.answer(404, [])
 
     def _serve_metrics(self, incoming: Incoming) -> None:
-        # Imported at the first question: a router that nobody asks starts 45 ms of
-        # processor time sooner (mean of ten starts).
+        # Imported at the first question, so that a router starts sooner.
         from carawayfold.protocol import forward_exposition
 
         kind = [("Content-Type", forward_exposition.CONTENT_TYPE)]
--- a/tests/coordination/knowledge/test_registrations.py
+++ b/tests/coordination/knowledge/test_registrations.py
@@ -144,3 +144,21 @@
     ever after; seed 0 of it took 0.56, 0.41, 0.49 and 0.41 s in four processes.
     """
     assert printed("0") == printed("1") == printed("2")
+
+
+#: Seconds after which nothing may be sent to an evacuated data centre, on the
+#: deployments known.
+EVACUATION_BOUND = 5.0
+
+
+@pytest.mark.parametrize("name", TROUBLES)
+@pytest.mark.parametrize(("count", "places"), [(24, 3), (67, 3)])
+def test_an_evacuation_reaches_all_routers_in_time(count, places, name):
+    ages, _ = ages_of(count, places, TROUBLES[name], SEEDS[:2], evacuate=True)
+    assert ages[-1] <= EVACUATION_BOUND
+
+
+def test_an_evacuation_reaches_all_routers_in_time_when_all_hubs_are_hit():
+    for trouble in HUB_TROUBLES.values():
+        ages, _ = ages_of(67, 3, trouble, SEEDS[:2], evacuate=True)
+        assert ages[-1] <= EVACUATION_BOUND
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -110,7 +110,7 @@
 
     async def keep_looking(self):
         store = self.world.store
-        tables = self.source(store.tables, lambda: store.tables[-1:])
+        tables = self.source(store.tables, store.newest_words)
         registered = self.source(store.records, store.newest)
         peers = self.anti_entropy
         async with asyncio.TaskGroup() as group:
@@ -127,6 +127,10 @@
         """Return for how long this router says that it has not known everything."""
         return self.anti_entropy.information_age()
 
+    def knows_evacuated(self, data_centre):
+        """Return whether this router would send nothing more to a data centre."""
+        return data_centre in self.knowledge.evacuations.active
+
     def knows(self, name):
         """Return whether this router would send nothing more to an endpoint."""
         known = self.knowledge.endpoints.entries.get(name)
@@ -181,6 +185,20 @@
         self.register(name, leaving=True)
         return await self.watch(name, watched)
 
+    async def evacuate(self, data_centre, watched=None):
+        """Evacuate a data centre; return after how long each router knew."""
+        self.store.evacuate(data_centre)
+        begun = self.loop.time()
+        unaware = set(self.in_touch() if watched is None else watched)
+        ages = {}
+        while unaware and self.loop.time() - begun < PATIENCE:
+            for router in list(unaware):
+                if self.routers[router].knows_evacuated(data_centre):
+                    ages[router] = self.loop.time() - begun
+                    unaware.discard(router)
+            await asyncio.sleep(LOOK_INTERVAL)
+        return ages | dict.fromkeys(unaware, PATIENCE)
+
     async def vanish(self, name):
         """Let an endpoint go without a word; return after how long each router knew."""
         self.store.write(Registered(name, None))
@@ -203,13 +221,15 @@
         return ages | dict.fromkeys(unaware, PATIENCE)
 
 
-async def play_round(count, places, trouble, seed, watch=None):
+async def play_round(count, places, trouble, seed, watch=None, evacuate=False):
     """Return the ages of one round, and the calls of the store in a calm second.
 
     Parameters
     ----------
     watch : callable, optional
         Returns the routers to watch; those in touch without it.
+    evacuate : bool
+        Whether a data centre is evacuated, in place of an endpoint that leaves.
     """
     fleet = started(count, places, seed=seed)
     world = SimulatedNews(fleet)
@@ -229,7 +249,10 @@
         if not router.knows(f"e-{ENDPOINTS - 1 - number}")
     ]
     watched = watch(world) if watch is not None else None
-    ages = await world.leave("e-0", watched)
+    if evacuate:
+        ages = await world.evacuate("north", watched)
+    else:
+        ages = await world.leave("e-0", watched)
     if world.storm is not None:
         world.storm.cancel()
     failed = [task for task in fleet.looks.values() if task.done()]
@@ -241,26 +264,28 @@
     return ages, calls
 
 
-def ages_of(count, places, trouble, seeds, watch=None):
+def ages_of(count, places, trouble, seeds, watch=None, evacuate=False):
     """Return the ages of all rounds, sorted, and the calls in a calm second."""
     ages = []
     calls = 0.0
     for seed in seeds:
         taken = simulate(
-            lambda seed=seed: play_round(count, places, trouble, seed, watch)
+            lambda seed=seed: play_round(count, places, trouble, seed, watch, evacuate)
         )
         ages += taken[0].values()
         calls = taken[1]
     return sorted(ages), calls
 
 
-def main(sizes, rounds):
+def main(sizes, rounds, evacuate=False):
     """Print a row for each size and trouble."""
     print("routers  trouble                      median   99 %  worst  calls/s calm")
     for count, places in sizes:
         troubles = TROUBLES if count <= MESH_MOST else TROUBLES | HUB_TROUBLES
         for name, trouble in troubles.items():
-            ages, calls = ages_of(count, places, replace(trouble), range(rounds))
+            ages, calls = ages_of(
+                count, places, replace(trouble), range(rounds), evacuate=evacuate
+            )
             shown = [ages[len(ages) // 2], ages[int(len(ages) * 0.99)], ages[-1]]
             row = "".join(f"{age:7.2f}" for age in shown)
             print(f"{count:7}  {name:27} {row}  {calls:7.1f}", flush=True)
@@ -269,4 +294,5 @@
 if __name__ == "__main__":
     chosen = {"24": (24, 3), "67": (67, 3), "195": (195, 5), "360": (360, 11)}
     wanted = sys.argv[1].split(",") if len(sys.argv) > 1 else list(chosen)
-    main([chosen[size] for size in wanted], int((sys.argv[2:] or ["4"])[0]))
+    rounds = int((sys.argv[2:] or ["4"])[0])
+    main([chosen[size] for size in wanted], rounds, "evacuation" in sys.argv[3:])
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -8,7 +8,13 @@
 from enum import Enum
 
 from carawayfold.platform import store as platform_store
-from carawayfold.protocol.sources import HistoryLost, Page, Registered, SourceError
+from carawayfold.protocol.sources import (
+    Evacuation,
+    HistoryLost,
+    Page,
+    Registered,
+    SourceError,
+)
 from carawayfold.state.positions import era_of, offset_of, position
 from carawayfold.state.routes import CallerLimits, RouteTable
 
@@ -47,6 +53,15 @@
         self.tables.append(table)
         self._tell()
 
+    def evacuate(self, data_centre):
+        self.tables.append(Evacuation(data_centre, True))
+        self._tell()
+
+    def newest_words(self):
+        """Return the last configuration and the last word on each data centre."""
+        last = {getattr(item, "data_centre", None): item for item in self.tables}
+        return list(last.values())
+
     def _tell(self):
         self.changed.set()
         self.changed = asyncio.Event()
