Tell the further pool which engine keeps a prompt's beginning

Hypothesis: copies cost a twelfth of reading again, so who turns a request away should name the engine that has read its prefix.

Change: the refusal of a pool names that engine, and the offer to the further pool does.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -329,7 +329,8 @@
                 return min(refusals, key=lambda item: item.retry_after)
             asked.append(pool)
             # Who decides may remember its answer under the old name.
-            offer = replace(offer, call=self.next_call())
+            kept_at = decision.kept_at or offer.kept_at
+            offer = replace(offer, call=self.next_call(), kept_at=kept_at)
 
     async def place(self, offer: Offer, pool: PoolId) -> Decision:
         """Return the decision on a request; cancel to withdraw it."""
@@ -567,7 +568,9 @@
                 round(basis.age * 1000),
             )
         retry_after = round(decision.retry_after * 1000)
-        return TurnAwayMessage(decision.call, decision.reason, retry_after)
+        return TurnAwayMessage(
+            decision.call, decision.reason, retry_after, decision.kept_at
+        )
 
     def endpoint_lost(self, endpoint: EndpointId) -> None:
         """Send nothing more to an endpoint that has ended, whoever found out."""
@@ -633,7 +636,10 @@
     @_take.register
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
         retry_after = message.retry_after / 1000
-        self._resolve(TurnedAway(message.call, message.reason, retry_after), sender)
+        decision = TurnedAway(
+            message.call, message.reason, retry_after, message.kept_at
+        )
+        self._resolve(decision, sender)
 
     def _resolve(self, decision: Decision, sender: RouterId) -> None:
         ticket = self.tickets.get(decision.call)
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -171,11 +171,15 @@
     ----------
     retry_after : float
         Seconds after which coming back helps.
+    kept_at : EndpointId or None
+        The pool's engine that has read most of the prompt, from which one of another
+        pool can copy it.
     """
 
     call: CallId
     reason: str
     retry_after: float
+    kept_at: EndpointId | None = None
 
 
 Decision = Granted | TurnedAway
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -23,7 +23,7 @@
 import xxhash
 
 from carawayfold.coordination.scheduling.backlog import Backlog
-from carawayfold.coordination.scheduling.donors import find_donor
+from carawayfold.coordination.scheduling.donors import LEAST_FETCHED, find_donor
 from carawayfold.coordination.scheduling.endpoint_load import (
     RESIDENCE,
     Active,
@@ -568,7 +568,22 @@
         draw = xxhash.xxh3_64_intdigest(offer.call.encode()) % 1000 / 1000
         wanted = max(LEAST_RETRY, wait) * (0.75 + 0.5 * draw)
         longest = max(LEAST_RETRY, (offer.expires - now) * RETRY_PART)
-        return TurnedAway(offer.call, reason, min(wanted, longest, MOST_RETRY))
+        retry_after = min(wanted, longest, MOST_RETRY)
+        return TurnedAway(offer.call, reason, retry_after, self._keeper_of(offer))
+
+    def _keeper_of(self, offer: Offer) -> EndpointId | None:
+        """Return the engine that others may copy a prompt's beginning from, if any."""
+        if offer.shared_tokens < LEAST_FETCHED:
+            return None
+        prompt = offer.prompt
+        kept, keeper = max(
+            (
+                (load.prefixes.present(prompt), name)
+                for name, load in self.loads.items()
+            ),
+            default=(0, None),
+        )
+        return keeper if kept >= LEAST_FETCHED else None
 
     # Order
 
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -123,11 +123,18 @@
 
 
 class TurnAwayMessage(msgspec.Struct, array_like=True, tag=6, frozen=True):
-    """A request can't be served in time; come back after so many milliseconds."""
+    """A request can't be served in time; come back after so many milliseconds.
+
+    Attributes
+    ----------
+    kept_at : EndpointId or None
+        An engine of the pool that keeps the beginning of its prompt.
+    """
 
     call: CallId
     reason: str
     retry_after: int
+    kept_at: EndpointId | None = None
 
 
 class BegunMessage(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -23,6 +23,7 @@
 )
 from carawayfold.coordination.scheduling.scheduler import Scheduler
 from carawayfold.protocol.datagrams import Datagram, GrantMessage, decode, encode
+from carawayfold.protocol.exchanges import Part
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
 from tests.schedule_builders import endpoint, offer
@@ -297,6 +298,23 @@
     assert placed_there
 
 
+def test_a_further_pool_copies_the_prompt_from_the_first_one():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"], endpoints=2 * POOL_SIZE)
+        desk = made["a"]
+        asked = request(desk, "x", tokens=5000)
+        own = desk.pool_for("model", asked.prompt)
+        keeper = next(iter(desk.pools[own].scheduler.loads))
+        for each in made.values():
+            fill(each, own)
+            each.pools[own].scheduler.learn_kept(keeper, [Part("t-x", 5000)])
+        decision = await desk.place_in_any(asked, "model")
+        return decision.donor == keeper
+
+    assert play(work)
+
+
 def test_what_no_pool_can_serve_in_time_is_turned_away_with_the_shorter_wait():
     async def work():
         made = desks(Wire(), ["a"], endpoints=2 * POOL_SIZE)
