Name no engine that is silent, fails or is out of reach as keeper of a prompt

Cause, read in the diff: the refusal of a pool named whatever engine had read most of the prompt, while a donor of the pool itself must not be silent, failing or unreachable to some router. What an engine does when its donor can't be reached is not known.

Change: the same conditions for both.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -73,8 +73,6 @@
     AttemptEnd.UNREACHABLE: Outcome.UNREACHABLE,
     AttemptEnd.WITHDRAWN: Outcome.LEAVING,
 }
-
-
 #: What is logged of a grant that is given back.
 BARRED_LINES = {
     Bar.LEAVING: "granted an endpoint that leaves",
@@ -277,7 +275,7 @@
 
     async def _place(self, call: ForwardedCall) -> Granted:
         if call.allowed is not None:
-            self._refuse_homeless(call)
+            self._refuse_without_region(call)
         asked_at = self.loop.time()
         decision = await self.desk.place_in_any(self._offer(call), call.service)
         call.waited = self.loop.time() - asked_at
@@ -285,7 +283,7 @@
             raise self._turned_away(call, decision)
         return decision
 
-    def _refuse_homeless(self, call: ForwardedCall) -> None:
+    def _refuse_without_region(self, call: ForwardedCall) -> None:
         """Raise the answer to a request for which no endpoint is in its regions."""
         if self.desk.weights_for(call.service, call.allowed):
             return
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -22,7 +22,7 @@
 import msgspec
 import xxhash
 
-from carawayfold.coordination.scheduling.backlog import Backlog
+from carawayfold.coordination.scheduling.backlog import FAILING_MOST, Backlog
 from carawayfold.coordination.scheduling.donors import LEAST_FETCHED, find_donor
 from carawayfold.coordination.scheduling.endpoint_load import (
     RESIDENCE,
@@ -569,21 +569,24 @@
         wanted = max(LEAST_RETRY, wait) * (0.75 + 0.5 * draw)
         longest = max(LEAST_RETRY, (offer.expires - now) * RETRY_PART)
         retry_after = min(wanted, longest, MOST_RETRY)
-        return TurnedAway(offer.call, reason, retry_after, self._keeper_of(offer))
+        keeper = self._keeper_of(offer, now)
+        return TurnedAway(offer.call, reason, retry_after, keeper)
 
-    def _keeper_of(self, offer: Offer) -> EndpointId | None:
+    def _keeper_of(self, offer: Offer, now: float) -> EndpointId | None:
         """Return the engine that others may copy a prompt's beginning from, if any."""
         if offer.shared_tokens < LEAST_FETCHED:
             return None
-        prompt = offer.prompt
-        kept, keeper = max(
-            (
-                (load.prefixes.present(prompt), name)
-                for name, load in self.loads.items()
-            ),
-            default=(0, None),
-        )
-        return keeper if kept >= LEAST_FETCHED else None
+        most, keeper = LEAST_FETCHED - 1, None
+        for name, load in self.loads.items():
+            present = load.prefixes.present(offer.prompt)
+            if present > most and self._may_donate(load, now):
+                most, keeper = present, name
+        return keeper
+
+    def _may_donate(self, load: EndpointLoad, now: float) -> bool:
+        if load.suspended_until > now or load.failure_share(now) > FAILING_MOST:
+            return False
+        return all(endpoint != load.endpoint.id for _, endpoint in self.unreachable)
 
     # Order
 
@@ -613,8 +616,7 @@
         """Return what an answer is worth for the engine's time that it takes.
 
         Both are rough, so only the power of two counts: what is within a factor of
-        two goes by its objective. In the emulator under 1.3 times the load that the
-        engines can do, that earns 2.5 % more than the exact ratio.
+        two goes by its objective.
         """
         kept = max(
             (load.prefixes.kept(offer.prompt) for load in self.loads.values()),
--- a/tests/coordination/scheduling/test_donors.py
+++ b/tests/coordination/scheduling/test_donors.py
@@ -4,7 +4,7 @@
 
 from carawayfold.coordination.scheduling.donors import LEAST_FETCHED, find_donor
 from carawayfold.coordination.scheduling.endpoint_load import Active
-from carawayfold.coordination.scheduling.offers import Granted, Outcome
+from carawayfold.coordination.scheduling.offers import Granted, Outcome, TurnedAway
 from carawayfold.protocol.exchanges import Part
 from tests.schedule_builders import offer, scheduler
 
@@ -102,3 +102,29 @@
 def test_an_engine_of_the_pool_is_asked_before_one_of_another_pool():
     item = offer(tokens=5000, now=1.0, kept_at="far-1")
     assert grant(keeper_that_is_full(), item, 1.0).donor == "e-0"
+
+
+def turned_away(pool):
+    """Return the refusal of a request that no engine of the pool can serve in time."""
+    for name, load in pool.loads.items():
+        load.residence = 100.0
+        for number in range(load.endpoint.slots):
+            call = f"b.0.{name}-{number}"
+            pool.holds(name, Active(call, "b", 0, 10, 1.0, 1.0, begun=True))
+    pool.offer(offer(tokens=5000, now=1.0), 1.0)
+    (decision,) = pool.decide(1.0)
+    assert isinstance(decision, TurnedAway)
+    return decision
+
+
+def test_who_turns_a_request_away_names_the_engine_that_keeps_its_prompt():
+    pool = scheduler(endpoints=3)
+    pool.learn_kept("e-1", [Part("topic", 5000)])
+    assert turned_away(pool).kept_at == "e-1"
+
+
+def test_an_engine_that_fell_silent_is_not_named():
+    pool = scheduler(endpoints=3)
+    pool.learn_kept("e-1", [Part("topic", 5000)])
+    pool.loads["e-1"].suspended_until = 9.0
+    assert turned_away(pool).kept_at is None
