--- a/tests/coordination/knowledge/test_knowledge.py
+++ b/tests/coordination/knowledge/test_knowledge.py
@@ -180,3 +180,35 @@
         return list(known.endpoints.entries)
 
     assert in_loop(run) == ["a"]
+
+
+def test_a_peer_tells_for_how_long_an_endpoint_still_warms_up():
+    async def run():
+        first, _ = knowledge()
+        now = first.loop.time()
+        cold = endpoint("a", warm_up=3.0, warm_at=now + 2.0)
+        warm = endpoint("b")
+        items = [Registered(item.name, item) for item in (cold, warm)]
+        first.take_listed(Page(items, 10))
+        second, _ = knowledge()
+        second.take_snapshot(first.snapshot(), "peer")
+        later = second.loop.time()
+        told = second.endpoints.entries
+        left = told["a"].warm_at - later
+        return 1.5 < left <= 2.0, told["b"].is_warming(later)
+
+    assert in_loop(run) == (True, False)
+
+
+def test_the_same_list_again_does_not_start_a_warm_up_anew():
+    async def run():
+        known, _ = knowledge()
+        for warm_at in (5.0, 9.0):
+            item = endpoint("a", warm_up=3.0, warm_at=warm_at)
+            known.take_listed(Page([Registered("a", item)], 10))
+        listed = known.endpoints.entries["a"].warm_at
+        again = endpoint("a", warm_up=3.0, warm_at=20.0)
+        known.take_registered(Page([Registered("a", again)], 11))
+        return listed, known.endpoints.entries["a"].warm_at
+
+    assert in_loop(run) == (5.0, 20.0)
