Ask one place what may donate, where a request may run and what gets nothing

Cause, read in the whole diff: whether an engine may hand over a prompt stood in Backlog.of and again in the scheduler; whether a data centre is allowed in three modules; that an endpoint leaves or is evacuated in three places; one branch tested the same condition twice.

Change: the scheduler asks Backlog.of, Offer.may_run_in and Desk.gets_nothing serve the rest. No behaviour changes, no test touched.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -366,7 +366,7 @@
     def _check_donor(self, call: ForwardedCall, granted: Granted) -> Endpoint | None:
         """Return the engine to copy from, None if it must not be used."""
         donor = self.desk.endpoints.get(granted.donor) if granted.donor else None
-        if donor is None or donor.leaving or self.desk.is_evacuated(donor):
+        if donor is None or self.desk.gets_nothing(donor):
             return None
         return donor if self._is_allowed(call, donor) else None
 
@@ -377,9 +377,7 @@
             if attempt is None or attempt.sent:
                 continue
             endpoint = self.desk.endpoints.get(attempt.endpoint.id)
-            if endpoint is None:
-                continue
-            if endpoint.leaving or self.desk.is_evacuated(endpoint):
+            if endpoint is not None and self.desk.gets_nothing(endpoint):
                 call.passed_over.add(endpoint.id)
                 attempt.withdraw()
 
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -242,6 +242,10 @@
         """Return whether an endpoint is in an evacuated data centre."""
         return endpoint.data_centre in self.evacuated
 
+    def gets_nothing(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint leaves, or its data centre is evacuated."""
+        return endpoint.leaving or self.is_evacuated(endpoint)
+
     def find_bar(self, endpoint: Endpoint, granted: Granted) -> Bar | None:
         """Return why a request must not go where it was granted, None if it may.
 
@@ -429,7 +433,7 @@
         """
         found = self.sent_prefixes.get(prompt[-2].id) if len(prompt) > 1 else None
         endpoint = self.endpoints.get(found) if found is not None else None
-        if endpoint is None or endpoint.leaving or self.is_evacuated(endpoint):
+        if endpoint is None or self.gets_nothing(endpoint):
             return None
         return found if allowed is None or endpoint.data_centre in allowed else None
 
--- a/carawayfold/coordination/scheduling/donors.py
+++ b/carawayfold/coordination/scheduling/donors.py
@@ -57,7 +57,7 @@
     most = LEAST_FETCHED - 1
     for backlog in backlogs:
         prefixes = backlog.load.prefixes
-        if offer.allowed is not None and backlog.data_centre not in offer.allowed:
+        if not offer.may_run_in(backlog.data_centre):
             continue
         if not backlog.may_donate or prefixes.kept(prompt) <= most:
             continue
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -79,6 +79,10 @@
         # The last part of a prompt is the request's own.
         self.shared_tokens = sum(part.tokens for part in self.prompt[:-1])
 
+    def may_run_in(self, data_centre: DataCentreId) -> bool:
+        """Return whether it may run in a data centre."""
+        return self.allowed is None or data_centre in self.allowed
+
     @property
     def share_tokens(self) -> int:
         """Return what it takes of its organisation's share."""
--- a/carawayfold/coordination/scheduling/placement.py
+++ b/carawayfold/coordination/scheduling/placement.py
@@ -136,9 +136,9 @@
         cost += FAILURE_PENALTY * backlog.failure + FULL_ENGINE_PENALTY * used
     else:
         cost += backlog.residence * used
-    if not offer.prompt_tokens and backlog.excess:
-        objective = max(LEAST_OBJECTIVE, offer.due - offer.arrived)
-        cost += FAILURE_OBJECTIVES * objective * backlog.excess
+        if backlog.excess:
+            objective = max(LEAST_OBJECTIVE, offer.due - offer.arrived)
+            cost += FAILURE_OBJECTIVES * objective * backlog.excess
     if now + first_in > offer.due:
         cost += LATE_PENALTY
     reread = offer.shared_tokens - kept - fetched
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -22,7 +22,7 @@
 import msgspec
 import xxhash
 
-from carawayfold.coordination.scheduling.backlog import FAILING_MOST, Backlog
+from carawayfold.coordination.scheduling.backlog import Backlog
 from carawayfold.coordination.scheduling.donors import LEAST_FETCHED, find_donor
 from carawayfold.coordination.scheduling.endpoint_load import (
     RESIDENCE,
@@ -486,7 +486,7 @@
     def _usable(self, offer: Offer, backlogs: list[Backlog]) -> list[Backlog]:
         usable = [item for item in backlogs if not item.resting]
         if offer.allowed is not None:
-            usable = [item for item in usable if item.data_centre in offer.allowed]
+            usable = [item for item in usable if offer.may_run_in(item.data_centre)]
         if not offer.avoid and not self.unreachable:
             return usable
         return [
@@ -545,8 +545,7 @@
                     self.unreachable.get((offer.router, item.id), 0.0),
                 )
                 for item in backlogs
-                if item.id not in offer.avoid
-                and (offer.allowed is None or item.data_centre in offer.allowed)
+                if item.id not in offer.avoid and offer.may_run_in(item.data_centre)
             ),
             default=math.inf,
         )
@@ -576,18 +575,14 @@
         """Return the engine that others may copy a prompt's beginning from, if any."""
         if offer.shared_tokens < LEAST_FETCHED:
             return None
+        lost = {endpoint for _, endpoint in self.unreachable}
         most, keeper = LEAST_FETCHED - 1, None
         for name, load in self.loads.items():
             present = load.prefixes.present(offer.prompt)
-            if present > most and self._may_donate(load, now):
+            if present > most and Backlog.of(load, now, name not in lost).may_donate:
                 most, keeper = present, name
         return keeper
 
-    def _may_donate(self, load: EndpointLoad, now: float) -> bool:
-        if load.suspended_until > now or load.failure_share(now) > FAILING_MOST:
-            return False
-        return all(endpoint != load.endpoint.id for _, endpoint in self.unreachable)
-
     # Order
 
     def _overall_part(self, now: float) -> float:
