Tell how a version came into force, which read of the store failed, and what the budget held

Cause: the logs could not tell the hypotheses on late configurations and on repeats apart: not which topic's read had hung and for how long, not for how long a refusal's version had been in force and who had told it, not what the budget's window held when a request was repeated.

Change: 'read failed' (topic, lasted_ms, pause_ms), 'configuration in force' tells age_ms, 'request refused' tells in_force_s and told_by, 'repeat' and 'no repeat left' tell requests, repeats, allowed and routers; metrics for the age of the configuration and for repeats. No decision changes.

--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -46,6 +46,8 @@
 
     Parameters
     ----------
+    topic : str
+        What it is called in the log.
     source : Source
         What to read.
     knowledge : Knowledge
@@ -66,6 +68,7 @@
 
     def __init__(
         self,
+        topic: str,
         source: Source,
         knowledge: Knowledge,
         on_newest: Callable[[Page], None],
@@ -76,6 +79,7 @@
         told: Callable[[], Position | None] = lambda: None,
         pause: float = 0.0,
     ) -> None:
+        self.topic = topic
         self.told = told
         self.turn = turn
         self.on_answer = on_answer
@@ -88,6 +92,8 @@
         self.next: Position | None = None
         #: Whether the records after `next` are no longer kept.
         self.lost = False
+        #: Loop time at which the last call began.
+        self.asked_at = 0.0
         self.backoff = Backoff()
 
     async def follow(self) -> None:
@@ -103,8 +109,19 @@
                 await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
                 self.knowledge.note_failure(error)
+                self._log_failure(error)
                 await self.backoff.wait()
 
+    def _log_failure(self, error: SourceError) -> None:
+        lasted = self.knowledge.loop.time() - self.asked_at
+        extra = {
+            "topic": self.topic,
+            "lasted_ms": round(lasted * 1000),
+            "pause_ms": round(self.backoff.pause * 1000),
+            "reason": str(error),
+        }
+        logger.info("read failed", extra=extra)
+
     def _start(self) -> Position | None:
         """Return where to read on.
 
@@ -119,6 +136,7 @@
         if self.next is not None or self.knowledge.complete:
             await self.turn()
         start = None if self.lost else self._start()
+        self.asked_at = self.knowledge.loop.time()
         if start is None:
             page = await self.source.newest()
             self.on_answer()
@@ -140,13 +158,14 @@
 ) -> Follower:
     """Return a follower of the operators' configurations and evacuations."""
     return Follower(
+        "operators",
         source,
         knowledge,
         partial(knowledge.take_operators, listed=True),
         knowledge.take_operators,
         lambda: CONFIGURATION_WAIT,
         turn,
-        knowledge.note_answer,
+        knowledge.note_operators,
     )
 
 
@@ -158,6 +177,7 @@
 ) -> Follower:
     """Return a follower of registrations."""
     return Follower(
+        "registrations",
         source,
         knowledge,
         knowledge.take_listed,
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -16,6 +16,7 @@
 from carawayfold.state.evacuations import EvacuationSnapshot, EvacuationTable
 from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of
+from carawayfold.state.routes import InForce
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,12 +64,15 @@
         Loop time of its last answer.
     registrations : float
         Loop time of its last answer that told all registrations.
+    operators : float
+        Loop time of its last answer that told all of the operators' words.
     reachable : bool
         Whether the last call was answered.
     """
 
     answered: float = 0.0
     registrations: float = 0.0
+    operators: float = 0.0
     reachable: bool = True
 
 
@@ -113,7 +117,9 @@
         #: Loop time until which lists may come from a copy that holds what is gone.
         self.copied_until = float("-inf")
         now = self.loop.time()
-        self.store = StoreHealth(answered=now, registrations=now)
+        self.store = StoreHealth(answered=now, registrations=now, operators=now)
+        #: How the configuration in force came to be so; None until there is one.
+        self.in_force: InForce | None = None
 
     def _own_age(self) -> float:
         return self.loop.time() - self.store.registrations
@@ -144,6 +150,15 @@
         self.note_answer()
         self.store.registrations = self.store.answered
 
+    def note_operators(self) -> None:
+        """Note that the store told all of the operators' words."""
+        self.note_answer()
+        self.store.operators = self.store.answered
+
+    def operators_age(self) -> float:
+        """Return the seconds since the store told this router the operators' words."""
+        return self.loop.time() - self.store.operators
+
     def note_failure(self, error: SourceError) -> None:
         """Note that the store did not answer, or refused."""
         self._note_outage(self.loop.time())
@@ -167,8 +182,14 @@
         """Put a configuration in force unless it is older than the one in force."""
         if table.version <= self.version:
             return
-        extra = {"version": table.version, "before": self.version, "source": source}
+        extra = {
+            "version": table.version,
+            "before": self.version,
+            "source": source,
+            "age_ms": round(self.operators_age() * 1000),
+        }
         self.routes = table
+        self.in_force = InForce(table.version, source, self.loop.time())
         logger.info("configuration in force", extra=extra)
         self.on_routes(table)
 
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -51,7 +51,7 @@
         RouteId,
         ServiceId,
     )
-    from carawayfold.state.routes import Route, RouteIndex, RouteTable
+    from carawayfold.state.routes import InForce, Route, RouteIndex, RouteTable
     from carawayfold.transport.client import HttpClient
     from carawayfold.transport.edge import Incoming
 
@@ -166,6 +166,8 @@
         self.loop = asyncio.get_running_loop()
         #: The configuration in force; None until one is known.
         self.index: RouteIndex | None = None
+        #: How it came to be so.
+        self.in_force: InForce | None = None
         self.patience: dict[RouteId, Patience] = {}
         self.calls: dict[ForwardedCall, asyncio.Task[None]] = {}
 
@@ -387,14 +389,30 @@
         if self.containment.is_suspected(call):
             # One more endpoint would settle it; its caller may come back for that.
             raise final_refusal(call.attempts, end)
-        routers = self.desk.fleet.size
-        now = self.loop.time()
-        if may_repeat(call.route, call.attempts) and self.budget.take(
-            call.service, routers, now
-        ):
+        if may_repeat(call.route, call.attempts) and self._take_repeat(call):
             return
         raise final_refusal(call.attempts, end)
 
+    def _take_repeat(self, call: ForwardedCall) -> bool:
+        """Take one repeat from this router's part of the budget, if there is one."""
+        routers = self.desk.fleet.size
+        now = self.loop.time()
+        window = self.budget.window(call.service, routers, now)
+        taken = self.budget.take(call.service, routers, now)
+        self.metrics.repeated(call.service, taken)
+        logger.info(
+            "repeat" if taken else "no repeat left",
+            extra={
+                "request": call.asked.id,
+                "service": call.service,
+                "requests": window.requests,
+                "repeats": window.repeats,
+                "allowed": round(window.allowed, 1),
+                "routers": routers,
+            },
+        )
+        return taken
+
     # Contents under which endpoints end
 
     def _refuse_harmful(self, call: ForwardedCall) -> None:
@@ -475,6 +493,8 @@
         refusal: Refusal,
         content: ContentId | str,
     ) -> None:
+        known = self.in_force
+        in_force = self.loop.time() - known.since if known is not None else None
         logger.info(
             "request refused",
             extra={
@@ -483,6 +503,8 @@
                 "kind": refusal.kind.value,
                 "reason": refusal.detail,
                 "version": self.version,
+                "in_force_s": round(in_force, 2) if known is not None else None,
+                "told_by": known.source if known is not None else "",
             },
         )
         self._send_refusal(incoming, asked, refusal)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -352,6 +352,7 @@
 
     def _on_routes(self, table: RouteTable) -> None:
         self.forwarder.index = RouteIndex(table)
+        self.forwarder.in_force = self.knowledge.in_force
         limits = table.limits
         self.front.limits = EdgeLimits(
             limits.head_bytes,
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -59,9 +59,25 @@
         for reason, count in gateway.metrics.barred_grants.items():
             barred.add_metric((reason,), count)
         yield barred
+        yield from self._repeats()
         yield self._prediction_errors()
         yield from self._gauges()
 
+    def _repeats(self) -> Iterator[Metric]:
+        """Yield repeats by service, and those that the budget refused."""
+        metrics = self.gateway.metrics
+        counters = {
+            "repeats": ("Attempts at a further endpoint", metrics.repeats),
+            "repeats_refused": ("Repeats over the budget", metrics.repeats_refused),
+        }
+        for name, (text, counts) in counters.items():
+            family = CounterMetricFamily(
+                f"carawayfold_{name}", text, labels=("service",)
+            )
+            for service, count in counts.items():
+                family.add_metric((service,), count)
+            yield family
+
     def _prediction_errors(self) -> Metric:
         """Return how far predicted first tokens miss, where this router decides."""
         errors = GaugeMetricFamily(
@@ -88,6 +104,7 @@
             "callers": len(gateway.front.connections),
             "live_routers": len(gateway.fleet.live()),
             "version": gateway.knowledge.version,
+            "configuration_age_seconds": gateway.knowledge.operators_age(),
             "endpoints": len(gateway.knowledge.endpoints.entries),
             "endpoints_warming": sum(item.is_warming(now) for item in endpoints),
             "endpoints_evacuated": sum(
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -34,6 +34,22 @@
     window: float = 10.0
 
 
+class BudgetWindow(msgspec.Struct, frozen=True):
+    """What one router's window holds for a service.
+
+    Attributes
+    ----------
+    requests, repeats : int
+        Counted within it.
+    allowed : float
+        Repeats that this router may have in it.
+    """
+
+    requests: int
+    repeats: int
+    allowed: float
+
+
 class ServiceBudget(msgspec.Struct):
     """Requests and repeats of one service within the window."""
 
@@ -57,13 +73,13 @@
         """Note a request of a caller."""
         self._of(service).requests.add(now, 1)
 
-    def take(self, service: ServiceId, routers: int, now: float) -> bool:
-        """Return whether one more repeat is allowed, and count it if so.
+    def window(self, service: ServiceId, routers: int, now: float) -> BudgetWindow:
+        """Return what the window holds and allows now.
 
         Parameters
         ----------
         service : ServiceId
-            Where it would go.
+            Where repeats would go.
         routers : int
             Routers of the fleet, silent ones included.
         now : float
@@ -74,9 +90,15 @@
         budget.repeats.expire(now - self.bounds.window)
         earned = self.bounds.ratio * budget.requests.total
         allowed = USED_PART * (earned + self.bounds.extra / max(1, routers))
-        if budget.repeats.total + 1 > allowed:
+        requests, repeats = round(budget.requests.total), round(budget.repeats.total)
+        return BudgetWindow(requests, repeats, allowed)
+
+    def take(self, service: ServiceId, routers: int, now: float) -> bool:
+        """Return whether one more repeat is allowed, and count it if so."""
+        window = self.window(service, routers, now)
+        if window.repeats + 1 > window.allowed:
             return False
-        budget.repeats.add(now, 1)
+        self._of(service).repeats.add(now, 1)
         return True
 
     def _of(self, service: ServiceId) -> ServiceBudget:
--- a/carawayfold/state/forwarded.py
+++ b/carawayfold/state/forwarded.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from carawayfold.errors import ErrorKind
-    from carawayfold.state.ids import OrganisationId
+    from carawayfold.state.ids import OrganisationId, ServiceId
 
 
 class ForwardMetrics:
@@ -23,17 +23,26 @@
         Refusals by their kind.
     barred_grants : Counter
         Grants given back by what their router did not know of the endpoint.
+    repeats, repeats_refused : Counter
+        By service, attempts at a further endpoint, and those that the budget refused.
     """
 
     def __init__(self) -> None:
         self.organisations = Metrics()
         self.refusals: Counter[ErrorKind] = Counter()
         self.barred_grants: Counter[str] = Counter()
+        self.repeats: Counter[ServiceId] = Counter()
+        self.repeats_refused: Counter[ServiceId] = Counter()
 
     def refused(self, kind: ErrorKind) -> None:
         """Count a refusal."""
         self.refusals[kind] += 1
 
+    def repeated(self, service: ServiceId, taken: bool) -> None:
+        """Count a repeat, or one that the budget had no room for."""
+        counter = self.repeats if taken else self.repeats_refused
+        counter[service] += 1
+
     def ended(
         self,
         organisation: OrganisationId,
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -145,6 +145,24 @@
     regions: dict[OrganisationId, tuple[RegionId, ...]] = {}
 
 
+class InForce(msgspec.Struct, frozen=True):
+    """How the configuration in force came to be so.
+
+    Attributes
+    ----------
+    version : int
+        Its version.
+    source : str
+        Who told it: the store or a peer.
+    since : float
+        Loop time at which it was put in force.
+    """
+
+    version: int
+    source: str
+    since: float
+
+
 class RouteIndex:
     """Finds the route of a request in one version of the configuration.
 
--- a/tests/coordination/knowledge/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import logbook
+
 from carawayfold.coordination.backoff import Backoff
 from carawayfold.coordination.knowledge import followers
 from carawayfold.coordination.knowledge.followers import Follower
@@ -42,6 +44,28 @@
     assert in_loop(run)[:3] == [1, 2, 3]
 
 
+def test_a_read_that_fails_tells_its_topic_and_how_long_it_took():
+    class Source:
+        async def newest(self):
+            raise SourceError("no answer in time")
+
+    async def run():
+        known, _ = knowledge()
+        follower = followers.follow_operators(Source(), known, at_once)
+        with logbook.TestHandler() as lines:
+            work = asyncio.create_task(follower.follow())
+            while not lines.records:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            work.cancel()
+        return next(x.extra for x in lines.records if x.message == "read failed")
+
+    told = in_loop(run)
+    assert told["topic"] == "operators"
+    assert told["lasted_ms"] == 0
+    assert told["pause_ms"] > 0
+
+
 def test_one_whose_peers_read_for_it_reads_only_at_the_start():
     calls = []
 
@@ -58,8 +82,16 @@
         known, _ = knowledge()
         nothing = lambda page: None  # noqa: E731
         turn = asyncio.Event()
+        wait = lambda: 1.0  # noqa: E731
         follower = Follower(
-            Source(), known, nothing, nothing, lambda: 1.0, turn.wait, known.note_answer
+            "one",
+            Source(),
+            known,
+            nothing,
+            nothing,
+            wait,
+            turn.wait,
+            known.note_answer,
         )
         await follower.step()
         waiting = asyncio.create_task(follower.step())
--- a/tests/state/test_budget.py
+++ b/tests/state/test_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from carawayfold.state.budget import BudgetBounds, RetryBudget
 
 
@@ -23,3 +25,13 @@
     assert sum(router.take("desk", 1, 1.0) for _ in range(10)) == 4
     assert not router.take("desk", 1, 10.9)
     assert router.take("desk", 1, 11.1)
+
+
+def test_the_window_tells_what_was_counted_and_what_it_allows():
+    router = RetryBudget(BudgetBounds(ratio=0.2, extra=50, window=10))
+    for _ in range(10):
+        router.request("desk", 1.0)
+    assert router.take("desk", 5, 1.0)
+    window = router.window("desk", 5, 1.0)
+    assert (window.requests, window.repeats) == (10, 1)
+    assert window.allowed == pytest.approx(9.6)
