Give a router that starts again no second part of the repeats in a window

Cause: each router uses what its requests earn and an equal part of the 58 repeats that the fleet has besides; what it has used is in its memory only, so each start within a window brings a whole part anew. Class: a fleet-wide bound that is counted in state which a restart loses.

Change: no part of the extra until a window after the start; what the requests of the new process earn stays. A window then never holds the extra of two lifetimes: the later one's begins a whole window after the earlier one's end. No store call, no word between routers.

--- a/benchmarks/emulation/harm.py
+++ b/benchmarks/emulation/harm.py
@@ -84,7 +84,8 @@
     again: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.budget = RetryBudget(self.plan.budget)
+        window = self.plan.budget.window
+        self.budget = RetryBudget(self.plan.budget, started=-window)
 
     def is_refused(self, content: str) -> bool:
         """Return whether a content is kept from the engines, and count it."""
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -145,7 +145,7 @@
             self.desk,
             self.http,
             PlatformDialect(),
-            RetryBudget(settings.budget),
+            RetryBudget(settings.budget, loop.time()),
             pulse,
             self.containment,
             self.metrics,
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -63,10 +63,19 @@
     Each router uses only what its own requests earn and an equal part of the extra,
     so that the parts never add up to more than the whole, also when routers don't
     hear each other.
+
+    Parameters
+    ----------
+    bounds : BudgetBounds
+        The whole.
+    started : float
+        Monotonic seconds at which this process started. What its predecessor repeated
+        is not known, so it has no part of the extra until a window later.
     """
 
-    def __init__(self, bounds: BudgetBounds) -> None:
+    def __init__(self, bounds: BudgetBounds, started: float) -> None:
         self.bounds = bounds
+        self.started = started
         self.services: dict[ServiceId, ServiceBudget] = {}
 
     def request(self, service: ServiceId, now: float) -> None:
@@ -89,7 +98,7 @@
         budget.requests.expire(now - self.bounds.window)
         budget.repeats.expire(now - self.bounds.window)
         earned = self.bounds.ratio * budget.requests.total
-        allowed = USED_PART * (earned + self.bounds.extra / max(1, routers))
+        allowed = USED_PART * (earned + self._part_of_extra(routers, now))
         requests, repeats = round(budget.requests.total), round(budget.repeats.total)
         return BudgetWindow(requests, repeats, allowed)
 
@@ -101,5 +110,10 @@
         self._of(service).repeats.add(now, 1)
         return True
 
+    def _part_of_extra(self, routers: int, now: float) -> float:
+        if now - self.started < self.bounds.window:
+            return 0.0
+        return self.bounds.extra / max(1, routers)
+
     def _of(self, service: ServiceId) -> ServiceBudget:
         return self.services.setdefault(service, ServiceBudget())
--- a/tests/simulated_repeats.py
+++ b/tests/simulated_repeats.py
@@ -60,7 +60,7 @@
             owed -= int(owed)
 
     def _start(self, now):
-        return [RetryBudget(self.bounds) for _ in range(self.routers)]
+        return [RetryBudget(self.bounds, now) for _ in range(self.routers)]
 
     def _fail(self, budget, now):
         budget.request(SERVICE, now)
