Give the operators' words an age of their own in fleets that read through a few routers

Cause, found looking for the same elsewhere: how old a router's information is, and so who reads the store for others, followed from registrations alone.

Change: heartbeats tell operators_age beside store_age; each topic is read by whoever should by its own age; readers for others wait 0.8 s on both topics; a hub that is old in either can't tell. A beat of an earlier program has no such age and counts as fresh, as before.

Ruled out: reading both topics when one is old, which would add the calls of the other for nothing.

--- a/carawayfold/coordination/fleet/readers.py
+++ b/carawayfold/coordination/fleet/readers.py
@@ -47,7 +47,7 @@
     Parameters
     ----------
     age : float
-        Seconds since this router knew all registrations.
+        Seconds since this router knew all of a topic's records.
     """
     if fleet.size <= ALL_READ:
         return True
@@ -77,7 +77,8 @@
     if beat is None or beat.refused or not beat.hub:
         return False
     quiet = fleet.loop.time() - fleet.beaten_at[router]
-    return quiet <= HUB_QUIET and beat.store_age <= HUB_STALE * 1000
+    oldest = max(beat.store_age, beat.operators_age)
+    return quiet <= HUB_QUIET and oldest <= HUB_STALE * 1000
 
 
 def _is_told(fleet: Fleet) -> bool:
--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -89,8 +89,10 @@
         self.behind_since: float | None = None
         #: Until when each peer that did not answer is passed over.
         self.mute_until: dict[RouterId, float] = {}
-        #: Set while this router should read the store.
+        #: Set while this router should read registrations from the store.
         self.reading = asyncio.Event()
+        #: The same for the operators' words: one topic may be silent by itself.
+        self.reading_operators = asyncio.Event()
         #: Set to look at once, and not after the usual interval.
         self.woken = asyncio.Event()
 
@@ -138,38 +140,69 @@
             await self._ask(router, EVACUATIONS_PATH)
 
     def information_age(self) -> float:
-        """Return the seconds since this router knew all registrations.
+        """Return the seconds since this router knew all registrations."""
+        known = self.knowledge
+
+        def knows_more(beat: Beat) -> bool:
+            ahead = beat.version > known.version
+            return ahead or beat.endpoints_offset > known.endpoints.offset
+
+        own = asyncio.get_running_loop().time() - known.store.registrations
+        return self._age(own, knows_more, lambda beat: beat.store_age)
+
+    def operators_age(self) -> float:
+        """Return the seconds since this router knew all of the operators' words."""
+        known = self.knowledge
 
-        From the store, or by way of a peer that knows nothing newer. What a peer said
-        of itself goes on counting from its heartbeat, not from when a roster named it
-        or a role changed: what is old would pass for new, and be told on.
+        def knows_more(beat: Beat) -> bool:
+            ahead = beat.version > known.version
+            return ahead or beat.evacuations_changed > known.evacuations.changed_at
+
+        return self._age(
+            known.operators_age(), knows_more, lambda beat: beat.operators_age
+        )
+
+    def _age(
+        self,
+        own: float,
+        knows_more: Callable[[Beat], bool],
+        told: Callable[[Beat], int],
+    ) -> float:
+        """Return the age of what this router knows, from the store or a peer.
+
+        A peer that knows more says nothing of what is known here. What a peer said of
+        itself goes on counting from its heartbeat, not from when a roster named it or a
+        role changed: what is old would pass for new, and be told on.
         """
         now = asyncio.get_running_loop().time()
-        known = self.knowledge
-        ages = [now - known.store.registrations]
+        ages = [own]
         for name, beat in self.fleet.beats.items():
-            ahead = beat.version > known.version
-            if ahead or beat.endpoints_offset > known.endpoints.offset:
-                continue
-            if beat.version:
+            if beat.version and not knows_more(beat):
                 passed = now - self.fleet.beaten_at[name] + HOP_TIME
-                ages.append(passed + beat.store_age / 1000)
+                ages.append(passed + told(beat) / 1000)
         return min(ages)
 
     def may_read(self) -> bool:
-        """Return whether this router should read the store."""
+        """Return whether this router should read registrations from the store."""
+        return self._may_read(self.information_age())
+
+    def _may_read(self, age: float) -> bool:
         if asyncio.get_running_loop().time() < self.settled_at:
             return False
-        return is_reader(self.fleet, self.information_age())
+        return is_reader(self.fleet, age)
 
     def reads_for_others(self) -> bool:
         """Return whether other routers rely on what this one reads."""
         return self.fleet.size > ALL_READ
 
     async def turn(self) -> None:
-        """Wait until this router should read the store."""
+        """Wait until this router should read registrations from the store."""
         await self.reading.wait()
 
+    async def operators_turn(self) -> None:
+        """Wait until this router should read the operators' words from the store."""
+        await self.reading_operators.wait()
+
     def wake(self) -> None:
         """Look soon whether a peer knows more, and who reads."""
         self.woken.set()
@@ -186,12 +219,17 @@
             await self._look()
 
     def _settle(self) -> None:
-        """Find out how old this router's knowledge is, and whether it should read."""
-        self.known_at = asyncio.get_running_loop().time() - self.information_age()
-        if self.may_read():
-            self.reading.set()
-        else:
-            self.reading.clear()
+        """Find out how old this router's knowledge is, and what it should read."""
+        age = self.information_age()
+        self.known_at = asyncio.get_running_loop().time() - age
+        for event, how_old in (
+            (self.reading, age),
+            (self.reading_operators, self.operators_age()),
+        ):
+            if self._may_read(how_old):
+                event.set()
+            else:
+                event.clear()
 
     async def _look(self) -> None:
         known = self.knowledge
--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -31,9 +31,9 @@
 OPERATORS_WAIT = 1.5
 #: Seconds that a read of registrations waits; renewals of a lease add no record.
 ENDPOINTS_WAIT = 2.0
-#: The same of a router that reads for others: they take it for cut off from the store
-#: when it has had no answer for a little longer.
-ENDPOINTS_WAIT_FOR_OTHERS = 0.8
+#: Seconds that a read waits of a router that reads for others: they take it for cut off
+#: from the store when it has had no answer for a little longer.
+WAIT_FOR_OTHERS = 0.8
 #: Seconds between two such reads, so that a whole service that registers at once
 #: takes a few reads and not one an endpoint.
 ENDPOINTS_PAUSE = 0.1
@@ -156,6 +156,7 @@
     source: Source[RouteTable | Evacuation],
     knowledge: Knowledge,
     turn: Callable[[], Awaitable[None]],
+    reads_for_others: Callable[[], bool],
 ) -> Follower:
     """Return a follower of the operators' configurations and evacuations."""
     return Follower(
@@ -164,7 +165,7 @@
         knowledge,
         partial(knowledge.take_operators, listed=True),
         knowledge.take_operators,
-        lambda: OPERATORS_WAIT,
+        lambda: WAIT_FOR_OTHERS if reads_for_others() else OPERATORS_WAIT,
         turn,
         knowledge.note_operators,
     )
@@ -183,7 +184,7 @@
         knowledge,
         knowledge.take_listed,
         knowledge.take_registered,
-        lambda: ENDPOINTS_WAIT_FOR_OTHERS if reads_for_others() else ENDPOINTS_WAIT,
+        lambda: WAIT_FOR_OTHERS if reads_for_others() else ENDPOINTS_WAIT,
         turn,
         knowledge.note_registrations,
         lambda: knowledge.endpoints.offset if knowledge.listed else None,
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -206,7 +206,9 @@
         known, peers = self.knowledge, self.anti_entropy
         operators = operator_source(self.store)
         endpoints = endpoint_source(self.store)
-        follow_operators = followers.follow_operators(operators, known, peers.turn)
+        follow_operators = followers.follow_operators(
+            operators, known, peers.operators_turn, peers.reads_for_others
+        )
         follow_endpoints = followers.follow_endpoints(
             endpoints, known, peers.turn, peers.reads_for_others
         )
@@ -323,6 +325,7 @@
             verdicts=self.containment.quarantine.checksum,
             refused=not self.knowledge.store.reachable,
             evacuations_changed=self.knowledge.evacuations.changed_at,
+            operators_age=round(self.anti_entropy.operators_age() * 1000),
         )
 
     def _basis(self) -> Basis:
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -50,6 +50,9 @@
     evacuations_changed : Position
         Where the last word stands that changed which data centres are evacuated, as
         far as it knows.
+    operators_age : int
+        Milliseconds since it knew all of the operators' words, from the store or from
+        a peer.
     """
 
     data_centre: DataCentreId
@@ -64,6 +67,7 @@
     verdicts: int = 0
     refused: bool = False
     evacuations_changed: Position = Position(0)
+    operators_age: int = 0
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -104,7 +104,7 @@
             "callers": len(gateway.front.connections),
             "live_routers": len(gateway.fleet.live()),
             "version": gateway.knowledge.version,
-            "configuration_age_seconds": gateway.knowledge.operators_age(),
+            "configuration_age_seconds": gateway.anti_entropy.operators_age(),
             "endpoints": len(gateway.knowledge.endpoints.entries),
             "endpoints_warming": sum(item.is_warming(now) for item in endpoints),
             "endpoints_evacuated": sum(
--- a/tests/coordination/fleet/test_readers.py
+++ b/tests/coordination/fleet/test_readers.py
@@ -12,13 +12,20 @@
 
 
 def fleet_of(
-    count, own="router-0", refused=(), places=2, store_age=0, heard=0.0, now=0.0
+    count,
+    own="router-0",
+    refused=(),
+    places=2,
+    store_age=0,
+    heard=0.0,
+    now=0.0,
+    operators_age=0,
 ):
     """Return a fleet as the router `own` of its first data centre hears it.
 
     Parameters
     ----------
-    store_age : int
+    store_age, operators_age : int
         Milliseconds that every peer says.
     heard : float
         When all of them were heard last.
@@ -29,7 +36,13 @@
     ]
     beats = {
         item.router: Beat(
-            item.data_centre, False, 1, 1, store_age, refused=item.router in refused
+            item.data_centre,
+            False,
+            1,
+            1,
+            store_age,
+            refused=item.router in refused,
+            operators_age=operators_age,
         )
         for item in members
         if item.router != own
@@ -115,6 +128,7 @@
     [
         {"refused": [f"router-{number}" for number in range(100)]},
         {"store_age": round(1000 * readers.HUB_STALE) + 1},
+        {"operators_age": round(1000 * readers.HUB_STALE) + 1},
         {"heard": 0.0, "now": readers.HUB_QUIET + 0.01},
     ],
 )
--- a/tests/coordination/knowledge/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -19,6 +19,11 @@
     """Let a follower read without waiting for its turn."""
 
 
+def reads_for_itself():
+    """Return whether a router reads for others: it does not."""
+    return False
+
+
 def test_lost_history_is_read_from_the_newest_records():
     class Source:
         def __init__(self):
@@ -34,7 +39,7 @@
     async def run():
         known, taken = knowledge()
         source = Source()
-        follower = followers.follow_operators(source, known, at_once)
+        follower = followers.follow_operators(source, known, at_once, reads_for_itself)
         work = asyncio.create_task(follower.follow())
         while len(taken) < 3:
             await asyncio.sleep(0)
@@ -51,7 +56,9 @@
 
     async def run():
         known, _ = knowledge()
-        follower = followers.follow_operators(Source(), known, at_once)
+        follower = followers.follow_operators(
+            Source(), known, at_once, reads_for_itself
+        )
         with logbook.TestHandler() as lines:
             work = asyncio.create_task(follower.follow())
             while not lines.records:
--- a/tests/coordination/knowledge/test_late_configurations.py
+++ b/tests/coordination/knowledge/test_late_configurations.py
@@ -33,6 +33,11 @@
     assert late(24, 3, "readers' topic silent", range(4)) == {}
 
 
+@pytest.mark.parametrize("count", [24, 40])
+def test_others_read_a_topic_that_is_silent_for_all_readers(count):
+    assert late(count, 1, "both readers' topic silent", range(4)) == {}
+
+
 @pytest.mark.parametrize("trouble", TROUBLES)
 def test_no_router_puts_an_older_version_in_force_again(trouble):
     played = rounds_of(6, 3, TROUBLES[trouble], range(3))
--- a/tests/simulated_configurations.py
+++ b/tests/simulated_configurations.py
@@ -38,8 +38,9 @@
         Part of the routers that the store does not answer, or refuses.
     topic_silent : float
         Part of the routers that get no answers of the operators' topic alone.
-    readers_hang : bool
-        Whether those that read for others get no answers of that topic.
+    readers_hang : int
+        How many of those that read for others in each data centre get no answers of
+        that topic.
     apart : int
         Data centres that are cut off from the rest.
     killed : float
@@ -56,7 +57,7 @@
     silent: float = 0.0
     refused: float = 0.0
     topic_silent: float = 0.0
-    readers_hang: bool = False
+    readers_hang: int = 0
     apart: int = 0
     killed: float = 0.0
     lasts: tuple[float, float] = (0.5, 6.0)
@@ -70,7 +71,8 @@
     "store silent for all": Trouble(silent=1.0),
     "store refuses all": Trouble(refused=1.0),
     "one topic silent for all": Trouble(topic_silent=1.0),
-    "readers' topic silent": Trouble(readers_hang=True, ends=False),
+    "readers' topic silent": Trouble(readers_hang=1, ends=False),
+    "both readers' topic silent": Trouble(readers_hang=2, lasts=(0.0, 0.3), ends=False),
     "6 of 10 silent, going on": Trouble(silent=0.6, ends=False),
     "6 of 10 refused, going on": Trouble(refused=0.6, ends=False),
     "cut": Trouble(apart=1),
@@ -164,8 +166,8 @@
     store.access.update(dict.fromkeys(some(trouble.silent), Access.SWALLOWED))
     store.access.update(dict.fromkeys(some(trouble.refused), Access.REFUSED))
     hung = some(trouble.topic_silent)
-    if trouble.readers_hang:
-        hung += [readers_first(world, f"dc-{place}")[0] for place in range(places)]
+    for place in range(places):
+        hung += readers_first(world, f"dc-{place}")[: trouble.readers_hang]
     store.operators_access.update(dict.fromkeys(hung, Access.SWALLOWED))
     fleet.apart |= {f"dc-{number}" for number in range(trouble.apart)}
     killed = some(trouble.killed)
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -80,6 +80,7 @@
             store_age=round(self.anti_entropy.information_age() * 1000),
             refused=not self.knowledge.store.reachable,
             evacuations_changed=self.knowledge.evacuations.changed_at,
+            operators_age=round(self.anti_entropy.operators_age() * 1000),
         )
 
     def store_changed(self):
@@ -116,7 +117,9 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.anti_entropy.keep_asking())
             await self.anti_entropy.adopt()
-            routes = followers.follow_operators(tables, self.knowledge, peers.turn)
+            routes = followers.follow_operators(
+                tables, self.knowledge, peers.operators_turn, peers.reads_for_others
+            )
             endpoints = followers.follow_endpoints(
                 registered, self.knowledge, peers.turn, peers.reads_for_others
             )
