Let the routers' reads of the store fall out of step after news

Cause: news end the reads of all routers in the same moment, and the next ones end together as well, from the start of a fleet on.

Change: the first read after news waits a random part of its time. No further word and no call but one shorter read after news.

--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -93,6 +94,8 @@
         self.next: Position | None = None
         #: Whether the records after `next` are no longer kept.
         self.lost = False
+        #: Whether the reads of other routers ended with this one's last.
+        self.in_step = True
         #: Loop time at which the last call began.
         self.asked_at = 0.0
         self.backoff = Backoff()
@@ -132,6 +135,14 @@
         known = [place for place in (self.next, self.told()) if place is not None]
         return max(known, default=None)
 
+    def _next_wait(self) -> float:
+        """Return how long the next read waits, for a random part after news.
+
+        News end the reads of all routers at once. Reads that stayed in step would hang
+        together, and no router could tell another what it missed.
+        """
+        return self.wait() * (random.random() if self.in_step else 1.0)
+
     async def step(self) -> None:
         """Read once, when others no longer read for this router."""
         if self.next is not None or self.knowledge.complete:
@@ -143,9 +154,10 @@
             self.on_answer()
             self.on_newest(page)
         else:
-            page = await self.source.read(start, self.wait())
+            page = await self.source.read(start, self._next_wait())
             self.on_answer()
             self.on_read(page)
+            self.in_step = bool(page.items)
         self.lost = False
         self.next = page.next
         if self.pause:
--- a/tests/coordination/knowledge/test_late_configurations.py
+++ b/tests/coordination/knowledge/test_late_configurations.py
@@ -6,13 +6,15 @@
 
 from tests.simulated_configurations import TROUBLES, rounds_of
 
+#: Seconds from the writing of a version within which it must be in force.
+BOUND = 2.0
 #: Small fleets, in which every router reads the store for itself.
 SMALL = [(6, 3), (9, 4)]
 
 
 def late(count, places, trouble, seeds):
     """Return by how much routers were late, by seed and router."""
-    played = rounds_of(count, places, TROUBLES[trouble], seeds)
+    played = rounds_of(count, places, TROUBLES[trouble], seeds, BOUND)
     return {
         (seed, router): round(by, 2)
         for seed, shown in zip(seeds, played, strict=True)
@@ -38,6 +40,12 @@
     assert late(count, 1, "both readers' topic silent", range(4)) == {}
 
 
+@pytest.mark.parametrize(("count", "places"), SMALL)
+def test_reads_out_of_step_leave_half_of_the_bound_after_an_outage(count, places):
+    played = rounds_of(count, places, TROUBLES["store silent for all"], range(12))
+    assert max(age for shown in played for age in shown.ages.values()) <= BOUND / 2
+
+
 @pytest.mark.parametrize("trouble", TROUBLES)
 def test_no_router_puts_an_older_version_in_force_again(trouble):
     played = rounds_of(6, 3, TROUBLES[trouble], range(3))
