Give no part of the fleet's repeats to a router that was told of no other

Cause, from the first hypothesis on repeats: a router that has neither read the routers' entries nor heard a peer counts itself alone, and its part of the extra was the whole.

Change: Fleet.counted is None until entries were read or a peer was heard, and the budget then has no extra. Ruled out: taking the last known number from the store, which is what is silent then.

Figures, simulated, every request failing, 6 and 9 routers that know of none: not over the bound (test added; before, each had the whole).

--- a/carawayfold/coordination/fleet/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -128,6 +128,16 @@
         told = (beat.size for beat in self.beats.values())
         return max(len(self.addresses) + 1, *told, 1)
 
+    @property
+    def counted(self) -> int | None:
+        """Return how many routers there are, None for one that has not been told.
+
+        It has neither read the routers' entries nor heard a peer, and may be one of
+        many.
+        """
+        told = any(beat.size for beat in self.beats.values())
+        return self.size if told or self.listed.is_set() else None
+
     def live(self) -> list[Member]:
         """Return the routers that take new work, this one included."""
         return self.membership.live()
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -395,7 +395,7 @@
 
     def _take_repeat(self, call: ForwardedCall) -> bool:
         """Take one repeat from this router's part of the budget, if there is one."""
-        routers = self.desk.fleet.size
+        routers = self.desk.fleet.counted
         now = self.loop.time()
         window = self.budget.window(call.service, routers, now)
         taken = self.budget.take(call.service, routers, now)
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -82,15 +82,17 @@
         """Note a request of a caller."""
         self._of(service).requests.add(now, 1)
 
-    def window(self, service: ServiceId, routers: int, now: float) -> BudgetWindow:
+    def window(
+        self, service: ServiceId, routers: int | None, now: float
+    ) -> BudgetWindow:
         """Return what the window holds and allows now.
 
         Parameters
         ----------
         service : ServiceId
             Where repeats would go.
-        routers : int
-            Routers of the fleet, silent ones included.
+        routers : int or None
+            Routers of the fleet, silent ones included; None while that is not known.
         now : float
             Monotonic seconds.
         """
@@ -102,7 +104,7 @@
         requests, repeats = round(budget.requests.total), round(budget.repeats.total)
         return BudgetWindow(requests, repeats, allowed)
 
-    def take(self, service: ServiceId, routers: int, now: float) -> bool:
+    def take(self, service: ServiceId, routers: int | None, now: float) -> bool:
         """Return whether one more repeat is allowed, and count it if so."""
         window = self.window(service, routers, now)
         if window.repeats + 1 > window.allowed:
@@ -110,8 +112,8 @@
         self._of(service).repeats.add(now, 1)
         return True
 
-    def _part_of_extra(self, routers: int, now: float) -> float:
-        if now - self.started < self.bounds.window:
+    def _part_of_extra(self, routers: int | None, now: float) -> float:
+        if routers is None or now - self.started < self.bounds.window:
             return 0.0
         return self.bounds.extra / max(1, routers)
 
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -228,3 +228,20 @@
         return agreed(fleet)
 
     assert play(scenario)
+
+
+@pytest.mark.parametrize(("count", "counted"), [(1, None), (2, 2), (9, 9)])
+def test_a_router_counts_a_fleet_only_once_it_was_told_of_it(count, counted):
+    async def scenario(fleet):
+        return {router.counted for router in fleet.routers.values()}
+
+    assert play(scenario, count, 1) == {counted}
+
+
+def test_a_router_that_is_the_only_one_listed_counts_itself():
+    async def scenario(fleet):
+        (alone,) = fleet.routers.values()
+        alone.listed.set()
+        return alone.counted
+
+    assert play(scenario, 1, 1) == 1
--- a/tests/simulated_repeats.py
+++ b/tests/simulated_repeats.py
@@ -28,8 +28,8 @@
     ----------
     routers : int
         How many there are.
-    known : int
-        How many each one counts.
+    known : int or None
+        How many each one counts, None where it was told of none.
     per_s : float
         Requests a second of each router.
     requests, repeats : list of float
@@ -38,7 +38,7 @@
 
     bounds: BudgetBounds
     routers: int
-    known: int
+    known: int | None
     per_s: float
     requests: list[float] = field(default_factory=list)
     repeats: list[float] = field(default_factory=list)
--- a/tests/state/test_repeats_of_a_fleet.py
+++ b/tests/state/test_repeats_of_a_fleet.py
@@ -11,9 +11,10 @@
 FLEETS = [(6, 52.0), (9, 58.0)]
 
 
-def played(routers, extra, known=None, per_s=10.0, restarts=()):
+def played(routers, extra, restarts=(), **other):
     bounds = BudgetBounds(ratio=0.2, extra=extra, window=10.0)
-    fleet = SimulatedRepeats(bounds, routers, known or routers, per_s)
+    settings = {"known": routers, "per_s": 10.0} | other
+    fleet = SimulatedRepeats(bounds, routers, **settings)
     fleet.play(16.0, restarts)
     return fleet
 
@@ -30,3 +31,8 @@
     restarts = [3.0 + 1.5 * number for number in range(times)]
     for routers, extra in FLEETS:
         assert played(routers, extra, restarts=restarts).most_over() <= 0
+
+
+def test_routers_that_were_told_of_no_other_dont_take_the_whole_extra_each():
+    for routers, extra in FLEETS:
+        assert played(routers, extra, known=None).most_over() <= 0
