--- /dev/null
+++ b/tests/coordination/knowledge/test_configuration_model.py
@@ -0,0 +1,32 @@
+"""No order of events takes a version back, or hides one for good."""
+
+from __future__ import annotations
+
+from carawayfold.coordination.knowledge.knowledge import Knowledge
+from tests.configuration_model import Event, check
+
+#: Events one after the other: enough for a late answer after a copy and a restart.
+DEPTH = 8
+
+
+def test_no_router_goes_back_or_lacks_a_version():
+    checked = check(DEPTH)
+    assert checked.counterexample is None
+    assert checked.states > 1000
+
+
+def test_the_check_finds_a_late_answer_that_takes_a_version_back(monkeypatch):
+    def take(self, table, source):
+        self.routes = table
+
+    monkeypatch.setattr(Knowledge, "take_routes", take)
+    assert check(DEPTH).counterexample is not None
+
+
+def test_the_check_finds_a_version_that_is_missed(monkeypatch):
+    def take(self, page, listed=False):
+        for item in page.items[1:] if not listed else page.items:
+            self.take_routes(item, "store")
+
+    monkeypatch.setattr(Knowledge, "take_operators", take)
+    assert Event.WRITE in check(DEPTH).counterexample
