Remember what endpoints drew when pools are divided anew

Change: Division keeps each endpoint's draw; only new endpoints and new pools draw. Engines are counted once a refresh. The pools are the same: a property test compares any series of fleets with divisions made from nothing, another one counts the draws (5 for one more pool of 80).

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -18,7 +18,11 @@
 import logbook
 import msgspec
 
-from carawayfold.coordination.scheduling.division import choose, choose_further, divide
+from carawayfold.coordination.scheduling.division import (
+    Division,
+    choose,
+    choose_further,
+)
 from carawayfold.coordination.scheduling.endpoint_load import Active
 from carawayfold.coordination.scheduling.offers import (
     Bar,
@@ -174,6 +178,7 @@
         self.basis = basis or (lambda: Basis(fleet.own.router))
         self.loop = asyncio.get_running_loop()
         self.pools: dict[PoolId, PoolDesk] = {}
+        self.divisions: dict[ServiceId, Division] = {}
         #: Slots of each pool, by service.
         self.weights: dict[ServiceId, dict[PoolId, int]] = {}
         self.tickets: dict[CallId, Ticket] = {}
@@ -216,14 +221,16 @@
         self.evacuated = frozenset(evacuated)
         pools: dict[PoolId, PoolDesk] = {}
         self.weights = {}
+        engines = self._count_engines(routes)
         for service in routes.services:
             weights = self.weights[service] = {}
             usable = table.usable(service)
-            for number, divided in enumerate(divide(usable)):
+            division = self.divisions.setdefault(service, Division())
+            for number, divided in enumerate(division.divide(usable)):
                 members = [item for item in divided if not self.is_evacuated(item)]
                 pool = PoolId(f"{service}/{number}")
                 desk = self.pools.get(pool) or PoolDesk(pool, Scheduler(self.window))
-                plan = self._plan(service, routes, len(members), len(usable))
+                plan = self._plan(service, routes, len(members), engines)
                 desk.scheduler.set_endpoints(members, plan)
                 pools[pool] = desk
                 if members:
@@ -261,16 +268,19 @@
             return Bar.WARMING
         return None
 
+    def _count_engines(self, routes: RouteTable) -> int:
+        """Return how many endpoints there are of all services of model engines."""
+        models = {item.id for item in routes.services.values() if item.is_model}
+        return sum(item.service in models for item in self.endpoints.values())
+
     def _plan(
-        self, service: ServiceId, routes: RouteTable, members: int, usable: int
+        self, service: ServiceId, routes: RouteTable, members: int, engines: int
     ) -> PoolPlan:
         config = routes.services[service]
         if not config.is_model:
             return PoolPlan(warm_up_rate=config.warm_up_rate)
-        models = [item.id for item in routes.services.values() if item.is_model]
-        count = sum(item.service in models for item in self.endpoints.values())
-        throughput = routes.throughput * members / max(1, count)
-        speed = routes.throughput / max(1, count) or UNSTATED_SPEED
+        throughput = routes.throughput * members / max(1, engines)
+        speed = routes.throughput / max(1, engines) or UNSTATED_SPEED
         return PoolPlan(
             throughput, config.memory_tokens, speed, warm_up_rate=config.warm_up_rate
         )
--- a/carawayfold/coordination/scheduling/division.py
+++ b/carawayfold/coordination/scheduling/division.py
@@ -10,13 +10,14 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
     from carawayfold.state.endpoints import Endpoint
-    from carawayfold.state.ids import CallId, PoolId
+    from carawayfold.state.ids import CallId, EndpointName, PoolId
 
 #: Endpoints decided on by one router, so that its work is bounded at any size.
 POOL_SIZE = 16
@@ -24,17 +25,47 @@
 HASH_RANGE = 2.0**64
 
 
-def divide(endpoints: list[Endpoint]) -> list[list[Endpoint]]:
-    """Return the endpoints of one service by pool, in order of their names.
+class Drawn(msgspec.Struct, frozen=True):
+    """The pool of an endpoint among the first `count` pools, and its draw there."""
 
-    With one pool more or less, only the endpoints of that pool change theirs.
+    count: int
+    pool: int
+    draw: int
+
+
+class Division:
+    """Divides the endpoints of one service into pools, again and again.
+
+    Each endpoint goes to the pool with its highest draw, so with one pool more or less
+    only the endpoints of that pool change theirs. Draws are remembered: a change of one
+    endpoint costs no draws for the others.
     """
-    count = max(1, -(-len(endpoints) // POOL_SIZE))
-    pools: list[list[Endpoint]] = [[] for _ in range(count)]
-    for endpoint in sorted(endpoints, key=lambda item: item.name):
-        number = max(range(count), key=lambda item: _hash(f"{item}|{endpoint.name}"))
-        pools[number].append(endpoint)
-    return pools
+
+    def __init__(self) -> None:
+        self.drawn: dict[EndpointName, Drawn] = {}
+
+    def divide(self, endpoints: list[Endpoint]) -> list[list[Endpoint]]:
+        """Return the endpoints by pool, in order of their names."""
+        count = max(1, -(-len(endpoints) // POOL_SIZE))
+        pools: list[list[Endpoint]] = [[] for _ in range(count)]
+        drawn: dict[EndpointName, Drawn] = {}
+        for endpoint in sorted(endpoints, key=lambda item: item.name):
+            known = drawn[endpoint.name] = self._draw(endpoint.name, count)
+            pools[known.pool].append(endpoint)
+        self.drawn = drawn
+        return pools
+
+    def _draw(self, name: EndpointName, count: int) -> Drawn:
+        """Return the pool of an endpoint, from what is remembered where that helps."""
+        known = self.drawn.get(name)
+        if known is None or known.pool >= count:
+            known = Drawn(0, 0, -1)
+        pool, draw = known.pool, known.draw
+        for number in range(known.count, count):
+            drawn = _hash(f"{number}|{name}")
+            if drawn > draw:
+                pool, draw = number, drawn
+        return Drawn(count, pool, draw)
 
 
 def choose(weights: Mapping[PoolId, int], prefix: str) -> PoolId:
