--- /dev/null
+++ b/benchmarks/worths/__init__.py
@@ -0,0 +1,1 @@
+"""What the journal tells of each deployment's standard days."""
