--- a/tests/benchmarks/test_promises.py
+++ b/tests/benchmarks/test_promises.py
@@ -78,3 +78,14 @@
     assert not promises.find_repeated_harm(harms(1, 2, 3, 7, 8, 9), calm)
     calm.begin("any", 5.0).end = 9.5
     assert not promises.find_repeated_harm(harms(1, 2, 3, 7, 8, 9, 10), calm)
+
+
+def test_a_router_is_in_touch_three_seconds_after_what_disturbed_it():
+    calm = Disturbances()
+    assert calm.in_touch("router-0", 10.0)
+    span = calm.begin("router-0", 6.0)
+    assert not calm.in_touch("router-0", 60.0)
+    span.over = 7.0
+    assert not calm.in_touch("router-0", 10.0)
+    assert calm.in_touch("router-0", 10.1)
+    assert calm.in_touch("router-1", 10.0)
