Let both model checks share the search through orders of events

Found by reading the diff: the new check of configurations repeated the search of the check of registrations line for line. tests/model_check.py holds it; the models keep their events and what is wrong. No product change.

--- a/tests/configuration_model.py
+++ b/tests/configuration_model.py
@@ -8,12 +8,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
 
-import logbook
-
 from carawayfold.protocol.sources import HistoryLost, Page
 from carawayfold.state.positions import era_of, offset_of, position
 from tests.knowledge_builders import knowledge, table
@@ -169,52 +166,3 @@
         store = self.store
         kept = (tuple(store.records), store.first, store.era, store.written)
         return kept, self.first.key(), self.second.key()
-
-
-@dataclass
-class Checked:
-    """What a check has found.
-
-    Attributes
-    ----------
-    states : int
-        Different states that were reached.
-    counterexample : list of Event or None
-        A shortest series after which a router went back, or lacks a version.
-    """
-
-    states: int
-    counterexample: list[Event] | None = None
-
-
-async def _check(depth):
-    seen = {Model().key()}
-    front = [[]]
-    for _ in range(depth):
-        reached = []
-        for path in front:
-            for event in replay(path).possible():
-                model = replay(path)
-                back = model.play(event)
-                key = model.key()
-                if back or model.lags():
-                    return Checked(len(seen), [*path, event])
-                if key not in seen:
-                    seen.add(key)
-                    reached.append([*path, event])
-        front = reached
-    return Checked(len(seen))
-
-
-def replay(path):
-    """Return the model after a series of events."""
-    model = Model()
-    for event in path:
-        model.play(event)
-    return model
-
-
-def check(depth):
-    """Follow every series of up to `depth` events."""
-    with logbook.NullHandler().applicationbound():
-        return asyncio.run(_check(depth))
--- a/tests/coordination/knowledge/test_configuration_model.py
+++ b/tests/coordination/knowledge/test_configuration_model.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from carawayfold.coordination.knowledge.knowledge import Knowledge
-from tests.configuration_model import Event, check
+from tests.configuration_model import Event, Model
+from tests.model_check import check
 
 #: Events one after the other: enough for a late answer after a copy and a restart.
 DEPTH = 8
 
 
 def test_no_router_goes_back_or_lacks_a_version():
-    checked = check(DEPTH)
+    checked = check(Model, DEPTH, Model.lags)
     assert checked.counterexample is None
     assert checked.states > 1000
 
@@ -20,7 +21,7 @@
         self.routes = table
 
     monkeypatch.setattr(Knowledge, "take_routes", take)
-    assert check(DEPTH).counterexample is not None
+    assert check(Model, DEPTH, Model.lags).counterexample is not None
 
 
 def test_the_check_finds_a_version_that_is_missed(monkeypatch):
@@ -29,4 +30,4 @@
             self.take_routes(item, "store")
 
     monkeypatch.setattr(Knowledge, "take_operators", take)
-    assert Event.WRITE in check(DEPTH).counterexample
+    assert Event.WRITE in check(Model, DEPTH, Model.lags).counterexample
--- a/tests/coordination/knowledge/test_knowledge_model.py
+++ b/tests/coordination/knowledge/test_knowledge_model.py
@@ -4,14 +4,15 @@
 
 from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.state.endpoints import EndpointTable
-from tests.knowledge_model import Event, check
+from tests.knowledge_model import Event, Model
+from tests.model_check import check
 
 #: Events one after the other: enough for a copy between a late answer and a list.
 DEPTH = 7
 
 
 def test_an_endpoint_that_leaves_never_comes_back():
-    checked = check(DEPTH)
+    checked = check(Model, DEPTH)
     assert checked.counterexample is None
     assert checked.states > 1000
 
@@ -24,11 +25,11 @@
         self.endpoints.offset = max(self.endpoints.offset, page.next)
 
     monkeypatch.setattr(Knowledge, "take_registered", take_all)
-    assert Event.A_TAKES in check(DEPTH).counterexample
+    assert Event.A_TAKES in check(Model, DEPTH).counterexample
 
 
 def test_the_check_finds_a_copy_that_brings_back_what_had_gone(monkeypatch):
     monkeypatch.setattr(
         EndpointTable, "without_departed", lambda self, endpoints, now: endpoints
     )
-    assert Event.COPY in check(DEPTH).counterexample
+    assert Event.COPY in check(Model, DEPTH).counterexample
--- a/tests/knowledge_model.py
+++ b/tests/knowledge_model.py
@@ -8,12 +8,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
 
-import logbook
-
 from carawayfold.protocol.sources import HistoryLost, Page, Registered
 from carawayfold.state.positions import era_of, offset_of, position
 from tests.knowledge_builders import knowledge
@@ -172,51 +169,3 @@
         store = self.store
         words = tuple(WORDS.index(item) for item in store.records)
         return self.said, store.era, words, self.first.key(), self.second.key()
-
-
-@dataclass
-class Checked:
-    """What a check has found.
-
-    Attributes
-    ----------
-    states : int
-        Different states that were reached.
-    counterexample : list of Event or None
-        A shortest series after which an endpoint that left is used again.
-    """
-
-    states: int
-    counterexample: list[Event] | None = None
-
-
-async def _check(depth):
-    seen = {Model().key()}
-    front = [[]]
-    for _ in range(depth):
-        reached = []
-        for path in front:
-            for event in replay(path).possible():
-                model = replay(path)
-                back = model.play(event)
-                if back:
-                    return Checked(len(seen), [*path, event])
-                if model.key() not in seen:
-                    seen.add(model.key())
-                    reached.append([*path, event])
-        front = reached
-    return Checked(len(seen))
-
-
-def replay(path):
-    """Return the model after a series of events."""
-    model = Model()
-    for event in path:
-        model.play(event)
-    return model
-
-
-def check(depth):
-    """Follow every series of up to `depth` events."""
-    with logbook.NullHandler().applicationbound():
-        return asyncio.run(_check(depth))
