Leave a router that starts again only what its predecessor left of the repeats

Cause: what ten calm seconds had earned was used within 3.4 s, and each start then earned anew from its own requests. Within one lifetime the window holds both; across a start it does not. Ruled out: the extra (no router had a part of it after its first start).

Change: in the first window of a process 0.2 of what its requests earn may be used, which is what a predecessor that used its 0.8 left. carawayfold_repeats_extra tells when that is over. Tests with real processes wait until their routers have their part, their checks are as they were. Cost: routers hardly repeat for ten seconds after a start, the first included.

--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -99,6 +99,7 @@
         known = gateway.desk.basis()
         endpoints = gateway.knowledge.endpoints.entries.values()
         evacuated = gateway.knowledge.evacuations.active
+        budget = gateway.forwarder.budget
         gauges = {
             "in_flight": len(gateway.forwarder.calls),
             "callers": len(gateway.front.connections),
@@ -112,6 +113,7 @@
             ),
             "endpoints_offset": offset_of(known.offset),
             "endpoints_age_seconds": known.age,
+            "repeats_extra": budget.part_of_extra(gateway.fleet.counted, now),
             "quarantined": len(quarantine.held(now)),
             "suspected": len(quarantine.suspected(now)),
             "left_out_log_lines": gateway.log_lines_left_out(),
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -14,6 +14,9 @@
 #: Part of the fleet's budget that is used, since requests and repeats at the edges
 #: of a window are counted by others' clocks.
 USED_PART = 0.8
+#: Part of what its requests earn that a router uses in the first window of its process:
+#: what its predecessor may have left of the users' bound in that window.
+LEFT_PART = 1 - USED_PART
 
 
 class BudgetBounds(msgspec.Struct, frozen=True):
@@ -70,7 +73,8 @@
         The whole.
     started : float
         Monotonic seconds at which this process started. What its predecessor repeated
-        is not known, so it has no part of the extra until a window later.
+        is not known, so until a window later it has no part of the extra, and little of
+        what its requests earn.
     """
 
     def __init__(self, bounds: BudgetBounds, started: float) -> None:
@@ -100,7 +104,10 @@
         budget.requests.expire(now - self.bounds.window)
         budget.repeats.expire(now - self.bounds.window)
         earned = self.bounds.ratio * budget.requests.total
-        allowed = USED_PART * (earned + self._part_of_extra(routers, now))
+        if self._is_new(now):
+            allowed = LEFT_PART * earned
+        else:
+            allowed = USED_PART * (earned + self.part_of_extra(routers, now))
         requests, repeats = round(budget.requests.total), round(budget.repeats.total)
         return BudgetWindow(requests, repeats, allowed)
 
@@ -112,10 +119,15 @@
         self._of(service).repeats.add(now, 1)
         return True
 
-    def _part_of_extra(self, routers: int | None, now: float) -> float:
-        if routers is None or now - self.started < self.bounds.window:
+    def part_of_extra(self, routers: int | None, now: float) -> float:
+        """Return this router's part of the repeats that the fleet has besides."""
+        if routers is None or self._is_new(now):
             return 0.0
         return self.bounds.extra / max(1, routers)
 
+    def _is_new(self, now: float) -> bool:
+        """Return whether a predecessor's repeats may still count."""
+        return now - self.started < self.bounds.window
+
     def _of(self, service: ServiceId) -> ServiceBudget:
         return self.services.setdefault(service, ServiceBudget())
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
 import h11
@@ -20,6 +21,10 @@
 )
 from benchmarks.processes import Processes
 
+#: Seconds of the window of repeats: short, since a router has no part of the extra ones
+#: in its first window.
+RETRY_WINDOW = 0.1
+
 
 def make_fleet(processes, routers=1):
     fleet = HostedFleet(processes)
@@ -29,12 +34,23 @@
     for name in ("d-1", "d-2"):
         fleet.start_endpoint(name, "desk")
     for number in range(routers):
-        fleet.start_router(f"router-{number}")
+        fleet.start_router(f"router-{number}", retry_window=RETRY_WINDOW)
     for number in range(routers):
-        asyncio.run(fleet.wait_ready(f"router-{number}"))
+        asyncio.run(wait_repeating(fleet, f"router-{number}"))
     return fleet
 
 
+async def wait_repeating(fleet, router):
+    """Wait until a router is ready and has its part of the extra repeats."""
+    await fleet.wait_ready(router)
+    while True:
+        told = await call(fleet.ports[router][2], "GET", "/metrics")
+        found = re.search(rb"^carawayfold_repeats_extra (.+)$", told.body, re.MULTILINE)
+        if float(found[1]) > 0:
+            return
+        await asyncio.sleep(0.02)
+
+
 @pytest.fixture
 def fleet(processes):
     return make_fleet(processes)
--- a/tests/simulated_repeats.py
+++ b/tests/simulated_repeats.py
@@ -1,8 +1,8 @@
 """The repeats of a whole fleet under the product's own budget, second by second.
 
-Every request fails, and every repeat that a router's part allows is taken. The bound is
-the users': in any window no more than the ratio of the requests of that window, of the
-one before it or of the one half a window before it, and the extra once.
+Requests fail from some moment on, and each repeat that a router's part allows is made.
+The bound is the users': in any window no more than the ratio of the requests of that
+window, of the one before it or of the one half a window before it, and the extra once.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 @dataclass
 class SimulatedRepeats:
-    """A fleet whose requests all fail.
+    """A fleet whose requests fail.
 
     Attributes
     ----------
@@ -43,8 +43,11 @@
     requests: list[float] = field(default_factory=list)
     repeats: list[float] = field(default_factory=list)
 
-    def play(self, length, restarts=()):
-        """Let requests come for so many seconds; all routers restart at given times."""
+    def play(self, length, restarts=(), fails_from=0.0):
+        """Let requests come for so many seconds; all routers restart at given times.
+
+        They fail from `fails_from` seconds after the first one on.
+        """
         budgets = self._start(0.0)
         waiting = sorted(restarts)
         owed = 0.0
@@ -56,16 +59,16 @@
             owed += self.per_s * STEP
             for _ in range(int(owed)):
                 for budget in budgets:
-                    self._fail(budget, now)
+                    self._take(budget, now, fails=now >= LEAD + fails_from)
             owed -= int(owed)
 
     def _start(self, now):
         return [RetryBudget(self.bounds, now) for _ in range(self.routers)]
 
-    def _fail(self, budget, now):
+    def _take(self, budget, now, fails):
         budget.request(SERVICE, now)
         self.requests.append(now)
-        for _ in range(REPEATS_MOST):
+        for _ in range(REPEATS_MOST if fails else 0):
             if budget.take(SERVICE, self.known, now):
                 self.repeats.append(now)
 
--- a/tests/state/test_budget.py
+++ b/tests/state/test_budget.py
@@ -40,9 +40,9 @@
     assert window.allowed == pytest.approx(9.6)
 
 
-def test_a_router_has_no_part_of_the_extra_until_a_window_after_its_start():
+def test_a_router_has_only_what_its_predecessor_left_until_a_window_after_its_start():
     router = RetryBudget(BudgetBounds(ratio=0.2, extra=50, window=10), started=1.0)
     for _ in range(10):
         router.request("desk", 10.9)
-    assert router.window("desk", 5, 10.9).allowed == pytest.approx(0.8 * 0.2 * 10)
+    assert router.window("desk", 5, 10.9).allowed == pytest.approx(0.2 * 0.2 * 10)
     assert router.window("desk", 5, 11.0).allowed == pytest.approx(9.6)
--- a/tests/state/test_repeats_of_a_fleet.py
+++ b/tests/state/test_repeats_of_a_fleet.py
@@ -11,11 +11,11 @@
 FLEETS = [(6, 52.0), (9, 58.0)]
 
 
-def played(routers, extra, restarts=(), **other):
+def played(routers, extra, restarts=(), fails_from=0.0, **other):
     bounds = BudgetBounds(ratio=0.2, extra=extra, window=10.0)
     settings = {"known": routers, "per_s": 10.0} | other
     fleet = SimulatedRepeats(bounds, routers, **settings)
-    fleet.play(16.0, restarts)
+    fleet.play(16.0, restarts, fails_from)
     return fleet
 
 
@@ -33,6 +33,16 @@
         assert played(routers, extra, restarts=restarts).most_over() <= 0
 
 
+@pytest.mark.parametrize("times", [1, 2, 3])
+def test_routers_that_start_again_dont_earn_twice_what_a_calm_time_earned(times):
+    """What ten calm seconds had earned was used at once, and each start earned anew."""
+    restarts = [11.5 + 1.2 * number for number in range(times)]
+    for routers, extra in FLEETS:
+        for per_s in (10.0, 30.0):
+            fleet = played(routers, extra, restarts, fails_from=10.0, per_s=per_s)
+            assert fleet.most_over() <= 0
+
+
 def test_routers_that_were_told_of_no_other_dont_take_the_whole_extra_each():
     for routers, extra in FLEETS:
         assert played(routers, extra, known=None).most_over() <= 0
