Tell in the log what endpoints say of themselves, and how old a silent connection is

Cause looked at: no line told what an answer said beside its status, whether a send went against it, or which connection a read of the store hung on.

Ruled out: nothing; no decision changes.

Change: the platform's adapter reads both headers; "endpoint says that it leaves", "endpoint asks for rest" and "sent against a notice" are logged, and "read failed" tells the connection's age.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -123,6 +123,7 @@
 
     def _start(self) -> None:
         call = self.call
+        self.forwarder.notices.note_send(self.endpoint)
         incoming = call.incoming
         resume_after = call.resume_after
         headers = self.forwarder.dialect.request_headers(
@@ -185,6 +186,7 @@
     def _on_head(self, head: Head) -> None:
         self._heard()
         self.answered = self.forwarder.dialect.read_answer(head)
+        self.forwarder.notices.heard(self.endpoint, self.answered)
         streaming = self.call.route.kind is RouteKind.STREAMING
         if streaming and self.answered.status in SUCCESS:
             self.events = NumberedEvents(self.call.resume_after)
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -36,6 +36,7 @@
 
     from carawayfold.coordination.containment.containment import Containment
     from carawayfold.coordination.containment.pulse import Pulse
+    from carawayfold.coordination.knowledge.notices import Notices
     from carawayfold.coordination.scheduling.desk import Desk
     from carawayfold.coordination.scheduling.offers import Basis
     from carawayfold.protocol.exchanges import Answered, Asked, Dialect
@@ -149,6 +150,7 @@
         budget: RetryBudget,
         pulse: Pulse,
         containment: Containment,
+        notices: Notices,
         metrics: ForwardMetrics,
         draw: Callable[[], float],
         regions: Mapping[DataCentreId, RegionId],
@@ -159,6 +161,7 @@
         self.budget = budget
         self.pulse = pulse
         self.containment = containment
+        self.notices = notices
         self.metrics = metrics
         self.draw = draw
         #: Region of each data centre, by the settings.
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -20,6 +20,7 @@
 from carawayfold.coordination.knowledge import anti_entropy, followers
 from carawayfold.coordination.knowledge.anti_entropy import AntiEntropy
 from carawayfold.coordination.knowledge.knowledge import Knowledge
+from carawayfold.coordination.knowledge.notices import Notices
 from carawayfold.coordination.requests.forwarding import Forwarder
 from carawayfold.coordination.requests.shedding import ShedLog
 from carawayfold.coordination.scheduling.caches import CacheReader
@@ -129,6 +130,7 @@
             lambda: self.anti_entropy.information_age(),
         )
         self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
+        self.notices = Notices()
         self.metrics = ForwardMetrics()
         pulse = Pulse()
         self.containment = Containment(
@@ -148,6 +150,7 @@
             RetryBudget(settings.budget, loop.time()),
             pulse,
             self.containment,
+            self.notices,
             self.metrics,
             random.random,
             settings.regions,
--- a/carawayfold/platform/headers.py
+++ b/carawayfold/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from carawayfold.errors import ErrorKind, Refusal
@@ -26,8 +27,13 @@
 NOT_RUN = "not-executed"
 SIGNATURE = "server-signature"
 LOAD = "server-load"
+LEAVING = "server-leaving"
 RETRY_AFTER = "Retry-After"
 MISDIRECTED = 421
+#: Status with which an endpoint may ask for rest.
+BUSY = 503
+#: A number of seconds; dates and words are none.
+SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 #: Headers that concern one connection only.
 HOP_BY_HOP = frozenset(
@@ -132,6 +138,8 @@
             signed=SIGNATURE in head.headers,
             load=_load(head.headers.get(LOAD, "")),
             forwarded=_end_to_end(head.fields, ENDPOINTS_OWN),
+            leaving=_leaving(head),
+            rest=_rest(head),
         )
 
     def refusal_headers(self, asked: Asked | None, refusal: Refusal) -> HeaderList:
@@ -183,6 +191,21 @@
     return tuple(parts)
 
 
+def _leaving(head: Head) -> bool:
+    """Return whether an endpoint says that it leaves; another owner's word is none."""
+    said = "1" in (value.strip() for name, value in head.fields if name == LEAVING)
+    return said and head.status != MISDIRECTED
+
+
+def _rest(head: Head) -> float:
+    """Return the longest time of rest that an answer asks for, 0 for none."""
+    if head.status != BUSY:
+        return 0.0
+    name = RETRY_AFTER.lower()
+    values = [value.strip() for key, value in head.fields if key == name]
+    return max((float(x) for x in values if SECONDS.fullmatch(x)), default=0.0)
+
+
 def _load(text: str) -> Load | None:
     numbers = text.split(",")
     if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
--- a/carawayfold/protocol/exchanges.py
+++ b/carawayfold/protocol/exchanges.py
@@ -78,6 +78,10 @@
         The endpoint's load.
     forwarded : list of tuple of str
         Headers that go to the caller as they came.
+    leaving : bool
+        Whether the endpoint says that it leaves.
+    rest : float
+        Seconds for which it wants nothing more from this router; 0 if it does not say.
     """
 
     status: int
@@ -86,6 +90,8 @@
     signed: bool
     load: Load | None
     forwarded: HeaderList
+    leaving: bool = False
+    rest: float = 0.0
 
 
 class Dialect(Protocol):
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -127,6 +127,8 @@
         Reads the answer of the exchange under way.
     heard : float
         Loop time at which bytes last arrived.
+    opened : float
+        Loop time at which it was opened.
     used : int
         Exchanges that it has carried.
     lifetime : float
@@ -140,6 +142,7 @@
     exchange: Exchange | None = None
     outgoing: bytearray = msgspec.field(default_factory=bytearray)
     heard: float = 0.0
+    opened: float = 0.0
     used: int = 0
     lifetime: float = IDLE_LIFETIME
 
@@ -236,7 +239,9 @@
         try:
             await asyncio.wait_for(exchange.done, timeout)
         except TimeoutError:
-            raise ExchangeError(exchange.phase, "no answer in time") from None
+            age = asyncio.get_running_loop().time() - connection.opened
+            reason = f"no answer in time, connection {age:.1f} s old"
+            raise ExchangeError(exchange.phase, reason) from None
         finally:
             if not exchange.done.done() or exchange.done.cancelled():
                 self.cancel(connection)
@@ -283,7 +288,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(address, sock)
+        opened = asyncio.get_running_loop().time()
+        connection = Connection(address, sock, opened=opened)
         self.open[sock] = connection
         code = sock.connect_ex((address.host, address.port))
         if code not in (0, errno.EINPROGRESS):
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -40,6 +40,7 @@
     headers.NOT_RUN,
     headers.SIGNATURE,
     headers.LOAD,
+    headers.LEAVING,
 ]
 
 
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,63 @@
+"""What endpoints say of themselves, as the platform spells it."""
+
+from __future__ import annotations
+
+import pytest
+
+from carawayfold.platform.headers import PlatformDialect
+from carawayfold.transport.client import Head
+
+
+def read(status, *fields):
+    return PlatformDialect().read_answer(Head(status, dict(fields), list(fields)))
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving"),
+    [
+        ([], False),
+        (["1"], True),
+        ([" 1 "], True),
+        (["0"], False),
+        (["yes"], False),
+        (["0", "1"], True),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_an_endpoint_says_that_it_leaves_in_any_answer(status, values, leaving):
+    fields = [("server-leaving", value) for value in values]
+    assert read(status, *fields).leaving is leaving
+
+
+def test_the_next_owner_of_an_address_says_nothing_of_the_one_before():
+    answered = read(421, ("server-leaving", "1"), ("retry-after", "3"))
+    assert (answered.leaving, answered.rest) == (False, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("values", "rest"),
+    [
+        ([], 0.0),
+        (["3"], 3.0),
+        ([" 2.5 "], 2.5),
+        (["0"], 0.0),
+        (["-1"], 0.0),
+        (["soon"], 0.0),
+        (["inf"], 0.0),
+        (["nan"], 0.0),
+        (["1e9"], 0.0),
+        (["٣"], 0.0),
+        (["Thu, 03 Dec 2026 16:00:00 GMT"], 0.0),
+        (["1000000000"], 1e9),
+        (["3", "1"], 3.0),
+        (["x", "1"], 1.0),
+    ],
+)
+def test_the_time_of_rest_is_a_number_of_seconds(values, rest):
+    fields = [("retry-after", value) for value in values]
+    assert read(503, *fields).rest == rest
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_an_answer_that_turns_away_asks_for_rest(status):
+    assert read(status, ("retry-after", "3")).rest == 0.0
