Show endpoints that nobody hears, and reads that outlast silent connections, as failing tests

The second read of queretaro-a-1 hung since it went over a kept connection that was as old as the one that had fallen silent.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import random
+import re
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -29,6 +30,8 @@
 SYSTEM_RANDOM = random.SystemRandom()
 #: Ports that `free_port` has returned in this process.
 given_ports: set[int] = set()
+#: The metric that tells a router's part of the extra repeats.
+REPEATS_EXTRA = re.compile(rb"^carawayfold_repeats_extra (.+)$", re.MULTILINE)
 HOST = "caller.example"
 KEY = "key-of-alder"
 
@@ -168,6 +171,10 @@
             return json.loads(self.records_of(name).read_bytes())
         return json.loads(ask_standin(self.endpoints[name].port, "GET", "/ran"))
 
+    def arrived(self, name: str) -> list[str]:
+        """Return the ids of the requests that came to an endpoint."""
+        return json.loads(ask_standin(self.endpoints[name].port, "GET", "/arrived"))
+
     def start_router(
         self,
         name: str,
@@ -222,6 +229,15 @@
                 return
             await asyncio.sleep(0.02)
 
+    async def wait_repeating(self, name: str) -> None:
+        """Wait until a router is ready and has its part of the extra repeats."""
+        await self.wait_ready(name)
+        while True:
+            told = await call(self.ports[name][2], "GET", "/metrics")
+            if float(REPEATS_EXTRA.search(told.body)[1]) > 0:
+                return
+            await asyncio.sleep(0.02)
+
 
 @dataclass(slots=True)
 class CallAnswer:
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -2,8 +2,8 @@
 
 A path that begins with ``/stream`` answers with numbered events, as many as the
 header ``Token-Usage`` allows; any other path answers with a short body. ``GET /ran``
-lists what ran, ``POST /faults`` sets faults. A body that holds `HARMFUL` ends the
-process soon after it began to run.
+lists what ran, ``GET /arrived`` what came, ``POST /faults`` sets faults. A body that
+holds `HARMFUL` ends the process soon after it began to run.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
     from standins.web import WebConnection, WebRequest
 
 SIGNATURE = ("Server-Signature", "stand-in")
+LEAVING = ("Server-Leaving", "1")
 EVENT_STREAM = ("Content-Type", "text/event-stream")
 #: A body with this text ends the process that runs it.
 HARMFUL = b"ends what runs it"
@@ -53,6 +54,10 @@
         Send another request's answer first.
     pause : float
         Seconds between events, and before a plain answer.
+    leaving : bool
+        Say in every answer that the endpoint leaves.
+    rest : str
+        Time of rest that goes with an answer that the request was not run.
     """
 
     break_after: int = 0
@@ -63,6 +68,8 @@
     silent: bool = False
     foreign: bool = False
     pause: float = 0.0
+    leaving: bool = False
+    rest: str = ""
 
 
 class Hosted:
@@ -86,6 +93,8 @@
         self.records = records
         self.faults = HostedFaults()
         self.ran: list[dict[str, object]] = []
+        #: Ids of the requests that came, whatever became of them.
+        self.arrived: list[str] = []
 
     async def handle(
         self, request: WebRequest, connection: WebConnection
@@ -98,12 +107,21 @@
             return WebAnswer.json({"epoch": 1, "next": 0, "held": self.kept()})
         if request.path == "/ran":
             return WebAnswer.json(self.ran)
+        if request.path == "/arrived":
+            return WebAnswer.json(self.arrived)
+        self.arrived.append(request.headers.get("request-id", ""))
         if request.headers.get("target-instance", self.name) != self.name:
             return WebAnswer(421, b"", [("Instance-Id", self.name)])
         if self.faults.decline:
-            return WebAnswer(503, b"", [("Not-Executed", "1")])
+            rest = [("Retry-After", self.faults.rest)] if self.faults.rest else []
+            headers = [("Not-Executed", "1"), *rest, *self._notice()]
+            return WebAnswer(503, b"", headers)
         return await self._work(request, connection)
 
+    def _notice(self) -> list[tuple[str, str]]:
+        """Return what the endpoint says of itself in every answer."""
+        return [LEAVING] if self.faults.leaving else []
+
     def _end_process(self) -> None:
         """End at once, and with it all that runs here."""
         for record in self.ran:
@@ -150,7 +168,8 @@
     async def _answer(
         self, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
-        headers = [("Request-Id", request.headers.get("request-id", "")), SIGNATURE]
+        own_id = ("Request-Id", request.headers.get("request-id", ""))
+        headers = [own_id, SIGNATURE, *self._notice()]
         if self.faults.silent:
             await connection.gone.wait()
             return None
--- a/tests/integration/test_hosted.py
+++ b/tests/integration/test_hosted.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import signal
 
 import h11
@@ -36,21 +35,10 @@
     for number in range(routers):
         fleet.start_router(f"router-{number}", retry_window=RETRY_WINDOW)
     for number in range(routers):
-        asyncio.run(wait_repeating(fleet, f"router-{number}"))
+        asyncio.run(fleet.wait_repeating(f"router-{number}"))
     return fleet
 
 
-async def wait_repeating(fleet, router):
-    """Wait until a router is ready and has its part of the extra repeats."""
-    await fleet.wait_ready(router)
-    while True:
-        told = await call(fleet.ports[router][2], "GET", "/metrics")
-        found = re.search(rb"^carawayfold_repeats_extra (.+)$", told.body, re.MULTILINE)
-        if float(found[1]) > 0:
-            return
-        await asyncio.sleep(0.02)
-
-
 @pytest.fixture
 def fleet(processes):
     return make_fleet(processes)
--- a/tests/simulated_configurations.py
+++ b/tests/simulated_configurations.py
@@ -3,7 +3,8 @@
 Real followers, questions between peers and heartbeats, as in
 `tests.simulated_registrations`. A trouble comes, may end, and a version is written;
 each router in touch is watched until the version is in force there, and for an older
-one after it. ``python -m tests.simulated_configurations`` prints how long that takes
+one after it; or an endpoint leaves, or goes without a word.
+``python -m tests.simulated_configurations SIZES SEEDS WORD`` prints how long that takes
 at each size under each trouble.
 """
 
@@ -12,9 +13,11 @@
 import asyncio
 import sys
 from dataclasses import dataclass, field
+from enum import Enum
 
 import logbook
 
+from carawayfold.protocol.sources import Registered
 from tests.simulated_fleet import STRONG, WEAK, simulate, started
 from tests.simulated_registrations import SETTLED, SimulatedNews
 from tests.simulated_store import Access
@@ -47,6 +50,8 @@
         Data centres that are cut off from the rest.
     killed : float
         Part of the routers that are killed and start again.
+    connections_silent : float
+        Part of the routers whose open connections to the store fall silent for good.
     lasts : tuple of float
         Least and most seconds of it; a version comes with it, so that all routers begin
         to read at the same moment.
@@ -62,6 +67,7 @@
     readers_hang: int = 0
     apart: int = 0
     killed: float = 0.0
+    connections_silent: float = 0.0
     lasts: tuple[float, float] = (0.5, 6.0)
     ends: bool = True
     loss: float = 0.0
@@ -82,9 +88,22 @@
     "all killed": Trouble(killed=1.0),
     "half killed, store silent": Trouble(killed=0.5, silent=1.0),
     "store silent, loss": Trouble(silent=1.0, loss=0.05),
+    "store silent for long": Trouble(silent=1.0, lasts=(9.0, 13.0)),
+    "connections silent": Trouble(connections_silent=1.0, lasts=(0.0, 1.0)),
+    "half silenced, half swallowed": Trouble(
+        connections_silent=0.5, silent=0.5, lasts=(0.0, 1.0), ends=False
+    ),
 }
 
 
+class Word(Enum):
+    """What is written after a trouble."""
+
+    VERSION = "a version of the configuration"
+    LEAVES = "an endpoint leaves"
+    GOES = "an endpoint's entry vanishes"
+
+
 @dataclass
 class Round:
     """What one round has shown.
@@ -107,8 +126,8 @@
     calls: float = 0.0
 
 
-async def play_round(count, places, trouble, seed, bound):
-    """Play a trouble and a version after it; return what it has shown."""
+async def play_round(count, places, trouble, seed, bound, word=Word.VERSION):
+    """Play a trouble and a word after it; return what it has shown."""
     fleet = started(count, places, seed=seed, loss=trouble.loss)
     world = SimulatedNews(fleet)
     shown = Round()
@@ -126,15 +145,31 @@
         heal(world)
         await asyncio.sleep(world.draw.uniform(0, 1.2))
     written = world.loop.time()
-    world.store.configure(3)
+    write(world, word)
     allowed = max(written + bound, healed + STABLE)
-    await watch(world, written, allowed, shown)
+    await watch(world, written, allowed, shown, word)
     await fleet.close()
     return shown
 
 
-async def watch(world, written, allowed, shown):
-    """Look at each router until all have had the version in force for a while."""
+def write(world, word):
+    if word is Word.VERSION:
+        world.store.configure(3)
+    elif word is Word.LEAVES:
+        world.register("e-0", leaving=True)
+    else:
+        world.store.write(Registered("e-0", None))
+
+
+def obeys(router, word):
+    """Return whether a router goes by what was written."""
+    if word is Word.VERSION:
+        return router.knowledge.version >= 3
+    return router.knows("e-0")
+
+
+async def watch(world, written, allowed, shown, word=Word.VERSION):
+    """Look at each router until all have gone by the word for a while."""
     unaware = set(world.in_touch())
     had = {}
     end = written + PATIENCE
@@ -144,7 +179,7 @@
             if version < had.get(router, 0):
                 shown.back.add(name)
             had[router] = version
-            if version >= 3 and name in unaware:
+            if name in unaware and obeys(router, word):
                 unaware.discard(name)
                 note(shown, name, world.loop.time(), written, allowed)
                 if not unaware:
@@ -174,12 +209,21 @@
     for place in range(places):
         hung += readers_first(world, f"dc-{place}")[: trouble.readers_hang]
     store.operators_access.update(dict.fromkeys(hung, Access.SWALLOWED))
+    silenced = some_but(names, world, trouble)
+    store.silenced.update(dict.fromkeys(silenced, world.loop.time()))
     fleet.apart |= {f"dc-{number}" for number in range(trouble.apart)}
     killed = some(trouble.killed)
     fleet.kill(*killed)
     world.killed = killed
 
 
+def some_but(names, world, trouble):
+    """Return routers whose connections fall silent: not those that get no answers."""
+    others = [name for name in names if name not in world.store.access]
+    wanted = round(trouble.connections_silent * len(names))
+    return world.draw.sample(others, min(wanted, len(others)))
+
+
 def heal(world):
     """End a trouble; routers that were killed start again."""
     fleet = world.fleet
@@ -192,21 +236,27 @@
         fleet.start(name, fleet.places[name], processor, fleet.draw.uniform(0, 0.3))
 
 
-def rounds_of(count, places, trouble, seeds, bound=2.0):
+def rounds_of(count, places, trouble, seeds, bound=2.0, word=Word.VERSION):
     """Return what each round has shown."""
+
+    def play(seed):
+        return simulate(lambda: play_round(count, places, trouble, seed, bound, word))
+
     with logbook.NullHandler().applicationbound():
-        return [
-            simulate(lambda seed=seed: play_round(count, places, trouble, seed, bound))
-            for seed in seeds
-        ]
+        return [play(seed) for seed in seeds]
+
+
+def worst_of(played):
+    """Return the longest time until a router went by the word."""
+    return max((age for shown in played for age in shown.ages.values()), default=0.0)
 
 
-def main(sizes, rounds):
+def main(sizes, rounds, word):
     """Print a row for each size and trouble."""
     print("routers  trouble                    median   worst   late by   calls/s calm")
     for count, places in sizes:
         for name, trouble in TROUBLES.items():
-            played = rounds_of(count, places, trouble, range(rounds))
+            played = rounds_of(count, places, trouble, range(rounds), word=word)
             ages = sorted(age for shown in played for age in shown.ages.values())
             late = max((x for shown in played for x in shown.late.values()), default=0)
             back = sum(len(shown.back) for shown in played)
@@ -227,4 +277,7 @@
         "360": (360, 11),
     }
     wanted = sys.argv[1].split(",") if len(sys.argv) > 1 else list(chosen)
-    main([chosen[size] for size in wanted], int((sys.argv[2:] or ["4"])[0]))
+    seeds = int((sys.argv[2:] or ["4"])[0])
+    main(
+        [chosen[size] for size in wanted], seeds, Word[(sys.argv[3:] or ["VERSION"])[0]]
+    )
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -43,6 +43,11 @@
         How it treats each router.
     operators_access : dict
         The same for calls of the operators' topic alone, where that differs.
+    silenced : dict
+        Loop time at which all connections of a router fell silent that were open then.
+    idle : dict
+        Loop times at which each router's idle connections were opened, as its client
+        takes them: the newest first.
     """
 
     access: dict[str, Access] = field(default_factory=dict)
@@ -52,6 +57,8 @@
     calls: Counter = field(default_factory=Counter)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     era: int = 0
+    silenced: dict[str, float] = field(default_factory=dict)
+    idle: dict[str, list[float]] = field(default_factory=dict)
 
     def write(self, item):
         self.records.append(item)
@@ -121,12 +128,45 @@
         return self.store.access_of(self.router, self.records)
 
     async def newest(self):
+        return await self._on_connection(self._newest(), platform_store.TIMEOUT)
+
+    async def _newest(self):
         await self.store.admit(self.router, self.records, platform_store.TIMEOUT)
         return Page(self.newest_of(), self.store.place(self.records))
 
     async def read(self, start, wait):
-        loop = asyncio.get_running_loop()
         patience = wait + platform_store.TIMEOUT
+        return await self._on_connection(self._read(start, wait, patience), patience)
+
+    async def _on_connection(self, work, patience):
+        """Return an answer unless the connection falls silent before it."""
+        loop = asyncio.get_running_loop()
+        idle = self.store.idle.setdefault(self.router, [])
+        opened = idle.pop() if idle else loop.time()
+        begun = loop.time()
+        if opened > self._silenced():
+            try:
+                answer = await work
+            except SourceError:
+                self._lose(begun)
+                raise
+            if opened > self._silenced():
+                idle.append(opened)
+                return answer
+        else:
+            work.close()
+        await asyncio.sleep(begun + patience - loop.time())
+        self._lose(begun)
+        raise SourceError("no answer in time")
+
+    def _silenced(self):
+        return self.store.silenced.get(self.router, float("-inf"))
+
+    def _lose(self, begun):
+        """Give up a connection, and those with it that the client gives up then."""
+
+    async def _read(self, start, wait, patience):
+        loop = asyncio.get_running_loop()
         end = loop.time() + patience
         await self.store.admit(self.router, self.records, patience)
         until = loop.time() + wait
