Send nothing more to an endpoint whose answers say that it leaves

Seen by callers: an engine that left while the store was silent got 51 more requests of eight routers; two came 2.566 and 2.581 s after their router had passed on an answer with its word, 2.0 allowed.

Cause: nothing read the word. What leaves was known from the store alone, which could not be written for 13 s.

Ruled out: a decider that knew less (no router knew), requests placed before (they came 2.49 s after the word).

Change: the head of any answer marks that incarnation as leaving in the list of endpoints, so that every send, grant, queue and copy that looks there obeys. It holds against later entries, lists, peers and copies of the store. The router tells all others; a checksum in each heartbeat shows who missed it.

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -22,7 +22,7 @@
     from collections.abc import Callable
 
     from carawayfold.protocol.sources import Page, Registered, SourceError
-    from carawayfold.state.ids import RouterId
+    from carawayfold.state.ids import EndpointId, RouterId
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -283,6 +283,26 @@
         self.listed = True
         self._settle(True, now)
 
+    def take_leaving(self, endpoint: EndpointId, peer: RouterId | None = None) -> bool:
+        """Take that an endpoint said that it leaves; return whether to tell others.
+
+        Parameters
+        ----------
+        peer : RouterId or None
+            The router that told so; None for an answer to this one.
+        """
+        known = self.endpoints.registered(endpoint)
+        by_peer = peer is not None
+        if not self.endpoints.announce(endpoint, self.loop.time(), by_peer):
+            return False
+        registered = known is not None
+        extra = {"endpoint": endpoint, "source": peer or "answer"}
+        extra["known_to_leave"] = registered and known.leaving
+        logger.info("endpoint says that it leaves", extra=extra)
+        if known is not None and not known.leaving:
+            self.on_endpoints()
+        return True
+
     def snapshot(self) -> EndpointSnapshot:
         """Return the endpoints for a peer, without times of this process's clock."""
         entries = self.endpoints.entries.values()
--- a/carawayfold/coordination/knowledge/notices.py
+++ b/carawayfold/coordination/knowledge/notices.py
@@ -1,62 +1,103 @@
-"""What endpoints say of themselves in their answers."""
+"""What endpoints say of themselves in their answers, and who else is told.
+
+The load it answers: the store is silent, or tells only some routers, while endpoints
+leave. Each answer of such an endpoint says so. The router that gets one tells all
+others, and each heartbeat shows who has missed it, so that one that has just started
+is told as well.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import logbook
+import xxhash
+
+from carawayfold.protocol.datagrams import Beat, LeavingMessage
+from carawayfold.state.ids import RouterId
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.fleet.fleet import Fleet
+    from carawayfold.coordination.knowledge.knowledge import Knowledge
+    from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.protocol.exchanges import Answered
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import EndpointId
 
 logger = logbook.Logger(__name__)
 
+#: Least seconds between two times that one peer is told of all endpoints that leave.
+EVEN_OUT_INTERVAL = 1.0
+#: Endpoints named in one message, so that it fits a datagram.
+NAMED_IN_ONE = 40
+
 
 class Notices:
-    """Notes which endpoints leave or ask for rest by their own answers.
+    """Takes what endpoints say of themselves, and tells the other routers.
 
-    Attributes
+    Parameters
     ----------
-    leaving : dict
-        Loop time at which each endpoint first said that it leaves.
-    rests : dict
-        Loop time until which each endpoint wants nothing from this router.
+    fleet : Fleet
+        The routers.
+    knowledge : Knowledge
+        Where it is kept that an endpoint leaves.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fleet: Fleet, knowledge: Knowledge) -> None:
+        self.fleet = fleet
+        self.knowledge = knowledge
         self.loop = asyncio.get_running_loop()
-        self.leaving: dict[EndpointId, float] = {}
-        self.rests: dict[EndpointId, float] = {}
+        #: When each peer was last told everything.
+        self.evened_out: dict[RouterId, float] = {}
+
+    @property
+    def checksum(self) -> int:
+        """Return a number that is equal where the same is known, 0 for nothing."""
+        said = self.knowledge.endpoints.said_leaving()
+        if not said:
+            return 0
+        # 31 bits: a heartbeat holds it in five bytes.
+        return xxhash.xxh3_64_intdigest("\n".join(said).encode()) >> 33 or 1
 
     def heard(self, endpoint: Endpoint, answered: Answered) -> None:
         """Take what the head of an endpoint's answer says of the endpoint."""
-        now = self.loop.time()
-        if answered.leaving and endpoint.id not in self.leaving:
-            self.leaving[endpoint.id] = now
-            logger.info(
-                "endpoint says that it leaves",
-                extra={"endpoint": endpoint.id, "registered": endpoint.leaving},
-            )
+        if answered.leaving and self.knowledge.take_leaving(endpoint.id):
+            self.fleet.send_to_all(LeavingMessage([endpoint.id]))
         if answered.rest:
-            self.rests[endpoint.id] = now + answered.rest
             extra = {"endpoint": endpoint.id, "rest_s": answered.rest}
             logger.info("endpoint asks for rest", extra=extra)
 
-    def note_send(self, endpoint: Endpoint) -> None:
-        """Log a send that goes against what its endpoint has said."""
+    def take(self, datagram: Datagram) -> None:
+        """Take the messages of a peer."""
+        for message in datagram.messages:
+            self._take(message, datagram.sender)
+
+    @singledispatchmethod
+    def _take(self, message: Message, sender: RouterId) -> None:
+        """Take one message; most are not on endpoints that leave."""
+
+    @_take.register
+    def _(self, message: LeavingMessage, sender: RouterId) -> None:
+        known = self.knowledge
+        news = [x for x in message.endpoints if known.take_leaving(x, sender)]
+        if news:
+            for router in self.fleet.passed_on_to(sender):
+                self.fleet.send(router, LeavingMessage(news))
+
+    @_take.register
+    def _(self, message: Beat, sender: RouterId) -> None:
+        said = self.knowledge.endpoints.said_leaving()
+        if not said or message.leaving == self.checksum:
+            return
         now = self.loop.time()
-        since = self.leaving.get(endpoint.id)
-        left = self.rests.get(endpoint.id, now) - now
-        if since is None and left <= 0:
+        if now - self.evened_out.get(sender, -EVEN_OUT_INTERVAL) < EVEN_OUT_INTERVAL:
             return
-        logger.info(
-            "sent against a notice",
-            extra={
-                "endpoint": endpoint.id,
-                "leaving_for_ms": round((now - since) * 1000) if since else None,
-                "rest_left_ms": max(0, round(left * 1000)),
-            },
-        )
+        self.evened_out[sender] = now
+        self._tell(sender, said)
+
+    def _tell(self, router: RouterId, said: list[EndpointId]) -> None:
+        for start in range(0, len(said), NAMED_IN_ONE):
+            part = said[start : start + NAMED_IN_ONE]
+            self.fleet.send(router, LeavingMessage(part))
--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -123,7 +123,6 @@
 
     def _start(self) -> None:
         call = self.call
-        self.forwarder.notices.note_send(self.endpoint)
         incoming = call.incoming
         resume_after = call.resume_after
         headers = self.forwarder.dialect.request_headers(
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -130,7 +130,7 @@
             lambda: self.anti_entropy.information_age(),
         )
         self.anti_entropy = AntiEntropy(self.fleet, self.knowledge, self.http)
-        self.notices = Notices()
+        self.notices = Notices(self.fleet, self.knowledge)
         self.metrics = ForwardMetrics()
         pulse = Pulse()
         self.containment = Containment(
@@ -329,6 +329,7 @@
             refused=not self.knowledge.store.reachable,
             evacuations_changed=self.knowledge.evacuations.changed_at,
             operators_age=round(self.anti_entropy.operators_age() * 1000),
+            leaving=self.notices.checksum,
         )
 
     def _basis(self) -> Basis:
@@ -344,6 +345,7 @@
             self.anti_entropy.wake()
         self.desk.take(datagram)
         self.containment.take(datagram)
+        self.notices.take(datagram)
 
     def _fleet_changed(self) -> None:
         self.desk.fleet_changed()
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -53,6 +53,9 @@
     operators_age : int
         Milliseconds since it knew all of the operators' words, from the store or from
         a peer.
+    leaving : int
+        Checksum of the registered endpoints that have said in answers that they leave,
+        as far as it knows; 0 for none.
     """
 
     data_centre: DataCentreId
@@ -68,6 +71,7 @@
     refused: bool = False
     evacuations_changed: Position = Position(0)
     operators_age: int = 0
+    leaving: int = 0
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -227,6 +231,12 @@
     endpoint: EndpointId
 
 
+class LeavingMessage(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """Endpoints have said in answers that they leave."""
+
+    endpoints: list[EndpointId]
+
+
 class VerdictMessage(msgspec.Struct, array_like=True, tag=13, frozen=True):
     """A verdict on a content; see `carawayfold.state.quarantine.Entry`.
 
@@ -262,6 +272,7 @@
     | CrashMessage
     | RanWellMessage
     | LostMessage
+    | LeavingMessage
     | VerdictMessage
 )
 
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -23,6 +23,8 @@
 #: Names of endpoints that are gone whose newest incarnation is remembered, so that a
 #: record that was delayed does not bring an older one back.
 INCARNATIONS_KEPT = 2000
+#: Endpoints no longer registered that are remembered to have said that they leave.
+ANNOUNCED_KEPT = 2000
 #: Seconds for which it is remembered that an endpoint went: a copy from which the store
 #: comes back is some seconds old, and holds entries of endpoints that went since.
 DEPARTED_FOR = 30.0
@@ -91,6 +93,9 @@
         When each endpoint went that went lately.
     leaving_since : dict
         When each registered endpoint that leaves was first known to leave.
+    announced : dict
+        Incarnations that have said in an answer that they leave, which holds until
+        their end whatever their entries say, and whether the fleet was told.
     outage_end : float
         Monotonic seconds at which the store was last found out of reach.
     """
@@ -101,13 +106,15 @@
     incarnations: dict[EndpointName, int] = msgspec.field(default_factory=dict)
     departed: dict[EndpointName, float] = msgspec.field(default_factory=dict)
     leaving_since: dict[EndpointName, float] = msgspec.field(default_factory=dict)
+    announced: dict[EndpointId, bool] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
 
     def put(self, endpoint: Endpoint, now: float = 0.0, listed: bool = False) -> bool:
         """Add or change an entry; return whether that matters to placement.
 
         An entry of an incarnation that is over is passed over, and one that leaves goes
-        on leaving: an older entry of it may come back with a copy of the store.
+        on leaving: an older entry of it may come back with a copy of the store, and one
+        that could not be written tells nothing of what the endpoint has said since.
 
         Parameters
         ----------
@@ -131,6 +138,8 @@
             endpoint = msgspec.structs.replace(
                 endpoint, warm_at=warm_at, leaving=leaving
             )
+        if endpoint.id in self.announced:
+            endpoint = msgspec.structs.replace(endpoint, leaving=True)
         self.departed.pop(endpoint.name, None)
         self.entries[endpoint.name] = endpoint
         if not endpoint.leaving:
@@ -139,6 +148,51 @@
             self.leaving_since[endpoint.name] = now
         return old != endpoint
 
+    def announce(self, endpoint: EndpointId, now: float, by_peer: bool = False) -> bool:
+        """Note that an incarnation has said in an answer that it leaves.
+
+        It need not be registered yet.
+
+        Parameters
+        ----------
+        by_peer : bool
+            Whether a peer tells so.
+
+        Returns
+        -------
+        bool
+            Whether the fleet should be told: its entry does not say so yet.
+        """
+        known = self.registered(endpoint)
+        told = by_peer or known is None or not known.leaving
+        if self.announced.get(endpoint) in (True, told):
+            return False
+        self.announced[endpoint] = told
+        self._bound_announced()
+        if known is not None:
+            self.put(known, now)
+        return told
+
+    def _bound_announced(self) -> None:
+        if len(self.announced) <= ANNOUNCED_KEPT + len(self.entries):
+            return
+        oldest = next(x for x in self.announced if self.registered(x) is None)
+        del self.announced[oldest]
+
+    def registered(self, endpoint: EndpointId) -> Endpoint | None:
+        """Return the entry of an incarnation, None if it is not registered."""
+        # An id begins with its name, which may be the whole of it.
+        for name in (endpoint.rpartition("~")[0], endpoint):
+            entry = self.entries.get(EndpointName(name))
+            if entry is not None and entry.id == endpoint:
+                return entry
+        return None
+
+    def said_leaving(self) -> list[EndpointId]:
+        """Return the registered endpoints of which the fleet was told so, sorted."""
+        told = [name for name, told in self.announced.items() if told]
+        return sorted(x for x in told if self.registered(x) is not None)
+
     def _note_incarnation(self, endpoint: Endpoint) -> None:
         self.incarnations[endpoint.name] = endpoint.incarnation
         if len(self.incarnations) <= INCARNATIONS_KEPT + len(self.entries):
--- a/tests/coordination/requests/test_attempts.py
+++ b/tests/coordination/requests/test_attempts.py
@@ -39,7 +39,6 @@
         http=FakeHttp(phase),
         dialect=SimpleNamespace(request_headers=lambda *args: []),
         desk=SimpleNamespace(is_over=lambda item: False),
-        notices=SimpleNamespace(note_send=lambda item: None),
     )
     call = SimpleNamespace(
         incoming=SimpleNamespace(method=b"POST", target=b"/x", body=b""),
--- /dev/null
+++ b/tests/simulated_notices.py
@@ -0,0 +1,177 @@
+"""What endpoints say in answers, on its way to every router of a simulated fleet.
+
+The store tells nothing. Each router's part is the product's own `Notices` and
+`Knowledge`. ``python -m tests.simulated_notices`` prints how long the last router takes
+at each size under each trouble.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+
+import logbook
+import msgspec
+
+from carawayfold.coordination.knowledge.knowledge import Knowledge
+from carawayfold.coordination.knowledge.notices import Notices
+from carawayfold.protocol.exchanges import Answered
+from tests.schedule_builders import endpoint
+from tests.simulated_fleet import simulate, started
+
+#: Seconds in which a fleet has surely settled.
+SETTLED = 6.0
+#: Seconds between looks at what the routers know.
+LOOK_INTERVAL = 0.01
+#: Seconds after which a router that still does not know is not waited for.
+PATIENCE = 6.0
+SAYS_LEAVING = Answered(200, False, False, True, None, [], leaving=True)
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """What is wrong when an endpoint says that it leaves.
+
+    Attributes
+    ----------
+    loss : float
+        Part of the datagrams that is lost.
+    apart : int
+        Data centres that are cut off at first, until a second later.
+    dead_hubs : bool
+        Whether all routers that decide stop in the same moment.
+    heard_by : int
+        Routers that had an answer themselves.
+    """
+
+    loss: float = 0.0
+    apart: int = 0
+    dead_hubs: bool = False
+    heard_by: int = 1
+
+
+TROUBLES = {
+    "calm": Trouble(),
+    "several hear it": Trouble(heard_by=5),
+    "loss": Trouble(loss=0.05),
+    "cut for a second": Trouble(apart=1),
+    "deciders lost": Trouble(dead_hubs=True),
+}
+
+
+def name_of(number):
+    """Return the name of an endpoint, as long as real ones."""
+    return f"i-{number:010x}"
+
+
+class RouterNotices:
+    """One router's list of endpoints, and what it tells of it."""
+
+    def __init__(self, fleet, count):
+        self.knowledge = Knowledge(lambda table: None, lambda: None)
+        self.notices = Notices(fleet, self.knowledge)
+        for number in range(count):
+            self.knowledge.endpoints.put(endpoint(name_of(number)))
+
+    def take(self, datagram):
+        self.notices.take(datagram)
+
+    def fleet_changed(self):
+        """Nothing here depends on who decides."""
+
+    async def keep_looking(self):
+        """Nothing is done without a message."""
+
+    def obeys(self, name):
+        return self.knowledge.endpoints.entries[name].leaving
+
+
+class SimulatedNotices:
+    """A fleet whose routers hear endpoints' answers."""
+
+    def __init__(self, fleet, endpoints=6):
+        self.fleet = fleet
+        self.routers = {}
+        self.endpoints = endpoints
+        fleet.attach = self.attach
+        fleet.fill_beat = self.fill_beat
+
+    def attach(self, name, router):
+        made = self.routers[name] = RouterNotices(router, self.endpoints)
+        return made
+
+    def fill_beat(self, name, beat):
+        checksum = self.routers[name].notices.checksum
+        return msgspec.structs.replace(beat, leaving=checksum)
+
+    def say(self, name, heard_by=1):
+        """Let some routers hear that an endpoint leaves; return them."""
+        living = [item for item in self.fleet.routers if item not in self.fleet.dead]
+        hearing = self.fleet.draw.sample(living, min(heard_by, len(living)))
+        for router in hearing:
+            self.routers[router].notices.heard(endpoint(name), SAYS_LEAVING)
+        return hearing
+
+
+async def play_round(count, places, trouble, seed):
+    """Return after how long each router obeyed."""
+    fleet = started(count, places, seed=seed)
+    world = SimulatedNotices(fleet)
+    await asyncio.sleep(SETTLED)
+    fleet.loss = trouble.loss
+    fleet.apart |= {f"dc-{number}" for number in range(trouble.apart)}
+    if trouble.dead_hubs:
+        hubs = {name for place in range(places) for name in fleet.hubs(f"dc-{place}")}
+        # In a small fleet all routers decide.
+        fleet.dead |= hubs if len(hubs) < count else set(sorted(hubs)[: count // 2])
+    world.say(name_of(0), trouble.heard_by)
+    begun = fleet.loop.time()
+    ages = {}
+    while fleet.loop.time() - begun < PATIENCE:
+        passed = fleet.loop.time() - begun
+        if passed > 1.0:
+            fleet.apart.clear()
+        for name, router in world.routers.items():
+            if name not in ages and name not in fleet.dead and router.obeys(name_of(0)):
+                ages[name] = passed
+        if len(ages) == count - len(fleet.dead):
+            break
+        await asyncio.sleep(LOOK_INTERVAL)
+    unaware = set(fleet.routers) - set(ages) - fleet.dead
+    await fleet.close()
+    return ages | dict.fromkeys(unaware, PATIENCE)
+
+
+def ages_of(count, places, trouble, seeds):
+    """Return after how long each router obeyed, in all rounds, sorted."""
+    with logbook.NullHandler().applicationbound():
+        played = [
+            simulate(lambda seed=seed: play_round(count, places, trouble, seed))
+            for seed in seeds
+        ]
+    return sorted(age for ages in played for age in ages.values())
+
+
+def main(sizes, rounds):
+    """Print a row for each size and trouble."""
+    print("routers  trouble            median   99 %  worst")
+    for count, places in sizes:
+        for name, trouble in TROUBLES.items():
+            ages = ages_of(count, places, trouble, range(rounds))
+            shown = [ages[len(ages) // 2], ages[int(len(ages) * 0.99)], ages[-1]]
+            row = "".join(f"{age:7.2f}" for age in shown)
+            print(f"{count:7}  {name:17} {row}", flush=True)
+
+
+if __name__ == "__main__":
+    chosen = {
+        "6": (6, 3),
+        "9": (9, 4),
+        "24": (24, 3),
+        "67": (67, 3),
+        "195": (195, 5),
+        "360": (360, 11),
+    }
+    wanted = sys.argv[1].split(",") if len(sys.argv) > 1 else list(chosen)
+    main([chosen[size] for size in wanted], int((sys.argv[2:] or ["4"])[0]))
