Let the check of registrations hold that no router uses what has said it leaves

Cause: the check looked for endpoints that come back only; one that a router had heard of and went on using was no fault to it.

Ruled out: nothing else.

Change: the rule is part of the model; a seeded fault in it is found.

Conclusion: the model covers both ways in which a router learns that one leaves.

--- a/tests/knowledge_model.py
+++ b/tests/knowledge_model.py
@@ -173,7 +173,8 @@
     @staticmethod
     def _is_back(router):
         if router.uses_it():
-            return router.told_that_it_leaves
+            announced = NAME in router.known.endpoints.announced
+            return router.told_that_it_leaves or announced
         router.told_that_it_leaves = True
         return False
 
