Ask a store that fell silent shortly and often, and not over connections as old

Cause: a read hung for 3.0 s (2.5 s of the configuration), a second one went over a kept connection as old as the first, and the first one that was answered waited for records before it confirmed anything. So for 4.5 s nobody knew all registrations, though the store answered; a router took that for an outage and a vanished entry for a lease that had run out, and told its peers so. The class: a detection time above the bound; a pool of connections of which one failure says that the others are bad; silence of the readers taken for the store's.

Ruled out: a peer's list that loses the word (the peers that read themselves dropped the entry at once).

Change: reads wait 1.4 s and are given up 0.6 s later; an unanswered call drops the kept connections; the calls after a failure don't wait and are given up after 0.4 and 0.8 s in turn. In a large fleet only those that read for others go on without a pause, the others spread their calls by its size.

--- a/carawayfold/coordination/backoff.py
+++ b/carawayfold/coordination/backoff.py
@@ -22,15 +22,12 @@
         """Note that a call was answered."""
         self.pause = RETRY_WAIT
 
-    async def wait(self, lasted: float = 0.0) -> None:
-        """Pause, for longer the next time.
-
-        Parameters
-        ----------
-        lasted : float
-            Seconds that the failed call took. They count as part of the pause: after a
-            call that was never answered, waiting protects nobody.
-        """
+    def next_pause(self) -> float:
+        """Return the seconds to pause, more the next time."""
         pause = self.pause
         self.pause = min(RETRY_WAIT_MOST, 2 * pause)
-        await asyncio.sleep(max(0.0, pause - lasted))
+        return pause
+
+    async def wait(self) -> None:
+        """Pause, for longer the next time."""
+        await asyncio.sleep(self.next_pause())
--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -59,6 +59,9 @@
 #: loop: an age that goes round among routers, none of which reads the store, would
 #: otherwise lose that at each hop, and hardly grow.
 HOP_TIME = 0.01
+#: Seconds between calls of a silent store, for each router of a fleet in which a few
+#: read for the others: whichever is answered first tells the rest.
+SILENT_PAUSE_PER_ROUTER = 0.05
 CONFIGURATION_PATH = "/configuration"
 ENDPOINTS_PATH = "/endpoints"
 EVACUATIONS_PATH = "/evacuations"
@@ -195,6 +198,12 @@
         """Return whether other routers rely on what this one reads."""
         return self.fleet.size > ALL_READ
 
+    def silent_pause(self) -> float:
+        """Return the seconds before a call after one that was never answered."""
+        if is_reader(self.fleet, 0.0):
+            return 0.0
+        return SILENT_PAUSE_PER_ROUTER * self.fleet.size * random.uniform(0.5, 1.5)
+
     async def turn(self) -> None:
         """Wait until this router should read registrations from the store."""
         await self.reading.wait()
--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -13,7 +13,7 @@
 import logbook
 
 from carawayfold.coordination.backoff import Backoff
-from carawayfold.protocol.sources import HistoryLost, SourceError
+from carawayfold.protocol.sources import HistoryLost, NoAnswer, SourceError
 from carawayfold.state.positions import offset_of
 
 if TYPE_CHECKING:
@@ -26,18 +26,19 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds that a read waits for the operators' words. One that a silent store never
-#: answers is given up a second later: together less than the time after which a router
-#: must be up to date again.
-OPERATORS_WAIT = 1.5
-#: Seconds that a read of registrations waits; renewals of a lease add no record.
-ENDPOINTS_WAIT = 2.0
+#: Seconds that a read waits for records. With the time after which one that is never
+#: answered is given up, less than the time after which a router must be up to date.
+READ_WAIT = 1.4
 #: Seconds that a read waits of a router that reads for others: they take it for cut off
 #: from the store when it has had no answer for a little longer.
 WAIT_FOR_OTHERS = 0.8
 #: Seconds between two such reads, so that a whole service that registers at once
 #: takes a few reads and not one an endpoint.
 ENDPOINTS_PAUSE = 0.1
+#: Seconds for the answer of a read after one that failed, in turn. It does not wait for
+#: records, so that a store which is back is found at once and confirms what is known;
+#: the longer time is for one that is slow.
+PROBE_PATIENCE = (0.8, 0.4)
 #: Seconds before the newest records are read after the history was lost, so that a
 #: store that loses it again and again is not called without a pause.
 HISTORY_WAIT = 0.05
@@ -66,6 +67,8 @@
         Returns how far peers have told this router, None where they don't.
     pause : float
         Seconds between two reads.
+    silent_pause : callable
+        Returns the seconds before the next read after one that was never answered.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         on_answer: Callable[[], None],
         told: Callable[[], Position | None] = lambda: None,
         pause: float = 0.0,
+        silent_pause: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.topic = topic
         self.told = told
@@ -91,6 +95,7 @@
         self.on_read = on_read
         self.wait = wait
         self.pause = pause
+        self.silent_pause = silent_pause
         self.next: Position | None = None
         #: Whether the records after `next` are no longer kept.
         self.lost = False
@@ -98,6 +103,8 @@
         self.in_step = True
         #: Loop time at which the last call began.
         self.asked_at = 0.0
+        #: Calls that failed since the last answer.
+        self.failures = 0
         self.backoff = Backoff()
 
     async def follow(self) -> None:
@@ -106,6 +113,7 @@
             try:
                 await self.step()
                 self.backoff.reset()
+                self.failures = 0
             except HistoryLost:
                 begun = offset_of(self.next) if self.next is not None else None
                 logger.info("history lost", extra={"from": begun})
@@ -113,15 +121,23 @@
                 await asyncio.sleep(HISTORY_WAIT)
             except SourceError as error:
                 lasted = self.knowledge.loop.time() - self.asked_at
+                self.failures += 1
                 self.knowledge.note_failure(error)
-                self._log_failure(error, lasted)
-                await self.backoff.wait(lasted)
+                pause = self._next_pause(error, lasted)
+                self._log_failure(error, lasted, pause)
+                await asyncio.sleep(pause)
 
-    def _log_failure(self, error: SourceError, lasted: float) -> None:
+    def _next_pause(self, error: SourceError, lasted: float) -> float:
+        """Return the seconds before the next call after one that failed."""
+        if isinstance(error, NoAnswer):
+            return self.silent_pause()
+        return max(0.0, self.backoff.next_pause() - lasted)
+
+    def _log_failure(self, error: SourceError, lasted: float, pause: float) -> None:
         extra = {
             "topic": self.topic,
             "lasted_ms": round(lasted * 1000),
-            "pause_ms": round(max(0.0, self.backoff.pause - lasted) * 1000),
+            "pause_ms": round(pause * 1000),
             "reason": str(error),
         }
         logger.info("read failed", extra=extra)
@@ -154,21 +170,32 @@
             self.on_answer()
             self.on_newest(page)
         else:
-            page = await self.source.read(start, self._next_wait())
+            page = await self._read(start)
             self.on_answer()
             self.on_read(page)
-            self.in_step = bool(page.items)
+            self.in_step = bool(page.items) or self.failures > 0
         self.lost = False
         self.next = page.next
         if self.pause:
             await asyncio.sleep(self.pause)
 
+    async def _read(self, start: Position) -> Page:
+        if not self.failures:
+            return await self.source.read(start, self._next_wait())
+        patience = PROBE_PATIENCE[self.failures % len(PROBE_PATIENCE)]
+        try:
+            async with asyncio.timeout(patience):
+                return await self.source.read(start, 0.0)
+        except TimeoutError:
+            raise NoAnswer("no answer in time") from None
+
 
 def follow_operators(
     source: Source[RouteTable | Evacuation],
     knowledge: Knowledge,
     turn: Callable[[], Awaitable[None]],
     reads_for_others: Callable[[], bool],
+    silent_pause: Callable[[], float] = lambda: 0.0,
 ) -> Follower:
     """Return a follower of the operators' configurations and evacuations."""
     return Follower(
@@ -177,9 +204,10 @@
         knowledge,
         partial(knowledge.take_operators, listed=True),
         knowledge.take_operators,
-        lambda: WAIT_FOR_OTHERS if reads_for_others() else OPERATORS_WAIT,
+        lambda: WAIT_FOR_OTHERS if reads_for_others() else READ_WAIT,
         turn,
         knowledge.note_operators,
+        silent_pause=silent_pause,
     )
 
 
@@ -188,6 +216,7 @@
     knowledge: Knowledge,
     turn: Callable[[], Awaitable[None]],
     reads_for_others: Callable[[], bool],
+    silent_pause: Callable[[], float] = lambda: 0.0,
 ) -> Follower:
     """Return a follower of registrations."""
     return Follower(
@@ -196,9 +225,10 @@
         knowledge,
         knowledge.take_listed,
         knowledge.take_registered,
-        lambda: WAIT_FOR_OTHERS if reads_for_others() else ENDPOINTS_WAIT,
+        lambda: WAIT_FOR_OTHERS if reads_for_others() else READ_WAIT,
         turn,
         knowledge.note_registrations,
         lambda: knowledge.endpoints.offset if knowledge.listed else None,
         ENDPOINTS_PAUSE,
+        silent_pause,
     )
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -211,10 +211,18 @@
         operators = operator_source(self.store)
         endpoints = endpoint_source(self.store)
         follow_operators = followers.follow_operators(
-            operators, known, peers.operators_turn, peers.reads_for_others
+            operators,
+            known,
+            peers.operators_turn,
+            peers.reads_for_others,
+            peers.silent_pause,
         )
         follow_endpoints = followers.follow_endpoints(
-            endpoints, known, peers.turn, peers.reads_for_others
+            endpoints,
+            known,
+            peers.turn,
+            peers.reads_for_others,
+            peers.silent_pause,
         )
         self._spawn(follow_operators.follow())
         self._spawn(follow_endpoints.follow())
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -15,6 +15,7 @@
 from carawayfold.protocol.sources import (
     Evacuation,
     HistoryLost,
+    NoAnswer,
     Page,
     PeerEntry,
     QuarantineRecord,
@@ -23,7 +24,7 @@
 )
 from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of, position
-from carawayfold.transport.client import ExchangeError
+from carawayfold.transport.client import ExchangeError, NoAnswerError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +54,8 @@
 #: Seconds after which an unanswered call is given up: an answer takes 4 ms, and a
 #: connection on which one is lost stays silent for good.
 TIMEOUT = 1.0
+#: The same for a read, after the time that it waits for records.
+READ_GRACE = 0.6
 #: Before the records of an answer: its end and its first retained offset.
 READ_HEAD = struct.Struct(">QQ")
 RECORD_HEAD = struct.Struct(">I")
@@ -141,7 +144,7 @@
             f"/log-read?topic={topic}&part={PARTITION}&from={offset_of(start)}"
             f"&wait_ms={round(wait * 1000)}"
         )
-        answer = await self._ask("GET", path, wait=wait)
+        answer = await self._ask("GET", path, timeout=READ_GRACE + wait)
         if answer.era != era_of(start):
             raise HistoryLost("the store came back from a copy")
         return _decode_records(answer.body, start)
@@ -155,13 +158,17 @@
         await self._ask("POST", path, body)
 
     async def _ask(
-        self, method: str, path: str, body: bytes = b"", wait: float = 0.0
+        self, method: str, path: str, body: bytes = b"", timeout: float | None = None
     ) -> StoreAnswer:
         self.calls += 1
         try:
             answer = await self.http.fetch(
-                self.address, method, path, body, TIMEOUT + wait
+                self.address, method, path, body, timeout or TIMEOUT
             )
+        except NoAnswerError as error:
+            # What made this connection silent may have hit all that were open then.
+            self.http.drop_idle(self.address)
+            raise NoAnswer(str(error)) from error
         except ExchangeError as error:
             raise SourceError(str(error)) from error
         if answer.head.status == 410:
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -30,6 +30,10 @@
     """A source did not answer, or not as its protocol says."""
 
 
+class NoAnswer(SourceError):
+    """A source said nothing in time; it may still do what was asked."""
+
+
 class HistoryLost(SourceError):
     """The records asked for are no longer kept; read the newest ones instead."""
 
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -65,6 +65,10 @@
         self.reused = reused
 
 
+class NoAnswerError(ExchangeError):
+    """No whole answer came in time."""
+
+
 class Head(msgspec.Struct):
     """Status and headers of an answer; header names in lower case.
 
@@ -241,7 +245,7 @@
         except TimeoutError:
             age = asyncio.get_running_loop().time() - connection.opened
             reason = f"no answer in time, connection {age:.1f} s old"
-            raise ExchangeError(exchange.phase, reason) from None
+            raise NoAnswerError(exchange.phase, reason) from None
         finally:
             if not exchange.done.done() or exchange.done.cancelled():
                 self.cancel(connection)
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -118,10 +118,18 @@
             group.create_task(self.anti_entropy.keep_asking())
             await self.anti_entropy.adopt()
             routes = followers.follow_operators(
-                tables, self.knowledge, peers.operators_turn, peers.reads_for_others
+                tables,
+                self.knowledge,
+                peers.operators_turn,
+                peers.reads_for_others,
+                peers.silent_pause,
             )
             endpoints = followers.follow_endpoints(
-                registered, self.knowledge, peers.turn, peers.reads_for_others
+                registered,
+                self.knowledge,
+                peers.turn,
+                peers.reads_for_others,
+                peers.silent_pause,
             )
             group.create_task(routes.follow())
             group.create_task(endpoints.follow())
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -11,6 +11,7 @@
 from carawayfold.protocol.sources import (
     Evacuation,
     HistoryLost,
+    NoAnswer,
     Page,
     Registered,
     SourceError,
@@ -109,7 +110,7 @@
         access = self.access_of(router, records)
         if access is Access.SWALLOWED:
             await asyncio.sleep(patience)
-            raise SourceError("no answer in time")
+            raise NoAnswer("no answer in time")
         await asyncio.sleep(SLOW_DELAY if access is Access.SLOW else STORE_DELAY)
         if access is Access.REFUSED:
             raise SourceError("status 503")
@@ -135,7 +136,7 @@
         return Page(self.newest_of(), self.store.place(self.records))
 
     async def read(self, start, wait):
-        patience = wait + platform_store.TIMEOUT
+        patience = wait + platform_store.READ_GRACE
         return await self._on_connection(self._read(start, wait, patience), patience)
 
     async def _on_connection(self, work, patience):
@@ -147,8 +148,8 @@
         if opened > self._silenced():
             try:
                 answer = await work
-            except SourceError:
-                self._lose(begun)
+            except NoAnswer:
+                self._lose()
                 raise
             if opened > self._silenced():
                 idle.append(opened)
@@ -156,14 +157,15 @@
         else:
             work.close()
         await asyncio.sleep(begun + patience - loop.time())
-        self._lose(begun)
-        raise SourceError("no answer in time")
+        self._lose()
+        raise NoAnswer("no answer in time")
 
     def _silenced(self):
         return self.store.silenced.get(self.router, float("-inf"))
 
-    def _lose(self, begun):
-        """Give up a connection, and those with it that the client gives up then."""
+    def _lose(self):
+        """Drop the idle connections, as the client does after one fell silent."""
+        self.store.idle[self.router].clear()
 
     async def _read(self, start, wait, patience):
         loop = asyncio.get_running_loop()
@@ -190,6 +192,6 @@
         access = self._access()
         if access is Access.SWALLOWED:
             await asyncio.sleep(end - asyncio.get_running_loop().time())
-            raise SourceError("no answer in time")
+            raise NoAnswer("no answer in time")
         if access is Access.REFUSED:
             raise SourceError("the connection was reset")
