--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -36,6 +36,8 @@
 WRITTEN_AGAIN_AFTER = 0.5
 #: Topics of the store.
 TOPICS = ("keyed.op", "keyed.servers", "keyed.routers")
+#: What is put in force at an endpoint that leaves.
+LEAVING = {"leaving": True}
 #: Seconds that an endpoint goes on serving after it has announced its leaving.
 LINGERS = 3.0
 
@@ -258,6 +260,7 @@
                     {"break_after": 3, "within": True},
                     {"fail": True},
                     {"decline": True},
+                    {"decline": True, "rest": "1"},
                     {"lose": True},
                     {"silent": True},
                     {"foreign": True},
@@ -284,13 +287,17 @@
                 await self.start_endpoint(self.fleet.services[name])
 
     async def replace_endpoint(self) -> None:
-        """Let an endpoint announce that it leaves, and start another one."""
+        """Let an endpoint announce that it leaves, and start another one.
+
+        Its answers say so first; the store may be away.
+        """
         name = self.chance.choice(sorted(self.fleet.endpoints))
         async with self.claimed(name) as free:
             if not free:
                 return
             service = self.fleet.services[name]
             await self.start_endpoint(service)
+            await post_json(self.fleet.endpoints[name].port, "/faults", LEAVING)
             await self.operate(self.fleet.register, name, state="draining")
             self.account.left[name] = time.time()
             await asyncio.sleep(LINGERS)
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -368,7 +368,9 @@
 
     async def place(self, offer: Offer, pool: PoolId) -> Decision:
         """Return the decision on a request; cancel to withdraw it."""
-        offer = replace(offer, rests=self.rests_in(pool))
+        rests = self.rests_in(pool)
+        if rests:
+            offer = replace(offer, rests=rests)
         ticket = Ticket(offer, pool, self.loop.create_future())
         self.tickets[offer.call] = ticket
         self._offer(ticket)
