Let a rest outlast the entry of its endpoint

Seen by callers: nothing yet; found by reading the change.

Cause: a rest was forgotten when its endpoint's entry vanished. An entry whose lease ran out in an outage is back within two seconds, under the same id, and the endpoint would get requests within its rest.

Ruled out: leaving it to the scheduler, which knows no rests of other routers.

Change: rests of endpoints that are gone are forgotten once they are over.

Figures: none; the test fails on the code before (the rest was gone at 2.9 s of 3).

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -292,13 +292,17 @@
             The router that told so; None for an answer to this one.
         """
         known = self.endpoints.registered(endpoint)
-        by_peer = peer is not None
-        if not self.endpoints.announce(endpoint, self.loop.time(), by_peer):
+        now = self.loop.time()
+        if not self.endpoints.announce(endpoint, now, by_peer=peer is not None):
             return False
-        registered = known is not None
-        extra = {"endpoint": endpoint, "source": peer or "answer"}
-        extra["known_to_leave"] = registered and known.leaving
-        logger.info("endpoint says that it leaves", extra=extra)
+        logger.info(
+            "endpoint says that it leaves",
+            extra={
+                "endpoint": endpoint,
+                "source": peer or "answer",
+                "known_to_leave": known is not None and known.leaving,
+            },
+        )
         if known is not None and not known.leaving:
             self.on_endpoints()
         return True
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -241,10 +241,8 @@
         self.pools = pools
         for desk in pools.values():
             self._decide_soon(desk)
-        gone = [before[name] for name in before.keys() - self.endpoints.keys()]
-        for endpoint in gone:
-            self.rests.forget(endpoint.id)
-        return gone
+        self.rests.expire(self.endpoints, self.loop.time())
+        return [before[name] for name in before.keys() - self.endpoints.keys()]
 
     def is_over(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has started again since."""
--- a/carawayfold/state/rests.py
+++ b/carawayfold/state/rests.py
@@ -7,6 +7,8 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from carawayfold.state.ids import EndpointId
 
 #: Most seconds of rest that are granted: one that wants none for longer should leave,
@@ -81,6 +83,15 @@
         known = self.entries.get(endpoint)
         return known is not None and now < known.until
 
-    def forget(self, endpoint: EndpointId) -> None:
-        """Forget an endpoint that is gone."""
-        self.entries.pop(endpoint, None)
+    def expire(self, registered: Container[EndpointId], now: float) -> None:
+        """Forget endpoints that are gone and whose rest is over.
+
+        One whose entry vanishes may be back before that.
+        """
+        over = [
+            endpoint
+            for endpoint, rest in self.entries.items()
+            if endpoint not in registered and now >= rest.until
+        ]
+        for endpoint in over:
+            del self.entries[endpoint]
--- a/tests/state/test_rests.py
+++ b/tests/state/test_rests.py
@@ -55,10 +55,13 @@
     assert rests.opens_at(NAME, 3.1) == 0.0
 
 
-def test_what_is_gone_is_forgotten():
+def test_a_rest_outlasts_the_entry_of_its_endpoint():
     rests = rested(3.0)
-    rests.forget(NAME)
-    rests.forget("another")
+    rests.expire({}, 2.9)
+    assert rests.lasts(NAME, 2.9)
+    rests.expire({NAME: None}, 3.0)
+    assert NAME in rests.entries
+    rests.expire({}, 3.0)
     assert rests.entries == {}
 
 
