Correct a comment on the checksum of endpoints that leave

Cause: checksums went with heartbeats at first, and the comment still said so.

Ruled out: any change of behaviour; one comment line.

Change: the comment.

Conclusion: found on the last reading of the diff.

--- a/carawayfold/coordination/knowledge/notices.py
+++ b/carawayfold/coordination/knowledge/notices.py
@@ -64,7 +64,7 @@
         said = self.knowledge.endpoints.said_leaving()
         if not said:
             return 0
-        # 31 bits: a heartbeat holds it in five bytes.
+        # 31 bits: a message holds it in five bytes.
         return xxhash.xxh3_64_intdigest("\n".join(said).encode()) >> 33 or 1
 
     def heard(self, endpoint: Endpoint, answered: Answered, sent_at: float) -> None:
