Tell each second what deciders do, how late they are, and who refused

Cause: the logs could not tell a late decider from a wrong choice. Refusals named no decider, and pressure only its two ends. Change: one line a second and pool with offers, those that came again, rounds, their time and lateness, and the three organisations that asked for most with what they got; refusals name who decided; a counter of grants given alone.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -50,6 +50,7 @@
         OrganisationId,
         RegionId,
         RouteId,
+        RouterId,
         ServiceId,
     )
     from carawayfold.state.routes import InForce, Route, RouteIndex, RouteTable
@@ -101,6 +102,8 @@
         Engine that its endpoint was told to copy kept memory from.
     basis : Basis or None
         What its last endpoint was granted on.
+    decider : RouterId or None
+        Who decided on it last.
     known_content : ContentId or None
         See `content`.
     attempt : Attempt or None
@@ -125,6 +128,7 @@
     waited: float = 0.0
     donor: EndpointId | None = None
     basis: Basis | None = None
+    decider: RouterId | None = None
     known_content: ContentId | None = None
     attempt: Attempt | None = None
 
@@ -285,7 +289,10 @@
         decision = await self.desk.place_in_any(self._offer(call), call.service)
         call.waited = self.loop.time() - asked_at
         if isinstance(decision, TurnedAway):
+            call.decider = decision.decider
             raise self._turned_away(call, decision)
+        call.basis = decision.basis
+        call.decider = decision.basis.decider
         return decision
 
     def _refuse_without_region(self, call: ForwardedCall) -> None:
@@ -330,7 +337,6 @@
             return AttemptEnd.WITHDRAWN
         call.tried.add(granted.endpoint)
         self.desk.rests.sent(granted.endpoint, self.loop.time())
-        call.basis = granted.basis
         call.donor = granted.donor
         donor = self._check_donor(call, granted)
         request = AttemptRequest(call, endpoint, granted.call, donor)
@@ -597,7 +603,7 @@
                 "organisation": call.organisation,
                 "endpoints": sorted(call.tried),
                 "donor": call.donor or "",
-                "decider": basis.decider if basis is not None else "",
+                "decider": call.decider or "",
                 "offset": offset_of(basis.offset) if basis is not None else 0,
                 "age_ms": round(basis.age * 1000, 1) if basis is not None else None,
                 "version": self.version,
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -37,6 +37,7 @@
     PoolPlan,
     Scheduler,
 )
+from carawayfold.coordination.scheduling.tallies import Tallies
 from carawayfold.protocol.datagrams import (
     BegunMessage,
     EndedMessage,
@@ -198,6 +199,7 @@
         self.numbers = 0
         #: When it was last logged that a router does not decide.
         self.unanswered: dict[RouterId, float] = {}
+        self.tallies = Tallies()
 
     # Pools
 
@@ -510,11 +512,19 @@
         """Tell schedulers for ever what this router has at their endpoints."""
         while True:
             await asyncio.sleep(HOLDING_INTERVAL)
-            self.tell_held()
-            now = self.loop.time()
-            for desk in self.pools.values():
-                desk.scheduler.expire(now)
-                self._decide(desk)
+            self.look_around()
+
+    def look_around(self) -> None:
+        """Tell what this router has at endpoints, and forget what nobody speaks of."""
+        self.tell_held()
+        now = self.loop.time()
+        for desk in self.pools.values():
+            desk.scheduler.expire(now)
+            self._decide(desk)
+        if self.tallies.is_due():
+            accounts = {desk.id: desk.scheduler.usage for desk in self.pools.values()}
+            led = {pool for pool in accounts if self.decides_for(pool)}
+            self.tallies.write(accounts, led)
 
     def tell_held(self) -> None:
         """Tell each scheduler what this router has at its endpoints."""
@@ -558,22 +568,38 @@
         desk.due = self.loop.call_later(delay, self._decide, desk)
 
     def _decide(self, desk: PoolDesk) -> None:
+        now = self.loop.time()
         if desk.due is not None:
+            tally = self.tallies.of(desk.id)
+            tally.latest = max(tally.latest, now - desk.due.when())
             desk.due.cancel()
             desk.due = None
         if not desk.scheduler.waiting:
             return
-        now = self.loop.time()
         scheduler = desk.scheduler
         leads = self.decides_for(desk.id)
         desk.lead(leads, now)
         share = 1.0 if leads else self.fleet.stand_in_share()
         scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
-        for decision in scheduler.decide(now):
+        decisions = scheduler.decide(now)
+        for decision in decisions:
             self._announce(decision)
+        self._note_round(desk.id, decisions, leads, now)
         if scheduler.waiting:
             desk.due = self.loop.call_later(DECIDE_INTERVAL, self._decide, desk)
 
+    def _note_round(
+        self, pool: PoolId, decisions: list[Decision], leads: bool, begun: float
+    ) -> None:
+        tally = self.tallies.of(pool)
+        tally.rounds += 1
+        tally.spent += self.loop.time() - begun
+        granted = sum(isinstance(item, Granted) for item in decisions)
+        tally.granted += granted
+        tally.turned_away += len(decisions) - granted
+        if not leads:
+            self.tallies.alone += granted
+
     def _announce(self, decision: Decision) -> None:
         self.decided[decision.call] = decision
         if len(self.decided) > DECIDED_KEPT:
@@ -589,7 +615,8 @@
     def _based(self, decision: Decision) -> Decision:
         """Return a decision of this router with what it was made on."""
         if isinstance(decision, TurnedAway):
-            return decision
+            decider = self.fleet.own.router
+            return msgspec.structs.replace(decision, decider=decider)
         return msgspec.structs.replace(decision, basis=self.basis())
 
     def _decision_message(self, decision: Decision) -> Message:
@@ -637,6 +664,11 @@
         if not self.decides_for(message.pool):
             self.fleet.doubt(self.fleet.leader(message.pool))
         known = message.call in desk.scheduler.waiting
+        tally = self.tallies.of(message.pool)
+        if known:
+            tally.again += 1
+        else:
+            tally.offers += 1
         desk.scheduler.offer(_offer_of(message, sender, now), now)
         if not known and desk.scheduler.has_room(now):
             self._decide(desk)
@@ -648,6 +680,7 @@
     def _(self, message: WithdrawMessage, sender: RouterId) -> None:
         desk = self.pools.get(message.pool)
         if desk is not None:
+            self.tallies.of(message.pool).withdrawn += 1
             desk.scheduler.withdraw(message.call)
             desk.scheduler.ended(message.call, Outcome.CANCELLED, self.loop.time())
 
@@ -672,7 +705,7 @@
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
         retry_after = message.retry_after / 1000
         decision = TurnedAway(
-            message.call, message.reason, retry_after, message.kept_at
+            message.call, message.reason, retry_after, message.kept_at, sender
         )
         self._resolve(decision, sender)
 
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -187,12 +187,15 @@
     kept_at : EndpointId or None
         The pool's engine that has read most of the prompt, from which one of another
         pool can copy it.
+    decider : RouterId or None
+        Who decided; None before it is known.
     """
 
     call: CallId
     reason: str
     retry_after: float
     kept_at: EndpointId | None = None
+    decider: RouterId | None = None
 
 
 Decision = Granted | TurnedAway
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -59,6 +59,11 @@
         for reason, count in gateway.metrics.barred_grants.items():
             barred.add_metric((reason,), count)
         yield barred
+        yield CounterMetricFamily(
+            "carawayfold_decided_alone",
+            "Grants of this router for pools that another one leads",
+            gateway.desk.tallies.alone,
+        )
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._gauges()
--- a/carawayfold/state/usage.py
+++ b/carawayfold/state/usage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -117,5 +118,13 @@
         due = min(usage.asked.total, self.most_granted)
         return usage.granted.total < BEHIND * due
 
+    def most_asked(self, count: int) -> list[tuple[OrganisationId, float, float]]:
+        """Return who asked for most in the window, with tokens asked and granted."""
+        rows = [
+            (organisation, usage.asked.total, usage.granted.total)
+            for organisation, usage in self.book.items()
+        ]
+        return heapq.nlargest(count, rows, key=lambda row: row[1])
+
     def _of(self, organisation: OrganisationId) -> OrganisationUsage:
         return self.book.setdefault(organisation, OrganisationUsage())
--- /dev/null
+++ b/tests/coordination/scheduling/test_tallies.py
@@ -0,0 +1,33 @@
+"""What a router tells of its decisions."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from carawayfold.coordination.scheduling import tallies
+from carawayfold.coordination.scheduling.tallies import Tallies
+from carawayfold.state.usage import UsageBook
+
+
+def test_a_line_names_those_that_asked_for_most():
+    async def work():
+        made = Tallies()
+        tally = made.of("model/0")
+        tally.offers, tally.again = 3, 2
+        account = UsageBook(4.0)
+        for number in range(tallies.NAMED + 1):
+            account.asked(f"o-{number}", 0.0, 100 * number)
+        account.granted("o-2", 0.0, 50)
+        made.write({"model/0": account}, {"model/0"})
+        made.write({"model/0": account}, {"model/0"})
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(work())
+    (line,) = handler.records
+    assert line.message == "pool decided"
+    assert line.extra["leads"]
+    assert (line.extra["offers"], line.extra["again"]) == (3, 2)
+    wanted = [["o-3", 300, 0], ["o-2", 200, 50], ["o-1", 100, 0]]
+    assert line.extra["organisations"] == wanted
