Show an organisation below its share beside flooded deciders as a failing test

Ruled out: that floods, further pools or the account alone do it: with time free of charge the same floods keep to the rule. Change: a fleet on the product's desks, schedulers and heartbeats in which each job takes its measured time of its router, datagrams and timers wait meanwhile; a tenth of the requests of a deployment of 67 routers before 64 engines, each job ten times as dear.

--- /dev/null
+++ b/tests/simulated_deciders.py
@@ -0,0 +1,468 @@
+"""A fleet whose routers need time for what they do, while organisations flood it.
+
+The product's own desks, schedulers and heartbeats on a simulated clock. What a router
+does is charged at the measured cost of each job on its share of a core; datagrams and
+timers wait until it is free. The fleet is a tenth of a deployment of 67 routers before
+64 engines: a tenth of the requests, each job ten times as dear.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import random
+from collections import Counter, defaultdict, deque
+from dataclasses import dataclass, field
+from unittest.mock import patch
+
+from carawayfold.coordination.scheduling import desk as desk_module
+from carawayfold.coordination.scheduling.desk import HOLDING_INTERVAL, Desk
+from carawayfold.coordination.scheduling.offers import Granted, Offer, Outcome
+from carawayfold.coordination.scheduling.scheduler import Scheduler
+from carawayfold.protocol.exchanges import Part
+from carawayfold.state.endpoints import EndpointTable
+from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
+from tests.schedule_builders import endpoint
+from tests.simulated_fleet import STRONG, WEAK, SimulatedFleet, simulate
+
+#: How many times fewer requests there are than at the deployment, and dearer jobs.
+THINNED = 10
+#: Microseconds of a whole core a job: taking a datagram, sending one, noting an offer,
+#: looking at sixteen engines, weighing them for a request, ranking one, and carrying
+#: a request of a caller.
+TAKE, SEND, NOTE, LOOK, WEIGH, RANK, CARRY = 10.0, 6.0, 20.0, 25.0, 45.0, 4.0, 1000.0
+#: Part of a core that a process gets, by what its instance can do.
+CORE_PARTS = {STRONG: 0.717, WEAK: 0.516}
+#: Tokens a second that an engine reads, and what all of them can do by the operators.
+ENGINE_SPEED = 157_000.0 / THINNED
+THROUGHPUT = 2_600_000.0 / THINNED
+ENGINES = 64
+SLOTS = 3
+#: Seconds from the last token read to the first one generated, and from there on.
+FIRST_TOKEN, RESIDENCE = 0.026, 0.8
+#: Seconds within which callers want an answer, and until they leave.
+OBJECTIVE, PATIENCE = 0.3, 2.5
+SERVICE = "model"
+#: Seconds until the fleet has found itself, and over which the rule looks.
+SETTLED, RULE_WINDOW = 4.0, 6
+#: Requests of most tokens that the rule leaves out.
+LEFT_OUT = 3
+
+
+@dataclass
+class Flood:
+    """An organisation's requests.
+
+    Attributes
+    ----------
+    routers : int or None
+        How many routers its callers reach; None for all.
+    part : float
+        What it asks for, as a part of what all engines can do.
+    tokens : int
+        Tokens of a prompt, three quarters of them shared.
+    prefixes : int
+        Shared parts that its requests have.
+    """
+
+    name: str
+    part: float
+    routers: int | None = None
+    tokens: int = 3000
+    output: int = 50
+    prefixes: int = 60
+
+
+class Clock:
+    """The loop as a router meets it that is busy until it has done what it began."""
+
+    def __init__(self, speed: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.speed = speed
+        self.jobs = deque()
+        self.free_at = 0.0
+        self.charged = 0.0
+        self.total = 0.0
+        self.latest = 0.0
+        self.running = False
+        self.due = None
+
+    def time(self):
+        return self.loop.time() + self.charged
+
+    def create_future(self):
+        return self.loop.create_future()
+
+    def call_later(self, delay, work, *args):
+        at = self.time() + delay
+        return self.loop.call_at(at, self.submit, work, *args)
+
+    def charge(self, microseconds):
+        if self.running:
+            self.charged += microseconds * THINNED / 1e6 / self.speed
+
+    def submit(self, work, *args):
+        self.jobs.append((self.loop.time(), work, args))
+        if self.due is None and not self.running:
+            self.due = self.loop.call_at(max(self.free_at, self.loop.time()), self.work)
+
+    def work(self):
+        self.due = None
+        since, work, args = self.jobs.popleft()
+        self.latest = max(self.latest, self.loop.time() - since)
+        self.running = True
+        try:
+            work(*args)
+        finally:
+            self.running = False
+            self.free_at = self.loop.time() + self.charged
+            self.total += self.charged
+            self.charged = 0.0
+        if self.jobs:
+            self.due = self.loop.call_at(self.free_at, self.work)
+
+
+class ChargedScheduler(Scheduler):
+    """A scheduler whose work takes its router's time."""
+
+    __slots__ = ()
+    #: The clock of the router at work.
+    clocks: list[Clock] = []
+
+    def charge(self, microseconds):
+        for clock in self.clocks:
+            clock.charge(microseconds)
+
+    def offer(self, offer, now):
+        self.charge(NOTE)
+        Scheduler.offer(self, offer, now)
+
+    def _backlogs(self, now):
+        self.charge(LOOK)
+        return Scheduler._backlogs(self, now)
+
+    def _decide_one(self, offer, backlogs, now):
+        self.charge(WEIGH)
+        return Scheduler._decide_one(self, offer, backlogs, now)
+
+    def _rank(self, offer, overall, now):
+        self.charge(RANK)
+        return Scheduler._rank(self, offer, overall, now)
+
+
+class ChargedRouter:
+    """A desk whose datagrams and timers wait until its router is free."""
+
+    def __init__(self, fleet, table, processor):
+        self.clock = Clock(CORE_PARTS[processor])
+        ChargedScheduler.clocks.append(self.clock)
+        self.desk = Desk(fleet, 4.0)
+        self.desk.loop = self.clock
+        self.desk.tallies.loop = self.clock
+        routes = RouteTable(
+            1,
+            (),
+            {SERVICE: ServiceConfig(SERVICE, "/", 100, 771_922)},
+            {},
+            {},
+            CallerLimits(),
+            THROUGHPUT,
+        )
+        self.desk.refresh(table, routes)
+
+    def take(self, datagram):
+        self.clock.submit(self.take_now, datagram)
+
+    def take_now(self, datagram):
+        self.clock.charge(TAKE)
+        self.desk.take(datagram)
+
+    def fleet_changed(self):
+        self.clock.submit(self.desk.fleet_changed)
+
+    async def keep_looking(self):
+        while True:
+            await asyncio.sleep(HOLDING_INTERVAL)
+            self.clock.submit(self.desk.look_around)
+
+
+class Engine:
+    """Reads one prompt after the other, then generates beside what else runs."""
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+        self.read_until = 0.0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.kept = set()
+
+    def begin_reading(self, prompt):
+        """Return the seconds until its first token."""
+        unread = sum(part.tokens for part in prompt if part.id not in self.kept)
+        self.kept.update(part.id for part in prompt[:-1])
+        now = self.loop.time()
+        self.read_until = max(now, self.read_until) + unread / ENGINE_SPEED
+        return self.read_until - now + FIRST_TOKEN
+
+
+class ChargedFleet(SimulatedFleet):
+    """A fleet whose datagrams leave when their router has got to them."""
+
+    def carry(self, socket, address, data):
+        router = self.attached.get(socket.router)
+        if router is None or not router.clock.running:
+            super().carry(socket, address, data)
+            return
+        router.clock.charge(SEND)
+        self.loop.call_later(router.clock.charged, super().carry, socket, address, data)
+
+
+@dataclass
+class Played:
+    """What a run showed, by whole seconds since the load began."""
+
+    asked: dict = field(default_factory=lambda: defaultdict(Counter))
+    got: dict = field(default_factory=lambda: defaultdict(Counter))
+    largest: dict = field(default_factory=lambda: defaultdict(list))
+    central: Counter = field(default_factory=Counter)
+    alone: Counter = field(default_factory=Counter)
+    refused: Counter = field(default_factory=Counter)
+    in_time: Counter = field(default_factory=Counter)
+    taken: Counter = field(default_factory=Counter)
+    late: dict = field(default_factory=dict)
+    spent: dict = field(default_factory=dict)
+
+    def part_alone(self, begin=0, end=100):
+        """Return the part of the grants that routers gave alone."""
+        alone = sum(self.alone[second] for second in range(begin, end))
+        central = sum(self.central[second] for second in range(begin, end))
+        return alone / max(1, alone + central)
+
+    def least_part(self, floods, seconds):
+        """Return the least part that an organisation got, by the rule's own sum.
+
+        Over each six seconds: of what it asked or the best served one got, whichever
+        is less, second by second.
+        """
+        least = 1.0
+        for begin in range(seconds - RULE_WINDOW + 1):
+            window = range(begin, begin + RULE_WINDOW)
+            got = {
+                name: sum(self.got[name][second] for second in window)
+                for name in floods
+            }
+            best = max(got, key=got.get)
+            for name in floods:
+                due = sum(
+                    min(self.asked[name][second], self.got[best][second])
+                    for second in window
+                )
+                due -= sum(sorted(self.largest[name])[-LEFT_OUT:])
+                if due > 0:
+                    least = min(least, got[name] / due)
+        return least
+
+
+class Deciders:
+    """One run.
+
+    Parameters
+    ----------
+    floods : list of Flood
+        What organisations ask for.
+    count : int
+        Routers, in four data centres.
+    seconds : int
+        How long they ask.
+    faults : callable, optional
+        Called with this run each whole second.
+    """
+
+    def __init__(self, floods, count=36, seconds=8, seed=1, faults=None):
+        self.floods = floods
+        self.count = count
+        self.seconds = seconds
+        self.faults = faults
+        self.draw = random.Random(seed)
+        self.seed = seed
+        self.played = Played()
+        self.calls = set()
+
+    def play(self):
+        """Return what was played."""
+        ChargedScheduler.clocks = []
+        with patch.object(desk_module, "Scheduler", ChargedScheduler):
+            simulate(self._play)
+        return self.played
+
+    async def _play(self):
+        self.loop = asyncio.get_running_loop()
+        table = EndpointTable()
+        for number in range(ENGINES):
+            name = f"e-{number}"
+            table.put(endpoint(name, slots=SLOTS, data_centre=f"dc-{number % 4}"))
+        self.engines = {item.id: Engine() for item in table.entries.values()}
+        self.fleet = ChargedFleet(seed=self.seed, fill_beat=lambda name, beat: beat)
+        processors = {}
+        self.fleet.attach = lambda name, fleet: ChargedRouter(
+            fleet, table, processors[name]
+        )
+        for number in range(self.count):
+            strong = number < 8
+            name = f"edge-{'qlmd'[number % 4]}-{number // 4}"
+            processors[name] = STRONG if strong else WEAK
+            after = self.fleet.draw.uniform(0, 0.3)
+            self.fleet.start(name, f"dc-{number % 4}", processors[name], after)
+        await asyncio.sleep(SETTLED)
+        self.begun = self.loop.time()
+        self.led = self.leaders()
+        senders = [self.loop.create_task(self._send(flood)) for flood in self.floods]
+        for second in range(self.seconds):
+            if self.faults is not None:
+                self.faults(self, second)
+            await asyncio.sleep(1.0)
+        for task in [*senders, *self.calls]:
+            task.cancel()
+        await asyncio.gather(*senders, *self.calls, return_exceptions=True)
+        self._note_routers()
+        await self.fleet.close()
+
+    def _note_routers(self):
+        for name, router in self.fleet.attached.items():
+            self.played.late[name] = router.clock.latest
+            self.played.spent[name] = router.clock.total
+
+    def leaders(self):
+        """Return who leads each pool."""
+        fleet = next(iter(self.fleet.routers.values()))
+        return [fleet.leader(f"{SERVICE}/{number}") for number in range(4)]
+
+    async def _send(self, flood):
+        names = sorted(self.fleet.routers)[: flood.routers]
+        each = flood.tokens + 2 * flood.output
+        rate = flood.part * THROUGHPUT / each
+        for number in itertools.count():
+            await asyncio.sleep(self.draw.expovariate(rate))
+            name = self.draw.choice(names)
+            task = self.loop.create_task(self._call(flood, name, number))
+            self.calls.add(task)
+            task.add_done_callback(self.calls.discard)
+
+    def _second(self):
+        return int(self.loop.time() - self.begun)
+
+    async def _call(self, flood, name, number):
+        router = self.fleet.attached.get(name)
+        if router is None:
+            return
+        played = self.played
+        arrived = self.loop.time()
+        tokens = flood.tokens + 2 * flood.output
+        played.asked[flood.name][self._second()] += tokens
+        played.largest[flood.name].append(tokens)
+        ready = self.loop.create_future()
+        router.clock.submit(self._carried, router, ready)
+        await ready
+        offer = self._offer(flood, router, name, number, arrived)
+        try:
+            async with asyncio.timeout_at(arrived + PATIENCE):
+                decision = await router.desk.place_in_any(offer, SERVICE)
+                if not isinstance(decision, Granted):
+                    played.refused[self._second()] += 1
+                    return
+                await self._run(flood, router, decision, offer)
+        except TimeoutError:
+            played.refused[self._second()] += 1
+
+    def _carried(self, router, ready):
+        router.clock.charge(CARRY)
+        if not ready.done():
+            ready.set_result(None)
+
+    def _offer(self, flood, router, name, number, arrived):
+        prefix = f"{flood.name}-{number % flood.prefixes}"
+        shared = flood.tokens * 3 // 4
+        own = f"{flood.name}.{number}"
+        prompt = (Part(prefix, shared), Part(own, flood.tokens - shared))
+        return Offer(
+            call=router.desk.next_call(),
+            router=name,
+            data_centre=self.fleet.places[name],
+            organisation=flood.name,
+            route="summary",
+            priority=1,
+            prompt=prompt,
+            prompt_tokens=flood.tokens,
+            output_tokens=flood.output,
+            arrived=router.clock.time(),
+            due=arrived + OBJECTIVE,
+            expires=arrived + PATIENCE,
+            kept_at=router.desk.kept_at(prompt),
+        )
+
+    async def _run(self, flood, router, decision, offer):
+        own = router.desk.fleet.own.router
+        led = router.desk.fleet.leader(router.desk.placed[decision.call].pool)
+        alone = decision.basis.decider == own != led
+        counter = self.played.alone if alone else self.played.central
+        counter[self._second()] += 1
+        engine = self.engines[decision.endpoint]
+        outcome = Outcome.CANCELLED
+        sent = self.loop.time()
+        try:
+            async with engine.slots:
+                await asyncio.sleep(engine.begin_reading(offer.prompt))
+                tokens = flood.tokens + 2 * flood.output
+                self.played.got[flood.name][self._second()] += tokens
+                self.played.in_time[flood.name] += self.loop.time() <= offer.due
+                waited = self.loop.time() - sent
+                router.clock.submit(router.desk.begun, decision.call, waited)
+                await asyncio.sleep(RESIDENCE * self.draw.uniform(0.5, 1.5))
+            outcome = Outcome.WHOLE
+        finally:
+            router.clock.submit(router.desk.ended, decision.call, outcome)
+
+
+def floods(load=4.8):
+    """Return floods like those of a hunted day: over all routers, and over three."""
+    unit = load / 4.8
+    return [
+        Flood("wide", 2.0 * unit),
+        Flood("narrow", 1.5 * unit, routers=3),
+        Flood("other", 1.0 * unit, prefixes=20),
+        *[Flood(f"small-{number}", 0.03 * unit) for number in range(10)],
+    ]
+
+
+def main() -> None:
+    """Print what organisations get beside routers that need time to decide."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--routers", type=int, default=36)
+    parser.add_argument("--seconds", type=int, default=8)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 1, 2, 4.8])
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    wanted = parser.parse_args()
+    for load, seed in itertools.product(wanted.loads, wanted.seeds):
+        made = floods(load)
+        run = Deciders(made, wanted.routers, wanted.seconds, seed)
+        played = run.play()
+        names = [flood.name for flood in made]
+        busiest = max(played.spent, key=played.spent.get)
+        alone = [
+            round(played.part_alone(begin, begin + 2), 2)
+            for begin in range(0, wanted.seconds, 2)
+        ]
+        got = {name: round(sum(played.got[name].values())) for name in names[:3]}
+        print(
+            f"load {load} seed {seed}: least part "
+            f"{played.least_part(names, wanted.seconds):.2f}, alone {alone}, got {got}, "
+            f"in time {sum(played.in_time.values())}, "
+            f"refused {sum(played.refused.values())}, busiest {busiest} "
+            f"{played.spent[busiest] / (wanted.seconds + SETTLED):.2f} late "
+            f"{max(played.late.values()):.2f} s, leaders {sorted(run.led)}, datagrams to "
+            f"it {run.fleet.taken[busiest]}"
+        )
+
+
+if __name__ == "__main__":
+    main()
