Let rounds of decisions take a quarter of a router's time at most

Cause: each offer, first byte and end began a round of decisions, some 2.7 a request, each weighing sixteen engines for up to eight requests; at 350 requests a second and pool that is more than the router has. It then answers offers late, these come again four times, it passes for dead, and the others decide alone, each with shares of its own. Class: metastable failure by overload, whose failure detector takes late for dead. Change: after a round that took t seconds the next one, of whichever pool, waits for 3 t. Offers meanwhile are noted only.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -92,6 +92,9 @@
 DECIDE_DELAY = 0.001
 #: Seconds between two rounds of decisions on requests that wait, without an event.
 DECIDE_INTERVAL = 0.03
+#: Seconds left for other work for each second that a round of decisions took: a router
+#: that has much to decide still takes the words of others in time.
+ROUND_PAUSE = 3.0
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
 #: Seconds after which a router that begins to decide for a pool gives requests to
@@ -200,6 +203,8 @@
         #: When it was last logged that a router does not decide.
         self.unanswered: dict[RouterId, float] = {}
         self.tallies = Tallies()
+        #: When the next round of decisions may begin, for whichever pool.
+        self.next_round = 0.0
 
     # Pools
 
@@ -576,6 +581,10 @@
             desk.due = None
         if not desk.scheduler.waiting:
             return
+        if now < self.next_round:
+            pause = self.next_round - now
+            desk.due = self.loop.call_later(pause, self._decide, desk)
+            return
         scheduler = desk.scheduler
         leads = self.decides_for(desk.id)
         desk.lead(leads, now)
@@ -585,6 +594,8 @@
         for decision in decisions:
             self._announce(decision)
         self._note_round(desk.id, decisions, leads, now)
+        ended = self.loop.time()
+        self.next_round = ended + ROUND_PAUSE * (ended - now)
         if scheduler.waiting:
             desk.due = self.loop.call_later(DECIDE_INTERVAL, self._decide, desk)
 
@@ -670,7 +681,8 @@
         else:
             tally.offers += 1
         desk.scheduler.offer(_offer_of(message, sender, now), now)
-        if not known and desk.scheduler.has_room(now):
+        may_decide = not known and now >= self.next_round
+        if may_decide and desk.scheduler.has_room(now):
             self._decide(desk)
         self._decide_soon(desk, DECIDE_INTERVAL)
         if message.call in desk.scheduler.waiting:
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -58,6 +58,8 @@
     ----------
     routers : int or None
         How many routers its callers reach; None for all.
+    weak : bool
+        Whether these are on the weakest instances, which never decide.
     part : float
         What it asks for, as a part of what all engines can do.
     tokens : int
@@ -69,6 +71,7 @@
     name: str
     part: float
     routers: int | None = None
+    weak: bool = False
     tokens: int = 3000
     output: int = 50
     prefixes: int = 60
@@ -303,7 +306,7 @@
             table.put(endpoint(name, slots=SLOTS, data_centre=f"dc-{number % 4}"))
         self.engines = {item.id: Engine() for item in table.entries.values()}
         self.fleet = ChargedFleet(seed=self.seed, fill_beat=lambda name, beat: beat)
-        processors = {}
+        processors = self.processors = {}
         self.fleet.attach = lambda name, fleet: ChargedRouter(
             fleet, table, processors[name]
         )
@@ -338,7 +341,10 @@
         return [fleet.leader(f"{SERVICE}/{number}") for number in range(4)]
 
     async def _send(self, flood):
-        names = sorted(self.fleet.routers)[: flood.routers]
+        names = sorted(self.fleet.routers)
+        if flood.weak:
+            names = [name for name in names if self.processors[name] == WEAK]
+        names = names[: flood.routers]
         each = flood.tokens + 2 * flood.output
         rate = flood.part * THROUGHPUT / each
         for number in itertools.count():
@@ -423,12 +429,20 @@
             router.clock.submit(router.desk.ended, decision.call, outcome)
 
 
-def floods(load=4.8):
-    """Return floods like those of a hunted day: over all routers, and over three."""
+def floods(load=4.8, weak=False):
+    """Return floods like those of a hunted day: over all routers, and over three.
+
+    Parameters
+    ----------
+    load : float
+        What all ask for, as a part of what all engines can do.
+    weak : bool
+        Whether the three are no routers that decide.
+    """
     unit = load / 4.8
     return [
         Flood("wide", 2.0 * unit),
-        Flood("narrow", 1.5 * unit, routers=3),
+        Flood("narrow", 1.5 * unit, routers=3, weak=weak),
         Flood("other", 1.0 * unit, prefixes=20),
         *[Flood(f"small-{number}", 0.03 * unit) for number in range(10)],
     ]
@@ -440,10 +454,11 @@
     parser.add_argument("--routers", type=int, default=36)
     parser.add_argument("--seconds", type=int, default=8)
     parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 1, 2, 4.8])
+    parser.add_argument("--weak", action="store_true", help=floods.__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     wanted = parser.parse_args()
     for load, seed in itertools.product(wanted.loads, wanted.seeds):
-        made = floods(load)
+        made = floods(load, wanted.weak)
         run = Deciders(made, wanted.routers, wanted.seconds, seed)
         played = run.play()
         names = [flood.name for flood in made]
@@ -455,12 +470,13 @@
         got = {name: round(sum(played.got[name].values())) for name in names[:3]}
         print(
             f"load {load} seed {seed}: least part "
-            f"{played.least_part(names, wanted.seconds):.2f}, alone {alone}, got {got}, "
-            f"in time {sum(played.in_time.values())}, "
-            f"refused {sum(played.refused.values())}, busiest {busiest} "
-            f"{played.spent[busiest] / (wanted.seconds + SETTLED):.2f} late "
-            f"{max(played.late.values()):.2f} s, leaders {sorted(run.led)}, datagrams to "
-            f"it {run.fleet.taken[busiest]}"
+            f"{played.least_part(names, wanted.seconds):.2f}, alone {alone}, got {got}"
+        )
+        print(
+            f"    in time {sum(played.in_time.values())}, "
+            f"refused {sum(played.refused.values())}, leaders {sorted(run.led)}, "
+            f"busiest {busiest}: late {max(played.late.values()):.2f} s, took "
+            f"{played.spent[busiest]:.2f} s and {run.fleet.taken[busiest]} datagrams"
         )
 
 
