Tell routers which part of an organisation's requests a full pool takes

What callers saw: refusals after a wait; organisations below their share. Cause: each request of a flood is offered, ranked and weighed by the router that decides, so its work grows with what callers ask for, not with what engines do. Change: a grant or refusal of a full pool tells the part of the organisation's requests to be offered: twice what is granted in the window, shared out max-min. Routers refuse the others at once, and tell what they held back with the next offer, so it counts as asked, once. Urgent requests are not held back while others are less urgent.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -24,6 +24,7 @@
     choose_further,
 )
 from carawayfold.coordination.scheduling.endpoint_load import Active
+from carawayfold.coordination.scheduling.held_back import HeldBack
 from carawayfold.coordination.scheduling.offers import (
     Bar,
     Basis,
@@ -203,6 +204,7 @@
         #: When it was last logged that a router does not decide.
         self.unanswered: dict[RouterId, float] = {}
         self.tallies = Tallies()
+        self.held_back = HeldBack()
         #: When the next round of decisions may begin, for whichever pool.
         self.next_round = 0.0
 
@@ -359,7 +361,7 @@
         asked = [pool]
         refusals: list[TurnedAway] = []
         while True:
-            decision = await self.place(offer, pool)
+            decision = self._hold_back(offer, pool) or await self.place(offer, pool)
             if isinstance(decision, Granted):
                 return decision
             refusals.append(decision)
@@ -371,11 +373,21 @@
             kept_at = decision.kept_at or offer.kept_at
             offer = replace(offer, call=self.next_call(), kept_at=kept_at)
 
+    def _hold_back(self, offer: Offer, pool: PoolId) -> TurnedAway | None:
+        """Return the refusal of a request that may not be offered to a pool."""
+        refusal = self.held_back.refuse(offer, pool, self.loop.time())
+        if refusal is not None:
+            self.tallies.of(pool).held_back += 1
+        return refusal
+
     async def place(self, offer: Offer, pool: PoolId) -> Decision:
         """Return the decision on a request; cancel to withdraw it."""
         rests = self.rests_in(pool)
         if rests:
             offer = replace(offer, rests=rests)
+        tokens = self.held_back.take_tokens(offer, pool)
+        if tokens:
+            offer = replace(offer, held_back=tokens)
         ticket = Ticket(offer, pool, self.loop.create_future())
         self.tickets[offer.call] = ticket
         self._offer(ticket)
@@ -526,6 +538,7 @@
         for desk in self.pools.values():
             desk.scheduler.expire(now)
             self._decide(desk)
+        self.held_back.expire(now)
         if self.tallies.is_due():
             accounts = {desk.id: desk.scheduler.usage for desk in self.pools.values()}
             led = {pool for pool in accounts if self.decides_for(pool)}
@@ -618,7 +631,7 @@
         ticket = self.tickets.get(decision.call)
         if ticket is not None:
             if not ticket.answered.done():
-                ticket.answered.set_result(self._based(decision))
+                self._answer(ticket, self._based(decision), self.fleet.own.router)
             return
         router = RouterId(decision.call.rsplit(".", 2)[0])
         self.fleet.send(router, self._decision_message(decision))
@@ -639,10 +652,15 @@
                 decision.donor,
                 basis.offset,
                 round(basis.age * 1000),
+                round(decision.admitted * 1000),
             )
         retry_after = round(decision.retry_after * 1000)
         return TurnAwayMessage(
-            decision.call, decision.reason, retry_after, decision.kept_at
+            decision.call,
+            decision.reason,
+            retry_after,
+            decision.kept_at,
+            round(decision.admitted * 1000),
         )
 
     def endpoint_lost(self, endpoint: EndpointId) -> None:
@@ -710,14 +728,25 @@
     @_take.register
     def _(self, message: GrantMessage, sender: RouterId) -> None:
         basis = Basis(sender, message.offset, message.age / 1000)
-        granted = Granted(message.call, message.endpoint, message.donor, basis)
+        granted = Granted(
+            message.call,
+            message.endpoint,
+            message.donor,
+            basis,
+            message.admitted / 1000,
+        )
         self._resolve(granted, sender)
 
     @_take.register
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
         retry_after = message.retry_after / 1000
         decision = TurnedAway(
-            message.call, message.reason, retry_after, message.kept_at, sender
+            message.call,
+            message.reason,
+            retry_after,
+            message.kept_at,
+            sender,
+            message.admitted / 1000,
         )
         self._resolve(decision, sender)
 
@@ -734,6 +763,13 @@
             desk = self.pools.get(ticket.pool)
             if desk is not None:
                 desk.scheduler.withdraw(decision.call)
+        self._answer(ticket, decision, sender)
+
+    def _answer(self, ticket: Ticket, decision: Decision, decider: RouterId) -> None:
+        """Give a request its decision, and take what it tells of its organisation."""
+        if decider == self.fleet.leader(ticket.pool):
+            now = self.loop.time()
+            self.held_back.take(ticket.offer, ticket.pool, decision, decider, now)
         ticket.answered.set_result(decision)
 
     @_take.register
@@ -784,6 +820,7 @@
         data_centre=offer.data_centre,
         allowed=sorted(offer.allowed or ()),
         rests=[(name, round((at - now) * 1000)) for name, at in offer.rests.items()],
+        held_back=offer.held_back,
     )
 
 
@@ -805,4 +842,5 @@
         kept_at=message.kept_at,
         allowed=frozenset(message.allowed) or None,
         rests={name: now + left / 1000 for name, left in message.rests},
+        held_back=message.held_back,
     )
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -55,6 +55,9 @@
         When each endpoint may be sent to that wants nothing from its router until then.
     density : int
         What its answer is worth for the engine's time, in powers of two.
+    held_back : int
+        Tokens that its organisation asked for and its router held back since the
+        offer before, see `held_back`.
     shared_tokens : int
         Tokens of the parts of the prompt that other requests share.
     """
@@ -76,6 +79,7 @@
     allowed: frozenset[DataCentreId] | None = None
     rests: dict[EndpointId, float] = field(default_factory=dict)
     density: int = 0
+    held_back: int = 0
     shared_tokens: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -169,12 +173,15 @@
         prompt.
     basis : Basis or None
         What it was granted on; None before it is known who decided.
+    admitted : float
+        Part of its organisation's requests to be offered to the pool, 0 to 1.
     """
 
     call: CallId
     endpoint: EndpointId
     donor: EndpointId | None = None
     basis: Basis | None = None
+    admitted: float = 1.0
 
 
 class TurnedAway(msgspec.Struct, frozen=True):
@@ -189,6 +196,8 @@
         pool can copy it.
     decider : RouterId or None
         Who decided; None before it is known.
+    admitted : float
+        Part of its organisation's requests to be offered to the pool, 0 to 1.
     """
 
     call: CallId
@@ -196,6 +205,7 @@
     retry_after: float
     kept_at: EndpointId | None = None
     decider: RouterId | None = None
+    admitted: float = 1.0
 
 
 Decision = Granted | TurnedAway
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -104,6 +104,9 @@
 #: Tokens a second that an engine is taken to read where the operators state no
 #: throughput: the least of the deployments known.
 UNSTATED_SPEED = 60_000.0
+#: Seconds for which a pool counts as full after it turned a request away that could
+#: not be in time.
+FULL_FOR = 0.5
 #: Tokens of a short request, for which an endpoint must have room to count as free.
 SHORT_REQUEST = 300
 
@@ -202,6 +205,11 @@
         Until when a router is taken not to reach an endpoint.
     speed : float
         Tokens that an engine reads a second, the mean of what is measured.
+    full_until : float
+        Monotonic seconds until which the pool counts as one that can't do what is
+        asked of it.
+    least_urgent : int
+        The priority of the least urgent requests, the highest number.
     warming_from : float
         Monotonic seconds from which endpoints that warm up may get requests by this
         scheduler, infinity for never.
@@ -218,6 +226,8 @@
     order: list[Ranked] = field(default_factory=list)
     reviewed: float = 0.0
     speed: float = UNSTATED_SPEED
+    full_until: float = 0.0
+    least_urgent: int = 0
     warming_from: float = 0.0
     usage: UsageBook = field(init=False)
 
@@ -247,7 +257,9 @@
         if offer.call in self.waiting:
             return
         self.waiting[offer.call] = offer
-        self.usage.asked(offer.organisation, now, offer.share_tokens)
+        asked = offer.share_tokens + offer.held_back
+        self.usage.asked(offer.organisation, now, asked)
+        self.least_urgent = max(self.least_urgent, offer.priority)
         served = self.served.setdefault(offer.route, Served(at=now))
         served.fade(now)
         served.offered += 1
@@ -449,7 +461,8 @@
             self._grant(offer, choice, now)
             choice.backlog.add(choice.unread, choice.memory)
             named = donor.id if choice.fetched else None
-            return Granted(offer.call, choice.backlog.id, named)
+            admitted = self._admitted(offer, now)
+            return Granted(offer.call, choice.backlog.id, named, admitted=admitted)
         if self._is_hopeless(offer, choice.first_in, now):
             return self._turn_away_late(offer, choice.first_in, now)
         choice.backlog.add(choice.unread, choice.memory)
@@ -556,6 +569,7 @@
 
     def _turn_away_late(self, offer: Offer, first_in: float, now: float) -> TurnedAway:
         """Refuse a request that could not be answered in time."""
+        self.full_until = now + FULL_FOR
         return self._turn_away(offer, "no answer in time", LATE_RETRY * first_in, now)
 
     def _turn_away(
@@ -573,7 +587,17 @@
         longest = max(LEAST_RETRY, (offer.expires - now) * RETRY_PART)
         retry_after = min(wanted, longest, MOST_RETRY)
         keeper = self._keeper_of(offer, now)
-        return TurnedAway(offer.call, reason, retry_after, keeper)
+        admitted = self._admitted(offer, now)
+        return TurnedAway(offer.call, reason, retry_after, keeper, admitted=admitted)
+
+    def _admitted(self, offer: Offer, now: float) -> float:
+        """Return the part of such requests that may be offered to a pool that is full.
+
+        All where others are less urgent: these wait for them.
+        """
+        if now >= self.full_until or offer.priority < self.least_urgent:
+            return 1.0
+        return self.usage.admitted_part(offer.organisation)
 
     def _keeper_of(self, offer: Offer, now: float) -> EndpointId | None:
         """Return the engine that others may copy a prompt's beginning from, if any."""
--- a/carawayfold/coordination/scheduling/tallies.py
+++ b/carawayfold/coordination/scheduling/tallies.py
@@ -29,6 +29,8 @@
         Requests offered, offers of those that were known already, and withdrawals.
     granted, turned_away : int
         Decisions.
+    held_back : int
+        Requests of callers here that were not offered, see `HeldBack`.
     rounds : int
         Rounds of decisions.
     spent : float
@@ -42,6 +44,7 @@
     withdrawn: int = 0
     granted: int = 0
     turned_away: int = 0
+    held_back: int = 0
     rounds: int = 0
     spent: float = 0.0
     latest: float = 0.0
@@ -110,6 +113,7 @@
                 "withdrawn": tally.withdrawn,
                 "granted": tally.granted,
                 "turned_away": tally.turned_away,
+                "held_back": tally.held_back,
                 "rounds": tally.rounds,
                 "spent_ms": round(tally.spent * 1000, 1),
                 "late_ms": round(tally.latest * 1000, 1),
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -79,6 +79,9 @@
         Those in which it may run; empty for any.
     rests : list
         Endpoints that want nothing from its router, and for how long.
+    held_back : int
+        Tokens that its organisation asked for and the router held back since the
+        offer before.
     """
 
     pool: PoolId
@@ -96,6 +99,7 @@
     data_centre: DataCentreId = DataCentreId("")
     allowed: list[DataCentreId] = []
     rests: list[tuple[EndpointId, int]] = []
+    held_back: int = 0
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -120,6 +124,8 @@
         How far the sender has read registrations of endpoints.
     age : int
         Milliseconds since it knew all that the store knew.
+    admitted : int
+        Thousandths of its organisation's requests to be offered to the pool.
     """
 
     call: CallId
@@ -127,6 +133,7 @@
     donor: EndpointId | None = None
     offset: Position = Position(0)
     age: int = 0
+    admitted: int = 1000
 
 
 class TurnAwayMessage(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -136,12 +143,15 @@
     ----------
     kept_at : EndpointId or None
         An engine of the pool that keeps the beginning of its prompt.
+    admitted : int
+        Thousandths of its organisation's requests to be offered to the pool.
     """
 
     call: CallId
     reason: str
     retry_after: int
     kept_at: EndpointId | None = None
+    admitted: int = 1000
 
 
 class BegunMessage(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/carawayfold/state/usage.py
+++ b/carawayfold/state/usage.py
@@ -13,6 +13,12 @@
 
     from carawayfold.state.ids import OrganisationId
 
+#: Times what is granted that organisations may ask for together before part of it is
+#: held back: enough to choose from.
+HEADROOM = 2.0
+#: Least part of its requests that an organisation may offer: who is told nothing more
+#: could not be told that there is room again.
+LEAST_ADMITTED = 0.02
 #: Part of what the best served organisation got, below which one is behind; half
 #: would be the least that users accept, and the window lags.
 BEHIND = 0.7
@@ -80,6 +86,9 @@
         self.window = window
         self.book: dict[OrganisationId, OrganisationUsage] = {}
         self.level = float("inf")
+        #: Tokens in the window that an organisation may ask for before a part of it
+        #: is held back.
+        self.admitted = float("inf")
         self.most_granted = 0.0
 
     def asked(self, organisation: OrganisationId, now: float, tokens: float) -> None:
@@ -103,6 +112,8 @@
         demands = [usage.asked.total for usage in self.book.values()]
         capacity = throughput * self.window
         self.level = max_min_level(demands, capacity) if throughput else float("inf")
+        granted = sum(usage.granted.total for usage in self.book.values())
+        self.admitted = max_min_level(demands, HEADROOM * granted)
 
     def is_owed(self, organisation: OrganisationId, tokens: float) -> bool:
         """Return whether a request of `tokens` is within the organisation's share."""
@@ -118,6 +129,17 @@
         due = min(usage.asked.total, self.most_granted)
         return usage.granted.total < BEHIND * due
 
+    def admitted_part(self, organisation: OrganisationId) -> float:
+        """Return the part of an organisation's requests to be offered, 0 to 1.
+
+        All that may be offered is shared out as what is granted is: those who ask for
+        less than the common level offer all of it.
+        """
+        asked = self._of(organisation).asked.total
+        if asked <= self.admitted:
+            return 1.0
+        return max(LEAST_ADMITTED, self.admitted / asked)
+
     def most_asked(self, count: int) -> list[tuple[OrganisationId, float, float]]:
         """Return who asked for most in the window, with tokens asked and granted."""
         rows = [
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -20,8 +20,10 @@
 from carawayfold.coordination.scheduling.desk import HOLDING_INTERVAL, Desk
 from carawayfold.coordination.scheduling.offers import Granted, Offer, Outcome
 from carawayfold.coordination.scheduling.scheduler import Scheduler
+from carawayfold.gateway import PRESSURE_INTERVAL
 from carawayfold.protocol.exchanges import Part
 from carawayfold.state.endpoints import EndpointTable
+from carawayfold.state.pressure import PressureGauge
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
 from tests.schedule_builders import endpoint
 from tests.simulated_fleet import STRONG, WEAK, SimulatedFleet, simulate
@@ -155,12 +157,17 @@
 
 
 class ChargedRouter:
-    """A desk whose datagrams and timers wait until its router is free."""
+    """A desk whose datagrams and timers wait until its router is free.
+
+    It refuses callers while its loop is late, as the product does.
+    """
 
     def __init__(self, fleet, table, processor):
         self.clock = Clock(CORE_PARTS[processor])
         ChargedScheduler.clocks.append(self.clock)
         self.desk = Desk(fleet, 4.0)
+        self.fleet = fleet
+        self.pressure = PressureGauge()
         self.desk.loop = self.clock
         self.desk.tallies.loop = self.clock
         routes = RouteTable(
@@ -185,9 +192,15 @@
         self.clock.submit(self.desk.fleet_changed)
 
     async def keep_looking(self):
-        while True:
-            await asyncio.sleep(HOLDING_INTERVAL)
-            self.clock.submit(self.desk.look_around)
+        for number in itertools.count():
+            await asyncio.sleep(PRESSURE_INTERVAL)
+            self.clock.submit(self.measure, self.clock.loop.time())
+            if number % round(HOLDING_INTERVAL / PRESSURE_INTERVAL) == 0:
+                self.clock.submit(self.desk.look_around)
+
+    def measure(self, due):
+        now = self.clock.loop.time()
+        self.pressure.note(now - due, now)
 
 
 class Engine:
@@ -231,7 +244,7 @@
     alone: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     in_time: Counter = field(default_factory=Counter)
-    taken: Counter = field(default_factory=Counter)
+    shed: int = 0
     late: dict = field(default_factory=dict)
     spent: dict = field(default_factory=dict)
 
@@ -366,6 +379,10 @@
         tokens = flood.tokens + 2 * flood.output
         played.asked[flood.name][self._second()] += tokens
         played.largest[flood.name].append(tokens)
+        if router.pressure.refuses():
+            played.refused[self._second()] += 1
+            played.shed += 1
+            return
         ready = self.loop.create_future()
         router.clock.submit(self._carried, router, ready)
         await ready
@@ -474,7 +491,8 @@
         )
         print(
             f"    in time {sum(played.in_time.values())}, "
-            f"refused {sum(played.refused.values())}, leaders {sorted(run.led)}, "
+            f"refused {sum(played.refused.values())} ({played.shed} late), "
+            f"leaders {sorted(run.led)}, "
             f"busiest {busiest}: late {max(played.late.values()):.2f} s, took "
             f"{played.spent[busiest]:.2f} s and {run.fleet.taken[busiest]} datagrams"
         )
