Tell late deciders from dead ones, and offer to them ever more rarely

What callers saw: decisions by routers alone, without a common account, while the router that decides was alive. Cause: four offers in 100 ms without an answer meant dead, and each offer came again each 25 ms, so a late decider got more to do for being late. Class: retry amplification, a failure detector without regard to heartbeats. Ruled out: waiting for a late decider without end: a one-way cut looks the same. Change: a router that was heard since the first offer gets 0.4 s before the next in line is asked, one that was not 0.1 s as before; offers come after 25, 25, 50, 100 and 200 ms; a word about waiting may stay unanswered three times in place of one if the decider is heard.

--- a/carawayfold/coordination/fleet/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -407,6 +408,10 @@
         self.suspects.note(router, self.loop.time())
         self.deciding.clear()
 
+    def is_heard_since(self, router: RouterId, since: float) -> bool:
+        """Return whether anything of a router came after a loop time."""
+        return self.seen.get(router, -math.inf) > since
+
     def doubt(self, router: RouterId) -> None:
         """Look at a router that another one takes for lost, since it asks this one."""
         member = self.membership.members.get(router)
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -73,16 +73,22 @@
 logger = logbook.Logger(__name__)
 
 #: Seconds between offers of a request to a scheduler that has not answered; a round
-#: trip between data centres takes under 3 ms, and a busy router some 10 ms more.
-OFFER_AGAIN = 0.025
-#: Offers without an answer after which the next in line decides.
-OFFERS_MOST = 4
+#: trip between data centres takes under 3 ms, and a busy router some 10 ms more. Ever
+#: longer, so that a router which is late gets no more to do for being late.
+OFFER_WAITS = (0.025, 0.025, 0.05, 0.1, 0.2)
+#: Offers without an answer after which the next in line decides, if the router was not
+#: heard either since the first one.
+OFFERS_MOST = 3
+#: The same for one that is heard, and so is late rather than dead.
+LATE_OFFERS_MOST = len(OFFER_WAITS)
 #: Seconds between words to the scheduler that a request still waits. More often,
 #: and a queue of 300 fills the scheduler's time with words about itself; heartbeats
 #: tell sooner that the scheduler is gone.
 WAITING_AGAIN = 0.4
-#: Such words without an answer after which the next in line decides.
+#: Such words without an answer after which the next in line decides, if the router is
+#: silent, and if it is heard.
 WAITING_MOST = 1
+LATE_WAITING_MOST = 3
 #: Seconds between lists of what this router has at the endpoints.
 HOLDING_INTERVAL = 0.25
 #: Requests in one such list, so that it fits a datagram.
@@ -116,7 +122,9 @@
     ----------
     answered : asyncio.Future
         Resolved with the decision.
-    heard : int
+    asked_at : float
+        Loop time of the first offer to the scheduler that is asked.
+    unanswered : int
         Offers sent since the scheduler last answered.
     queued : bool
         Whether the scheduler has said that it will decide.
@@ -127,6 +135,7 @@
     offer: Offer
     pool: PoolId
     answered: asyncio.Future[Decision]
+    asked_at: float
     unanswered: int = 0
     queued: bool = False
     local: bool = False
@@ -388,7 +397,8 @@
         tokens = self.held_back.take_tokens(offer, pool)
         if tokens:
             offer = replace(offer, held_back=tokens)
-        ticket = Ticket(offer, pool, self.loop.create_future())
+        answered = self.loop.create_future()
+        ticket = Ticket(offer, pool, answered, self.loop.time())
         self.tickets[offer.call] = ticket
         self._offer(ticket)
         try:
@@ -413,22 +423,34 @@
         if ticket.answered.done():
             return
         granter = self.fleet.responsible(ticket.pool)
-        most = WAITING_MOST if ticket.queued else OFFERS_MOST
-        if granter != self.fleet.own.router and ticket.unanswered >= most:
+        if granter != self.fleet.own.router and self._is_given_up(ticket, granter):
             granter = self._pass_over(ticket, granter)
         if granter == self.fleet.own.router:
             self._decide_here(ticket)
             return
+        wait = WAITING_AGAIN if ticket.queued else OFFER_WAITS[ticket.unanswered]
         ticket.unanswered += 1
         self.fleet.send(granter, _offer_message(ticket, self.loop.time()))
-        wait = WAITING_AGAIN if ticket.queued else OFFER_AGAIN
         ticket.timer = self.loop.call_later(wait, self._offer, ticket)
 
+    def _is_given_up(self, ticket: Ticket, granter: RouterId) -> bool:
+        """Return whether to leave a router that has not answered.
+
+        One that is late decides with the account of all routers, whoever takes its
+        place without it: a router that is heard gets more time.
+        """
+        if self.fleet.is_heard_since(granter, ticket.asked_at):
+            most = LATE_WAITING_MOST if ticket.queued else LATE_OFFERS_MOST
+        else:
+            most = WAITING_MOST if ticket.queued else OFFERS_MOST
+        return ticket.unanswered >= most
+
     def _pass_over(self, ticket: Ticket, granter: RouterId) -> RouterId:
         """Leave a router that does not answer; return who decides instead."""
         self._note_unanswered(granter)
         self.fleet.send(granter, WithdrawMessage(ticket.pool, ticket.offer.call))
         self.fleet.unanswered(granter)
+        ticket.asked_at = self.loop.time()
         ticket.unanswered = 0
         ticket.queued = False
         return self.fleet.responsible(ticket.pool)
@@ -570,6 +592,7 @@
         for ticket in list(self.tickets.values()):
             if ticket.timer is not None:
                 ticket.timer.cancel()
+            ticket.asked_at = self.loop.time()
             ticket.unanswered = 0
             ticket.queued = False
             self._offer(ticket)
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -11,7 +11,12 @@
 
 from carawayfold.coordination.fleet.membership import Member, Membership
 from carawayfold.coordination.fleet.suspects import Suspects
-from carawayfold.coordination.scheduling.desk import TAKEOVER_PAUSE, Desk, PoolDesk
+from carawayfold.coordination.scheduling.desk import (
+    OFFER_WAITS,
+    TAKEOVER_PAUSE,
+    Desk,
+    PoolDesk,
+)
 from carawayfold.coordination.scheduling.division import POOL_SIZE
 from carawayfold.coordination.scheduling.endpoint_load import Active
 from carawayfold.coordination.scheduling.offers import (
@@ -52,6 +57,7 @@
 
     def __init__(self, wire, name, names):
         self.suspects = Suspects()
+        self.heard_at = {}
         self.doubted = []
         self.wire = wire
         self.own = Member(name, "north", 1, 0.0)
@@ -79,6 +85,9 @@
     def unanswered(self, router):
         self.suspects.note(router, 0.0)
 
+    def is_heard_since(self, router, since):
+        return self.heard_at.get(router, -math.inf) > since
+
     def doubt(self, router):
         self.doubted.append(router)
 
@@ -182,6 +191,46 @@
     assert play(work) == (2, True, True, 0.25)
 
 
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_decider_that_is_heard_but_late_is_not_taken_for_dead(heard):
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c"])
+        first = decider(made)
+        wire.cut.add(first)
+        asking = next(name for name in made if name != first)
+        fleet = made[asking].fleet
+        if heard:
+            fleet.heard_at[first] = math.inf
+        placing = asyncio.ensure_future(
+            made[asking].place(request(made[asking], "x"), "model/0")
+        )
+        await asyncio.sleep(sum(OFFER_WAITS[:-1]))
+        wire.cut.clear()
+        await placing
+        return first in fleet.suspects.until
+
+    assert play(work) is not heard
+
+
+def test_offers_to_a_late_decider_come_ever_more_rarely():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"])
+        first = decider(made)
+        wire.cut.add(first)
+        asking = next(name for name in made if name != first)
+        made[asking].fleet.heard_at[first] = math.inf
+        placing = asyncio.ensure_future(
+            made[asking].place(request(made[asking], "x"), "model/0")
+        )
+        await asyncio.sleep(sum(OFFER_WAITS) - 0.05)
+        placing.cancel()
+        return wire.sent
+
+    assert play(work) == len(OFFER_WAITS)
+
+
 def test_a_late_answer_of_the_one_passed_over_frees_the_place_at_the_next():
     async def work():
         wire = Wire()
