Let a router that cannot keep up leave deciding to others

What callers saw: decisions that came after the objective while a router that decides ran at a fifth of its speed, or carried a flood of its own callers. Cause: who decides was chosen by the listed processor alone; lateness took a router out of the balancer's rotation and of nothing else. Ruled out: taking it for dead (it decides on with a stale account, others alone); a lower processor in its heartbeat (it would lose its place as a hub too, and a weak one would become one). Change: a router that refuses three tenths of its callers for being late tells so in its heartbeats, hubs tell leaves; it decides for nobody for ten seconds at least. Where all are late they decide all the same.

--- a/carawayfold/coordination/fleet/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -55,6 +55,9 @@
 #: Seconds for which changes of the hubs are gathered before what depends on them is
 #: worked out anew: a fleet that starts changes two hundred times in a second.
 CHANGE_DELAY = 0.01
+#: Seconds for which a router that did not keep up with its work decides for nobody: it
+#: would be late again at once, and each change of the decider loses what that knew.
+LATE_FOR = 10.0
 #: Seconds after which the entry of a silent router is no longer called.
 FORGET_AFTER = 60.0
 
@@ -118,6 +121,8 @@
         self.named_hub = False
         self.listeners = Listeners(self)
         self.rosters = Rosters(self)
+        #: Loop time at which this router last did not keep up with its work.
+        self.late_at = -math.inf
         self.change_due: asyncio.TimerHandle | None = None
         self.known_hubs = fingerprint(self.hubs())
 
@@ -246,7 +251,7 @@
         if router not in self.entries:
             self._note_entry(router, beat)
         known = self.membership.members.get(router)
-        before = (known.state, known.hub) if known is not None else None
+        before = (known.state, known.hub, known.late) if known is not None else None
         if known is None or known.incarnation != incarnation:
             self.membership.joined(
                 router, beat.data_centre, incarnation, beat.processor
@@ -254,11 +259,17 @@
         self.membership.heard(router, beat.stopping)
         member = self.membership.members[router]
         member.hub = beat.hub
+        member.late = beat.late
         # Hubs of other data centres beat to a leaf once, to find its hubs.
         far = beat.data_centre != self.own.data_centre
         member.told = self.role is Role.LEAF and far
-        if (member.state, member.hub) != before:
-            extra = {"router": router, "state": member.state.value, "hub": beat.hub}
+        if (member.state, member.hub, member.late) != before:
+            extra = {
+                "router": router,
+                "state": member.state.value,
+                "hub": beat.hub,
+                "late": beat.late,
+            }
             logger.info("router heard", extra=extra)
             self.changed()
         self.rosters.answer(member, beat)
@@ -331,7 +342,11 @@
         """Return the heartbeat to send, with a fingerprint for one that tells hubs."""
         size = len(self.addresses) + 1 if self.role is Role.MESH else self.size
         return msgspec.structs.replace(
-            self.beat(), hub=self.own.hub, size=size, roster=roster
+            self.beat(),
+            hub=self.own.hub,
+            size=size,
+            roster=roster,
+            late=self.own.late,
         )
 
     def tell_near(self) -> None:
@@ -507,6 +522,18 @@
         self.rosters.tell_leaves()
         self.on_change()
 
+    def note_late(self, late: bool) -> None:
+        """Note whether this router keeps up with its work; leave deciding if not."""
+        now = self.loop.time()
+        if late:
+            self.late_at = now
+        late = now - self.late_at < LATE_FOR
+        if late is self.own.late:
+            return
+        self.own.late = late
+        logger.info("deciding given up" if late else "deciding again")
+        self.changed()
+
     def stand_in_share(self) -> float:
         """Return the part of each endpoint for a router that decides but not leads.
 
--- a/carawayfold/coordination/fleet/hubs.py
+++ b/carawayfold/coordination/fleet/hubs.py
@@ -70,9 +70,9 @@
 
 
 def fingerprint(hubs: Iterable[Member]) -> int:
-    """Return a number that is equal where the same hubs are known."""
-    rows = sorted(f"{item.router}|{item.incarnation}" for item in hubs)
-    return xxhash.xxh3_64_intdigest("\n".join(rows).encode()) >> 1
+    """Return a number that is equal where the same is known of the same hubs."""
+    rows = sorted(f"{item.router}|{item.incarnation}|{item.late:d}" for item in hubs)
+    return xxhash.xxh32_intdigest("\n".join(rows).encode())
 
 
 def role_of_hub(own: Member, near: list[Member], before: Role) -> Role:
--- a/carawayfold/coordination/fleet/membership.py
+++ b/carawayfold/coordination/fleet/membership.py
@@ -41,6 +41,8 @@
         What its processor can do, in hundredths of a usual core.
     hub : bool
         Whether others meet at it and it decides for them; in a small fleet all do.
+    late : bool
+        Whether it can't keep up with its work, so that others decide.
     told : bool
         Whether it is known from what a hub told, not by its own heartbeats.
     """
@@ -53,6 +55,7 @@
     processor: int = 100
     hub: bool = True
     told: bool = False
+    late: bool = False
 
 
 class Membership:
@@ -142,7 +145,7 @@
     ) -> RouterId:
         """Return the router that looks after `subject`, by rendezvous hashing.
 
-        Only the strongest hubs do.
+        Only the strongest hubs do, of those that keep up with their work if any does.
 
         Parameters
         ----------
@@ -161,7 +164,7 @@
         hubs = [member for member in self.live() if member.hub]
         live = [item for item in hubs if item.router not in leaving_out] or [self.own]
         near = [member for member in live if member.data_centre == data_centre]
-        return rank(subject, strongest(near or live))[0].router
+        return rank(subject, strongest(in_time(near or live)))[0].router
 
 
 def rank(subject: str, members: list[Member]) -> list[Member]:
@@ -169,6 +172,11 @@
     return sorted(members, key=lambda member: _weight(subject, member), reverse=True)
 
 
+def in_time(members: list[Member]) -> list[Member]:
+    """Return the members that keep up with their work, all if none does."""
+    return [member for member in members if not member.late] or members
+
+
 def strongest(members: list[Member]) -> list[Member]:
     """Return the members that are about as strong as the strongest of them."""
     least = STRONG_PART * max(member.processor for member in members)
--- a/carawayfold/coordination/fleet/rosters.py
+++ b/carawayfold/coordination/fleet/rosters.py
@@ -105,7 +105,9 @@
         self.fleet.membership.joined(
             entry.router, data_centre, entry.incarnation, entry.processor
         )
-        self.fleet.membership.members[entry.router].told = True
+        member = self.fleet.membership.members[entry.router]
+        member.told = True
+        member.late = entry.late
 
     def take_calls(self) -> list[RouterId]:
         """Return the hubs to call this once."""
@@ -151,5 +153,10 @@
         if hub is not self.fleet.own:
             address = self.fleet.addresses[hub.router]
         return HubEntry(
-            hub.router, address.host, address.port, hub.incarnation, hub.processor
+            hub.router,
+            address.host,
+            address.port,
+            hub.incarnation,
+            hub.processor,
+            hub.late,
         )
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -244,6 +244,7 @@
             now = loop.time()
             was_busy = self.pressure.is_busy(now)
             self.pressure.note(now - due, now)
+            self.fleet.note_late(self.pressure.is_overloaded())
             if self.pressure.is_busy(now) is not was_busy:
                 self._log_pressure(not was_busy, now - due)
 
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -53,6 +53,8 @@
     operators_age : int
         Milliseconds since it knew all of the operators' words, from the store or from
         a peer.
+    late : bool
+        Whether it can't keep up with its work, so that others should decide.
     """
 
     data_centre: DataCentreId
@@ -68,6 +70,7 @@
     refused: bool = False
     evacuations_changed: Position = Position(0)
     operators_age: int = 0
+    late: bool = False
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -195,6 +198,7 @@
     port: int
     incarnation: int
     processor: int
+    late: bool = False
 
 
 class RosterMessage(msgspec.Struct, array_like=True, tag=10, frozen=True):
--- a/carawayfold/state/pressure.py
+++ b/carawayfold/state/pressure.py
@@ -28,6 +28,8 @@
 FALL = 0.01
 #: Most that is refused, so that a process always serves something.
 MOST = 0.95
+#: Part refused from which a process should do nothing for others that these can do.
+OVERLOADED = 0.3
 #: Seconds without a refusal after which an instance welcomes connections again, so
 #: that a balancer that asks once a second does not see each change.
 CALM_AFTER = 2.0
@@ -62,6 +64,10 @@
         """Return whether new connections should go elsewhere."""
         return now - self.busy_at < CALM_AFTER
 
+    def is_overloaded(self) -> bool:
+        """Return whether this process should leave what it does for others to these."""
+        return self.part >= OVERLOADED
+
     def refuses(self) -> bool:
         """Return whether the next request should be refused: `part` of them evenly."""
         self.drawn += self.part
--- a/tests/coordination/fleet/test_fleet.py
+++ b/tests/coordination/fleet/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from carawayfold.coordination.fleet.fleet import Role
+from carawayfold.coordination.fleet.fleet import LATE_FOR, Role
 from carawayfold.coordination.fleet.hubs import HUBS, MESH_MOST
 from carawayfold.protocol.datagrams import HubEntry, RosterMessage
 from tests.simulated_fleet import WEAK, simulate, started
@@ -245,3 +245,37 @@
         return alone.counted
 
     assert play(scenario, 1, 1) == 1
+
+
+@pytest.mark.parametrize(("count", "places"), [(9, 3), (67, 4)])
+def test_a_router_that_cannot_keep_up_decides_for_nobody(count, places):
+    async def scenario(fleet):
+        late = leader(fleet)
+        router = fleet.routers[late]
+        router.note_late(True)
+
+        def left():
+            return agreed(fleet) and leader(fleet) != late
+
+        soon = await fleet.until(left, 1.0)
+        router.note_late(False)
+        await asyncio.sleep(LATE_FOR / 2)
+        router.note_late(False)
+        kept = leader(fleet) != late
+        await asyncio.sleep(LATE_FOR / 2)
+        router.note_late(False)
+        again = await fleet.until(lambda: agreed(fleet) and leader(fleet) == late, 1.0)
+        return soon is not None, kept, again is not None
+
+    assert play(scenario, count, places) == (True, True, True)
+
+
+def test_where_no_router_keeps_up_they_decide_all_the_same():
+    async def scenario(fleet):
+        before = leader(fleet)
+        for router in fleet.routers.values():
+            router.note_late(True)
+        await asyncio.sleep(2.0)
+        return agreed(fleet) and leader(fleet) == before
+
+    assert play(scenario, 9, 3)
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -201,6 +201,7 @@
     def measure(self, due):
         now = self.clock.loop.time()
         self.pressure.note(now - due, now)
+        self.fleet.note_late(self.pressure.is_overloaded())
 
 
 class Engine:
--- a/tests/state/test_pressure.py
+++ b/tests/state/test_pressure.py
@@ -71,3 +71,11 @@
     assert gauge.is_busy(now)
     now = feed(gauge, [0.0] * int(CALM_AFTER / STEP + 1), now)
     assert not gauge.is_busy(now)
+
+
+def test_a_process_that_is_late_for_some_time_is_overloaded():
+    gauge = PressureGauge()
+    now = feed(gauge, [0.03] * 2)
+    assert not gauge.is_overloaded()
+    feed(gauge, [0.1] * 3, now)
+    assert gauge.is_overloaded()
