Share the pools of a service out evenly among those who may decide

Cause: rendezvous hashing draws each pool's router by itself: two or more pools at one in 294 of 500 draws of four pools among eight. Change: of the first three candidates by rendezvous hashing the one that leads the fewest of the pools before; the choice for a pool depends on those before it only.

--- a/carawayfold/coordination/fleet/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -21,7 +21,12 @@
     role_of_hub,
 )
 from carawayfold.coordination.fleet.listeners import Listeners
-from carawayfold.coordination.fleet.membership import Member, Membership, PeerState
+from carawayfold.coordination.fleet.membership import (
+    Member,
+    Membership,
+    PeerState,
+    share_out,
+)
 from carawayfold.coordination.fleet.rosters import Rosters
 from carawayfold.coordination.fleet.suspects import Suspects
 from carawayfold.protocol.datagrams import Beat, RosterMessage
@@ -177,10 +182,18 @@
         return [item for item in self.entries.values() if item.data_centre == place]
 
     def leader(self, subject: str) -> RouterId:
-        """Return the router that decides on `subject`, by the heartbeats."""
+        """Return the router that decides on `subject`, by the heartbeats.
+
+        Subjects that differ in a number at their end, such as the pools of a service,
+        are shared out among those that may decide.
+        """
         known = self.leading.get(subject)
         if known is None:
-            known = self.leading[subject] = self.membership.responsible(subject)
+            stem, _, number = subject.rpartition("/")
+            count = int(number) + 1 if stem and number.isdecimal() else 0
+            like = [f"{stem}/{place}" for place in range(count)] or [subject]
+            self.leading.update(share_out(like, self.membership.deciders()))
+            known = self.leading[subject]
         return known
 
     def responsible(self, subject: str) -> RouterId:
@@ -200,6 +213,9 @@
             return self.leader(subject)
         if self.suspects.alone():
             return self.own.router
+        leader = self.leader(subject)
+        if leader not in self.suspects.until:
+            return leader
         return self.membership.responsible(subject, leaving_out=self.suspects.until)
 
     def pick_known(self) -> RouterId:
--- a/carawayfold/coordination/fleet/membership.py
+++ b/carawayfold/coordination/fleet/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
 
 #: Least silence limit, in seconds.
 SILENCE_LIMIT = 2.0
+#: Candidates for each of several like subjects, of which the one with the fewest looks
+#: after it: more share the work more evenly, and more change when a member goes.
+CANDIDATES = 3
 #: Least processor of those who look after something, as a part of the strongest one's.
 #: Instances of nearly one size share the work, the weakest are left out.
 STRONG_PART = 0.75
@@ -166,6 +170,26 @@
         near = [member for member in live if member.data_centre == data_centre]
         return rank(subject, strongest(in_time(near or live)))[0].router
 
+    def deciders(self) -> list[Member]:
+        """Return the routers that may look after something for others."""
+        hubs = [member for member in self.live() if member.hub] or [self.own]
+        return strongest(in_time(hubs))
+
+
+def share_out(subjects: list[str], members: list[Member]) -> dict[str, RouterId]:
+    """Return who looks after each of several like subjects, about as many each.
+
+    The choice for a subject depends on those before it only.
+    """
+    taken: Counter[RouterId] = Counter()
+    chosen = {}
+    for subject in subjects:
+        candidates = rank(subject, members)[:CANDIDATES]
+        least = min(candidates, key=lambda member: taken[member.router])
+        taken[least.router] += 1
+        chosen[subject] = least.router
+    return chosen
+
 
 def rank(subject: str, members: list[Member]) -> list[Member]:
     """Return members in the order in which they look after `subject`."""
