--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -2,14 +2,14 @@
 
 One router decides for each pool. A request is offered to it in a datagram, again and
 again until it answers. One that does not answer in time, because it is cut off,
-frozen or dead, is replaced by the next in line. Where that one does not answer either
-the scheduler of this router decides, which then fills only its part of each endpoint.
+frozen or dead, is replaced by the next in line, and later if it is heard and so is late
+only. Where that one does not answer either the scheduler of this router decides, which
+then fills only its part of each endpoint.
 """
 
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import OrderedDict
 from dataclasses import replace
 from functools import singledispatchmethod
@@ -25,6 +25,13 @@
 )
 from carawayfold.coordination.scheduling.endpoint_load import Active
 from carawayfold.coordination.scheduling.held_back import HeldBack
+from carawayfold.coordination.scheduling.messages import (
+    decision_message,
+    granted_of,
+    offer_message,
+    offer_of,
+    turned_away_of,
+)
 from carawayfold.coordination.scheduling.offers import (
     Bar,
     Basis,
@@ -39,6 +46,7 @@
     Scheduler,
 )
 from carawayfold.coordination.scheduling.tallies import Tallies
+from carawayfold.coordination.scheduling.tickets import Placed, PoolDesk, Ticket
 from carawayfold.protocol.datagrams import (
     BegunMessage,
     EndedMessage,
@@ -104,9 +112,6 @@
 ROUND_PAUSE = 3.0
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
-#: Seconds after which a router that begins to decide for a pool gives requests to
-#: endpoints that warm up: what they got before counts by the second.
-TAKEOVER_PAUSE = 1.0
 #: Further pools that are asked for a request which its own one can't serve in time.
 #: Without them an organisation whose requests share a prefix gets its part of one pool
 #: only, however much the others can do.
@@ -115,63 +120,6 @@
 PREFIXES_KEPT = 4000
 
 
-class Ticket(msgspec.Struct, eq=False):
-    """A request that waits for a decision, or has one.
-
-    Attributes
-    ----------
-    answered : asyncio.Future
-        Resolved with the decision.
-    asked_at : float
-        Loop time of the first offer to the scheduler that is asked.
-    unanswered : int
-        Offers sent since the scheduler last answered.
-    queued : bool
-        Whether the scheduler has said that it will decide.
-    local : bool
-        Whether this router decides.
-    """
-
-    offer: Offer
-    pool: PoolId
-    answered: asyncio.Future[Decision]
-    asked_at: float
-    unanswered: int = 0
-    queued: bool = False
-    local: bool = False
-    timer: asyncio.TimerHandle | None = None
-
-
-class Placed(msgspec.Struct, eq=False):
-    """A request that this router has at an endpoint."""
-
-    pool: PoolId
-    active: Active
-    endpoint: EndpointId
-    prompt: tuple[Part, ...]
-
-
-class PoolDesk(msgspec.Struct, eq=False):
-    """One pool, and this router's scheduler for it."""
-
-    id: PoolId
-    scheduler: Scheduler
-    due: asyncio.TimerHandle | None = None
-    leads: bool = False
-
-    def lead(self, leads: bool, now: float) -> None:
-        """Note whether this router decides for the fleet.
-
-        One that has just begun does not know what endpoints that warm up got of the
-        one before, and one that stands in does not know what others give them.
-        """
-        if not leads:
-            self.scheduler.warming_from = math.inf
-        elif not self.leads:
-            self.scheduler.warming_from = now + TAKEOVER_PAUSE
-        self.leads = leads
-
-
 class Desk:
     """Offers this router's requests and decides on those of its pools.
 
@@ -430,7 +378,8 @@
             return
         wait = WAITING_AGAIN if ticket.queued else OFFER_WAITS[ticket.unanswered]
         ticket.unanswered += 1
-        self.fleet.send(granter, _offer_message(ticket, self.loop.time()))
+        message = offer_message(ticket.offer, ticket.pool, self.loop.time())
+        self.fleet.send(granter, message)
         ticket.timer = self.loop.call_later(wait, self._offer, ticket)
 
     def _is_given_up(self, ticket: Ticket, granter: RouterId) -> bool:
@@ -657,7 +606,7 @@
                 self._answer(ticket, self._based(decision), self.fleet.own.router)
             return
         router = RouterId(decision.call.rsplit(".", 2)[0])
-        self.fleet.send(router, self._decision_message(decision))
+        self.fleet.send(router, decision_message(decision, self.basis()))
 
     def _based(self, decision: Decision) -> Decision:
         """Return a decision of this router with what it was made on."""
@@ -666,26 +615,6 @@
             return msgspec.structs.replace(decision, decider=decider)
         return msgspec.structs.replace(decision, basis=self.basis())
 
-    def _decision_message(self, decision: Decision) -> Message:
-        if isinstance(decision, Granted):
-            basis = self.basis()
-            return GrantMessage(
-                decision.call,
-                decision.endpoint,
-                decision.donor,
-                basis.offset,
-                round(basis.age * 1000),
-                round(decision.admitted * 1000),
-            )
-        retry_after = round(decision.retry_after * 1000)
-        return TurnAwayMessage(
-            decision.call,
-            decision.reason,
-            retry_after,
-            decision.kept_at,
-            round(decision.admitted * 1000),
-        )
-
     def endpoint_lost(self, endpoint: EndpointId) -> None:
         """Send nothing more to an endpoint that has ended, whoever found out."""
         now = self.loop.time()
@@ -707,7 +636,7 @@
     def _(self, message: OfferMessage, sender: RouterId) -> None:
         decision = self.decided.get(message.call)
         if decision is not None:
-            self.fleet.send(sender, self._decision_message(decision))
+            self.fleet.send(sender, decision_message(decision, self.basis()))
             return
         desk = self.pools.get(message.pool)
         if desk is None:
@@ -721,7 +650,7 @@
             tally.again += 1
         else:
             tally.offers += 1
-        desk.scheduler.offer(_offer_of(message, sender, now), now)
+        desk.scheduler.offer(offer_of(message, sender, now), now)
         may_decide = not known and now >= self.next_round
         if may_decide and desk.scheduler.has_room(now):
             self._decide(desk)
@@ -750,28 +679,11 @@
 
     @_take.register
     def _(self, message: GrantMessage, sender: RouterId) -> None:
-        basis = Basis(sender, message.offset, message.age / 1000)
-        granted = Granted(
-            message.call,
-            message.endpoint,
-            message.donor,
-            basis,
-            message.admitted / 1000,
-        )
-        self._resolve(granted, sender)
+        self._resolve(granted_of(message, sender), sender)
 
     @_take.register
     def _(self, message: TurnAwayMessage, sender: RouterId) -> None:
-        retry_after = message.retry_after / 1000
-        decision = TurnedAway(
-            message.call,
-            message.reason,
-            retry_after,
-            message.kept_at,
-            sender,
-            message.admitted / 1000,
-        )
-        self._resolve(decision, sender)
+        self._resolve(turned_away_of(message, sender), sender)
 
     def _resolve(self, decision: Decision, sender: RouterId) -> None:
         ticket = self.tickets.get(decision.call)
@@ -823,47 +735,3 @@
             active = Active(item.call, router, item.unread, item.memory, now, now)
             active.begun = item.begun
             desk.scheduler.holds(item.endpoint, active)
-
-
-def _offer_message(ticket: Ticket, now: float) -> OfferMessage:
-    offer = ticket.offer
-    return OfferMessage(
-        pool=ticket.pool,
-        call=offer.call,
-        organisation=offer.organisation,
-        route=offer.route,
-        priority=offer.priority,
-        prompt=[(part.id, part.tokens) for part in offer.prompt],
-        prompt_tokens=offer.prompt_tokens,
-        output_tokens=offer.output_tokens,
-        due=round((offer.due - now) * 1000),
-        expires=round((offer.expires - now) * 1000),
-        avoid=list(offer.avoid),
-        kept_at=offer.kept_at,
-        data_centre=offer.data_centre,
-        allowed=sorted(offer.allowed or ()),
-        rests=[(name, round((at - now) * 1000)) for name, at in offer.rests.items()],
-        held_back=offer.held_back,
-    )
-
-
-def _offer_of(message: OfferMessage, router: RouterId, now: float) -> Offer:
-    return Offer(
-        call=message.call,
-        router=router,
-        data_centre=message.data_centre,
-        organisation=message.organisation,
-        route=message.route,
-        priority=message.priority,
-        prompt=tuple(Part(part, tokens) for part, tokens in message.prompt),
-        prompt_tokens=message.prompt_tokens,
-        output_tokens=message.output_tokens,
-        arrived=now,
-        due=now + message.due / 1000,
-        expires=now + message.expires / 1000,
-        avoid=frozenset(message.avoid),
-        kept_at=message.kept_at,
-        allowed=frozenset(message.allowed) or None,
-        rests={name: now + left / 1000 for name, left in message.rests},
-        held_back=message.held_back,
-    )
--- /dev/null
+++ b/carawayfold/coordination/scheduling/messages.py
@@ -0,0 +1,107 @@
+"""Offers and decisions as messages between routers, and back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayfold.coordination.scheduling.offers import (
+    Basis,
+    Granted,
+    Offer,
+    TurnedAway,
+)
+from carawayfold.protocol.datagrams import (
+    GrantMessage,
+    OfferMessage,
+    TurnAwayMessage,
+)
+from carawayfold.protocol.exchanges import Part
+
+if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.offers import Decision
+    from carawayfold.state.ids import PoolId, RouterId
+
+
+def offer_message(offer: Offer, pool: PoolId, now: float) -> OfferMessage:
+    """Return the message that offers a request to a pool."""
+    return OfferMessage(
+        pool=pool,
+        call=offer.call,
+        organisation=offer.organisation,
+        route=offer.route,
+        priority=offer.priority,
+        prompt=[(part.id, part.tokens) for part in offer.prompt],
+        prompt_tokens=offer.prompt_tokens,
+        output_tokens=offer.output_tokens,
+        due=round((offer.due - now) * 1000),
+        expires=round((offer.expires - now) * 1000),
+        avoid=list(offer.avoid),
+        kept_at=offer.kept_at,
+        data_centre=offer.data_centre,
+        allowed=sorted(offer.allowed or ()),
+        rests=[(name, round((at - now) * 1000)) for name, at in offer.rests.items()],
+        held_back=offer.held_back,
+    )
+
+
+def offer_of(message: OfferMessage, router: RouterId, now: float) -> Offer:
+    """Return the request that a router offers."""
+    return Offer(
+        call=message.call,
+        router=router,
+        data_centre=message.data_centre,
+        organisation=message.organisation,
+        route=message.route,
+        priority=message.priority,
+        prompt=tuple(Part(part, tokens) for part, tokens in message.prompt),
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        arrived=now,
+        due=now + message.due / 1000,
+        expires=now + message.expires / 1000,
+        avoid=frozenset(message.avoid),
+        kept_at=message.kept_at,
+        allowed=frozenset(message.allowed) or None,
+        rests={name: now + left / 1000 for name, left in message.rests},
+        held_back=message.held_back,
+    )
+
+
+def decision_message(
+    decision: Decision, basis: Basis
+) -> GrantMessage | TurnAwayMessage:
+    """Return the message that tells a decision made on `basis`."""
+    admitted = round(decision.admitted * 1000)
+    if isinstance(decision, Granted):
+        return GrantMessage(
+            decision.call,
+            decision.endpoint,
+            decision.donor,
+            basis.offset,
+            round(basis.age * 1000),
+            admitted,
+        )
+    retry_after = round(decision.retry_after * 1000)
+    return TurnAwayMessage(
+        decision.call, decision.reason, retry_after, decision.kept_at, admitted
+    )
+
+
+def granted_of(message: GrantMessage, sender: RouterId) -> Granted:
+    """Return the grant that a router tells."""
+    basis = Basis(sender, message.offset, message.age / 1000)
+    return Granted(
+        message.call, message.endpoint, message.donor, basis, message.admitted / 1000
+    )
+
+
+def turned_away_of(message: TurnAwayMessage, sender: RouterId) -> TurnedAway:
+    """Return the refusal that a router tells."""
+    return TurnedAway(
+        message.call,
+        message.reason,
+        message.retry_after / 1000,
+        message.kept_at,
+        sender,
+        message.admitted / 1000,
+    )
