--- /dev/null
+++ b/tests/coordination/scheduling/test_account.py
@@ -0,0 +1,89 @@
+"""What organisations get of a pool, whatever is lost, late or told twice on the way."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carawayfold.coordination.scheduling.held_back import HeldBack
+from carawayfold.coordination.scheduling.offers import Granted, Outcome
+from tests.schedule_builders import offer, scheduler
+
+POOL = "model/0"
+STEP = 0.05
+SECONDS = 8.0
+#: Requests of each organisation in a step at each of its routers together.
+IN_STEP = 8
+#: Seconds that each engine takes for one.
+RUNNING = 0.2
+#: What the platform's users allow an organisation to fall to, and from when on.
+LEAST_PART = 0.5
+SETTLED = 2.0
+
+
+class Routers:
+    """Two organisations behind routers that hold back what they are told to."""
+
+    def __init__(self, spread, lost, late):
+        self.made = scheduler(endpoints=2, slots=4, throughput=100_000)
+        self.spread = spread
+        self.held = {
+            (name, number): HeldBack()
+            for name, count in spread.items()
+            for number in range(count)
+        }
+        self.lost = lost
+        self.late = late
+        self.got = dict.fromkeys(spread, 0)
+        self.waiting = {}
+        self.ends = []
+
+    def play(self):
+        for step in range(round(SECONDS / STEP)):
+            now = 1.0 + step * STEP
+            for call, at in [item for item in self.ends if item[1] <= now]:
+                self.made.ended(call, Outcome.WHOLE, at)
+                self.ends.remove((call, at))
+            self._offer_all(step, now)
+            if step % self.late == 0:
+                self._decide(step, now)
+            self.made.expire(now)
+        return self.got
+
+    def _offer_all(self, step, now):
+        for name, count in self.spread.items():
+            for number in range(IN_STEP):
+                held = self.held[name, number % count]
+                call = f"{name}-{number % count}.0.{step}-{number}"
+                wants = offer(call, name, now=now, organisation=name, due=now + 0.3)
+                if held.refuse(wants, POOL, now) is not None:
+                    continue
+                wants.held_back = held.take_tokens(wants, POOL)
+                if (step * 7 + number) % 20 in self.lost:
+                    continue
+                self.waiting[call] = wants, held
+                self.made.offer(wants, now)
+
+    def _decide(self, step, now):
+        for decision in self.made.decide(now):
+            wants, held = self.waiting.pop(decision.call)
+            if (step * 3) % 20 not in self.lost:
+                held.take(wants, POOL, decision, "decider", now)
+            if isinstance(decision, Granted):
+                self.made.begun(decision.call, 0.02)
+                self.ends.append((decision.call, now + RUNNING))
+                if now > SETTLED:
+                    self.got[wants.organisation] += 1
+
+
+@settings(max_examples=40)
+@given(
+    one=st.integers(1, 8),
+    two=st.integers(1, 8),
+    lost=st.sets(st.integers(0, 19), max_size=4),
+    late=st.integers(1, 4),
+)
+def test_floods_get_alike_behind_any_number_of_routers(one, two, lost, late):
+    got = Routers({"one": one, "two": two}, lost, late).play()
+    assert min(got.values()) >= LEAST_PART * max(got.values())
+    assert min(got.values()) > 0
