Hold requests back only while a decider lacks time, and none of who is behind

Cause: parts are even in tokens, but of one organisation's requests fewer can be in time than of another's, so an even part of what is offered is no even part of what is granted; the scheduler's own rule, who is behind goes first, had nothing left to choose from. Ruled out: processor time (the same without it).

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -110,6 +110,10 @@
 #: Seconds left for other work for each second that a round of decisions took: a router
 #: that has much to decide still takes the words of others in time.
 ROUND_PAUSE = 3.0
+#: Seconds by which a round of decisions comes late, or the next one is put off, from
+#: which routers are told to hold requests back, and for how long after it.
+LATE_ROUND = 0.03
+HURRIED_FOR = 0.5
 #: Seconds between log lines on one router that does not decide.
 UNANSWERED_LOGGED = 1.0
 #: Further pools that are asked for a request which its own one can't serve in time.
@@ -164,6 +168,8 @@
         self.held_back = HeldBack()
         #: When the next round of decisions may begin, for whichever pool.
         self.next_round = 0.0
+        #: Until when deciding counts as what takes too much of this router's time.
+        self.hurried_until = 0.0
 
     # Pools
 
@@ -561,7 +567,10 @@
         now = self.loop.time()
         if desk.due is not None:
             tally = self.tallies.of(desk.id)
-            tally.latest = max(tally.latest, now - desk.due.when())
+            late = now - desk.due.when()
+            tally.latest = max(tally.latest, late)
+            if late >= LATE_ROUND:
+                self.hurried_until = now + HURRIED_FOR
             desk.due.cancel()
             desk.due = None
         if not desk.scheduler.waiting:
@@ -575,12 +584,16 @@
         desk.lead(leads, now)
         share = 1.0 if leads else self.fleet.stand_in_share()
         scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
+        scheduler.hurried = now < self.hurried_until
         decisions = scheduler.decide(now)
         for decision in decisions:
             self._announce(decision)
         self._note_round(desk.id, decisions, leads, now)
         ended = self.loop.time()
-        self.next_round = ended + ROUND_PAUSE * (ended - now)
+        pause = ROUND_PAUSE * (ended - now)
+        self.next_round = ended + pause
+        if pause >= LATE_ROUND:
+            self.hurried_until = ended + HURRIED_FOR
         if scheduler.waiting:
             desk.due = self.loop.call_later(DECIDE_INTERVAL, self._decide, desk)
 
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -208,6 +208,8 @@
     full_until : float
         Monotonic seconds until which the pool counts as one that can't do what is
         asked of it.
+    hurried : bool
+        Whether its router has too little time for all that is offered.
     least_urgent : int
         The priority of the least urgent requests, the highest number.
     warming_from : float
@@ -227,6 +229,7 @@
     reviewed: float = 0.0
     speed: float = UNSTATED_SPEED
     full_until: float = 0.0
+    hurried: bool = False
     least_urgent: int = 0
     warming_from: float = 0.0
     usage: UsageBook = field(init=False)
@@ -593,9 +596,12 @@
     def _admitted(self, offer: Offer, now: float) -> float:
         """Return the part of such requests that may be offered to a pool that is full.
 
-        All where others are less urgent: these wait for them.
+        All where others are less urgent, since these wait for them, and all while
+        there is time to choose among them.
         """
-        if now >= self.full_until or offer.priority < self.least_urgent:
+        if not self.hurried or now >= self.full_until:
+            return 1.0
+        if offer.priority < self.least_urgent:
             return 1.0
         return self.usage.admitted_part(offer.organisation)
 
--- a/carawayfold/state/usage.py
+++ b/carawayfold/state/usage.py
@@ -133,10 +133,11 @@
         """Return the part of an organisation's requests to be offered, 0 to 1.
 
         All that may be offered is shared out as what is granted is: those who ask for
-        less than the common level offer all of it.
+        less than the common level offer all of it, and so do those who got far less
+        than others, whose requests may be such that few of them can be in time.
         """
         asked = self._of(organisation).asked.total
-        if asked <= self.admitted:
+        if asked <= self.admitted or self.is_behind(organisation):
             return 1.0
         return max(LEAST_ADMITTED, self.admitted / asked)
 
--- a/tests/coordination/scheduling/test_account.py
+++ b/tests/coordination/scheduling/test_account.py
@@ -26,6 +26,7 @@
 
     def __init__(self, spread, lost, late):
         self.made = scheduler(endpoints=2, slots=4, throughput=100_000)
+        self.made.hurried = True
         self.spread = spread
         self.held = {
             (name, number): HeldBack()
--- a/tests/coordination/scheduling/test_held_back.py
+++ b/tests/coordination/scheduling/test_held_back.py
@@ -78,6 +78,7 @@
 def flooded(loads, seconds=5.0, step=0.02, room=40):
     """Return a scheduler after such a load, requests each step, and the time."""
     made = scheduler(endpoints=1, slots=room, throughput=100_000)
+    made.hurried = True
     now = 0.0
     number = 0
     while now < seconds:
@@ -134,6 +135,7 @@
 
 def test_a_pool_that_grants_nothing_still_hears_of_what_is_asked():
     made = scheduler()
+    made.hurried = True
     for item in calls(50):
         made.offer(item, 0.0)
     made.full_until = FULL_FOR
@@ -148,3 +150,21 @@
     made.offer(wants, 0.1)
     asked = made.usage.book["alder"].asked.total
     assert asked == wants.share_tokens + 5000
+
+
+def test_a_decider_that_has_time_for_all_holds_nothing_back():
+    made, now = flooded({"flood": 60})
+    made.full_until = now + FULL_FOR
+    made.hurried = False
+    assert made._admitted(offer(organisation="flood"), now) == 1.0
+
+
+def test_an_organisation_that_got_far_less_than_others_offers_all():
+    made, now = flooded({"short": 60})
+    for number in range(60):
+        wants = offer(f"l.0.{number}", tokens=50_000, now=now, organisation="long")
+        made.offer(wants, now)
+    made.full_until = now + FULL_FOR
+    made.usage.refresh(now, 100_000)
+    assert made._admitted(offer(organisation="long"), now) == 1.0
+    assert made._admitted(offer(organisation="short"), now) < 1.0
