Let one piece of code choose who may look after something

Cause: Membership.deciders, added with the shared-out pools, repeated the choice of hubs that keep up from Membership.responsible. Ruled out: a difference between the two: without a data centre and with nobody left out they choose the same members. Change: responsible ranks what deciders returns; no change of behaviour.

--- a/carawayfold/coordination/fleet/membership.py
+++ b/carawayfold/coordination/fleet/membership.py
@@ -165,15 +165,16 @@
         RouterId
             The same on every router that sees the same members.
         """
+        return rank(subject, self.deciders(data_centre, leaving_out))[0].router
+
+    def deciders(
+        self, data_centre: str = "", leaving_out: Container[RouterId] = ()
+    ) -> list[Member]:
+        """Return the routers that may look after something; see `responsible`."""
         hubs = [member for member in self.live() if member.hub]
         live = [item for item in hubs if item.router not in leaving_out] or [self.own]
         near = [member for member in live if member.data_centre == data_centre]
-        return rank(subject, strongest(in_time(near or live)))[0].router
-
-    def deciders(self) -> list[Member]:
-        """Return the routers that may look after something for others."""
-        hubs = [member for member in self.live() if member.hub] or [self.own]
-        return strongest(in_time(hubs))
+        return strongest(in_time(near or live))
 
 
 def share_out(subjects: list[str], members: list[Member]) -> dict[str, RouterId]:
