--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -132,7 +132,7 @@
     """A scheduler whose work takes its router's time."""
 
     __slots__ = ()
-    #: The clock of the router at work.
+    #: Clocks of all routers; only that of the router at work takes a charge.
     clocks: list[Clock] = []
 
     def charge(self, microseconds):
@@ -466,6 +466,22 @@
     ]
 
 
+def slow_decider(run, second):
+    """Let a router that leads a pool run at a fifth of its speed from 2 s on."""
+    if second == 2:
+        run.fleet.attached[run.led[1]].clock.speed /= 5
+
+
+def kill_deciders(run, second):
+    """End two routers that lead pools, at 2 and 4 s."""
+    if second in (2, 4):
+        run.fleet.kill(run.led[second // 2])
+
+
+#: What may happen in a run, by name.
+FAULTS = {"none": None, "slow": slow_decider, "kill": kill_deciders}
+
+
 def main() -> None:
     """Print what organisations get beside routers that need time to decide."""
     parser = argparse.ArgumentParser(description=main.__doc__)
@@ -474,10 +490,12 @@
     parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 1, 2, 4.8])
     parser.add_argument("--weak", action="store_true", help=floods.__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    parser.add_argument("--fault", choices=FAULTS, default="none")
     wanted = parser.parse_args()
     for load, seed in itertools.product(wanted.loads, wanted.seeds):
         made = floods(load, wanted.weak)
-        run = Deciders(made, wanted.routers, wanted.seconds, seed)
+        fault = FAULTS[wanted.fault]
+        run = Deciders(made, wanted.routers, wanted.seconds, seed, fault)
         played = run.play()
         names = [flood.name for flood in made]
         busiest = max(played.spent, key=played.spent.get)
