Tell when a service has more or fewer pools, and of offers for pools that are not known

Cause: the logs of the incident could not tell when each router divides a service anew, who leads the pools then, and how many offers meet a router that has no such pool; these were dropped without a line. Ruled out that existing lines tell it: pool decided names pools only for which something was asked. No decision changes. Tests of both lines pass; tests of scheduling pass.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -190,6 +190,7 @@
             Those known before that are gone, or whose incarnation is over.
         """
         before = self.endpoints
+        weights_before = self.weights
         self.newest = dict(table.entries)
         self.leaving_since = dict(table.leaving_since)
         self.endpoints = {endpoint.id: endpoint for endpoint in self.newest.values()}
@@ -211,11 +212,28 @@
                 if members:
                     weights[pool] = sum(item.slots for item in members)
         self.pools = pools
+        self._note_division(weights_before)
         for desk in pools.values():
             self._decide_soon(desk)
         self.rests.expire(self.endpoints, self.loop.time())
         return [before[name] for name in before.keys() - self.endpoints.keys()]
 
+    def _note_division(self, before: dict[ServiceId, dict[PoolId, int]]) -> None:
+        """Log services whose number of pools has changed."""
+        for service, weights in self.weights.items():
+            pools_before = len(before.get(service, {}))
+            if pools_before == len(weights):
+                continue
+            loads = [self.pools[pool].scheduler.loads for pool in weights]
+            extra = {
+                "service": service,
+                "before": pools_before,
+                "pools": len(weights),
+                "endpoints": sum(len(item) for item in loads),
+                "leaders": {pool: self.fleet.leader(pool) for pool in weights},
+            }
+            logger.info("pools changed", extra=extra)
+
     def is_over(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has started again since."""
         newest = self.newest.get(endpoint.name)
@@ -653,6 +671,7 @@
             return
         desk = self.pools.get(message.pool)
         if desk is None:
+            self.tallies.unknown += 1
             return
         now = self.loop.time()
         if not self.decides_for(message.pool):
--- a/carawayfold/coordination/scheduling/tallies.py
+++ b/carawayfold/coordination/scheduling/tallies.py
@@ -58,12 +58,15 @@
     alone : int
         Requests granted here since the start for pools that this router does not
         lead.
+    unknown : int
+        Offers for pools that this router doesn't have, since the last lines.
     """
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.pools: dict[PoolId, Tally] = {}
         self.alone = 0
+        self.unknown = 0
         self.since = self.loop.time()
 
     def of(self, pool: PoolId) -> Tally:
@@ -91,6 +94,10 @@
         for pool, tally in self.pools.items():
             if pool in accounts:
                 self._write_one(pool, tally, accounts[pool], pool in led, covered)
+        if self.unknown:
+            extra = {"offers": self.unknown, "seconds": round(covered, 2)}
+            logger.info("offered unknown pools", extra=extra)
+        self.unknown = 0
         self.pools.clear()
         self.since = self.loop.time()
 
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -6,6 +6,7 @@
 import math
 from dataclasses import dataclass, field
 
+import logbook
 import pytest
 from msgspec import structs
 
@@ -545,3 +546,21 @@
         return south, desk.weights_for("model", {"east"})
 
     assert play(work) == ({"model/0": 4}, {})
+
+
+def test_a_change_of_the_number_of_pools_is_logged_once():
+    async def work():
+        desk = Desk(FakeFleet(Wire(), "a", ["a"]), 4.0)
+        for count in (POOL_SIZE, POOL_SIZE, POOL_SIZE + 1):
+            table = EndpointTable()
+            for number in range(count):
+                table.put(endpoint(f"e-{number}"))
+            desk.refresh(table, routes())
+
+    with logbook.TestHandler() as handler:
+        play(work)
+    lines = [item for item in handler.records if item.message == "pools changed"]
+    changes = [(item.extra["before"], item.extra["pools"]) for item in lines]
+    assert changes == [(0, 1), (1, 2)]
+    assert lines[1].extra["endpoints"] == POOL_SIZE + 1
+    assert lines[1].extra["leaders"] == {"model/0": "a", "model/1": "a"}
--- a/tests/coordination/scheduling/test_tallies.py
+++ b/tests/coordination/scheduling/test_tallies.py
@@ -31,3 +31,17 @@
     assert (line.extra["offers"], line.extra["again"]) == (3, 2)
     wanted = [["o-3", 300, 0], ["o-2", 200, 50], ["o-1", 100, 0]]
     assert line.extra["organisations"] == wanted
+
+
+def test_offers_for_unknown_pools_are_told_once():
+    async def work():
+        made = Tallies()
+        made.unknown = 3
+        made.write({}, set())
+        made.write({}, set())
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(work())
+    (line,) = handler.records
+    assert line.message == "offered unknown pools"
+    assert line.extra["offers"] == 3
