--- a/tests/coordination/containment/test_containment.py
+++ b/tests/coordination/containment/test_containment.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from carawayfold.coordination.containment.crash_reports import subject
 from carawayfold.state.contents import content_id
 from carawayfold.state.quarantine import Level
 from tests.simulated_crashes import (
@@ -133,6 +134,33 @@
     assert told(work, routers, places) is not None
 
 
+@pytest.mark.parametrize("away", [0.3, 2.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_what_was_counted_outlasts_a_restart_under_the_same_name(away, seed):
+    """Others notice that a router is silent after 0.6 s: it may be back before."""
+
+    async def work(fleet, world):
+        [killer] = killers_of(1)
+        home = next(iter(fleet.routers.values())).responsible(subject(killer))
+        processor = fleet.routers[home].own.processor
+        sender, other = sorted(world.containments.keys() - {home})[:2]
+        world.send(sender, killer, True)
+        await fleet.until(lambda: killer in world.containments[home].book.cases, 3.0)
+        await asyncio.sleep(1.0)
+        world.kill(home)
+        await asyncio.sleep(away)
+        fleet.dead.discard(home)
+        fleet.start(home, fleet.places[home], processor)
+        await asyncio.sleep(SETTLED)
+        while world.tally.crashes[killer] < ALLOWED_CRASHES:
+            before = world.tally.crashes[killer]
+            world.send(other, killer, True)
+            await fleet.until(lambda n=before: world.tally.crashes[killer] > n, 2.0)
+        return await fleet.until(lambda: all_know(world, killer), 2 * ALLOWED_FOR)
+
+    assert told(work, seed=seed) is not None
+
+
 def test_verdicts_outlast_all_routers():
     async def work(fleet, world):
         [killer] = killers_of(1)
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
 import pytest
@@ -12,6 +13,7 @@
 from carawayfold.coordination.fleet.membership import Member, Membership
 from carawayfold.coordination.fleet.suspects import Suspects
 from carawayfold.coordination.scheduling.desk import (
+    HOLDING_INTERVAL,
     OFFER_WAITS,
     Desk,
 )
@@ -545,3 +547,67 @@
         return south, desk.weights_for("model", {"east"})
 
     assert play(work) == ({"model/0": 4}, {})
+
+
+def table_of(count, slots=4):
+    table = EndpointTable()
+    for number in range(count):
+        table.put(endpoint(f"e-{number}", slots=slots))
+    return table
+
+
+@pytest.mark.parametrize("known", [0, POOL_SIZE])
+def test_a_decider_that_does_not_know_a_pool_yet_is_not_taken_for_dead(known):
+    """It has just started, or knows fewer endpoints and so fewer pools."""
+
+    async def work():
+        wire = Wire()
+        names = ["a", "b", "c", "d"]
+        made = desks(wire, names, endpoints=POOL_SIZE + 1)
+        fleet = made["a"].fleet
+        first = fleet.responsible("model/1")
+        made[first].refresh(table_of(known), routes())
+        if not known:
+            made[first].pools.clear()
+        asking = next(name for name in names if name != first)
+        fleet = made[asking].fleet
+        fleet.heard_at[first] = math.inf
+        await made[asking].place(request(made[asking], "x"), "model/1")
+        return first in fleet.suspects.until
+
+    assert simulate(work) is False
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [(POOL_SIZE + 1, POOL_SIZE), (POOL_SIZE, POOL_SIZE + 1)],
+)
+def test_what_endpoints_have_is_known_after_a_change_of_the_number_of_pools(
+    before, after
+):
+    async def work():
+        made = desks(Wire(), ["a", "b"], endpoints=before)
+        for number in range(POOL_SIZE):
+            desk = made["ab"[number % 2]]
+            pools = sorted(desk.weights["model"])
+            pool = pools[number // 2 % len(pools)]
+            await desk.place(request(desk, number), pool)
+        for desk in made.values():
+            desk.refresh(table_of(after), routes())
+        await asyncio.sleep(HOLDING_INTERVAL)
+        for desk in made.values():
+            desk.look_around()
+        await asyncio.sleep(HOLDING_INTERVAL)
+        held = Counter()
+        known = Counter()
+        for desk in made.values():
+            held.update(placed.endpoint for placed in desk.placed.values())
+            for pool in desk.weights["model"]:
+                if desk.decides_for(pool):
+                    loads = desk.pools[pool].scheduler.loads
+                    known.update({x: len(load.active) for x, load in loads.items()})
+        return held, +known
+
+    held, known = simulate(work)
+    assert sum(held.values()) >= POOL_SIZE - 1
+    assert known == held
--- a/tests/simulated_repeats.py
+++ b/tests/simulated_repeats.py
@@ -87,6 +87,29 @@
         allowed = self.bounds.ratio * requests + self.bounds.extra
         return self._count(self.repeats, start, end) - allowed
 
+    def play_moved(self, moves_at, failing):
+        """Let callers reach the first half of the routers, then only the others.
+
+        Parameters
+        ----------
+        moves_at : float
+            Seconds from the first request until the other half is reached.
+        failing : list of tuple
+            Begin and end of each span, in the same seconds, in which requests fail.
+        """
+        budgets = self._start(0.0)
+        half = self.routers // 2
+        owed = 0.0
+        for step in range(round((failing[-1][1] + 1.0) / STEP)):
+            seconds = step * STEP
+            reached = budgets[:half] if seconds < moves_at else budgets[half:]
+            fails = any(begin <= seconds < end for begin, end in failing)
+            owed += self.per_s * STEP
+            for _ in range(int(owed)):
+                for budget in reached:
+                    self._take(budget, LEAD + seconds, fails)
+            owed -= int(owed)
+
     @staticmethod
     def _count(times, start, end):
         return sum(start < time <= end for time in times)
--- a/tests/state/test_repeats_of_a_fleet.py
+++ b/tests/state/test_repeats_of_a_fleet.py
@@ -46,3 +46,24 @@
 def test_routers_that_were_told_of_no_other_dont_take_the_whole_extra_each():
     for routers, extra in FLEETS:
         assert played(routers, extra, known=None).most_over() <= 0
+
+
+def moved(routers, extra, failing):
+    bounds = BudgetBounds(ratio=0.2, extra=extra, window=10.0)
+    fleet = SimulatedRepeats(bounds, routers, known=routers, per_s=30.0)
+    fleet.play_moved(10.0, failing)
+    return fleet
+
+
+def test_callers_that_move_before_anything_fails_stay_within_the_budget():
+    for routers, extra in FLEETS:
+        fleet = moved(routers, extra, failing=[(18.0, 19.0)])
+        assert fleet.repeats
+        assert fleet.most_over() <= 0
+
+
+def test_callers_that_move_to_other_routers_dont_earn_twice():
+    """What ten seconds earned is repeated before the move, and again after it."""
+    for routers, extra in FLEETS:
+        fleet = moved(routers, extra, failing=[(9.0, 10.0), (18.0, 19.0)])
+        assert fleet.most_over() <= 0
