--- a/tests/simulated_repeats.py
+++ b/tests/simulated_repeats.py
@@ -110,6 +110,23 @@
                     self._take(budget, LEAD + seconds, fails)
             owed -= int(owed)
 
+    def play_added(self, length, added, adds_at, fails_from):
+        """Add routers among which the same callers spread; times as in `play`."""
+        budgets = self._start(0.0)
+        total = self.per_s * self.routers
+        owed = 0.0
+        for step in range(round(length / STEP)):
+            seconds = step * STEP
+            if step == round(adds_at / STEP):
+                now = LEAD + seconds
+                budgets += [RetryBudget(self.bounds, now) for _ in range(added)]
+                self.known = len(budgets)
+            owed += total / len(budgets) * STEP
+            for _ in range(int(owed)):
+                for budget in budgets:
+                    self._take(budget, LEAD + seconds, seconds >= fails_from)
+            owed -= int(owed)
+
     @staticmethod
     def _count(times, start, end):
         return sum(start < time <= end for time in times)
--- a/tests/state/test_repeats_of_a_fleet.py
+++ b/tests/state/test_repeats_of_a_fleet.py
@@ -67,3 +67,14 @@
     for routers, extra in FLEETS:
         fleet = moved(routers, extra, failing=[(9.0, 10.0), (18.0, 19.0)])
         assert fleet.most_over() <= 0
+
+
+@pytest.mark.parametrize("fails_from", [0.0, 10.4])
+def test_routers_that_are_added_dont_earn_again_what_others_used(fails_from):
+    """The same callers spread over three times as many routers from 9 s on."""
+    for routers, extra in FLEETS:
+        bounds = BudgetBounds(ratio=0.2, extra=extra, window=10.0)
+        fleet = SimulatedRepeats(bounds, routers, known=routers, per_s=30.0)
+        fleet.play_added(24.0, 2 * routers, adds_at=9.0, fails_from=fails_from)
+        assert fleet.repeats
+        assert fleet.most_over() <= 0
