Work out the users' rule FAIR in one place

Cause: the sum of the rule stood in the simulated deciders only, so tests and the emulator could not work with the same one. Change: benchmarks/fair_parts.py returns the least part, whose it is and in which window; Played.least_part calls it.

--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from unittest.mock import patch
 
+from benchmarks.fair_parts import least_part
 from carawayfold.coordination.scheduling import desk as desk_module
 from carawayfold.coordination.scheduling.desk import HOLDING_INTERVAL, Desk
 from carawayfold.coordination.scheduling.offers import Granted, Offer, Outcome
@@ -46,10 +47,8 @@
 #: Seconds within which callers want an answer, and until they leave.
 OBJECTIVE, PATIENCE = 0.3, 2.5
 SERVICE = "model"
-#: Seconds until the fleet has found itself, and over which the rule looks.
-SETTLED, RULE_WINDOW = 4.0, 6
-#: Requests of most tokens that the rule leaves out.
-LEFT_OUT = 3
+#: Seconds until the fleet has found itself.
+SETTLED = 4.0
 
 
 @dataclass
@@ -256,28 +255,13 @@
         return alone / max(1, alone + central)
 
     def least_part(self, floods, seconds):
-        """Return the least part that an organisation got, by the rule's own sum.
-
-        Over each six seconds: of what it asked or the best served one got, whichever
-        is less, second by second.
-        """
-        least = 1.0
-        for begin in range(seconds - RULE_WINDOW + 1):
-            window = range(begin, begin + RULE_WINDOW)
-            got = {
-                name: sum(self.got[name][second] for second in window)
-                for name in floods
-            }
-            best = max(got, key=got.get)
-            for name in floods:
-                due = sum(
-                    min(self.asked[name][second], self.got[best][second])
-                    for second in window
-                )
-                due -= sum(sorted(self.largest[name])[-LEFT_OUT:])
-                if due > 0:
-                    least = min(least, got[name] / due)
-        return least
+        """Return the least part that an organisation got, by the rule's own sum."""
+        return self.least(floods, seconds).part
+
+    def least(self, floods, seconds):
+        """Return who got least of what the rule grants, and how much of it."""
+        asked = {name: self.asked[name] for name in floods}
+        return least_part(asked, self.got, self.largest, seconds)
 
 
 class Deciders:
