Let engines end, return and be listed late in the simulated fleet of deciders

Cause: the rig knew slow and lost deciders only; the users saw an organisation far below its share after engines crashed. Ruled out: one table for all routers, since they learn of a change at different moments. Change: tests/simulated_engines.py (engines that may end, a table for each router), tests/decider_faults.py (crash, crash-return, crash-twice, shrink, hand-over, restart), fourteen floods of which some have few prefixes. The rig prints whose the least part is, and what was refused by late routers as a part of all tokens.

--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 from collections import Counter, defaultdict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from unittest.mock import patch
 
 from benchmarks.fair_parts import least_part
@@ -23,10 +23,10 @@
 from carawayfold.coordination.scheduling.scheduler import Scheduler
 from carawayfold.gateway import PRESSURE_INTERVAL
 from carawayfold.protocol.exchanges import Part
-from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.pressure import PressureGauge
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
-from tests.schedule_builders import endpoint
+from tests.decider_faults import FAULTS
+from tests.simulated_engines import BROKEN_IN, REFUSED_IN, Registrations
 from tests.simulated_fleet import STRONG, WEAK, SimulatedFleet, simulate
 
 #: How many times fewer requests there are than at the deployment, and dearer jobs.
@@ -37,13 +37,15 @@
 TAKE, SEND, NOTE, LOOK, WEIGH, RANK, CARRY = 10.0, 6.0, 20.0, 25.0, 45.0, 4.0, 1000.0
 #: Part of a core that a process gets, by what its instance can do.
 CORE_PARTS = {STRONG: 0.717, WEAK: 0.516}
-#: Tokens a second that an engine reads, and what all of them can do by the operators.
-ENGINE_SPEED = 157_000.0 / THINNED
+#: Tokens a second that all engines can do by the operators.
 THROUGHPUT = 2_600_000.0 / THINNED
 ENGINES = 64
-SLOTS = 3
-#: Seconds from the last token read to the first one generated, and from there on.
-FIRST_TOKEN, RESIDENCE = 0.026, 0.8
+#: Seconds from the first token to the last one.
+RESIDENCE = 0.8
+#: Organisations that flood alike.
+MANY = 14
+#: Engines to which a request is sent at most, where they end.
+ATTEMPTS = 2
 #: Seconds within which callers want an answer, and until they leave.
 OBJECTIVE, PATIENCE = 0.3, 2.5
 SERVICE = "model"
@@ -91,6 +93,7 @@
         self.latest = 0.0
         self.running = False
         self.due = None
+        self.over = False
 
     def time(self):
         return self.loop.time() + self.charged
@@ -107,12 +110,16 @@
             self.charged += microseconds * THINNED / 1e6 / self.speed
 
     def submit(self, work, *args):
+        if self.over:
+            return
         self.jobs.append((self.loop.time(), work, args))
         if self.due is None and not self.running:
             self.due = self.loop.call_at(max(self.free_at, self.loop.time()), self.work)
 
     def work(self):
         self.due = None
+        if self.over:
+            return
         since, work, args = self.jobs.popleft()
         self.latest = max(self.latest, self.loop.time() - since)
         self.running = True
@@ -169,7 +176,7 @@
         self.pressure = PressureGauge()
         self.desk.loop = self.clock
         self.desk.tallies.loop = self.clock
-        routes = RouteTable(
+        self.routes = RouteTable(
             1,
             (),
             {SERVICE: ServiceConfig(SERVICE, "/", 100, 771_922)},
@@ -178,7 +185,11 @@
             CallerLimits(),
             THROUGHPUT,
         )
-        self.desk.refresh(table, routes)
+        self.relist(table)
+
+    def relist(self, table):
+        """Take another list of the engines."""
+        self.desk.refresh(table, self.routes)
 
     def take(self, datagram):
         self.clock.submit(self.take_now, datagram)
@@ -203,24 +214,6 @@
         self.fleet.note_late(self.pressure.is_overloaded())
 
 
-class Engine:
-    """Reads one prompt after the other, then generates beside what else runs."""
-
-    def __init__(self):
-        self.loop = asyncio.get_running_loop()
-        self.read_until = 0.0
-        self.slots = asyncio.Semaphore(SLOTS)
-        self.kept = set()
-
-    def begin_reading(self, prompt):
-        """Return the seconds until its first token."""
-        unread = sum(part.tokens for part in prompt if part.id not in self.kept)
-        self.kept.update(part.id for part in prompt[:-1])
-        now = self.loop.time()
-        self.read_until = max(now, self.read_until) + unread / ENGINE_SPEED
-        return self.read_until - now + FIRST_TOKEN
-
-
 class ChargedFleet(SimulatedFleet):
     """A fleet whose datagrams leave when their router has got to them."""
 
@@ -244,7 +237,7 @@
     alone: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
     in_time: Counter = field(default_factory=Counter)
-    shed: int = 0
+    shed: Counter = field(default_factory=Counter)
     late: dict = field(default_factory=dict)
     spent: dict = field(default_factory=dict)
 
@@ -287,7 +280,8 @@
         self.draw = random.Random(seed)
         self.seed = seed
         self.played = Played()
-        self.calls = set()
+        #: What callers wait for, with the router that they reached.
+        self.calls = {}
 
     def play(self):
         """Return what was played."""
@@ -298,15 +292,11 @@
 
     async def _play(self):
         self.loop = asyncio.get_running_loop()
-        table = EndpointTable()
-        for number in range(ENGINES):
-            name = f"e-{number}"
-            table.put(endpoint(name, slots=SLOTS, data_centre=f"dc-{number % 4}"))
-        self.engines = {item.id: Engine() for item in table.entries.values()}
+        self.registrations = Registrations(ENGINES, self._relist, self.seed)
         self.fleet = ChargedFleet(seed=self.seed, fill_beat=lambda name, beat: beat)
         processors = self.processors = {}
         self.fleet.attach = lambda name, fleet: ChargedRouter(
-            fleet, table, processors[name]
+            fleet, self.registrations.table_of(name), processors[name]
         )
         for number in range(self.count):
             strong = number < 8
@@ -328,6 +318,24 @@
         self._note_routers()
         await self.fleet.close()
 
+    def _relist(self, name, table):
+        router = self.fleet.attached.get(name)
+        if router is not None:
+            router.clock.submit(router.relist, table)
+
+    def restart(self, name, after):
+        """End a router and what its callers asked for; start it anew after a while."""
+        self.fleet.attached[name].clock.over = True
+        self.fleet.kill(name)
+        for task, router in list(self.calls.items()):
+            if router == name:
+                task.cancel()
+        self.loop.call_later(after, self._start_again, name)
+
+    def _start_again(self, name):
+        self.fleet.dead.discard(name)
+        self.fleet.start(name, self.fleet.places[name], self.processors[name])
+
     def _note_routers(self):
         for name, router in self.fleet.attached.items():
             self.played.late[name] = router.clock.latest
@@ -349,8 +357,8 @@
             await asyncio.sleep(self.draw.expovariate(rate))
             name = self.draw.choice(names)
             task = self.loop.create_task(self._call(flood, name, number))
-            self.calls.add(task)
-            task.add_done_callback(self.calls.discard)
+            self.calls[task] = name
+            task.add_done_callback(self.calls.pop)
 
     def _second(self):
         return int(self.loop.time() - self.begun)
@@ -366,7 +374,7 @@
         played.largest[flood.name].append(tokens)
         if router.pressure.refuses():
             played.refused[self._second()] += 1
-            played.shed += 1
+            played.shed[flood.name] += tokens
             return
         ready = self.loop.create_future()
         router.clock.submit(self._carried, router, ready)
@@ -374,11 +382,19 @@
         offer = self._offer(flood, router, name, number, arrived)
         try:
             async with asyncio.timeout_at(arrived + PATIENCE):
-                decision = await router.desk.place_in_any(offer, SERVICE)
-                if not isinstance(decision, Granted):
-                    played.refused[self._second()] += 1
-                    return
-                await self._run(flood, router, decision, offer)
+                for _ in range(ATTEMPTS):
+                    decision = await router.desk.place_in_any(offer, SERVICE)
+                    if not isinstance(decision, Granted):
+                        break
+                    if await self._run(flood, router, decision, offer):
+                        return
+                    offer = replace(
+                        offer,
+                        call=router.desk.next_call(),
+                        avoid=offer.avoid | {decision.endpoint},
+                        kept_at=None,
+                    )
+                played.refused[self._second()] += 1
         except TimeoutError:
             played.refused[self._second()] += 1
 
@@ -409,24 +425,33 @@
         )
 
     async def _run(self, flood, router, decision, offer):
+        """Return whether a request began at the engine that it was granted."""
         own = router.desk.fleet.own.router
         led = router.desk.fleet.leader(router.desk.placed[decision.call].pool)
         alone = decision.basis.decider == own != led
         counter = self.played.alone if alone else self.played.central
         counter[self._second()] += 1
-        engine = self.engines[decision.endpoint]
+        engine = self.registrations.engines[decision.endpoint]
         outcome = Outcome.CANCELLED
         sent = self.loop.time()
         try:
+            if engine.ended.done():
+                await asyncio.sleep(REFUSED_IN)
+                outcome = Outcome.UNREACHABLE
+                return False
             async with engine.slots:
-                await asyncio.sleep(engine.begin_reading(offer.prompt))
+                if not await engine.stays(engine.begin_reading(offer.prompt)):
+                    await asyncio.sleep(BROKEN_IN)
+                    outcome = Outcome.SILENT
+                    return False
                 tokens = flood.tokens + 2 * flood.output
                 self.played.got[flood.name][self._second()] += tokens
                 self.played.in_time[flood.name] += self.loop.time() <= offer.due
                 waited = self.loop.time() - sent
                 router.clock.submit(router.desk.begun, decision.call, waited)
-                await asyncio.sleep(RESIDENCE * self.draw.uniform(0.5, 1.5))
-            outcome = Outcome.WHOLE
+                stayed = await engine.stays(RESIDENCE * self.draw.uniform(0.5, 1.5))
+            outcome = Outcome.WHOLE if stayed else Outcome.FAILED
+            return True
         finally:
             router.clock.submit(router.desk.ended, decision.call, outcome)
 
@@ -450,20 +475,42 @@
     ]
 
 
-def slow_decider(run, second):
-    """Let a router that leads a pool run at a fifth of its speed from 2 s on."""
-    if second == 2:
-        run.fleet.attached[run.led[1]].clock.speed /= 5
+def many_floods(load=4.2, few=(1, 2, 4), routers=None):
+    """Return fourteen floods that ask for as much each, some with few prefixes.
+
+    Parameters
+    ----------
+    load : float
+        What all ask for, as a part of what all engines can do.
+    few : tuple of int
+        Prefixes of each one that has few, and so reaches few pools; others have 60.
+    routers : int, optional
+        How many routers the callers of every other one reach.
+    """
+    prefixes = [*few, *[60] * (MANY - len(few))]
+    return [
+        Flood(
+            f"org-{number}",
+            load / MANY,
+            routers=routers if number % 2 else None,
+            prefixes=count,
+        )
+        for number, count in enumerate(prefixes)
+    ]
 
 
-def kill_deciders(run, second):
-    """End two routers that lead pools, at 2 and 4 s."""
-    if second in (2, 4):
-        run.fleet.kill(run.led[second // 2])
+#: Whose requests come in a run, by name.
+LOADS = {
+    "hunted": floods,
+    "alike": lambda load, weak: many_floods(load, few=()),
+    "few": lambda load, weak: many_floods(load),
+    "few-behind-three": lambda load, weak: many_floods(load, routers=3),
+}
 
 
-#: What may happen in a run, by name.
-FAULTS = {"none": None, "slow": slow_decider, "kill": kill_deciders}
+def sum_of(counters):
+    """Return the sum over all organisations and seconds."""
+    return sum(sum(counter.values()) for counter in counters.values())
 
 
 def main() -> None:
@@ -473,11 +520,12 @@
     parser.add_argument("--seconds", type=int, default=8)
     parser.add_argument("--loads", type=float, nargs="+", default=[0.5, 1, 2, 4.8])
     parser.add_argument("--weak", action="store_true", help=floods.__doc__)
+    parser.add_argument("--floods", choices=LOADS, default="hunted")
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--fault", choices=FAULTS, default="none")
     wanted = parser.parse_args()
     for load, seed in itertools.product(wanted.loads, wanted.seeds):
-        made = floods(load, wanted.weak)
+        made = LOADS[wanted.floods](load, wanted.weak)
         fault = FAULTS[wanted.fault]
         run = Deciders(made, wanted.routers, wanted.seconds, seed, fault)
         played = run.play()
@@ -487,14 +535,16 @@
             round(played.part_alone(begin, begin + 2), 2)
             for begin in range(0, wanted.seconds, 2)
         ]
-        got = {name: round(sum(played.got[name].values())) for name in names[:3]}
+        got = {name: round(sum(played.got[name].values())) for name in names[:4]}
+        least = played.least(names, wanted.seconds)
         print(
-            f"load {load} seed {seed}: least part "
-            f"{played.least_part(names, wanted.seconds):.2f}, alone {alone}, got {got}"
+            f"load {load} seed {seed}: least part {least.part:.2f} "
+            f"({least.organisation} from {least.begin} s), alone {alone}, got {got}"
         )
         print(
             f"    in time {sum(played.in_time.values())}, "
-            f"refused {sum(played.refused.values())} ({played.shed} late), "
+            f"refused {sum(played.refused.values())}, "
+            f"shed {sum(played.shed.values()) / sum_of(played.asked):.2f}, "
             f"leaders {sorted(run.led)}, "
             f"busiest {busiest}: late {max(played.late.values()):.2f} s, took "
             f"{played.spent[busiest]:.2f} s and {run.fleet.taken[busiest]} datagrams"
