--- a/tests/decider_faults.py
+++ b/tests/decider_faults.py
@@ -54,7 +54,7 @@
 
 
 def crash_twice(run, second):
-    """End a quarter of the engines at 2 s for 2 s, and a sixth of the rest at 3 s for 4 s.
+    """End a quarter of the engines at 2 s for 2 s, a sixth of the rest at 3 s for 4 s.
 
     Those that come back have other names.
     """
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -499,11 +499,32 @@
     ]
 
 
+def mixed_floods(load=4.2):
+    """Return fourteen floods that differ in prompts, prefixes and routers reached.
+
+    Parameters
+    ----------
+    load : float
+        What all ask for, as a part of what all engines can do.
+    """
+    return [
+        Flood(
+            f"org-{number}",
+            load / MANY,
+            routers=(None, 9, 3)[number % 3],
+            tokens=(3000, 1000, 3000, 6000)[number % 4],
+            prefixes=(60, 1, 60, 4, 60)[number % 5],
+        )
+        for number in range(MANY)
+    ]
+
+
 #: Whose requests come in a run, by name.
 LOADS = {
     "hunted": floods,
     "alike": lambda load, weak: many_floods(load, few=()),
     "few": lambda load, weak: many_floods(load),
+    "mixed": lambda load, weak: mixed_floods(load),
     "few-behind-three": lambda load, weak: many_floods(load, routers=3),
 }
 
