--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -545,3 +545,29 @@
         return south, desk.weights_for("model", {"east"})
 
     assert play(work) == ({"model/0": 4}, {})
+
+
+def test_an_offer_for_a_pool_that_the_decider_lacks_is_answered():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b", "c"], endpoints=2 * POOL_SIZE)
+        first = made["a"].fleet.responsible("model/1")
+        asking = next(desk for name, desk in made.items() if name != first)
+        fewer = EndpointTable()
+        fewer.put(endpoint("e-0"))
+        made[first].refresh(fewer, routes())
+        answered = []
+        for name, desk in made.items():
+            take = desk.take
+
+            def note(datagram, name=name, take=take):
+                answered.append((datagram.sender, name))
+                take(datagram)
+
+            desk.take = note
+        asked = asyncio.ensure_future(asking.place(request(asking, "x"), "model/1"))
+        await asyncio.sleep(OFFER_WAITS[0] / 2)
+        asked.cancel()
+        return (first, asking.fleet.own.router) in answered
+
+    assert play(work)
--- /dev/null
+++ b/tests/coordination/scheduling/test_shares_across_pools.py
@@ -0,0 +1,26 @@
+"""Shares of organisations while pools change or who decides for them does."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.fair_parts import LEAST_ACCEPTED
+from tests.decider_faults import FAULTS
+from tests.simulated_deciders import Deciders, many_floods
+
+SECONDS = 8
+
+
+def least_part(fault, seed):
+    """Return the least part beside few prefixes and few routers, and whose it is."""
+    run = Deciders(many_floods(routers=9), seconds=SECONDS, seed=seed, faults=fault)
+    return run.play().least([flood.name for flood in run.floods], SECONDS)
+
+
+@pytest.mark.parametrize("seed", [2, 3])
+def test_an_organisation_gets_its_share_while_there_is_a_pool_less(seed):
+    assert least_part(FAULTS["shrink"], seed).part >= LEAST_ACCEPTED
+
+
+def test_an_organisation_gets_its_share_while_leaders_give_up_deciding():
+    assert least_part(FAULTS["hand-over"], 1).part >= LEAST_ACCEPTED
