Answer offers for pools that are not known, and decide alone for no other pool

Cause: the number of pools follows the endpoints that each router lists. While crashed engines are listed beside their replacements there is a pool more, for a second. Requests that wait in it are offered on after it has ended; Desk._take dropped such offers without a word, so its leader and the next in line passed for dead at 61 of 78 routers. Class: silence taken for a fact where 'not I' was owed; one deadline for late, gone and not mine; a local substitute that means something else than the fleet-wide account.

Change: an offer for an unknown pool is answered; the request goes to a further pool, and is decided by its own router only where there is no other. Requests that wait in a pool that ends here do the same. A router decides alone only for pools whose own leader did not answer.

--- a/carawayfold/coordination/fleet/fleet.py
+++ b/carawayfold/coordination/fleet/fleet.py
@@ -211,11 +211,11 @@
     def _choose(self, subject: str) -> RouterId:
         if not self.suspects.until:
             return self.leader(subject)
-        if self.suspects.alone():
-            return self.own.router
         leader = self.leader(subject)
         if leader not in self.suspects.until:
             return leader
+        if self.suspects.alone():
+            return self.own.router
         return self.membership.responsible(subject, leaving_out=self.suspects.until)
 
     def pick_known(self) -> RouterId:
--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -33,6 +33,7 @@
     turned_away_of,
 )
 from carawayfold.coordination.scheduling.offers import (
+    UNKNOWN_POOL,
     Bar,
     Basis,
     Granted,
@@ -65,6 +66,7 @@
     EndpointName,
     PoolId,
     RouterId,
+    ServiceId,
 )
 from carawayfold.state.rests import Rests
 
@@ -75,7 +77,7 @@
     from carawayfold.coordination.scheduling.offers import Decision
     from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.state.endpoints import Endpoint, EndpointTable
-    from carawayfold.state.ids import DataCentreId, ServiceId
+    from carawayfold.state.ids import DataCentreId
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -120,6 +122,9 @@
 #: Without them an organisation whose requests share a prefix gets its part of one pool
 #: only, however much the others can do.
 FURTHER_POOLS = 1
+#: Seconds after which requests may come back to a pool that its decider doesn't have:
+#: both have learnt of the same endpoints by then.
+UNKNOWN_POOL_RETRY = 1.0
 #: Prefixes of which this router remembers where it sent them.
 PREFIXES_KEPT = 4000
 
@@ -213,6 +218,7 @@
                     weights[pool] = sum(item.slots for item in members)
         self.pools = pools
         self._note_division(weights_before)
+        self._leave_pools()
         for desk in pools.values():
             self._decide_soon(desk)
         self.rests.expire(self.endpoints, self.loop.time())
@@ -234,6 +240,17 @@
             }
             logger.info("pools changed", extra=extra)
 
+    def _leave_pools(self) -> None:
+        """Let requests that wait in a pool that is no more go to another one."""
+        for ticket in list(self.tickets.values()):
+            service = ServiceId(ticket.pool.rsplit("/", 1)[0])
+            if ticket.pool in self.pools or not self.weights.get(service):
+                continue
+            if not ticket.answered.done():
+                call = ticket.offer.call
+                refusal = TurnedAway(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
+                ticket.answered.set_result(refusal)
+
     def is_over(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has started again since."""
         newest = self.newest.get(endpoint.name)
@@ -338,7 +355,6 @@
         Cancel to withdraw the request.
         """
         pool = self.pool_for(service, offer.prompt, offer.allowed)
-        weights = self.weights_for(service, offer.allowed)
         asked = [pool]
         refusals: list[TurnedAway] = []
         while True:
@@ -346,13 +362,18 @@
             if isinstance(decision, Granted):
                 return decision
             refusals.append(decision)
-            pool = choose_further(weights, asked, offer.call)
-            if pool is None or len(asked) > FURTHER_POOLS:
-                return min(refusals, key=lambda item: item.retry_after)
-            asked.append(pool)
+            weights = self.weights_for(service, offer.allowed)
+            further = choose_further(weights, asked, offer.call)
             # Who decides may remember its answer under the old name.
             kept_at = decision.kept_at or offer.kept_at
             offer = replace(offer, call=self.next_call(), kept_at=kept_at)
+            if further is not None and len(asked) <= FURTHER_POOLS:
+                pool = further
+                asked.append(pool)
+            elif decision.reason == UNKNOWN_POOL and pool in weights:
+                return await self.place(offer, pool, alone=True)
+            else:
+                return min(refusals, key=lambda item: item.retry_after)
 
     def _hold_back(self, offer: Offer, pool: PoolId) -> TurnedAway | None:
         """Return the refusal of a request that may not be offered to a pool."""
@@ -361,8 +382,14 @@
             self.tallies.of(pool).held_back += 1
         return refusal
 
-    async def place(self, offer: Offer, pool: PoolId) -> Decision:
-        """Return the decision on a request; cancel to withdraw it."""
+    async def place(self, offer: Offer, pool: PoolId, alone: bool = False) -> Decision:
+        """Return the decision on a request; cancel to withdraw it.
+
+        Parameters
+        ----------
+        alone : bool
+            Whether this router decides, whoever leads the pool.
+        """
         rests = self.rests_in(pool)
         if rests:
             offer = replace(offer, rests=rests)
@@ -372,7 +399,10 @@
         answered = self.loop.create_future()
         ticket = Ticket(offer, pool, answered, self.loop.time())
         self.tickets[offer.call] = ticket
-        self._offer(ticket)
+        if alone:
+            self._decide_here(ticket)
+        else:
+            self._offer(ticket)
         try:
             decision = await ticket.answered
         finally:
@@ -671,7 +701,7 @@
             return
         desk = self.pools.get(message.pool)
         if desk is None:
-            self.tallies.unknown += 1
+            self._refuse_unknown(message, sender)
             return
         now = self.loop.time()
         if not self.decides_for(message.pool):
@@ -690,6 +720,16 @@
         if message.call in desk.scheduler.waiting:
             self.fleet.send(sender, WaitMessage(message.call))
 
+    def _refuse_unknown(self, message: OfferMessage, sender: RouterId) -> None:
+        """Answer an offer for a pool that this router doesn't have.
+
+        Routers that know of more or fewer endpoints divide them differently, and one
+        that doesn't answer passes for dead.
+        """
+        self.tallies.unknown += 1
+        refusal = TurnedAway(message.call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
+        self.fleet.send(sender, decision_message(refusal, self.basis()))
+
     @_take.register
     def _(self, message: WithdrawMessage, sender: RouterId) -> None:
         desk = self.pools.get(message.pool)
@@ -734,10 +774,12 @@
 
     def _answer(self, ticket: Ticket, decision: Decision, decider: RouterId) -> None:
         """Give a request its decision, and take what it tells of its organisation."""
+        ticket.answered.set_result(decision)
+        if isinstance(decision, TurnedAway) and decision.reason == UNKNOWN_POOL:
+            return
         if decider == self.fleet.leader(ticket.pool):
             now = self.loop.time()
             self.held_back.take(ticket.offer, ticket.pool, decision, decider, now)
-        ticket.answered.set_result(decision)
 
     @_take.register
     def _(self, message: BegunMessage, sender: RouterId) -> None:
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -24,6 +24,8 @@
 
 logger = logbook.Logger(__name__)
 
+#: Reason of a refusal that is no decision: who was asked doesn't have the pool.
+UNKNOWN_POOL = "the pool is not known"
 #: Characters of an unknown word that a log line holds.
 LOGGED_LENGTH = 40
 #: Weight of a generated token against a read one in what an organisation is owed,
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -21,6 +21,7 @@
 from carawayfold.coordination.scheduling.division import POOL_SIZE
 from carawayfold.coordination.scheduling.endpoint_load import Active
 from carawayfold.coordination.scheduling.offers import (
+    UNKNOWN_POOL,
     Bar,
     Basis,
     Granted,
@@ -80,9 +81,9 @@
         return self.membership.responsible(subject)
 
     def responsible(self, subject):
-        if self.suspects.alone():
-            return self.own.router
         until = self.suspects.until
+        if self.suspects.alone() and self.leader(subject) in until:
+            return self.own.router
         return self.membership.responsible(subject, leaving_out=until)
 
     def unanswered(self, router):
@@ -620,7 +621,8 @@
         held = Counter()
         known = Counter()
         for desk in made.values():
-            held.update(placed.endpoint for placed in desk.placed.values())
+            places = (placed.endpoint for placed in desk.placed.values())
+            held.update(place for place in places if place in desk.endpoints)
             for pool in desk.weights["model"]:
                 if desk.decides_for(pool):
                     loads = desk.pools[pool].scheduler.loads
@@ -656,3 +658,46 @@
         return (first, asking.fleet.own.router) in answered
 
     assert play(work)
+
+
+def test_requests_of_a_pool_that_ended_go_to_another_and_nobody_is_taken_for_dead():
+    """The deciders know of fewer endpoints, and so of one pool fewer, before others."""
+
+    async def work():
+        names = ["a", "b", "c", "d"]
+        made = desks(Wire(), names, endpoints=POOL_SIZE + 1)
+        deciding = {made["a"].fleet.leader(f"model/{number}") for number in range(2)}
+        asking = made[next(name for name in names if name not in deciding)]
+        for name in names:
+            if made[name] is not asking:
+                made[name].refresh(table_of(POOL_SIZE), routes())
+        decided = []
+        for number in range(12):
+            wanted = request(asking, number)
+            decided.append(await asking.place_in_any(wanted, "model"))
+        alone = {item.basis.decider for item in decided} - deciding
+        return decided, alone, asking.fleet.suspects.until
+
+    decided, alone, suspected = simulate(work)
+    assert all(isinstance(item, Granted) for item in decided)
+    assert not alone
+    assert not suspected
+
+
+def test_requests_that_wait_in_a_pool_that_ends_are_offered_to_another():
+    async def work():
+        wire = Wire()
+        made = desks(wire, ["a", "b"], endpoints=POOL_SIZE + 1)
+        wire.cut = {"a", "b"}
+        desk = made["a"]
+        waiting = [
+            asyncio.ensure_future(desk.place(request(desk, number), "model/1"))
+            for number in range(3)
+        ]
+        await asyncio.sleep(0)
+        desk.refresh(table_of(POOL_SIZE), routes())
+        return [await item for item in waiting]
+
+    for decision in simulate(work):
+        assert isinstance(decision, TurnedAway | Granted)
+        assert not isinstance(decision, TurnedAway) or decision.reason == UNKNOWN_POOL
