Tell those who decide for an endpoint now what runs there

Cause: a router tells what it has at endpoints to the pool that granted it (Placed.pool). When the number of pools changes, endpoints go to other pools, whose deciders knew 8 of 16 requests that ran there and filled the places again. Change: a placed request follows its endpoint's pool at each division.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -201,6 +201,7 @@
         self.endpoints = {endpoint.id: endpoint for endpoint in self.newest.values()}
         self.evacuated = frozenset(evacuated)
         pools: dict[PoolId, PoolDesk] = {}
+        pool_of: dict[EndpointId, PoolId] = {}
         self.weights = {}
         engines = self._count_engines(routes)
         for service in routes.services:
@@ -214,11 +215,14 @@
                 plan = self._plan(service, routes, len(members), engines)
                 desk.scheduler.set_endpoints(members, plan)
                 pools[pool] = desk
+                pool_of.update((item.id, pool) for item in divided)
                 if members:
                     weights[pool] = sum(item.slots for item in members)
         self.pools = pools
         self._note_division(weights_before)
         self._leave_pools()
+        for placed in self.placed.values():
+            placed.pool = pool_of.get(placed.endpoint, placed.pool)
         for desk in pools.values():
             self._decide_soon(desk)
         self.rests.expire(self.endpoints, self.loop.time())
