Tell crash reports again to a home that has started anew under its name

Cause: a report remembers its home by name. Class: the same name taken for the same life. Change: the incarnation counts as well.

--- a/carawayfold/coordination/containment/crash_reports.py
+++ b/carawayfold/coordination/containment/crash_reports.py
@@ -82,6 +82,7 @@
     loss: Loss
     refused: bool
     home: RouterId | None = None
+    incarnation: int = 0
     tells: int = 0
 
 
@@ -172,8 +173,10 @@
 
     def _tell(self, report: Report) -> None:
         home = self.fleet.responsible(subject(report.loss.content))
-        if home != report.home:
+        incarnation = self.fleet.membership.incarnation_of(home)
+        if (home, incarnation) != (report.home, report.incarnation):
             report.home = home
+            report.incarnation = incarnation
             report.tells = 0
         if report.tells >= TELLS:
             return
--- a/carawayfold/coordination/fleet/membership.py
+++ b/carawayfold/coordination/fleet/membership.py
@@ -99,6 +99,11 @@
         )
         return fresh
 
+    def incarnation_of(self, router: RouterId) -> int:
+        """Return the incarnation of a router, 0 where none is known."""
+        member = self.members.get(router)
+        return 0 if member is None else member.incarnation
+
     def heard(self, router: RouterId, stopping: bool) -> None:
         """Note a frame of a peer."""
         member = self.members[router]
--- a/tests/coordination/containment/test_crash_reports.py
+++ b/tests/coordination/containment/test_crash_reports.py
@@ -8,7 +8,7 @@
 
 from carawayfold.coordination.containment.crash_reports import CrashReports, Loss
 from carawayfold.coordination.containment.pulse import Pulse
-from carawayfold.coordination.fleet.membership import Member
+from carawayfold.coordination.fleet.membership import Member, Membership
 from carawayfold.state.contents import content_id
 from carawayfold.transport.probes import Reach
 from tests.schedule_builders import endpoint
@@ -21,6 +21,7 @@
     """A router that is the home of every content."""
 
     own = Member("r-0", "north", 1, 0.0)
+    membership = Membership(own, lambda: 0.0, 1.0)
 
     def responsible(self, subject):
         return "r-0"
