Withdraw requests from a pool that they leave

Cause: a request that leaves a pool which ended here was not withdrawn at the pool's leader, which may still have the pool and kept 39 such requests in its queue, and a place for each that it granted. Change: they are withdrawn. Figures: the new test fails with 39 before and passes; the other tests of the desk pass.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -251,6 +251,8 @@
             if ticket.pool in self.pools or not self.weights.get(service):
                 continue
             if not ticket.answered.done():
+                # Its leader may still have the pool, and would keep a place for it.
+                self._withdraw(ticket)
                 call = ticket.offer.call
                 refusal = TurnedAway(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
                 ticket.answered.set_result(refusal)
--- a/tests/coordination/scheduling/test_desk.py
+++ b/tests/coordination/scheduling/test_desk.py
@@ -684,6 +684,30 @@
     assert not suspected
 
 
+def test_requests_that_leave_a_pool_that_ends_keep_no_place_at_its_leader():
+    async def work():
+        names = ["a", "b", "c", "d"]
+        made = desks(Wire(), names, endpoints=POOL_SIZE + 1, slots=1)
+        first = made["a"].fleet.leader("model/1")
+        asking = next(desk for name, desk in made.items() if name != first)
+        scheduler = made[first].pools["model/1"].scheduler
+        waiting = [
+            asyncio.ensure_future(asking.place(request(asking, number), "model/1"))
+            for number in range(3 * POOL_SIZE)
+        ]
+        await asyncio.sleep(0.01)
+        before = len(scheduler.waiting)
+        asking.refresh(table_of(POOL_SIZE, slots=1), routes())
+        await asyncio.sleep(0.01)
+        for item in waiting:
+            item.cancel()
+        return before, len(scheduler.waiting)
+
+    before, after = simulate(work)
+    assert before > 0
+    assert after == 0
+
+
 def test_requests_that_wait_in_a_pool_that_ends_are_offered_to_another():
     async def work():
         wire = Wire()
