Make the refusal for a pool that is not there in one place

Cause: the same refusal was made where a router is offered a request for a pool that it lacks and where requests leave a pool that ended. Change: one function, no change of behaviour.

--- a/carawayfold/coordination/scheduling/desk.py
+++ b/carawayfold/coordination/scheduling/desk.py
@@ -253,9 +253,7 @@
             if not ticket.answered.done():
                 # Its leader may still have the pool, and would keep a place for it.
                 self._withdraw(ticket)
-                call = ticket.offer.call
-                refusal = TurnedAway(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
-                ticket.answered.set_result(refusal)
+                ticket.answered.set_result(_unknown_pool(ticket.offer.call))
 
     def is_over(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has started again since."""
@@ -733,7 +731,7 @@
         that doesn't answer passes for dead.
         """
         self.tallies.unknown += 1
-        refusal = TurnedAway(message.call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
+        refusal = _unknown_pool(message.call)
         self.fleet.send(sender, decision_message(refusal, self.basis()))
 
     @_take.register
@@ -815,3 +813,8 @@
             active = Active(item.call, router, item.unread, item.memory, now, now)
             active.begun = item.begun
             desk.scheduler.holds(item.endpoint, active)
+
+
+def _unknown_pool(call: CallId) -> TurnedAway:
+    """Return the refusal of a request for a pool that is not there."""
+    return TurnedAway(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY)
