Log why callers' connections are closed beside requests

A router did not say why it closed a caller's connection, what was known of the request, how long the configuration had been in force and when the endpoint had last sent a byte. Change: closing a connection takes a reason, which is counted (carawayfold_closed_connections) and logged where a request is in progress or bytes of the next one are buffered; request ended has in_force_s, attempt failed silent_ms; a connection closed for its unsent bytes is logged. No change of behaviour. Ruled out: a log line for each closed connection, as most are closed idle.

--- a/carawayfold/coordination/containment/endpoint_activity.py
+++ b/carawayfold/coordination/containment/endpoint_activity.py
@@ -36,5 +36,8 @@
 
         The time without a byte is counted from `since` at the earliest.
         """
-        last = max(self.last_byte_at.get(endpoint, 0.0), since)
-        return now - last >= SILENCE_TIMEOUT
+        return self.silence(endpoint, since, now) >= SILENCE_TIMEOUT
+
+    def silence(self, endpoint: EndpointId, since: float, now: float) -> float:
+        """Return the seconds without a byte before `now`, counted from `since`."""
+        return now - max(self.last_byte_at.get(endpoint, 0.0), since)
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -713,7 +713,6 @@
         content: ContentId | str,
     ) -> None:
         known = self.in_force
-        in_force = self.loop.time() - known.since if known is not None else None
         logger.info(
             "request refused",
             extra={
@@ -722,7 +721,7 @@
                 "kind": refusal.kind.value,
                 "reason": refusal.detail,
                 "version": self.version,
-                "in_force_s": round(in_force, 2) if known is not None else None,
+                "in_force_s": self._configuration_age(),
                 "told_by": known.source if known is not None else "",
             },
         )
@@ -741,6 +740,12 @@
 
     # Logs
 
+    def _configuration_age(self) -> float | None:
+        """Return the seconds since the configuration came into force."""
+        if self.in_force is None:
+            return None
+        return round(self.loop.time() - self.in_force.since, 2)
+
     def _log_blocked_grant(
         self,
         call: ForwardedCall,
@@ -773,6 +778,10 @@
         self, call: ForwardedCall, end: AttemptEnd, attempt: Attempt
     ) -> None:
         begun = attempt.first_event_delay
+        now = self.loop.time()
+        silence = self.endpoint_activity.silence(
+            attempt.endpoint.id, attempt.started, now
+        )
         logger.info(
             "attempt failed",
             extra={
@@ -784,8 +793,9 @@
                 "end": end.value,
                 "reason": attempt.reason,
                 "sends": len(call.tried),
-                "lasted_ms": round((self.loop.time() - attempt.started) * 1000, 1),
+                "lasted_ms": round((now - attempt.started) * 1000, 1),
                 "begun_ms": round(begun * 1000, 1) if begun is not None else None,
+                "silent_ms": round(silence * 1000, 1),
             },
         )
 
@@ -820,6 +830,7 @@
                 "offset": offset_of(basis.offset) if basis is not None else 0,
                 "age_ms": round(basis.age * 1000, 1) if basis is not None else None,
                 "version": self.version,
+                "in_force_s": self._configuration_age(),
                 "waited_ms": round(call.grant_wait * 1000, 1),
                 "first_ms": round(first * 1000, 1) if first is not None else None,
                 "whole_ms": round((now - arrived) * 1000, 1),
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -47,6 +47,14 @@
         for kind, count in gateway.metrics.refusals.items():
             refusals.add_metric((kind.value,), count)
         yield refusals
+        closed = CounterMetricFamily(
+            "carawayfold_closed_connections",
+            "Closed connections of callers",
+            labels=("reason",),
+        )
+        for reason, count in gateway.front.closed.items():
+            closed.add_metric((reason.value,), count)
+        yield closed
         yield CounterMetricFamily(
             "carawayfold_control_bytes", "Sent to peers", gateway.socket.sent_bytes
         )
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import re
+from collections import Counter
 from enum import Enum
 from itertools import islice
 from typing import TYPE_CHECKING
@@ -92,6 +93,35 @@
     CLOSED = "closed"
 
 
+class CloseReason(Enum):
+    """Why a caller's connection was closed; the values appear in logs and metrics."""
+
+    #: The response stated that it closes the connection.
+    ANSWERED = "answered"
+    #: The request was refused before it was complete.
+    REFUSED = "refused"
+    #: The response ended before its declared length.
+    INCOMPLETE = "incomplete-answer"
+    #: The answer was cut, so that the caller does not take it as complete.
+    CUT = "answer-cut"
+    #: No request came within the idle timeout.
+    IDLE = "idle"
+    #: The caller sent too much while a request was in progress.
+    PIPELINE_FULL = "pipeline-full"
+    #: There were too many connections, and this one was idle.
+    CONNECTION_LIMIT = "connection-limit"
+    #: The router is stopping.
+    STOPPING = "stopping"
+    #: The caller closed it, or the socket failed.
+    LOST = "lost"
+
+
+#: Reasons for which no request is left without an answer by this router.
+EXPECTED_REASONS = frozenset(
+    {CloseReason.ANSWERED, CloseReason.REFUSED, CloseReason.LOST}
+)
+
+
 class EdgeLimits(msgspec.Struct, frozen=True):
     """Limits for the size and duration of requests.
 
@@ -206,7 +236,7 @@
         if connection.stage is Stage.CLOSED:
             return
         if self.left:
-            connection.close()
+            connection.close(CloseReason.INCOMPLETE)
             return
         if self.chunked:
             connection.write(LAST_CHUNK)
@@ -215,7 +245,7 @@
     def abort(self) -> None:
         """Close the connection, so that the caller detects a truncated response."""
         self.answered = True
-        self.connection.close()
+        self.connection.close(CloseReason.CUT)
 
 
 class CallerConnection(msgspec.Struct, eq=False):
@@ -264,7 +294,7 @@
         self.pending += data
         if self.stage is Stage.ANSWERING:
             if len(self.pending) > PIPELINE_LIMIT:
-                self.close()
+                self.close(CloseReason.PIPELINE_FULL)
             return
         if self.stage is Stage.IDLE:
             self.stage = Stage.HEAD
@@ -333,7 +363,7 @@
         self.rejected_head = b""
         self.edge.on_rejected(found.group(2).decode("ascii") if found else "")
         if closing:
-            self.close()
+            self.close(CloseReason.REFUSED)
         else:
             self._await_next()
 
@@ -395,14 +425,14 @@
         keep_alive = self.request.keep_alive
         self.request = None
         if not keep_alive or self.edge.stopping:
-            self.close()
+            self.close(CloseReason.ANSWERED)
             return
         self._await_next()
 
     def _await_next(self) -> None:
         """Wait for the next request, a part of which may already be buffered."""
         self.stage = Stage.IDLE
-        self.wait(self.edge.limits.idle_timeout, self.close)
+        self.wait(self.edge.limits.idle_timeout, self.expire_idle)
         if self.pending:
             loop = asyncio.get_running_loop()
             loop.call_soon(self._resume)
@@ -425,7 +455,7 @@
         )
         phrase = b"HTTP/1.1 %d %b\r\n" % (status, refusal.kind.value.encode())
         self.write(phrase + b"Content-Length: 0\r\nConnection: close\r\n\r\n")
-        self.close()
+        self.close(CloseReason.REFUSED)
 
     def _head_timed_out(self) -> None:
         self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the head came too slowly"))
@@ -433,18 +463,23 @@
     def _body_timed_out(self) -> None:
         self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the body came too slowly"))
 
-    def close(self) -> None:
+    def expire_idle(self) -> None:
+        """Close the connection since no request came in time."""
+        self.close(CloseReason.IDLE)
+
+    def close(self, reason: CloseReason) -> None:
         """Close the connection once all written data has been sent."""
         if self.stage is Stage.CLOSED:
             return
-        self.lost()
+        self.lost(reason)
         self.edge.server.close(self.sock)
         self.edge.root.wake()
 
-    def lost(self) -> None:
+    def lost(self, reason: CloseReason = CloseReason.LOST) -> None:
         """Release all resources after the socket has been closed or lost."""
         if self.stage is Stage.CLOSED:
             return
+        self.edge.note_closed(self, reason)
         self.stage = Stage.CLOSED
         self.stop_timer()
         self._release_body()
@@ -490,6 +525,8 @@
         self.should_reject: Callable[[], bool] = lambda: False
         self.on_rejected: Callable[[str], None] = lambda request: None
         self.connections: dict[socket, CallerConnection] = {}
+        #: Closed connections by reason.
+        self.closed: Counter[CloseReason] = Counter()
         #: Total size of all bodies in memory, in bytes.
         self.bodies = 0
         bind = (address.host, address.port)
@@ -513,7 +550,7 @@
         """Handle a new connection."""
         connection = CallerConnection(self, sock)
         self.connections[sock] = connection
-        connection.wait(self.limits.idle_timeout, connection.close)
+        connection.wait(self.limits.idle_timeout, connection.expire_idle)
         if len(self.connections) > FULL_FRACTION * self.limit:
             self._close_oldest()
 
@@ -521,9 +558,27 @@
         """Close the oldest idle one of the `MAX_IDLE_SEARCH` oldest connections."""
         for connection in islice(self.connections.values(), MAX_IDLE_SEARCH):
             if connection.stage is Stage.IDLE:
-                connection.close()
+                connection.close(CloseReason.CONNECTION_LIMIT)
                 return
 
+    def note_closed(self, connection: CallerConnection, reason: CloseReason) -> None:
+        """Count a closed connection, and log one that leaves a request unanswered."""
+        self.closed[reason] += 1
+        received = len(connection.pending)
+        unanswered = connection.request is not None or received
+        if reason in EXPECTED_REASONS or not unanswered:
+            return
+        logger.info(
+            "connection closed beside a request",
+            extra={
+                "reason": reason.value,
+                "stage": connection.stage.value,
+                "buffered_bytes": received,
+                "connections": len(self.connections),
+                "stopping": self.stopping,
+            },
+        )
+
     def received(self, sock: socket, data: bytes) -> None:
         """Handle data received on a connection."""
         connection = self.connections.get(sock)
@@ -540,7 +595,7 @@
         """Close connections without a request in progress."""
         for connection in list(self.connections.values()):
             if connection.stage is Stage.IDLE:
-                connection.close()
+                connection.close(CloseReason.STOPPING)
         self.root.wake()
 
     def stop_accepting(self) -> None:
@@ -552,7 +607,7 @@
         self.server.stop_listening()
         for connection in list(self.connections.values()):
             if connection.stage is not Stage.ANSWERING:
-                connection.close()
+                connection.close(CloseReason.STOPPING)
         self.root.wake()
 
 
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -87,7 +87,9 @@
         return True
 
     def _wait_writable(self, sock: socket) -> None:
-        if sum(map(len, self._buffers[sock])) > MAX_WRITE_BACKLOG:
+        backlog = sum(map(len, self._buffers[sock]))
+        if backlog > MAX_WRITE_BACKLOG:
+            logger.info("caller reads too slowly", extra={"unsent_bytes": backlog})
             self._close(sock)
         elif not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
