Keep a request at a silent endpoint until another one is granted

What callers saw: a stream that ended without its last event, or 502 or 504 one second after the request was sent, although its endpoint went on half a second later. Cause: Attempt._check_liveness closed the exchange of each repeatable request after a second without a byte, and only then was it asked whether the route's attempts, the retry budget, the stream's version and the schedulers allow a further one. What was kept until then could only be lost. Ruled out: a longer timeout, which moves the pause that does harm and lets really silent endpoints hold streams longer; a second attempt beside the first, since a stream may not go on elsewhere while the first endpoint still works on it. Change: while the endpoint is silent, ReplacementSearch obtains a grant of another one, every half second if need be. The attempt ends only when the grant is there and the budget allows the retry; if the endpoint sends again, the grant is returned. A request without a further endpoint stays until its answer or its deadline. Conclusion: silence alone ends no answer.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from carawayfold.coordination.requests.replacement import ReplacementSearch
 from carawayfold.coordination.requests.retries import AttemptEnd
 from carawayfold.protocol.events import NumberedEvents
 from carawayfold.state.routes import RouteKind
@@ -183,20 +184,31 @@
         finished, _ = await asyncio.wait([done], timeout=CONNECT_TIMEOUT)
         if not finished and self.exchange.phase is Phase.CONNECTING:
             raise TimeoutError
-        while not finished:
-            finished, _ = await asyncio.wait([done], timeout=LIVENESS_CHECK_INTERVAL)
-            self._check_liveness()
+        forwarder = self.forwarder
+        with ReplacementSearch(
+            lambda: forwarder.find_replacement(self.call), forwarder.give_back
+        ) as search:
+            while not done.done():
+                await asyncio.wait(
+                    [done, *search.tasks],
+                    timeout=LIVENESS_CHECK_INTERVAL,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                self._check_liveness(search)
         done.result()
 
-    def _check_liveness(self) -> None:
-        """Raise if the endpoint has restarted, or is silent and a retry is allowed.
+    def _check_liveness(self, search: ReplacementSearch) -> None:
+        """Raise if the endpoint has restarted, or is silent and can be replaced.
+
+        A silent endpoint may go on, so its attempt ends only once the request has the
+        grant of another one.
 
         Raises
         ------
         ExchangeError
             The endpoint has restarted since the attempt began.
         TimeoutError
-            The endpoint is silent, and the request may run elsewhere.
+            The endpoint is silent, and `ForwardedCall.replacement` is set.
         """
         if self.exchange.done.done():
             return
@@ -205,8 +217,14 @@
         if not self.call.route.repeatable:
             return
         now = self.loop.time()
-        if self.forwarder.endpoint_activity.is_silent(
+        if not self.forwarder.endpoint_activity.is_silent(
             self.endpoint.id, self.started, now
+        ):
+            search.abandon()
+            return
+        granted = search.poll(now)
+        if granted is not None and self.forwarder.accept_replacement(
+            self.call, granted
         ):
             raise TimeoutError
 
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -151,6 +151,8 @@
         Value of `content` once computed.
     attempt : Attempt or None
         The attempt in flight.
+    replacement : Granted or None
+        Grant of the endpoint that takes the place of a silent one.
     """
 
     incoming: Incoming
@@ -176,6 +178,7 @@
     decider: RouterId | None = None
     cached_content: ContentId | None = None
     attempt: Attempt | None = None
+    replacement: Granted | None = None
 
     @property
     def content(self) -> ContentId:
@@ -409,7 +412,9 @@
 
     async def _try_endpoints(self, call: ForwardedCall) -> None:
         while True:
-            granted = await self._obtain_grant(call)
+            granted, call.replacement = call.replacement, None
+            if granted is None:
+                granted = await self._obtain_grant(call)
             self._refuse_harmful_after_grant(call, granted)
             end = await self._attempt(call, granted)
             if end is AttemptEnd.WITHDRAWN:
@@ -573,6 +578,8 @@
 
     def _check_retry(self, call: ForwardedCall, end: AttemptEnd) -> None:
         """Raise the final refusal unless a further attempt is allowed."""
+        if call.replacement is not None:
+            return
         self._refuse_harmful(call)
         if self.containment.is_suspected(call, begun=call.origin is not None):
             # A crash of one more endpoint would confirm the suspicion; only a retry by
@@ -584,6 +591,58 @@
             return
         raise final_refusal(call.attempts, end)
 
+    async def find_replacement(self, call: ForwardedCall) -> Granted | None:
+        """Return a grant of a further endpoint for a request at a silent one.
+
+        None if no further attempt is allowed now, or no endpoint is free. The retry is
+        counted when the grant is accepted.
+        """
+        try:
+            self._check_replacement(call)
+            if call.origin is not None:
+                call.due = max(call.due, self.loop.time() + call.route.objective)
+            return await self._obtain_grant(call)
+        except Refusal as refusal:
+            logger.info(
+                "waiting for a silent endpoint",
+                extra={
+                    "request": call.parsed.id,
+                    "endpoints": sorted(call.tried),
+                    "reason": refusal.detail,
+                },
+            )
+            return None
+
+    def _check_replacement(self, call: ForwardedCall) -> None:
+        """Raise the refusal of a further attempt beside the one in flight."""
+        self._refuse_harmful(call)
+        attempts = msgspec.structs.replace(call.attempts)
+        attempts.add(AttemptEnd.SILENT)
+        suspected = self.containment.is_suspected(call, begun=call.origin is not None)
+        if suspected or not may_retry(call.route, attempts):
+            raise final_refusal(attempts, AttemptEnd.SILENT)
+        routers = self.coordinator.fleet.known_size
+        if not self.budget.allows(call.service, routers, self.loop.time()):
+            detail = "retry budget exhausted"
+            raise Refusal(ErrorKind.ENDPOINT_FAILED, detail, Ran.UNKNOWN)
+
+    def accept_replacement(self, call: ForwardedCall, granted: Granted) -> bool:
+        """Return whether a request continues at the granted endpoint.
+
+        A grant that is not accepted has been returned.
+        """
+        if self._check_granted(call, granted) is None:
+            return False
+        if not self._take_retry(call):
+            self.give_back(granted)
+            return False
+        call.replacement = granted
+        return True
+
+    def give_back(self, granted: Granted) -> None:
+        """Return an unused grant to its scheduler."""
+        self.coordinator.ended(granted.call, Outcome.CANCELLED)
+
     def _take_retry(self, call: ForwardedCall) -> bool:
         """Take one retry from this router's share of the budget, if any is left."""
         routers = self.coordinator.fleet.known_size
@@ -629,7 +688,7 @@
         try:
             self._refuse_harmful(call)
         except Refusal:
-            self.coordinator.ended(granted.call, Outcome.CANCELLED)
+            self.give_back(granted)
             raise
 
     def _report_endpoint_loss(
--- a/carawayfold/state/budget.py
+++ b/carawayfold/state/budget.py
@@ -133,10 +133,14 @@
         requests, repeats = round(budget.requests.total), round(budget.repeats.total)
         return BudgetWindow(requests, repeats, allowed)
 
+    def allows(self, service: ServiceId, routers: int | None, now: float) -> bool:
+        """Return whether one more retry is allowed."""
+        window = self.window(service, routers, now)
+        return window.repeats + 1 <= window.allowed
+
     def take(self, service: ServiceId, routers: int | None, now: float) -> bool:
         """Return whether one more retry is allowed, and count it if so."""
-        window = self.window(service, routers, now)
-        if window.repeats + 1 > window.allowed:
+        if not self.allows(service, routers, now):
             return False
         self._budget_of(service).repeats.add(now, 1)
         return True
--- a/tests/coordination/requests/test_attempts.py
+++ b/tests/coordination/requests/test_attempts.py
@@ -40,6 +40,8 @@
         http=FakeHttp(phase),
         dialect=SimpleNamespace(request_headers=lambda *args: []),
         coordinator=SimpleNamespace(is_superseded=lambda item: False),
+        find_replacement=None,
+        give_back=None,
     )
     call = SimpleNamespace(
         incoming=SimpleNamespace(method=b"POST", target=b"/x", body=b""),
