Return a grant that arrives as its request is cancelled

What was seen: nothing by callers; a slot stayed taken at its scheduler until its reports ran out. Cause: the cleanup of place withdrew a request only while no decision had been set; one that is cancelled between the arrival of the grant and its continuation kept the grant. Test: test_a_request_cancelled_as_its_grant_arrives_returns_the_grant, which found one request active at the leader before and none after. Conclusion: mended; the same cause acted before when a caller left at that moment.

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -448,12 +448,13 @@
             self._offer(pending)
         try:
             decision = await pending.answered
+        except asyncio.CancelledError:
+            self._release(pending)
+            raise
         finally:
             self.pending.pop(offer.call, None)
             if pending.timer is not None:
                 pending.timer.cancel()
-            if not pending.answered.done() or pending.answered.cancelled():
-                self._withdraw(pending)
         if isinstance(decision, Granted):
             self._record_placement(pending, decision)
         return decision
@@ -533,6 +534,17 @@
             logger.info("scheduler does not answer", extra={"scheduler": target})
             self.unanswered_logged_at[target] = now
 
+    def _release(self, pending: PendingRequest) -> None:
+        """Withdraw a cancelled request, or return a grant that has just arrived."""
+        answered = pending.answered
+        if not answered.done() or answered.cancelled():
+            self._withdraw(pending)
+            return
+        decision = answered.result()
+        if isinstance(decision, Granted):
+            self._record_placement(pending, decision)
+            self.ended(decision.call, Outcome.CANCELLED)
+
     def _withdraw(self, pending: PendingRequest) -> None:
         call = pending.offer.call
         pool_state = self.pools.get(pending.pool)
--- a/tests/coordination/scheduling/test_coordinator.py
+++ b/tests/coordination/scheduling/test_coordinator.py
@@ -310,6 +310,33 @@
     assert isinstance(play(work), Granted)
 
 
+class LeavingNetwork(SimulatedNetwork):
+    """Network on which a request's caller leaves just as its grant arrives."""
+
+    asked = None
+
+    def deliver(self, sender, receiver, message):
+        super().deliver(sender, receiver, message)
+        if isinstance(message, GrantMessage):
+            asyncio.get_running_loop().call_soon(self.asked.cancel)
+
+
+def test_a_request_cancelled_as_its_grant_arrives_returns_the_grant():
+    async def work():
+        network = LeavingNetwork()
+        made = coordinators(network, ["a", "b"], endpoints=1, slots=1)
+        first = decider(made)
+        other = next(name for name in made if name != first)
+        placed = made[other].place(request(made[other], "x"), "model/0")
+        network.asked = asyncio.ensure_future(placed)
+        await asyncio.wait([network.asked])
+        await asyncio.sleep(0.05)
+        [load] = made[first].pools["model/0"].scheduler.loads.values()
+        return network.asked.cancelled(), len(load.active), len(made[other].placed)
+
+    assert play(work) == (True, 0, 0)
+
+
 def test_a_service_of_many_endpoints_has_several_pools():
     async def work():
         network = SimulatedNetwork()
