--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -153,6 +153,8 @@
         The attempt in flight.
     replacement : Granted or None
         Grant of the endpoint that takes the place of a silent one.
+    waiting_reason : str
+        Why it last had to stay at a silent endpoint.
     """
 
     incoming: Incoming
@@ -179,6 +181,7 @@
     cached_content: ContentId | None = None
     attempt: Attempt | None = None
     replacement: Granted | None = None
+    waiting_reason: str = ""
 
     @property
     def content(self) -> ContentId:
@@ -603,14 +606,7 @@
                 call.due = max(call.due, self.loop.time() + call.route.objective)
             return await self._obtain_grant(call)
         except Refusal as refusal:
-            logger.info(
-                "waiting for a silent endpoint",
-                extra={
-                    "request": call.parsed.id,
-                    "endpoints": sorted(call.tried),
-                    "reason": refusal.detail,
-                },
-            )
+            self._log_waiting(call, refusal.detail)
             return None
 
     def _check_replacement(self, call: ForwardedCall) -> None:
@@ -805,6 +801,20 @@
             return None
         return round(self.loop.time() - self.in_force.since, 2)
 
+    def _log_waiting(self, call: ForwardedCall, reason: str) -> None:
+        """Log that a request stays at a silent endpoint, once for each reason."""
+        if reason == call.waiting_reason:
+            return
+        call.waiting_reason = reason
+        logger.info(
+            "waiting for a silent endpoint",
+            extra={
+                "request": call.parsed.id,
+                "endpoints": sorted(call.tried),
+                "reason": reason,
+            },
+        )
+
     def _log_blocked_grant(
         self,
         call: ForwardedCall,
