Read numbers of any length in the headers of callers

Callers whose Request-Deadline, Last-Event-Id, Token-Usage, Length-Hint or Prompt-Prefix held a number of thousands of digits got neither an answer nor a refusal: int() raises ValueError beyond 4,300 digits, and division by 1000 raises OverflowError beyond about 310. The error passed through Forwarder.serve and the edge to DirectPoller, which closes the connection.

Numbers are read up to 18 digits, after leading zeros. Only Last-Event-Id is refused (400) beyond 18 digits, since a smaller one would repeat events. The load in an endpoint's answer is read the same way.

Ruled out: the parser of heads, which accepts such values as the protocol does. Evidence: ten tests of tests/platform/test_headers.py and its property test failed on the code before.

--- a/carawayfold/platform/headers.py
+++ b/carawayfold/platform/headers.py
@@ -44,6 +44,14 @@
 #: Decimal seconds of a ``Retry-After`` header; HTTP dates are not supported.
 SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
+#: Maximum number of digits that are read of a number. More of them can't be sent in
+#: messages between routers, and thousands of them can't be converted at all.
+MAX_DIGITS = 18
+#: Largest number of tokens or requests that is told apart; sums of many still fit.
+MAX_TOKENS = 10**12
+#: Seconds after which a caller stops waiting, at most; longer values are read as this.
+MAX_TIME_LEFT = 86400.0
+
 #: Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
@@ -94,7 +102,8 @@
         Raises
         ------
         Refusal
-            If one of `SINGLE_HEADERS` occurs more than once.
+            If one of `SINGLE_HEADERS` occurs more than once, or the stream is to be
+            resumed after an event that no stream has.
         """
         pairs = [
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
@@ -105,18 +114,18 @@
                 raise Refusal(ErrorKind.MALFORMED_REQUEST, f"two {name} headers")
             values[name] = value
         prompt_tokens, output_tokens = _token_usage(values.get(TOKENS, ""))
-        estimate = values.get(OUTPUT_ESTIMATE, "")
+        estimate = _count(values.get(OUTPUT_ESTIMATE, ""))
         return RequestFields(
             id=RequestId(values.get(REQUEST_ID, "")),
             host=values.get("host", "").partition(":")[0].lower(),
             key=values.get(API_KEY, ""),
             time_left=_seconds(values.get(TIME_LEFT)),
-            resume_after=_number(values.get(RESUME_AFTER)),
+            resume_after=_event(values.get(RESUME_AFTER)),
             resumes=RequestId(values.get(RESUMES, "")),
             prompt=_parts(values.get(PROMPT, "")),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            expected_output=int(estimate) if _is_number(estimate) else output_tokens,
+            expected_output=output_tokens if estimate is None else estimate,
             forwarded=_end_to_end(pairs, ROUTER_REQUEST_HEADERS),
         )
 
@@ -190,12 +199,36 @@
 
 
 def _seconds(text: str | None) -> float | None:
+    milliseconds = _number(text)
+    return None if milliseconds is None else min(milliseconds / 1000, MAX_TIME_LEFT)
+
+
+def _event(text: str | None) -> int | None:
+    """Return the number of an event, None if there is none.
+
+    Raises
+    ------
+    Refusal
+        If it is too large. To resume after another event would repeat or omit events.
+    """
+    event = _number(text)
+    if event is not None and event >= 10**MAX_DIGITS:
+        raise Refusal(ErrorKind.MALFORMED_REQUEST, "no stream has such an event")
+    return event
+
+
+def _count(text: str) -> int | None:
     number = _number(text)
-    return None if number is None else number / 1000
+    return None if number is None else min(number, MAX_TOKENS)
 
 
 def _number(text: str | None) -> int | None:
-    return int(text) if text is not None and _is_number(text) else None
+    """Return a decimal number, ``10**MAX_DIGITS`` for any with more digits."""
+    if text is None or not _is_number(text):
+        return None
+    if len(text) > MAX_DIGITS:
+        text = text.lstrip("0") or "0"
+    return int(text) if len(text) <= MAX_DIGITS else 10**MAX_DIGITS
 
 
 def _is_number(text: str) -> bool:
@@ -205,17 +238,19 @@
 
 def _token_usage(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
-    if _is_number(prompt) and _is_number(output):
-        return int(prompt), int(output)
-    return 0, 0
+    prompt_tokens, output_tokens = _count(prompt), _count(output)
+    if prompt_tokens is None or output_tokens is None:
+        return 0, 0
+    return prompt_tokens, output_tokens
 
 
 def _parts(text: str) -> tuple[Part, ...]:
     parts = []
     for item in text.split(","):
         name, _, tokens = item.strip().partition(":")
-        if name and _is_number(tokens):
-            parts.append(Part(PartId(name), int(tokens)))
+        count = _count(tokens)
+        if name and count is not None:
+            parts.append(Part(PartId(name), count))
     return tuple(parts)
 
 
@@ -239,8 +274,7 @@
 
 
 def _load(text: str) -> Load | None:
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(_is_number(item.strip()) for item in numbers):
+    counts = [_count(item.strip()) for item in text.split(",")]
+    if len(counts) != 3 or None in counts:
         return None
-    running, waiting, slots = (int(item) for item in numbers)
-    return Load(running, waiting, slots)
+    return Load(*counts)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from carawayfold.errors import ErrorKind, Refusal
-from carawayfold.platform.headers import PlatformDialect
+from carawayfold.platform.headers import (
+    MAX_TIME_LEFT,
+    MAX_TOKENS,
+    SINGLE_HEADERS,
+    PlatformDialect,
+)
 from carawayfold.transport.client import Head
 
+#: Request headers whose values the dialect reads.
+READ_HEADERS = SINGLE_HEADERS | {"host", "prompt-prefix", "token-usage", "length-hint"}
+
 
 def read(status, *fields):
     return PlatformDialect().read_answer(Head(status, dict(fields), list(fields)))
@@ -99,3 +111,59 @@
     with pytest.raises(Refusal) as refused:
         PlatformDialect().read_request([(name.encode(), b"1"), (name.encode(), b"2")])
     assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
+
+
+@pytest.mark.parametrize("digits", [18, 19, 400, 5000])
+def test_a_number_of_thousands_of_digits_raised_an_error(digits):
+    number = b"9" * digits
+    headers = [
+        (b"request-deadline", number),
+        (b"token-usage", number + b"," + number),
+        (b"length-hint", number),
+        (b"prompt-prefix", b"aa:" + number),
+    ]
+    parsed = PlatformDialect().read_request(headers)
+    assert parsed.time_left == MAX_TIME_LEFT
+    counts = parsed.prompt_tokens, parsed.output_tokens, parsed.expected_output
+    assert (*counts, parsed.prompt[0].tokens) == (MAX_TOKENS,) * 4
+    forwarded = [item for item in headers if item[0] != b"request-deadline"]
+    assert [(n.encode(), v.encode()) for n, v in parsed.forwarded] == forwarded
+
+
+@pytest.mark.parametrize("name", ["request-deadline", "last-event-id", "length-hint"])
+def test_a_number_with_thousands_of_leading_zeros_raised_an_error(name):
+    pair = (name.encode(), b"0" * 5000 + b"12")
+    parsed = PlatformDialect().read_request([pair])
+    read_as = {
+        "request-deadline": parsed.time_left,
+        "last-event-id": parsed.resume_after,
+        "length-hint": parsed.expected_output,
+    }
+    assert read_as[name] == (0.012 if name == "request-deadline" else 12)
+
+
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_an_event_that_no_stream_can_have_is_malformed(digits):
+    with pytest.raises(Refusal) as refused:
+        PlatformDialect().read_request([(b"last-event-id", b"9" * digits)])
+    assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
+
+
+def test_a_load_of_thousands_of_digits_raised_an_error():
+    assert read(200, ("server-load", "1,2," + "9" * 5000)).load.slots == MAX_TOKENS
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(sorted(READ_HEADERS)),
+            st.text(alphabet="0123456789,:-+. aé²", max_size=30)
+            | st.integers(0, 6000).map("7".__mul__),
+        ),
+        max_size=6,
+    )
+)
+def test_proper_headers_are_read_or_refused(headers):
+    pairs = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+    with contextlib.suppress(Refusal):
+        PlatformDialect().read_request(pairs)
