Answer requests that fail before their task, and in their refusal

Callers of a request whose handling raised anything but a Refusal between its last byte and its task lost their connection without an answer; a pipelined one hung, since an error in call_soon(_resume) is only logged by asyncio. The same for readiness checks and requests of other routers. An error while the refusal itself was sent ended the task and left the caller waiting.

Forwarder.serve refuses now with 503 (not run) and logs the error, the edge does the same for whatever it is given and for its own parsing, and Forwarder._run sends the bare status if the refusal can't be sent. An answer whose head has been sent is cut.

Ruled out: the poller's own catch, which knows no request. It stays as the last resort. No work is added to a request without an error, except one flag.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -298,6 +298,11 @@
             content = call.content if call is not None else ""
             self._refuse(incoming, parsed, refusal, content)
             return
+        except Exception as error:
+            self._log_error(error)
+            refusal = Refusal(ErrorKind.NO_ENDPOINT, repr(error), Ran.NO)
+            self._refuse(incoming, parsed, refusal, "")
+            return
         self.budget.request(call.service, self.loop.time())
         task = self.loop.create_task(self._run(call))
         self.calls[call] = task
@@ -347,6 +352,16 @@
     # Running a request
 
     async def _run(self, call: ForwardedCall) -> None:
+        try:
+            await self._forward(call)
+        except Exception as error:
+            # Not even the refusal could be sent.
+            self._log_error(error)
+            call.incoming.fail(self._internal_refusal(call, error).answer.status)
+        finally:
+            self.calls.pop(call, None)
+
+    async def _forward(self, call: ForwardedCall) -> None:
         try:
             async with asyncio.timeout_at(call.deadline):
                 if call.resume_after is not None:
@@ -360,13 +375,14 @@
             self._log_end(call, "caller left")
             raise
         except Exception as error:
-            logger.error(
-                "internal error while forwarding a request",
-                extra={"reason": repr(error)},
-            )
+            self._log_error(error)
             self._end_refused(call, self._internal_refusal(call, error))
-        finally:
-            self.calls.pop(call, None)
+
+    def _log_error(self, error: Exception) -> None:
+        logger.exception(
+            "internal error while forwarding a request",
+            extra={"reason": repr(error)},
+        )
 
     def _internal_refusal(self, call: ForwardedCall, error: Exception) -> Refusal:
         """Return the refusal for an internal error of this router."""
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -158,6 +158,10 @@
         Whether the response uses chunked encoding.
     left : int or None
         Remaining bytes of the response body; None if its length was not declared.
+    begun : bool
+        Whether the head of the response has been sent.
+    answered : bool
+        Whether the response has ended.
     """
 
     connection: CallerConnection
@@ -168,6 +172,7 @@
     is_http_1_1: bool = True
     received: float = 0.0
     body: bytes = b""
+    begun: bool = False
     answered: bool = False
     chunked: bool = False
     left: int | None = None
@@ -201,7 +206,9 @@
         if close or not self.keep_alive or connection.edge.closes_connections():
             self.keep_alive = False
             fields.append(("Connection", "close"))
-        connection.write(response_head(status, fields))
+        head = response_head(status, fields)
+        self.begun = True
+        connection.write(head)
 
     def _frame(self, status: int, fields: list[tuple[str, str]]) -> None:
         """Select the framing of the response body."""
@@ -247,6 +254,13 @@
         self.answered = True
         self.connection.close(CloseReason.CUT)
 
+    def fail(self, status: int) -> None:
+        """Answer after an error with `status` only; cut an answer that has begun."""
+        if self.begun and not self.answered:
+            self.abort()
+        else:
+            self.answer(status, [])
+
 
 class CallerConnection(msgspec.Struct, eq=False):
     """One connection of a caller.
@@ -313,6 +327,24 @@
             self.refuse(refusal)
         except MessageError as error:
             self.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(error)))
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Answer after an error between the first byte of a request and its task.
+
+        Nothing has been passed on, so the answer states that the request has not run.
+        """
+        stage = self.stage.value
+        logger.exception(
+            "a request failed in its edge",
+            extra={"reason": repr(error), "stage": stage},
+        )
+        refusal = Refusal(ErrorKind.NO_ENDPOINT, repr(error))
+        if self.stage is not Stage.ANSWERING:
+            self.refuse(refusal)
+        elif self.request is not None:
+            self.request.fail(refusal.answer.status)
 
     def _read_head(self) -> None:
         while self.pending.startswith(b"\r\n"):
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -5,13 +5,17 @@
 import asyncio
 from types import SimpleNamespace
 
+import logbook
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from carawayfold.coordination.requests.forwarding import Forwarder
 from carawayfold.coordination.scheduling.offers import Rejected
 from carawayfold.platform.headers import PlatformDialect
 from carawayfold.state.routes import CallerLimits, RouteIndex, RouteTable
 from carawayfold.state.stream_origins import Origin
+from carawayfold.transport.messages import MessageError
 from tests.schedule_builders import route
 
 LIMIT = 8.0
@@ -118,3 +122,77 @@
 def test_a_new_stream_is_offered_for_any_version():
     [offer] = offers_of({"resumes": "first"})
     assert offer.software is None
+
+
+class Answers:
+    """Request that keeps its answers; those with an unsendable status fail."""
+
+    def __init__(self, unsendable=()):
+        self.unsendable = unsendable
+        self.statuses = []
+        self.headers = [(b"host", ROUTE.host.encode()), (b"request-id", b"1")]
+        self.method, self.target, self.body = b"POST", b"/summary/x", b""
+        self.received = asyncio.get_running_loop().time()
+
+    def answer(self, status, headers, body=b""):
+        """Keep the status of an answer."""
+        if headers and status in self.unsendable:
+            raise MessageError("a line end within a header")
+        self.statuses.append(status)
+
+    def fail(self, status):
+        """Keep the status of an answer without headers."""
+        self.answer(status, [])
+
+
+async def serve_one(forwarder, incoming):
+    forwarder.serve(incoming)
+    await asyncio.gather(*forwarder.calls.values(), return_exceptions=True)
+    return incoming.statuses
+
+
+def test_an_error_before_the_task_of_a_request_was_no_refusal():
+    async def scenario():
+        forwarder = make_forwarder(FakeCoordinator())
+        forwarder.containment.reject_harmful = lambda call: 1 / 0
+        return await serve_one(forwarder, Answers())
+
+    with logbook.TestHandler() as logs:
+        assert asyncio.run(scenario()) == [503]
+    assert logs.has_error("internal error while forwarding a request")
+    assert logs.has_info("request refused")
+
+
+def test_a_refusal_that_could_not_be_sent_left_the_caller_without_an_answer():
+    async def scenario():
+        forwarder = make_forwarder(FakeCoordinator())
+        return await serve_one(forwarder, Answers(unsendable=(503,)))
+
+    with logbook.TestHandler() as logs:
+        assert asyncio.run(scenario()) == [503]
+    assert logs.has_error("internal error while forwarding a request")
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [b"host", b"request-id", b"resumes", b"last-event-id", b"x-api-key"]
+                + [b"request-deadline", b"token-usage", b"prompt-prefix", b"connection"]
+            ),
+            st.binary(max_size=20) | st.integers(0, 5000).map(b"9".__mul__),
+        ),
+        max_size=5,
+    ),
+    st.binary(max_size=20),
+)
+def test_each_request_with_an_odd_head_is_answered_without_an_error(headers, rest):
+    async def scenario():
+        incoming = Answers()
+        incoming.headers = [*incoming.headers[:1], *headers]
+        incoming.target += rest
+        return await serve_one(make_forwarder(FakeCoordinator()), incoming)
+
+    with logbook.TestHandler() as logs:
+        assert len(asyncio.run(scenario())) == 1
+    assert not logs.has_errors
--- a/tests/transport/test_caller_connections.py
+++ b/tests/transport/test_caller_connections.py
@@ -6,6 +6,7 @@
 
 import logbook
 import msgspec
+import pytest
 
 from carawayfold.transport.edge import CloseReason
 from tests.transport.edge_builders import GET, POST, connect, open_edge, run
@@ -48,3 +49,59 @@
         closed = run(scenario)
     assert closed == {CloseReason.IDLE: 1}
     assert not logs.records
+
+
+def fail(incoming):
+    raise ValueError("no such thing")
+
+
+def fail_after_the_head(incoming):
+    incoming.begin(200, [])
+    fail(incoming)
+
+
+@pytest.mark.parametrize("pipelined", [1, 2])
+def test_an_error_before_the_task_of_a_request_closed_its_connection(pipelined):
+    async def scenario():
+        async with open_edge(fail) as edge:
+            reader, writer = await connect(edge)
+            writer.write(POST * pipelined)
+            for _ in range(pipelined):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 503 ")
+            writer.close()
+
+    with logbook.TestHandler() as logs:
+        run(scenario)
+    errors = [item for item in logs.records if "failed in its edge" in item.message]
+    assert [item.extra["reason"] for item in errors] == [
+        "ValueError('no such thing')"
+    ] * pipelined
+
+
+def test_an_error_after_the_head_of_an_answer_cuts_it():
+    async def scenario():
+        async with open_edge(fail_after_the_head) as edge:
+            reader, writer = await connect(edge)
+            writer.write(GET)
+            answer = await reader.read()
+            writer.close()
+            return answer, edge.closed
+
+    answer, closed = run(scenario)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert closed == {CloseReason.CUT: 1}
+
+
+def test_an_error_while_overload_is_checked_closed_the_connection():
+    async def scenario():
+        async with open_edge(lambda incoming: incoming.answer(200, [])) as edge:
+            edge.should_reject = lambda: 1 / 0
+            reader, writer = await connect(edge)
+            writer.write(GET)
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    assert run(scenario).startswith(b"HTTP/1.1 503 ")
