Keep listening after an error at one new connection

A router that met an error while it took a new connection (a socket option that can't be set, an error while an idle connection is closed to make room) closed its listening socket: the poller hangs up the socket on whose behalf it called. No caller could connect any more, and the router stayed ready.

The error is logged and only the new connection is closed. Seen from reading only; nothing in the logs at hand shows that it happened. Evidence: test_an_error_at_one_new_connection_closed_the_listening_socket failed before.

--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -171,7 +171,15 @@
                 if error.errno in (EMFILE, ENFILE, ENOMEM):
                     logger.warning("no connection taken", extra={"reason": str(error)})
                 return
-            self._add_connection(sock)
+            try:
+                self._add_connection(sock)
+            except Exception as error:
+                # The poller would close the listening socket.
+                logger.exception(
+                    "a new connection failed", extra={"reason": repr(error)}
+                )
+                self._close(sock)
+                sock.close()
 
     def _add_connection(self, sock: socket) -> None:
         if len(self._clients) >= self.limit:
--- a/tests/transport/test_caller_connections.py
+++ b/tests/transport/test_caller_connections.py
@@ -105,3 +105,23 @@
             return answer
 
     assert run(scenario).startswith(b"HTTP/1.1 503 ")
+
+
+def test_an_error_at_one_new_connection_closed_the_listening_socket():
+    async def scenario():
+        async with open_edge(lambda incoming: incoming.answer(200, [])) as edge:
+            opened = edge.opened
+            edge.opened = lambda sock: fail(sock)
+            reader, writer = await connect(edge)
+            assert await reader.read() == b""
+            writer.close()
+            edge.opened = opened
+            reader, writer = await connect(edge)
+            writer.write(GET)
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            return head
+
+    with logbook.TestHandler() as logs:
+        assert run(scenario).startswith(b"HTTP/1.1 200 ")
+    assert logs.has_error("a new connection failed")
