Apply a raised idle timeout to connections that are idle already

Callers that knew a longer idle timeout from a new configuration reused connections that the router had closed after the former one: the timer of an idle connection was started with the timeout in force then, or with the default before the first configuration.

When the timer ends it is compared with the timeout in force and started again for the rest. A shorter timeout applies from the next idle time on, since the caller may not know it yet. Costs one read of the clock a request.

Evidence: test_a_raised_idle_timeout_did_not_apply_to_idle_connections, before and after a request, failed on the code before.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -271,6 +271,8 @@
         Bytes received but not yet parsed.
     head : RequestHead or None
         Head of the request whose body is being read.
+    idle_since : float
+        Loop time at which the connection last became idle, in seconds.
     """
 
     edge: Edge
@@ -284,6 +286,7 @@
     timer: asyncio.TimerHandle | None = None
     bytes_to_skip: int = 0
     rejected_head: bytes = b""
+    idle_since: float = 0.0
 
     def write(self, data: bytes | None) -> None:
         """Send bytes to the caller."""
@@ -464,7 +467,7 @@
     def _await_next(self) -> None:
         """Wait for the next request, a part of which may already be buffered."""
         self.stage = Stage.IDLE
-        self.wait(self.edge.limits.idle_timeout, self.expire_idle)
+        self.start_idle()
         if self.pending:
             loop = asyncio.get_running_loop()
             loop.call_soon(self._resume)
@@ -495,9 +498,23 @@
     def _body_timed_out(self) -> None:
         self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the body came too slowly"))
 
+    def start_idle(self) -> None:
+        """Start the idle timeout in force."""
+        self.idle_since = asyncio.get_running_loop().time()
+        self.wait(self.edge.limits.idle_timeout, self.expire_idle)
+
     def expire_idle(self) -> None:
-        """Close the connection since no request came in time."""
-        self.close(CloseReason.IDLE)
+        """Close the connection unless a longer idle timeout is in force by now.
+
+        A shorter one applies from the next time that the connection is idle, because
+        the caller may not know it yet.
+        """
+        due = self.idle_since + self.edge.limits.idle_timeout
+        left = due - asyncio.get_running_loop().time()
+        if left > 0:
+            self.wait(left, self.expire_idle)
+        else:
+            self.close(CloseReason.IDLE)
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection once all written data has been sent."""
@@ -582,7 +599,7 @@
         """Handle a new connection."""
         connection = CallerConnection(self, sock)
         self.connections[sock] = connection
-        connection.wait(self.limits.idle_timeout, connection.expire_idle)
+        connection.start_idle()
         if len(self.connections) > FULL_FRACTION * self.limit:
             self._close_oldest()
 
--- a/tests/transport/edge_builders.py
+++ b/tests/transport/edge_builders.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from carawayfold.transport.edge import Incoming
+    from carawayfold.transport.edge import CallerConnection, Incoming
 
 #: Complete requests, one without a body and one with it.
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\nRequest-Id: r-1\r\n\r\n"
@@ -41,6 +41,13 @@
     return await asyncio.open_connection("127.0.0.1", edge.server.port)
 
 
+async def accepted(edge: Edge) -> CallerConnection:
+    """Return the oldest connection of an edge once there is one."""
+    while not edge.connections:
+        await asyncio.sleep(0)
+    return next(iter(edge.connections.values()))
+
+
 def run(scenario: Callable[[], object], timeout: float = 10.0) -> object:
     """Run a coroutine function in a new loop, for at most `timeout` seconds."""
     return asyncio.run(asyncio.wait_for(scenario(), timeout))
--- a/tests/transport/test_caller_connections.py
+++ b/tests/transport/test_caller_connections.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
-from carawayfold.transport.edge import CloseReason
-from tests.transport.edge_builders import GET, POST, connect, open_edge, run
+from carawayfold.transport.edge import CloseReason, EdgeLimits, Stage
+from tests.transport.edge_builders import GET, POST, accepted, connect, open_edge, run
 
 
 def test_a_connection_that_is_closed_beside_a_request_is_logged_with_its_reason():
@@ -125,3 +125,40 @@
     with logbook.TestHandler() as logs:
         assert run(scenario).startswith(b"HTTP/1.1 200 ")
     assert logs.has_error("a new connection failed")
+
+
+@pytest.mark.parametrize("requests", [0, 1])
+def test_a_raised_idle_timeout_did_not_apply_to_idle_connections(requests):
+    async def scenario():
+        async with open_edge(lambda incoming: incoming.answer(200, [])) as edge:
+            edge.limits = EdgeLimits(idle_timeout=2.0)
+            reader, writer = await connect(edge)
+            connection = await accepted(edge)
+            for _ in range(requests):
+                writer.write(GET)
+                await reader.readuntil(b"\r\n\r\n")
+            edge.limits = EdgeLimits(idle_timeout=20.0)
+            started = asyncio.get_running_loop().time()
+            connection.expire_idle()
+            assert connection.stage is Stage.IDLE
+            assert connection.timer.when() == pytest.approx(started + 20.0, abs=1.0)
+            connection.idle_since -= 20.0
+            connection.expire_idle()
+            assert await reader.read() == b""
+            writer.close()
+            return edge.closed
+
+    assert run(scenario) == {CloseReason.IDLE: 1}
+
+
+def test_a_shorter_idle_timeout_leaves_idle_connections_their_time():
+    async def scenario():
+        async with open_edge(lambda incoming: None) as edge:
+            _, writer = await connect(edge)
+            connection = await accepted(edge)
+            due = connection.timer.when()
+            edge.limits = EdgeLimits(idle_timeout=0.0)
+            assert connection.timer.when() == due
+            writer.close()
+
+    run(scenario)
