Serve or refuse what has arrived before a connection is closed

Callers whose request lay whole in the socket's buffer, behind another request or in the accept queue lost it without an answer when the router closed the connection: at the idle timeout, to make room, at a stop, and while a stopping router ended an answer that had not announced the close. A request that had wholly arrived while the loop was late was refused as too slow, and one of which a part had arrived was dropped at a stop.

A connection is read once more (up to the end of a request) before it is closed as idle or refused as slow, and connections in the accept queue are accepted before listening ends. What has wholly arrived is served; a part is refused with 503 at a stop. An answer announces the close only if nothing has arrived behind its request, and without the announcement the connection stays open until it is idle.

Ruled out: reading at each timer of any kind; only closes read. A request that arrives after the last read still crosses the close, and has not been read.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -78,6 +78,8 @@
 #: Fraction of the connection limit above which each new connection closes the oldest
 #: idle one.
 FULL_FRACTION = 0.9
+#: Maximum number of reads from a connection before it is closed by a timer or a stop.
+MAX_LAST_READS = 128
 #: Maximum number of connections searched for an idle one.
 MAX_IDLE_SEARCH = 64
 
@@ -93,6 +95,10 @@
     CLOSED = "closed"
 
 
+#: Stages in which a request is being received.
+RECEIVING = frozenset({Stage.HEAD, Stage.BODY, Stage.SKIPPING})
+
+
 class CloseReason(Enum):
     """Why a caller's connection was closed; the values appear in logs and metrics."""
 
@@ -203,7 +209,9 @@
             return
         fields = list(headers)
         self._frame(status, fields)
-        if close or not self.keep_alive or connection.edge.closes_connections():
+        # What has arrived behind the request is answered too.
+        closing = connection.edge.closes_connections() and not connection.pending
+        if close or closing or not self.keep_alive:
             self.keep_alive = False
             fields.append(("Connection", "close"))
         head = response_head(status, fields)
@@ -387,9 +395,8 @@
             return
         found = self.edge.id_pattern.search(self.rejected_head)
         named = b"%b: %b\r\n" % found.groups() if found else b""
-        closing = self.edge.closes_connections() or CONNECTION_CLOSE.search(
-            self.rejected_head
-        )
+        closing = self.edge.closes_connections() and not self.pending
+        closing = closing or CONNECTION_CLOSE.search(self.rejected_head)
         close = b"Connection: close\r\n" if closing else b""
         self.write(
             b"HTTP/1.1 503 Service Unavailable\r\n%bRetry-After: %b\r\n%b"
@@ -459,7 +466,7 @@
         self._release_body()
         keep_alive = self.request.keep_alive
         self.request = None
-        if not keep_alive or self.edge.stopping:
+        if not keep_alive:
             self.close(CloseReason.ANSWERED)
             return
         self._await_next()
@@ -473,7 +480,7 @@
             loop.call_soon(self._resume)
 
     def _resume(self) -> None:
-        if self.stage is Stage.IDLE:
+        if self.stage is Stage.IDLE and self.pending:
             self.receive(b"")
 
     def _release_body(self) -> None:
@@ -493,10 +500,17 @@
         self.close(CloseReason.REFUSED)
 
     def _head_timed_out(self) -> None:
-        self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the head came too slowly"))
+        self._refuse_slow("the head came too slowly")
 
     def _body_timed_out(self) -> None:
-        self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the body came too slowly"))
+        self._refuse_slow("the body came too slowly")
+
+    def _refuse_slow(self, detail: str) -> None:
+        """Refuse a request unless the rest of what is awaited has arrived."""
+        expired = self.timer
+        self._read_arrived()
+        if self.timer is expired:
+            self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, detail))
 
     def start_idle(self) -> None:
         """Start the idle timeout in force."""
@@ -514,7 +528,42 @@
         if left > 0:
             self.wait(left, self.expire_idle)
         else:
-            self.close(CloseReason.IDLE)
+            self.close_if_idle(CloseReason.IDLE)
+
+    def close_if_idle(self, reason: CloseReason) -> bool:
+        """Close the connection if it is idle and nothing has arrived on it.
+
+        Returns
+        -------
+        bool
+            Whether it was closed.
+        """
+        if self.stage is Stage.IDLE:
+            self._read_arrived()
+        if self.stage is not Stage.IDLE:
+            return False
+        self.close(reason)
+        return True
+
+    def stop(self) -> None:
+        """Close the connection unless a whole request has arrived on it.
+
+        A request of which a part has arrived is refused.
+        """
+        if self.close_if_idle(CloseReason.STOPPING) or self.stage not in RECEIVING:
+            return
+        self._read_arrived()
+        if self.stage in RECEIVING:
+            self.refuse(Refusal(ErrorKind.STOPPING, "the router stops accepting"))
+
+    def _read_arrived(self) -> None:
+        """Read what has arrived, up to the end of a request."""
+        self._resume()
+        for _ in range(MAX_LAST_READS):
+            if self.stage in (Stage.ANSWERING, Stage.CLOSED):
+                return
+            if not self.edge.server.read(self.sock):
+                return
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection once all written data has been sent."""
@@ -605,9 +654,8 @@
 
     def _close_oldest(self) -> None:
         """Close the oldest idle one of the `MAX_IDLE_SEARCH` oldest connections."""
-        for connection in islice(self.connections.values(), MAX_IDLE_SEARCH):
-            if connection.stage is Stage.IDLE:
-                connection.close(CloseReason.CONNECTION_LIMIT)
+        for connection in list(islice(self.connections.values(), MAX_IDLE_SEARCH)):
+            if connection.close_if_idle(CloseReason.CONNECTION_LIMIT):
                 return
 
     def note_closed(self, connection: CallerConnection, reason: CloseReason) -> None:
@@ -643,20 +691,19 @@
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if connection.stage is Stage.IDLE:
-                connection.close(CloseReason.STOPPING)
+            connection.close_if_idle(CloseReason.STOPPING)
         self.root.wake()
 
     def stop_accepting(self) -> None:
         """Stop accepting connections and requests; requests in progress continue.
 
-        The caller may retry a request that was not completely received elsewhere.
+        Requests that have wholly arrived by now are served; those of which a part has
+        arrived are refused, so that their callers may repeat them elsewhere.
         """
         self.stopping = True
         self.server.stop_listening()
         for connection in list(self.connections.values()):
-            if connection.stage is not Stage.ANSWERING:
-                connection.close(CloseReason.STOPPING)
+            connection.stop()
         self.root.wake()
 
 
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -21,6 +21,8 @@
 READ_SIZE = 65536
 #: Maximum number of connections accepted per loop iteration.
 MAX_ACCEPTS_PER_TURN = 32
+#: Maximum number of turns in which connections are accepted before listening ends.
+MAX_LAST_TURNS = 128
 #: Milliseconds without an acknowledgement after which a connection counts as lost;
 #: longer than a caller waits for a part of a response.
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
@@ -142,17 +144,29 @@
         """Accept connections, or read from one."""
         if sock is self._sock:
             self._accept_pending()
-            return
+        else:
+            self.read(sock)
+
+    def read(self, sock: socket) -> bool:
+        """Read from a connection once; return whether bytes had arrived."""
         try:
             data = sock.recv(READ_SIZE)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             data = b""
         if data:
             self.owner.received(sock, data)
         else:
             self._close(sock)
+        return bool(data)
+
+    def stop_listening(self) -> None:
+        """Accept the connections that callers have opened, then stop accepting."""
+        for _ in range(MAX_LAST_TURNS):
+            if self._sock is None or not self._accept_pending():
+                break
+        super().stop_listening()
 
     def on_writable(self, sock: socket) -> None:
         """Write buffered data to a connection."""
@@ -162,7 +176,8 @@
         """Close a connection that was lost."""
         self._close(sock)
 
-    def _accept_pending(self) -> None:
+    def _accept_pending(self) -> bool:
+        """Accept connections; return whether there may be more."""
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 sock, _address = self._sock.accept()
@@ -170,7 +185,7 @@
                 # Usually no connection is pending, or the caller has disconnected.
                 if error.errno in (EMFILE, ENFILE, ENOMEM):
                     logger.warning("no connection taken", extra={"reason": str(error)})
-                return
+                return False
             try:
                 self._add_connection(sock)
             except Exception as error:
@@ -180,6 +195,7 @@
                 )
                 self._close(sock)
                 sock.close()
+        return True
 
     def _add_connection(self, sock: socket) -> None:
         if len(self._clients) >= self.limit:
--- a/tests/transport/edge_builders.py
+++ b/tests/transport/edge_builders.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import select
+from socket import MSG_PEEK
 from typing import TYPE_CHECKING
 
 from carawayfold.settings import Address
@@ -12,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
+    from socket import socket
 
     from carawayfold.transport.edge import CallerConnection, Incoming
 
@@ -48,6 +51,34 @@
     return next(iter(edge.connections.values()))
 
 
+async def connect_unread(
+    edge: Edge, data: bytes
+) -> tuple[CallerConnection, asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection on which `data` has arrived that the edge has not read.
+
+    The edge reads nothing of its own accord until its poller runs again.
+    """
+    reader, writer = await connect(edge)
+    connection = await accepted(edge)
+    edge.root.detach()
+    writer.write(data)
+    await writer.drain()
+    arrived(connection.sock, len(data))
+    return connection, reader, writer
+
+
+def arrived(sock: socket, size: int) -> None:
+    """Wait until `size` bytes have arrived at a socket."""
+    while len(select_readable(sock, size)) < size:
+        pass
+
+
+def select_readable(sock: socket, size: int) -> bytes:
+    """Return up to `size` bytes that have arrived, without reading them."""
+    select.select([sock], [], [])
+    return sock.recv(size, MSG_PEEK)
+
+
 def run(scenario: Callable[[], object], timeout: float = 10.0) -> object:
     """Run a coroutine function in a new loop, for at most `timeout` seconds."""
     return asyncio.run(asyncio.wait_for(scenario(), timeout))
