Let answers and refusals arrive before their connection is closed

Callers that had bytes on their way (a pipelined request, the rest of a body that was refused) lost the part of the answer that had not arrived yet: a connection that is closed with unread bytes, or that receives bytes after its close, is reset, and the kernel drops what it still had to send. The part that the router itself had not sent yet was dropped when the caller ended its sending side meanwhile.

After an answer, a refusal or a cut the router sends the rest, ends its sending side (SHUT_WR) and drops what arrives until the caller closes too, for at most LINGER_TIMEOUT (1 s) and LINGER_LIMIT (4 MiB). Such connections count toward the limit of connections; a new one takes the place of the oldest of them. Idle connections are closed as before, so that a request that crosses the close is not read. A connection that is closed after its answer costs one read and one timer more; reused ones cost nothing.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -126,6 +126,11 @@
 EXPECTED_REASONS = frozenset(
     {CloseReason.ANSWERED, CloseReason.REFUSED, CloseReason.LOST}
 )
+#: Reasons for which only idle connections are closed. Bytes that cross such a close are
+#: not read, so that the caller knows that they were not processed.
+IDLE_REASONS = frozenset(
+    {CloseReason.IDLE, CloseReason.CONNECTION_LIMIT, CloseReason.STOPPING}
+)
 
 
 class EdgeLimits(msgspec.Struct, frozen=True):
@@ -566,11 +571,17 @@
                 return
 
     def close(self, reason: CloseReason) -> None:
-        """Close the connection once all written data has been sent."""
+        """Close the connection once all written data has been sent.
+
+        Where the caller may be sending still, it must receive the answer first.
+        """
         if self.stage is Stage.CLOSED:
             return
         self.lost(reason)
-        self.edge.server.close(self.sock)
+        if reason in IDLE_REASONS:
+            self.edge.server.close(self.sock)
+        else:
+            self.edge.server.finish(self.sock)
         self.edge.root.wake()
 
     def lost(self, reason: CloseReason = CloseReason.LOST) -> None:
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from errno import EMFILE, ENFILE, ENOMEM
-from socket import IPPROTO_TCP, TCP_NODELAY, TCP_USER_TIMEOUT
+from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY, TCP_USER_TIMEOUT
 from typing import TYPE_CHECKING, Protocol
 
 import logbook
+import msgspec
 from circuits import handler
 from circuits.net.sockets import TCPServer
 
@@ -26,6 +28,11 @@
 #: Milliseconds without an acknowledgement after which a connection counts as lost;
 #: longer than a caller waits for a part of a response.
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
+#: Seconds for which a connection is read after its last byte was sent. A connection
+#: that is closed with unread bytes is reset, which may destroy that byte on its way.
+LINGER_TIMEOUT = 1.0
+#: Maximum number of bytes that are read and dropped meanwhile.
+LINGER_LIMIT = 4 << 20
 
 
 class OpenSockets(dict):
@@ -108,6 +115,24 @@
         super()._on_accept_done(sock, fire_connect_event)
 
 
+class Lingering(msgspec.Struct):
+    """A connection that is closed as soon as its caller closes it.
+
+    Attributes
+    ----------
+    left : int
+        Bytes that may still be read and dropped.
+    timer : asyncio.TimerHandle or None
+        Closes the connection; None while data is still to be sent.
+    ended : bool
+        Whether the caller has closed its side.
+    """
+
+    left: int
+    timer: asyncio.TimerHandle | None = None
+    ended: bool = False
+
+
 class ConnectionOwner(Protocol):
     """Interface for the connection callbacks of a `CallbackServer`."""
 
@@ -139,6 +164,13 @@
     ) -> None:
         super().__init__(bind, channel)
         self.owner = owner
+        #: Connections that their owner has finished with, the oldest first.
+        self.lingering: dict[socket, Lingering] = {}
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections, including those being closed."""
+        return len(self._clients)
 
     def on_readable(self, sock: socket) -> None:
         """Accept connections, or read from one."""
@@ -155,12 +187,51 @@
             return False
         except OSError:
             data = b""
-        if data:
+        if self.lingering and sock in self.lingering:
+            self._drop(sock, data)
+        elif data:
             self.owner.received(sock, data)
         else:
             self._close(sock)
         return bool(data)
 
+    def finish(self, sock: socket) -> None:
+        """Close a connection once its data is sent and its caller has closed it too.
+
+        What the caller still sends is dropped, within `LINGER_LIMIT` and for
+        `LINGER_TIMEOUT`.
+        """
+        if sock not in self._clients or sock in self.lingering:
+            return
+        self.lingering[sock] = Lingering(LINGER_LIMIT)
+        if not self._buffers.get(sock):
+            self._end_output(sock)
+
+    def _end_output(self, sock: socket) -> None:
+        """Tell the caller that nothing follows, and wait for its end."""
+        lingering = self.lingering[sock]
+        if lingering.ended:
+            self._close(sock)
+            return
+        try:
+            sock.shutdown(SHUT_WR)
+        except OSError:
+            self._close(sock)
+            return
+        loop = asyncio.get_running_loop()
+        lingering.timer = loop.call_later(LINGER_TIMEOUT, self._close, sock)
+
+    def _drop(self, sock: socket, data: bytes) -> None:
+        """Count bytes that are dropped; close the connection at the end or limit."""
+        lingering = self.lingering[sock]
+        lingering.left -= len(data)
+        if not data and self._buffers.get(sock):
+            # The caller may still read.
+            lingering.ended = True
+            self._poller.removeReader(sock)
+        elif not data or lingering.left < 0:
+            self._close(sock)
+
     def stop_listening(self) -> None:
         """Accept the connections that callers have opened, then stop accepting."""
         for _ in range(MAX_LAST_TURNS):
@@ -171,6 +242,9 @@
     def on_writable(self, sock: socket) -> None:
         """Write buffered data to a connection."""
         self._on_write(sock)
+        lingering = self.lingering.get(sock)
+        if lingering and lingering.timer is None and not self._buffers.get(sock):
+            self._end_output(sock)
 
     def on_hangup(self, sock: socket) -> None:
         """Close a connection that was lost."""
@@ -198,6 +272,8 @@
         return True
 
     def _add_connection(self, sock: socket) -> None:
+        if len(self._clients) >= self.limit and self.lingering:
+            self._close(next(iter(self.lingering)))
         if len(self._clients) >= self.limit:
             sock.close()
             return
@@ -210,6 +286,9 @@
 
     def _close(self, sock: socket) -> None:
         known = sock in self._clients
+        lingering = self.lingering.pop(sock, None)
+        if lingering is not None and lingering.timer is not None:
+            lingering.timer.cancel()
         super()._close(sock)
         if known:
             self.owner.lost(sock)
