Reset the connection of a cut answer that has no length

A caller of HTTP/1.0 to which an answer without a declared length was sent took a cut answer for a complete one: the end of the connection is the end of such a body, and a cut closed the connection like a complete answer. It is reset now, and the caller gets a connection error. Answers with a length or in chunks show the cut by themselves and are still closed after their last byte.

Seen from reading. Evidence: test_a_cut_answer_without_a_length_looked_complete failed on the code before.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -263,9 +263,13 @@
         connection.finished()
 
     def abort(self) -> None:
-        """Close the connection, so that the caller detects a truncated response."""
+        """Close the connection, so that the caller detects a truncated response.
+
+        The end of the connection would complete a response without a length.
+        """
         self.answered = True
-        self.connection.close(CloseReason.CUT)
+        ends_at_close = self.begun and self.left is None and not self.chunked
+        self.connection.close(CloseReason.CUT, reset=ends_at_close)
 
     def fail(self, status: int) -> None:
         """Answer after an error with `status` only; cut an answer that has begun."""
@@ -570,15 +574,18 @@
             if not self.edge.server.read(self.sock):
                 return
 
-    def close(self, reason: CloseReason) -> None:
+    def close(self, reason: CloseReason, reset: bool = False) -> None:
         """Close the connection once all written data has been sent.
 
         Where the caller may be sending still, it must receive the answer first.
+        With `reset`, the connection is reset at once instead.
         """
         if self.stage is Stage.CLOSED:
             return
         self.lost(reason)
-        if reason in IDLE_REASONS:
+        if reset:
+            self.edge.server.reset(self.sock)
+        elif reason in IDLE_REASONS:
             self.edge.server.close(self.sock)
         else:
             self.edge.server.finish(self.sock)
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -3,8 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import struct
 from errno import EMFILE, ENFILE, ENOMEM
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY, TCP_USER_TIMEOUT
+from socket import (
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
 from typing import TYPE_CHECKING, Protocol
 
 import logbook
@@ -33,6 +42,8 @@
 LINGER_TIMEOUT = 1.0
 #: Maximum number of bytes that are read and dropped meanwhile.
 LINGER_LIMIT = 4 << 20
+#: Value of ``SO_LINGER`` with which the close of a socket resets its connection.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class OpenSockets(dict):
@@ -207,6 +218,16 @@
         if not self._buffers.get(sock):
             self._end_output(sock)
 
+    def reset(self, sock: socket) -> None:
+        """Reset a connection, so that its caller does not take the end for complete."""
+        if sock not in self._clients:
+            return
+        self._poller.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_AT_CLOSE)
+        sock.close()
+        self._close(sock)
+
     def _end_output(self, sock: socket) -> None:
         """Tell the caller that nothing follows, and wait for its end."""
         lingering = self.lingering[sock]
--- a/tests/transport/test_answers_at_a_close.py
+++ b/tests/transport/test_answers_at_a_close.py
@@ -169,3 +169,24 @@
                 writer.close()
 
     run(scenario)
+
+
+def test_a_cut_answer_without_a_length_looked_complete():
+    async def scenario():
+        def cut(incoming):
+            incoming.begin(200, [])
+            incoming.send(b"a part")
+            incoming.abort()
+
+        async with open_edge(cut) as edge:
+            sock = await open_socket(edge)
+            request = b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n"
+            await asyncio.get_running_loop().sock_sendall(sock, request)
+            try:
+                await read_all(sock)
+            except ConnectionResetError:
+                return edge.closed, edge.server.open_connections
+            finally:
+                sock.close()
+
+    assert run(scenario) == ({CloseReason.CUT: 1}, 0)
