Finish an answer whose caller sends much behind its request

A caller that sent more than 64 KiB while its request was in progress lost the answer: its connection was closed at once. The router stops reading from it instead, finishes the answer and goes on with what is buffered, at most PIPELINE_LIMIT and one read.

While a connection is not read, the router can't see that its caller leaves: the request goes on until it is answered or its deadline is over. The close reason pipeline-full no longer exists.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -53,8 +53,8 @@
 #: Maximum total size of all bodies being received or forwarded, in bytes; leaves most
 #: of the memory of the smallest instance (128 MB) to connections.
 BODIES_LIMIT = 32 << 20
-#: Maximum number of bytes buffered after a request in progress; the connection is
-#: closed if a caller sends more.
+#: Number of bytes buffered after a request in progress above which the connection is
+#: not read until that request has been answered.
 PIPELINE_LIMIT = 65536
 #: Header that determines the length of the body.
 FRAMING_HEADER = re.compile(
@@ -112,8 +112,6 @@
     CUT = "answer-cut"
     #: No request came within the idle timeout.
     IDLE = "idle"
-    #: The caller sent too much while a request was in progress.
-    PIPELINE_FULL = "pipeline-full"
     #: There were too many connections, and this one was idle.
     CONNECTION_LIMIT = "connection-limit"
     #: The router is stopping.
@@ -290,6 +288,8 @@
         Head of the request whose body is being read.
     idle_since : float
         Loop time at which the connection last became idle, in seconds.
+    paused : bool
+        Whether it is not read, since too much is buffered.
     """
 
     edge: Edge
@@ -304,6 +304,7 @@
     bytes_to_skip: int = 0
     rejected_head: bytes = b""
     idle_since: float = 0.0
+    paused: bool = False
 
     def write(self, data: bytes | None) -> None:
         """Send bytes to the caller."""
@@ -328,13 +329,28 @@
         self.pending += data
         if self.stage is Stage.ANSWERING:
             if len(self.pending) > PIPELINE_LIMIT:
-                self.close(CloseReason.PIPELINE_FULL)
+                self._pause()
             return
         if self.stage is Stage.IDLE:
             self.stage = Stage.HEAD
             self.wait(self.edge.limits.head_timeout, self._head_timed_out)
         self._advance()
 
+    def _pause(self) -> None:
+        """Stop reading until the request in progress has been answered.
+
+        That its caller leaves is not seen meanwhile; the request ends at its deadline
+        at the latest.
+        """
+        if not self.paused:
+            self.paused = True
+            self.edge.server.pause(self.sock)
+
+    def _unpause(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.edge.server.resume(self.sock)
+
     def _advance(self) -> None:
         try:
             if self.stage is Stage.HEAD:
@@ -472,6 +488,7 @@
 
     def finished(self) -> None:
         """Continue after a response, with any data received in the meantime."""
+        self._unpause()
         self._release_body()
         keep_alive = self.request.keep_alive
         self.request = None
@@ -582,6 +599,7 @@
         """
         if self.stage is Stage.CLOSED:
             return
+        self._unpause()
         self.lost(reason)
         if reset:
             self.edge.server.reset(self.sock)
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -206,6 +206,19 @@
             self._close(sock)
         return bool(data)
 
+    def pause(self, sock: socket) -> None:
+        """Stop reading from a connection.
+
+        Until `resume`, it is not seen that its caller closes it.
+        """
+        if sock in self._clients:
+            self._poller.removeReader(sock)
+
+    def resume(self, sock: socket) -> None:
+        """Read from a connection again after `pause`."""
+        if sock in self._clients:
+            self._poller.addReader(self, sock)
+
     def finish(self, sock: socket) -> None:
         """Close a connection once its data is sent and its caller has closed it too.
 
--- a/tests/transport/test_requests_at_a_close.py
+++ b/tests/transport/test_requests_at_a_close.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from carawayfold.transport.edge import CloseReason, Stage
+from carawayfold.transport.edge import PIPELINE_LIMIT, CloseReason, Stage
+from carawayfold.transport.sockets import READ_SIZE
 from tests.transport.edge_builders import (
     GET,
     POST,
@@ -159,3 +160,51 @@
             return head
 
     assert run(scenario).startswith(b"HTTP/1.1 200 ")
+
+
+def test_an_answer_in_progress_was_cut_for_what_its_caller_sent_behind():
+    async def scenario():
+        waiting = []
+        async with open_edge(waiting.append) as edge:
+            reader, writer = await connect(edge)
+            connection = await accepted(edge)
+            writer.write(GET)
+            while not waiting:
+                await asyncio.sleep(0)
+            behind = PIPELINE_LIMIT // len(POST) * 4
+            writer.write(POST * behind)
+            while len(connection.pending) <= PIPELINE_LIMIT:
+                assert connection.stage is Stage.ANSWERING
+                await asyncio.sleep(0)
+            # Nothing more is read, however often the poller runs.
+            for _ in range(100):
+                edge.root.pump()
+            assert len(connection.pending) <= PIPELINE_LIMIT + READ_SIZE
+            edge.serve = served
+            waiting.pop().answer(200, [])
+            for _ in range(behind + 1):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+    run(scenario)
+
+
+def test_an_answer_after_which_too_much_was_sent_is_delivered_with_its_close():
+    async def scenario():
+        waiting = []
+        async with open_edge(waiting.append) as edge:
+            reader, writer = await connect(edge)
+            connection = await accepted(edge)
+            writer.write(GET.replace(b"Host: x", b"Host: x\r\nConnection: close"))
+            writer.write(POST * 10_000)
+            while len(connection.pending) <= PIPELINE_LIMIT:
+                await asyncio.sleep(0)
+            waiting.pop().answer(200, [], b"whole")
+            got = await reader.read()
+            writer.close()
+            return got, edge.closed
+
+    got, closed = run(scenario)
+    assert got.endswith(b"whole")
+    assert closed == {CloseReason.ANSWERED: 1}
