Answer the requests in flight when a router stops, and only once

Callers whose requests were in flight at the end of the grace period got nothing: the router closed with their connections open. A repeated SIGTERM, a SIGTERM after an internal task had failed, or a task that failed during the stop had the same effect at once, since a second begin_stop closed the router.

Signals change nothing while the router stops. Only a second interrupt (SIGINT) ends the wait. At the end, requests that arrived are read once more, then all requests in flight end as at their deadlines: 503 if no endpoint can have run them, 504 if one may have, and a cut where the answer had begun. Further ones are refused. The wait for the end covers connections whose last bytes are still to be sent or acknowledged by the caller's close.

Ruled out: cancelling the tasks, which is how a caller that left ends them and sends nothing.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -153,6 +153,8 @@
         The attempt in flight.
     replacement : Granted or None
         Grant of the endpoint that takes the place of a silent one.
+    time_limit : asyncio.Timeout or None
+        Ends the request at its deadline; None before its task has started.
     """
 
     incoming: Incoming
@@ -179,6 +181,7 @@
     cached_content: ContentId | None = None
     attempt: Attempt | None = None
     replacement: Granted | None = None
+    time_limit: asyncio.Timeout | None = None
 
     @property
     def content(self) -> ContentId:
@@ -279,6 +282,8 @@
         self.in_force: ActiveConfiguration | None = None
         self.wait_estimators: dict[RouteId, WaitEstimator] = {}
         self.calls: dict[ForwardedCall, asyncio.Task[None]] = {}
+        #: Whether requests in flight have been ended and further ones are refused.
+        self.stopping = False
 
     @property
     def version(self) -> int:
@@ -309,6 +314,8 @@
         incoming.on_disconnect = task.cancel
 
     def _open_call(self, incoming: Incoming, parsed: RequestFields) -> ForwardedCall:
+        if self.stopping:
+            raise Refusal(ErrorKind.STOPPING, "the router stops")
         if self.route_index is None:
             raise Refusal(ErrorKind.NOT_READY)
         routes = self.route_index.table
@@ -363,7 +370,7 @@
 
     async def _forward(self, call: ForwardedCall) -> None:
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with asyncio.timeout_at(call.deadline) as call.time_limit:
                 if call.resume_after is not None:
                     await self._find_origin(call)
                 await self._try_endpoints(call)
@@ -390,9 +397,22 @@
             return Refusal(ErrorKind.INTERNAL, repr(error), Ran.UNKNOWN)
         return Refusal(ErrorKind.NO_ENDPOINT, repr(error), Ran.NO)
 
+    def end_calls(self) -> None:
+        """End all requests in flight as at their deadlines, since the router stops."""
+        self.stopping = True
+        now = self.loop.time()
+        for call in self.calls:
+            if call.time_limit is None:
+                call.deadline = now
+            elif not call.time_limit.expired():
+                call.time_limit.reschedule(now)
+
     def _deadline_refusal(self, call: ForwardedCall) -> Refusal:
+        detail = "the router stops" if self.stopping else "out of time"
         if call.attempts.may_have_run:
-            return Refusal(ErrorKind.NO_ANSWER, "out of time", Ran.UNKNOWN)
+            return Refusal(ErrorKind.NO_ANSWER, detail, Ran.UNKNOWN)
+        if self.stopping:
+            return Refusal(ErrorKind.STOPPING, detail, Ran.NO)
         return Refusal(ErrorKind.OVERLOADED, "out of time", Ran.NO)
 
     async def _find_origin(self, call: ForwardedCall) -> None:
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -66,7 +66,7 @@
 #: load balancer checks readiness once a second and removes a router after two
 #: failed checks.
 STOP_NOTICE_DURATION = 2.6
-#: Seconds before the end of the grace period at which remaining requests are aborted.
+#: Seconds before the end of the grace period at which remaining requests are ended.
 STOP_MARGIN = 0.6
 #: Seconds between checks whether all requests have finished during a stop.
 STOP_POLL_INTERVAL = 0.05
@@ -178,7 +178,10 @@
         self.checks = self._listen(settings.ready_listen, self._serve_check, "checks")
         self.peer_edge = self._listen(settings.peer_listen, self._serve_peer, "inner")
         self.tasks: set[asyncio.Task[None]] = set()
+        #: Set when the router is to close, whatever is in flight.
         self.stopped = asyncio.Event()
+        #: Whether an interrupt (SIGINT) has begun to stop it.
+        self.interrupted = False
 
     def _listen(
         self, address: Address, serve: object, listener: str, **options: str
@@ -285,6 +288,9 @@
             self.begin_stop()
 
     async def _close(self) -> None:
+        self.front.stop_accepting()
+        self.forwarder.end_calls()
+        await asyncio.sleep(FINAL_RESPONSES_DELAY)
         logger.info("router stopped", extra={"router": self.settings.router})
         for task in list(self.tasks):
             task.cancel()
@@ -300,8 +306,8 @@
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.begin_stop)
+        loop.add_signal_handler(signal.SIGTERM, self.begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self.interrupt)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
@@ -320,28 +326,43 @@
     def begin_stop(self) -> None:
         """Stop accepting requests, finish those in flight, then stop.
 
-        A second call stops the router at once.
+        Further calls change nothing, since stop signals may be repeated.
         """
         if self.fleet.own.state is PeerState.STOPPING:
-            self.stopped.set()
             return
         logger.info("router stopping", extra={"calls": len(self.forwarder.calls)})
         self.front.stopping = True
         self.fleet.stop()
-        self._spawn(self._finish())
+        self._spawn(self._stop())
+
+    def interrupt(self) -> None:
+        """Begin to stop; end the requests in flight at the second call."""
+        if self.interrupted:
+            self.stopped.set()
+        self.interrupted = True
+        self.begin_stop()
+
+    async def _stop(self) -> None:
+        try:
+            await self._finish()
+        finally:
+            self.stopped.set()
 
     async def _finish(self) -> None:
+        """Wait until requests have finished, at most to the end of the grace period."""
         loop = asyncio.get_running_loop()
         start = loop.time()
         end = start + self.settings.stop_grace - STOP_MARGIN
         await asyncio.sleep(min(STOP_NOTICE_DURATION, max(0.0, end - loop.time())))
         # A request accepted later could not finish before the process is killed.
         self.front.stop_accepting()
-        while loop.time() < end and (self.forwarder.calls or self.front.connections):
+        while loop.time() < end and self._is_serving():
             await asyncio.sleep(STOP_POLL_INTERVAL)
             self.front.close_idle()
-        await asyncio.sleep(FINAL_RESPONSES_DELAY)
-        self.stopped.set()
+
+    def _is_serving(self) -> bool:
+        """Return whether a request is in flight or a response on its way."""
+        return bool(self.forwarder.calls or self.front.server.open_connections)
 
     # Heartbeats and state updates
 
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -196,3 +196,24 @@
     with logbook.TestHandler() as logs:
         assert len(asyncio.run(scenario())) == 1
     assert not logs.has_errors
+
+
+@pytest.mark.parametrize(("may_have_run", "status"), [(0, 503), (1, 504)])
+def test_the_end_of_calls_says_whether_a_request_may_have_run(may_have_run, status):
+    async def scenario():
+        forwarder = make_forwarder(FakeCoordinator())
+
+        async def wait(call):
+            call.attempts.may_have_run = may_have_run
+            await asyncio.get_running_loop().create_future()
+
+        forwarder._try_endpoints = wait
+        incoming, unstarted = Answers(), Answers()
+        forwarder.serve(incoming)
+        await asyncio.sleep(0)
+        forwarder.serve(unstarted)
+        forwarder.end_calls()
+        await asyncio.gather(*forwarder.calls.values())
+        return incoming.statuses, unstarted.statuses
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 5)) == ([status], [status])
