Serve all that has arrived at a close, and answer each request once

Whatever was read before a close keeps the connection open; a connection with unsent data is closed like one that was answered; errors are answered only while a request is unanswered.

--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -371,13 +371,12 @@
 
         Nothing has been passed on, so the answer states that the request has not run.
         """
-        stage = self.stage.value
         logger.exception(
             "a request failed in its edge",
-            extra={"reason": repr(error), "stage": stage},
+            extra={"reason": repr(error), "stage": self.stage.value},
         )
         refusal = Refusal(ErrorKind.NO_ENDPOINT, repr(error))
-        if self.stage is not Stage.ANSWERING:
+        if self.stage in RECEIVING:
             self.refuse(refusal)
         elif self.request is not None:
             self.request.fail(refusal.answer.status)
@@ -419,6 +418,7 @@
         if self.bytes_to_skip:
             return
         found = self.edge.id_pattern.search(self.rejected_head)
+        self.edge.on_rejected(found.group(2).decode("ascii") if found else "")
         named = b"%b: %b\r\n" % found.groups() if found else b""
         closing = self.edge.closes_connections() and not self.pending
         closing = closing or CONNECTION_CLOSE.search(self.rejected_head)
@@ -428,7 +428,6 @@
             b"Content-Length: 0\r\n\r\n" % (named, SHED_RETRY_AFTER, close)
         )
         self.rejected_head = b""
-        self.edge.on_rejected(found.group(2).decode("ascii") if found else "")
         if closing:
             self.close(CloseReason.REFUSED)
         else:
@@ -533,9 +532,7 @@
 
     def _refuse_slow(self, detail: str) -> None:
         """Refuse a request unless the rest of what is awaited has arrived."""
-        expired = self.timer
-        self._read_arrived()
-        if self.timer is expired:
+        if not self._read_arrived():
             self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, detail))
 
     def start_idle(self) -> None:
@@ -562,34 +559,40 @@
         Returns
         -------
         bool
-            Whether it was closed.
+            Whether it is closed.
         """
-        if self.stage is Stage.IDLE:
-            self._read_arrived()
-        if self.stage is not Stage.IDLE:
-            return False
-        self.close(reason)
-        return True
+        if self.stage is Stage.IDLE and not self._read_arrived():
+            self.close(reason)
+        return self.stage is Stage.CLOSED
 
     def stop(self) -> None:
         """Close the connection unless a whole request has arrived on it.
 
         A request of which a part has arrived is refused.
         """
-        if self.close_if_idle(CloseReason.STOPPING) or self.stage not in RECEIVING:
-            return
-        self._read_arrived()
+        self.close_if_idle(CloseReason.STOPPING)
+        if self.stage in RECEIVING:
+            self._read_arrived()
         if self.stage in RECEIVING:
             self.refuse(Refusal(ErrorKind.STOPPING, "the router stops accepting"))
 
-    def _read_arrived(self) -> None:
-        """Read what has arrived, up to the end of a request."""
-        self._resume()
+    def _read_arrived(self) -> bool:
+        """Read what has arrived, up to a request that is not answered at once.
+
+        Returns
+        -------
+        bool
+            Whether the stage for which the timer runs has ended.
+        """
+        timer = self.timer
         for _ in range(MAX_LAST_READS):
             if self.stage in (Stage.ANSWERING, Stage.CLOSED):
-                return
-            if not self.edge.server.read(self.sock):
-                return
+                break
+            if self.stage is Stage.IDLE and self.pending:
+                self._resume()
+            elif not self.edge.server.read(self.sock):
+                break
+        return self.timer is not timer
 
     def close(self, reason: CloseReason, reset: bool = False) -> None:
         """Close the connection once all written data has been sent.
@@ -603,7 +606,7 @@
         self.lost(reason)
         if reset:
             self.edge.server.reset(self.sock)
-        elif reason in IDLE_REASONS:
+        elif reason in IDLE_REASONS and not self.edge.server.is_sending(self.sock):
             self.edge.server.close(self.sock)
         else:
             self.edge.server.finish(self.sock)
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -206,6 +206,10 @@
             self._close(sock)
         return bool(data)
 
+    def is_sending(self, sock: socket) -> bool:
+        """Return whether data for a connection is still buffered."""
+        return bool(self._buffers.get(sock))
+
     def pause(self, sock: socket) -> None:
         """Stop reading from a connection.
 
@@ -228,7 +232,7 @@
         if sock not in self._clients or sock in self.lingering:
             return
         self.lingering[sock] = Lingering(LINGER_LIMIT)
-        if not self._buffers.get(sock):
+        if not self.is_sending(sock):
             self._end_output(sock)
 
     def reset(self, sock: socket) -> None:
@@ -259,7 +263,7 @@
         """Count bytes that are dropped; close the connection at the end or limit."""
         lingering = self.lingering[sock]
         lingering.left -= len(data)
-        if not data and self._buffers.get(sock):
+        if not data and self.is_sending(sock):
             # The caller may still read.
             lingering.ended = True
             self._poller.removeReader(sock)
@@ -277,7 +281,7 @@
         """Write buffered data to a connection."""
         self._on_write(sock)
         lingering = self.lingering.get(sock)
-        if lingering and lingering.timer is None and not self._buffers.get(sock):
+        if lingering and lingering.timer is None and not self.is_sending(sock):
             self._end_output(sock)
 
     def on_hangup(self, sock: socket) -> None:
--- a/tests/transport/test_answers_at_a_close.py
+++ b/tests/transport/test_answers_at_a_close.py
@@ -190,3 +190,25 @@
                 sock.close()
 
     assert run(scenario) == ({CloseReason.CUT: 1}, 0)
+
+
+def test_the_unsent_end_of_an_answer_is_sent_after_a_close_as_idle():
+    async def scenario():
+        async with open_edge(
+            lambda incoming: incoming.answer(200, [], b"x" * LARGE)
+        ) as edge:
+            sock = await open_socket(edge)
+            connection = await accepted(edge)
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await asyncio.get_running_loop().sock_sendall(sock, POST)
+            while not connection.edge.server.is_sending(connection.sock):
+                await asyncio.sleep(0)
+            edge.close_idle()
+            sock.shutdown(socket.SHUT_WR)
+            got = await read_all(sock)
+            sock.close()
+            return len(got), edge.closed
+
+    size, closed = run(scenario)
+    assert size > LARGE
+    assert closed == {CloseReason.STOPPING: 1}
--- a/tests/transport/test_caller_connections.py
+++ b/tests/transport/test_caller_connections.py
@@ -162,3 +162,30 @@
             writer.close()
 
     run(scenario)
+
+
+def test_an_error_after_an_answer_adds_no_second_one():
+    def answer_and_fail(incoming):
+        incoming.answer(200, [], b"whole")
+        fail(incoming)
+
+    def count_and_fail(request):
+        fail(request)
+
+    async def scenario():
+        async with open_edge(answer_and_fail) as edge:
+            edge.on_rejected = count_and_fail
+            reader, writer = await connect(edge)
+            writer.write(POST + GET.replace(b"Host", b"Connection: close\r\nHost"))
+            answered = await reader.read()
+            writer.close()
+            edge.should_reject = lambda: True
+            reader, writer = await connect(edge)
+            writer.write(POST)
+            rejected = await reader.read()
+            writer.close()
+            return answered, rejected
+
+    answered, rejected = run(scenario)
+    assert answered.count(b"HTTP/1.1 ") == answered.count(b"HTTP/1.1 200 ") == 2
+    assert rejected.count(b"HTTP/1.1 ") == rejected.count(b"HTTP/1.1 503 ") == 1
--- a/tests/transport/test_requests_at_a_close.py
+++ b/tests/transport/test_requests_at_a_close.py
@@ -208,3 +208,31 @@
     got, closed = run(scenario)
     assert got.endswith(b"whole")
     assert closed == {CloseReason.ANSWERED: 1}
+
+
+@pytest.mark.parametrize("close", CLOSES)
+def test_requests_that_are_answered_at_once_are_all_answered_at_a_close(close):
+    async def scenario():
+        async with open_edge(served) as edge:
+            connection, reader, writer = await connect_unread(edge, POST * 3)
+            close(edge, connection)
+            edge.root.attach()
+            for _ in range(3):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+    run(scenario)
+
+
+def test_a_connection_that_served_a_request_at_its_idle_timeout_stays_open():
+    async def scenario():
+        async with open_edge(served) as edge:
+            connection, reader, writer = await connect_unread(edge, POST)
+            expire(edge, connection)
+            edge.root.attach()
+            await reader.readuntil(b"\r\n\r\n")
+            assert connection.stage is Stage.IDLE
+            writer.close()
+
+    run(scenario)
