--- a/tests/transport/test_caller_connections.py
+++ b/tests/transport/test_caller_connections.py
@@ -189,3 +189,60 @@
     answered, rejected = run(scenario)
     assert answered.count(b"HTTP/1.1 ") == answered.count(b"HTTP/1.1 200 ") == 2
     assert rejected.count(b"HTTP/1.1 ") == rejected.count(b"HTTP/1.1 503 ") == 1
+
+
+def test_an_answer_that_ends_before_its_length_is_closed_as_incomplete():
+    def end_early(incoming):
+        incoming.begin(200, [("Content-Length", "10")])
+        incoming.send(b"a part")
+        incoming.end()
+
+    async def scenario():
+        async with open_edge(end_early) as edge:
+            reader, writer = await connect(edge)
+            writer.write(GET)
+            answer = await reader.read()
+            writer.close()
+            return answer, edge.closed
+
+    answer, closed = run(scenario)
+    assert answer.endswith(b"a part")
+    assert closed == {CloseReason.INCOMPLETE: 1}
+
+
+@pytest.mark.parametrize("part", [b"", GET[:20], POST[:-2]])
+def test_a_caller_that_leaves_before_its_request_is_whole_gets_nothing(part):
+    async def scenario():
+        served = []
+        async with open_edge(served.append) as edge:
+            _, writer = await connect(edge)
+            await accepted(edge)
+            writer.write(part)
+            writer.close()
+            while edge.connections:
+                await asyncio.sleep(0)
+            return served, edge.closed
+
+    assert run(scenario) == ([], {CloseReason.LOST: 1})
+
+
+@pytest.mark.parametrize("half", [False, True])
+def test_a_caller_that_ends_its_input_cancels_its_request(half):
+    async def scenario():
+        served, cancelled = [], []
+        async with open_edge(served.append) as edge:
+            _, writer = await connect(edge)
+            writer.write(GET)
+            while not served:
+                await asyncio.sleep(0)
+            served[0].on_disconnect = lambda: cancelled.append(True)
+            if half:
+                writer.write_eof()
+            else:
+                writer.close()
+            while edge.connections:
+                await asyncio.sleep(0)
+            writer.close()
+            return cancelled, edge.closed
+
+    assert run(scenario) == ([True], {CloseReason.LOST: 1})
