--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -155,6 +155,8 @@
         Grant of the endpoint that takes the place of a silent one.
     waiting_reason : str
         Why it last had to stay at a silent endpoint.
+    time_limit : asyncio.Timeout or None
+        Ends the request at its deadline; None before its task has started.
     """
 
     incoming: Incoming
@@ -182,6 +184,7 @@
     attempt: Attempt | None = None
     replacement: Granted | None = None
     waiting_reason: str = ""
+    time_limit: asyncio.Timeout | None = None
 
     @property
     def content(self) -> ContentId:
@@ -282,6 +285,8 @@
         self.in_force: ActiveConfiguration | None = None
         self.wait_estimators: dict[RouteId, WaitEstimator] = {}
         self.calls: dict[ForwardedCall, asyncio.Task[None]] = {}
+        #: Whether requests in flight have been ended and further ones are refused.
+        self.stopping = False
 
     @property
     def version(self) -> int:
@@ -301,12 +306,19 @@
             content = call.content if call is not None else ""
             self._refuse(incoming, parsed, refusal, content)
             return
+        except Exception as error:
+            self._log_error(error)
+            refusal = Refusal(ErrorKind.NO_ENDPOINT, repr(error), Ran.NO)
+            self._refuse(incoming, parsed, refusal, "")
+            return
         self.budget.request(call.service, self.loop.time())
         task = self.loop.create_task(self._run(call))
         self.calls[call] = task
         incoming.on_disconnect = task.cancel
 
     def _open_call(self, incoming: Incoming, parsed: RequestFields) -> ForwardedCall:
+        if self.stopping:
+            raise Refusal(ErrorKind.STOPPING, "the router stops")
         if self.route_index is None:
             raise Refusal(ErrorKind.NOT_READY)
         routes = self.route_index.table
@@ -351,7 +363,17 @@
 
     async def _run(self, call: ForwardedCall) -> None:
         try:
-            async with asyncio.timeout_at(call.deadline):
+            await self._forward(call)
+        except Exception as error:
+            # Not even the refusal could be sent.
+            self._log_error(error)
+            call.incoming.fail(self._internal_refusal(call, error).answer.status)
+        finally:
+            self.calls.pop(call, None)
+
+    async def _forward(self, call: ForwardedCall) -> None:
+        try:
+            async with asyncio.timeout_at(call.deadline) as call.time_limit:
                 if call.resume_after is not None:
                     await self._find_origin(call)
                 await self._try_endpoints(call)
@@ -363,13 +385,14 @@
             self._log_end(call, "caller left")
             raise
         except Exception as error:
-            logger.error(
-                "internal error while forwarding a request",
-                extra={"reason": repr(error)},
-            )
+            self._log_error(error)
             self._end_refused(call, self._internal_refusal(call, error))
-        finally:
-            self.calls.pop(call, None)
+
+    def _log_error(self, error: Exception) -> None:
+        logger.exception(
+            "internal error while forwarding a request",
+            extra={"reason": repr(error)},
+        )
 
     def _internal_refusal(self, call: ForwardedCall, error: Exception) -> Refusal:
         """Return the refusal for an internal error of this router."""
@@ -377,9 +400,22 @@
             return Refusal(ErrorKind.INTERNAL, repr(error), Ran.UNKNOWN)
         return Refusal(ErrorKind.NO_ENDPOINT, repr(error), Ran.NO)
 
+    def end_calls(self) -> None:
+        """End all requests in flight as at their deadlines, since the router stops."""
+        self.stopping = True
+        now = self.loop.time()
+        for call in self.calls:
+            if call.time_limit is None:
+                call.deadline = now
+            elif not call.time_limit.expired():
+                call.time_limit.reschedule(now)
+
     def _deadline_refusal(self, call: ForwardedCall) -> Refusal:
+        detail = "the router stops" if self.stopping else "out of time"
         if call.attempts.may_have_run:
-            return Refusal(ErrorKind.NO_ANSWER, "out of time", Ran.UNKNOWN)
+            return Refusal(ErrorKind.NO_ANSWER, detail, Ran.UNKNOWN)
+        if self.stopping:
+            return Refusal(ErrorKind.STOPPING, detail, Ran.NO)
         return Refusal(ErrorKind.OVERLOADED, "out of time", Ran.NO)
 
     async def _find_origin(self, call: ForwardedCall) -> None:
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -53,8 +53,8 @@
 #: Maximum total size of all bodies being received or forwarded, in bytes; leaves most
 #: of the memory of the smallest instance (128 MB) to connections.
 BODIES_LIMIT = 32 << 20
-#: Maximum number of bytes buffered after a request in progress; the connection is
-#: closed if a caller sends more.
+#: Number of bytes buffered after a request in progress above which the connection is
+#: not read until that request has been answered.
 PIPELINE_LIMIT = 65536
 #: Header that determines the length of the body.
 FRAMING_HEADER = re.compile(
@@ -78,6 +78,8 @@
 #: Fraction of the connection limit above which each new connection closes the oldest
 #: idle one.
 FULL_FRACTION = 0.9
+#: Maximum number of reads from a connection before it is closed by a timer or a stop.
+MAX_LAST_READS = 128
 #: Maximum number of connections searched for an idle one.
 MAX_IDLE_SEARCH = 64
 
@@ -93,6 +95,10 @@
     CLOSED = "closed"
 
 
+#: Stages in which a request is being received.
+RECEIVING = frozenset({Stage.HEAD, Stage.BODY, Stage.SKIPPING})
+
+
 class CloseReason(Enum):
     """Why a caller's connection was closed; the values appear in logs and metrics."""
 
@@ -106,8 +112,6 @@
     CUT = "answer-cut"
     #: No request came within the idle timeout.
     IDLE = "idle"
-    #: The caller sent too much while a request was in progress.
-    PIPELINE_FULL = "pipeline-full"
     #: There were too many connections, and this one was idle.
     CONNECTION_LIMIT = "connection-limit"
     #: The router is stopping.
@@ -120,6 +124,11 @@
 EXPECTED_REASONS = frozenset(
     {CloseReason.ANSWERED, CloseReason.REFUSED, CloseReason.LOST}
 )
+#: Reasons for which only idle connections are closed. Bytes that cross such a close are
+#: not read, so that the caller knows that they were not processed.
+IDLE_REASONS = frozenset(
+    {CloseReason.IDLE, CloseReason.CONNECTION_LIMIT, CloseReason.STOPPING}
+)
 
 
 class EdgeLimits(msgspec.Struct, frozen=True):
@@ -158,6 +167,10 @@
         Whether the response uses chunked encoding.
     left : int or None
         Remaining bytes of the response body; None if its length was not declared.
+    begun : bool
+        Whether the head of the response has been sent.
+    answered : bool
+        Whether the response has ended.
     """
 
     connection: CallerConnection
@@ -168,6 +181,7 @@
     is_http_1_1: bool = True
     received: float = 0.0
     body: bytes = b""
+    begun: bool = False
     answered: bool = False
     chunked: bool = False
     left: int | None = None
@@ -198,10 +212,14 @@
             return
         fields = list(headers)
         self._frame(status, fields)
-        if close or not self.keep_alive or connection.edge.closes_connections():
+        # What has arrived behind the request is answered too.
+        closing = connection.edge.closes_connections() and not connection.pending
+        if close or closing or not self.keep_alive:
             self.keep_alive = False
             fields.append(("Connection", "close"))
-        connection.write(response_head(status, fields))
+        head = response_head(status, fields)
+        self.begun = True
+        connection.write(head)
 
     def _frame(self, status: int, fields: list[tuple[str, str]]) -> None:
         """Select the framing of the response body."""
@@ -243,9 +261,20 @@
         connection.finished()
 
     def abort(self) -> None:
-        """Close the connection, so that the caller detects a truncated response."""
+        """Close the connection, so that the caller detects a truncated response.
+
+        The end of the connection would complete a response without a length.
+        """
         self.answered = True
-        self.connection.close(CloseReason.CUT)
+        ends_at_close = self.begun and self.left is None and not self.chunked
+        self.connection.close(CloseReason.CUT, reset=ends_at_close)
+
+    def fail(self, status: int) -> None:
+        """Answer after an error with `status` only; cut an answer that has begun."""
+        if self.begun and not self.answered:
+            self.abort()
+        else:
+            self.answer(status, [])
 
 
 class CallerConnection(msgspec.Struct, eq=False):
@@ -257,6 +286,10 @@
         Bytes received but not yet parsed.
     head : RequestHead or None
         Head of the request whose body is being read.
+    idle_since : float
+        Loop time at which the connection last became idle, in seconds.
+    paused : bool
+        Whether it is not read, since too much is buffered.
     """
 
     edge: Edge
@@ -270,6 +303,8 @@
     timer: asyncio.TimerHandle | None = None
     bytes_to_skip: int = 0
     rejected_head: bytes = b""
+    idle_since: float = 0.0
+    paused: bool = False
 
     def write(self, data: bytes | None) -> None:
         """Send bytes to the caller."""
@@ -294,13 +329,28 @@
         self.pending += data
         if self.stage is Stage.ANSWERING:
             if len(self.pending) > PIPELINE_LIMIT:
-                self.close(CloseReason.PIPELINE_FULL)
+                self._pause()
             return
         if self.stage is Stage.IDLE:
             self.stage = Stage.HEAD
             self.wait(self.edge.limits.head_timeout, self._head_timed_out)
         self._advance()
 
+    def _pause(self) -> None:
+        """Stop reading until the request in progress has been answered.
+
+        That its caller leaves is not seen meanwhile; the request ends at its deadline
+        at the latest.
+        """
+        if not self.paused:
+            self.paused = True
+            self.edge.server.pause(self.sock)
+
+    def _unpause(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.edge.server.resume(self.sock)
+
     def _advance(self) -> None:
         try:
             if self.stage is Stage.HEAD:
@@ -313,6 +363,23 @@
             self.refuse(refusal)
         except MessageError as error:
             self.refuse(Refusal(ErrorKind.MALFORMED_REQUEST, str(error)))
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Answer after an error between the first byte of a request and its task.
+
+        Nothing has been passed on, so the answer states that the request has not run.
+        """
+        logger.exception(
+            "a request failed in its edge",
+            extra={"reason": repr(error), "stage": self.stage.value},
+        )
+        refusal = Refusal(ErrorKind.NO_ENDPOINT, repr(error))
+        if self.stage in RECEIVING:
+            self.refuse(refusal)
+        elif self.request is not None:
+            self.request.fail(refusal.answer.status)
 
     def _read_head(self) -> None:
         while self.pending.startswith(b"\r\n"):
@@ -351,17 +418,16 @@
         if self.bytes_to_skip:
             return
         found = self.edge.id_pattern.search(self.rejected_head)
+        self.edge.on_rejected(found.group(2).decode("ascii") if found else "")
         named = b"%b: %b\r\n" % found.groups() if found else b""
-        closing = self.edge.closes_connections() or CONNECTION_CLOSE.search(
-            self.rejected_head
-        )
+        closing = self.edge.closes_connections() and not self.pending
+        closing = closing or CONNECTION_CLOSE.search(self.rejected_head)
         close = b"Connection: close\r\n" if closing else b""
         self.write(
             b"HTTP/1.1 503 Service Unavailable\r\n%bRetry-After: %b\r\n%b"
             b"Content-Length: 0\r\n\r\n" % (named, SHED_RETRY_AFTER, close)
         )
         self.rejected_head = b""
-        self.edge.on_rejected(found.group(2).decode("ascii") if found else "")
         if closing:
             self.close(CloseReason.REFUSED)
         else:
@@ -421,10 +487,11 @@
 
     def finished(self) -> None:
         """Continue after a response, with any data received in the meantime."""
+        self._unpause()
         self._release_body()
         keep_alive = self.request.keep_alive
         self.request = None
-        if not keep_alive or self.edge.stopping:
+        if not keep_alive:
             self.close(CloseReason.ANSWERED)
             return
         self._await_next()
@@ -432,13 +499,13 @@
     def _await_next(self) -> None:
         """Wait for the next request, a part of which may already be buffered."""
         self.stage = Stage.IDLE
-        self.wait(self.edge.limits.idle_timeout, self.expire_idle)
+        self.start_idle()
         if self.pending:
             loop = asyncio.get_running_loop()
             loop.call_soon(self._resume)
 
     def _resume(self) -> None:
-        if self.stage is Stage.IDLE:
+        if self.stage is Stage.IDLE and self.pending:
             self.receive(b"")
 
     def _release_body(self) -> None:
@@ -458,21 +525,91 @@
         self.close(CloseReason.REFUSED)
 
     def _head_timed_out(self) -> None:
-        self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the head came too slowly"))
+        self._refuse_slow("the head came too slowly")
 
     def _body_timed_out(self) -> None:
-        self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, "the body came too slowly"))
+        self._refuse_slow("the body came too slowly")
+
+    def _refuse_slow(self, detail: str) -> None:
+        """Refuse a request unless the rest of what is awaited has arrived."""
+        if not self._read_arrived():
+            self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, detail))
+
+    def start_idle(self) -> None:
+        """Start the idle timeout in force."""
+        self.idle_since = asyncio.get_running_loop().time()
+        self.wait(self.edge.limits.idle_timeout, self.expire_idle)
 
     def expire_idle(self) -> None:
-        """Close the connection since no request came in time."""
-        self.close(CloseReason.IDLE)
+        """Close the connection unless a longer idle timeout is in force by now.
+
+        A shorter one applies from the next time that the connection is idle, because
+        the caller may not know it yet.
+        """
+        due = self.idle_since + self.edge.limits.idle_timeout
+        left = due - asyncio.get_running_loop().time()
+        if left > 0:
+            self.wait(left, self.expire_idle)
+        else:
+            self.close_if_idle(CloseReason.IDLE)
 
-    def close(self, reason: CloseReason) -> None:
-        """Close the connection once all written data has been sent."""
+    def close_if_idle(self, reason: CloseReason) -> bool:
+        """Close the connection if it is idle and nothing has arrived on it.
+
+        Returns
+        -------
+        bool
+            Whether it is closed.
+        """
+        if self.stage is Stage.IDLE and not self._read_arrived():
+            self.close(reason)
+        return self.stage is Stage.CLOSED
+
+    def stop(self) -> None:
+        """Close the connection unless a whole request has arrived on it.
+
+        A request of which a part has arrived is refused.
+        """
+        self.close_if_idle(CloseReason.STOPPING)
+        if self.stage in RECEIVING:
+            self._read_arrived()
+        if self.stage in RECEIVING:
+            self.refuse(Refusal(ErrorKind.STOPPING, "the router stops accepting"))
+
+    def _read_arrived(self) -> bool:
+        """Read what has arrived, up to a request that is not answered at once.
+
+        Returns
+        -------
+        bool
+            Whether the stage for which the timer runs has ended.
+        """
+        timer = self.timer
+        for _ in range(MAX_LAST_READS):
+            if self.stage in (Stage.ANSWERING, Stage.CLOSED):
+                break
+            if self.stage is Stage.IDLE and self.pending:
+                self._resume()
+            elif not self.edge.server.read(self.sock):
+                break
+        return self.timer is not timer
+
+    def close(self, reason: CloseReason, reset: bool = False) -> None:
+        """Close the connection once all written data has been sent.
+
+        Where the caller may be sending still, it must receive the answer first.
+        With `reset`, the connection is reset at once instead.
+        """
         if self.stage is Stage.CLOSED:
             return
+        self._unpause()
         self.lost(reason)
-        self.edge.server.close(self.sock)
+        if reset:
+            self.edge.server.reset(self.sock)
+        elif reason in IDLE_REASONS and not self.edge.server.is_sending(self.sock):
+            self.edge.server.close(self.sock)
+        else:
+            self.edge.server.finish(self.sock)
         self.edge.root.wake()
 
     def lost(self, reason: CloseReason = CloseReason.LOST) -> None:
@@ -550,15 +687,14 @@
         """Handle a new connection."""
         connection = CallerConnection(self, sock)
         self.connections[sock] = connection
-        connection.wait(self.limits.idle_timeout, connection.expire_idle)
+        connection.start_idle()
         if len(self.connections) > FULL_FRACTION * self.limit:
             self._close_oldest()
 
     def _close_oldest(self) -> None:
         """Close the oldest idle one of the `MAX_IDLE_SEARCH` oldest connections."""
-        for connection in islice(self.connections.values(), MAX_IDLE_SEARCH):
-            if connection.stage is Stage.IDLE:
-                connection.close(CloseReason.CONNECTION_LIMIT)
+        for connection in list(islice(self.connections.values(), MAX_IDLE_SEARCH)):
+            if connection.close_if_idle(CloseReason.CONNECTION_LIMIT):
                 return
 
     def note_closed(self, connection: CallerConnection, reason: CloseReason) -> None:
@@ -594,20 +730,19 @@
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if connection.stage is Stage.IDLE:
-                connection.close(CloseReason.STOPPING)
+            connection.close_if_idle(CloseReason.STOPPING)
         self.root.wake()
 
     def stop_accepting(self) -> None:
         """Stop accepting connections and requests; requests in progress continue.
 
-        The caller may retry a request that was not completely received elsewhere.
+        Requests that have wholly arrived by now are served; those of which a part has
+        arrived are refused, so that their callers may repeat them elsewhere.
         """
         self.stopping = True
         self.server.stop_listening()
         for connection in list(self.connections.values()):
-            if connection.stage is not Stage.ANSWERING:
-                connection.close(CloseReason.STOPPING)
+            connection.stop()
         self.root.wake()
 
 
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import struct
 from errno import EMFILE, ENFILE, ENOMEM
-from socket import IPPROTO_TCP, TCP_NODELAY, TCP_USER_TIMEOUT
+from socket import (
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
 from typing import TYPE_CHECKING, Protocol
 
 import logbook
+import msgspec
 from circuits import handler
 from circuits.net.sockets import TCPServer
 
@@ -21,9 +32,18 @@
 READ_SIZE = 65536
 #: Maximum number of connections accepted per loop iteration.
 MAX_ACCEPTS_PER_TURN = 32
+#: Maximum number of turns in which connections are accepted before listening ends.
+MAX_LAST_TURNS = 128
 #: Milliseconds without an acknowledgement after which a connection counts as lost;
 #: longer than a caller waits for a part of a response.
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
+#: Seconds for which a connection is read after its last byte was sent. A connection
+#: that is closed with unread bytes is reset, which may destroy that byte on its way.
+LINGER_TIMEOUT = 1.0
+#: Maximum number of bytes that are read and dropped meanwhile.
+LINGER_LIMIT = 4 << 20
+#: Value of ``SO_LINGER`` with which the close of a socket resets its connection.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class OpenSockets(dict):
@@ -106,6 +126,24 @@
         super()._on_accept_done(sock, fire_connect_event)
 
 
+class Lingering(msgspec.Struct):
+    """A connection that is closed as soon as its caller closes it.
+
+    Attributes
+    ----------
+    left : int
+        Bytes that may still be read and dropped.
+    timer : asyncio.TimerHandle or None
+        Closes the connection; None while data is still to be sent.
+    ended : bool
+        Whether the caller has closed its side.
+    """
+
+    left: int
+    timer: asyncio.TimerHandle | None = None
+    ended: bool = False
+
+
 class ConnectionOwner(Protocol):
     """Interface for the connection callbacks of a `CallbackServer`."""
 
@@ -137,32 +175,121 @@
     ) -> None:
         super().__init__(bind, channel)
         self.owner = owner
+        #: Connections that their owner has finished with, the oldest first.
+        self.lingering: dict[socket, Lingering] = {}
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections, including those being closed."""
+        return len(self._clients)
 
     def on_readable(self, sock: socket) -> None:
         """Accept connections, or read from one."""
         if sock is self._sock:
             self._accept_pending()
-            return
+        else:
+            self.read(sock)
+
+    def read(self, sock: socket) -> bool:
+        """Read from a connection once; return whether bytes had arrived."""
         try:
             data = sock.recv(READ_SIZE)
         except BlockingIOError:
-            return
+            return False
         except OSError:
             data = b""
-        if data:
+        if self.lingering and sock in self.lingering:
+            self._drop(sock, data)
+        elif data:
             self.owner.received(sock, data)
         else:
             self._close(sock)
+        return bool(data)
+
+    def is_sending(self, sock: socket) -> bool:
+        """Return whether data for a connection is still buffered."""
+        return bool(self._buffers.get(sock))
+
+    def pause(self, sock: socket) -> None:
+        """Stop reading from a connection.
+
+        Until `resume`, it is not seen that its caller closes it.
+        """
+        if sock in self._clients:
+            self._poller.removeReader(sock)
+
+    def resume(self, sock: socket) -> None:
+        """Read from a connection again after `pause`."""
+        if sock in self._clients:
+            self._poller.addReader(self, sock)
+
+    def finish(self, sock: socket) -> None:
+        """Close a connection once its data is sent and its caller has closed it too.
+
+        What the caller still sends is dropped, within `LINGER_LIMIT` and for
+        `LINGER_TIMEOUT`.
+        """
+        if sock not in self._clients or sock in self.lingering:
+            return
+        self.lingering[sock] = Lingering(LINGER_LIMIT)
+        if not self.is_sending(sock):
+            self._end_output(sock)
+
+    def reset(self, sock: socket) -> None:
+        """Reset a connection, so that its caller does not take the end for complete."""
+        if sock not in self._clients:
+            return
+        self._poller.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_AT_CLOSE)
+        sock.close()
+        self._close(sock)
+
+    def _end_output(self, sock: socket) -> None:
+        """Tell the caller that nothing follows, and wait for its end."""
+        lingering = self.lingering[sock]
+        if lingering.ended:
+            self._close(sock)
+            return
+        try:
+            sock.shutdown(SHUT_WR)
+        except OSError:
+            self._close(sock)
+            return
+        loop = asyncio.get_running_loop()
+        lingering.timer = loop.call_later(LINGER_TIMEOUT, self._close, sock)
+
+    def _drop(self, sock: socket, data: bytes) -> None:
+        """Count bytes that are dropped; close the connection at the end or limit."""
+        lingering = self.lingering[sock]
+        lingering.left -= len(data)
+        if not data and self.is_sending(sock):
+            # The caller may still read.
+            lingering.ended = True
+            self._poller.removeReader(sock)
+        elif not data or lingering.left < 0:
+            self._close(sock)
+
+    def stop_listening(self) -> None:
+        """Accept the connections that callers have opened, then stop accepting."""
+        for _ in range(MAX_LAST_TURNS):
+            if self._sock is None or not self._accept_pending():
+                break
+        super().stop_listening()
 
     def on_writable(self, sock: socket) -> None:
         """Write buffered data to a connection."""
         self._on_write(sock)
+        lingering = self.lingering.get(sock)
+        if lingering and lingering.timer is None and not self.is_sending(sock):
+            self._end_output(sock)
 
     def on_hangup(self, sock: socket) -> None:
         """Close a connection that was lost."""
         self._close(sock)
 
-    def _accept_pending(self) -> None:
+    def _accept_pending(self) -> bool:
+        """Accept connections; return whether there may be more."""
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 sock, _address = self._sock.accept()
@@ -170,10 +297,21 @@
                 # Usually no connection is pending, or the caller has disconnected.
                 if error.errno in (EMFILE, ENFILE, ENOMEM):
                     logger.warning("no connection taken", extra={"reason": str(error)})
-                return
-            self._add_connection(sock)
+                return False
+            try:
+                self._add_connection(sock)
+            except Exception as error:
+                # The poller would close the listening socket.
+                logger.exception(
+                    "a new connection failed", extra={"reason": repr(error)}
+                )
+                self._close(sock)
+                sock.close()
+        return True
 
     def _add_connection(self, sock: socket) -> None:
+        if len(self._clients) >= self.limit and self.lingering:
+            self._close(next(iter(self.lingering)))
         if len(self._clients) >= self.limit:
             sock.close()
             return
@@ -186,6 +324,9 @@
 
     def _close(self, sock: socket) -> None:
         known = sock in self._clients
+        lingering = self.lingering.pop(sock, None)
+        if lingering is not None and lingering.timer is not None:
+            lingering.timer.cancel()
         super()._close(sock)
         if known:
             self.owner.lost(sock)
