Reject interim responses and heads without end at once

What callers would see: a request to an endpoint that sends interim responses for ever ends only at its deadline, and every read of 64 KB of them delays all other requests of the router by 16 ms (measured). A head of 16,000 headers that arrives in one read was accepted (11 ms), and invalid bytes in a head were noticed only with its end. Cause: ResponseReader had no bound for interim responses and header lines, applied the bound of the head's size to incomplete heads only, copied the rest of the buffer after each interim response, and searched an incomplete head from its start at each read. Change: at most 16 interim responses and 256 header lines; the bound of the size holds for every head; only new bytes are searched, and forbidden ones are rejected at once. Ruled out: a timeout of its own for heads; a silent endpoint may answer late.

--- a/carawayfold/transport/messages.py
+++ b/carawayfold/transport/messages.py
@@ -25,6 +25,10 @@
 LINE_END = b"\n"
 #: Maximum size of a response head, in bytes; endpoints and the platform send 2 KB.
 RESPONSE_HEAD_LIMIT = 65536
+#: Maximum number of header lines of a response.
+MAX_RESPONSE_HEADERS = 256
+#: Maximum number of interim responses before a response.
+MAX_INTERIM_RESPONSES = 16
 #: Maximum number of framing bytes between two parts of chunked content: chunk sizes
 #: or trailers.
 CHUNK_FRAME_LIMIT = 4096
@@ -38,6 +42,8 @@
 FORBIDDEN_BYTES = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|(?<!\r)\n|\r(?!\n)")
 #: A header line that continues the one before it.
 FOLDED = re.compile(rb"\r\n[ \t]")
+#: Beginning of the status line of a response.
+STATUS_LINE_START = b"HTTP/1."
 #: Status codes of responses that never have a body.
 BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -313,11 +319,16 @@
     ----------
     head : ResponseHead or None
         Head of the response; None until it has been read.
+    buffered : bytearray
+        Bytes of an incomplete head.
+    interim_responses : int
+        Number of interim responses received.
     """
 
     method: str
     head: ResponseHead | None = None
-    buffered: bytes = b""
+    buffered: bytearray = msgspec.field(default_factory=bytearray)
+    interim_responses: int = 0
 
     def feed(
         self, data: bytes, on_head: Callable[[ResponseHead], None]
@@ -335,8 +346,7 @@
             If the bytes are not a valid response.
         """
         if self.head is None:
-            self.buffered += data
-            data = self._read_head()
+            data = self._read_head(data)
             if self.head is None:
                 return [], b"", False
             on_head(self.head)
@@ -346,34 +356,65 @@
         """Return whether the response is complete when the connection ends."""
         return self.head is not None and isinstance(self.head.body, EndlessBody)
 
-    def _read_head(self) -> bytes:
+    def _read_head(self, data: bytes) -> bytes:
         """Read the head, skipping interim responses; return the bytes after it."""
-        while True:
-            end = self.buffered.find(HEAD_END)
-            if end < 0:
-                self._check_partial()
-                return b""
-            head = self.buffered[: end + len(HEAD_END)]
-            self.buffered = self.buffered[len(head) :]
-            found = _read_response_head(head, self.method)
-            if found is None:
-                continue
-            self.head = found
-            rest = self.buffered
-            self.buffered = b""
-            return rest
-
-    def _check_partial(self) -> None:
-        """Reject incomplete data that cannot become a valid head."""
-        if len(self.buffered) > RESPONSE_HEAD_LIMIT:
+        received: bytes | bytearray = data
+        searched = 0
+        if self.buffered:
+            # The terminator may have begun in the bytes received before.
+            searched = max(0, len(self.buffered) - len(HEAD_END) + 1)
+            self.buffered += data
+            received = self.buffered
+        start = 0
+        while (end := received.find(HEAD_END, max(start, searched))) >= 0:
+            end += len(HEAD_END)
+            if end - start > RESPONSE_HEAD_LIMIT:
+                raise MessageError("the head of the answer is too large")
+            found = _read_response_head(bytes(received[start:end]), self.method)
+            start = end
+            if found is not None:
+                self.head = found
+                rest = bytes(received[start:])
+                self.buffered.clear()
+                return rest
+            self._count_interim_response()
+        self._keep_incomplete(received, start, max(start, searched))
+        return b""
+
+    def _count_interim_response(self) -> None:
+        self.interim_responses += 1
+        if self.interim_responses > MAX_INTERIM_RESPONSES:
+            raise MessageError("too many interim responses")
+
+    def _keep_incomplete(
+        self, received: bytes | bytearray, start: int, unchecked: int
+    ) -> None:
+        """Buffer the bytes from `start`; reject those that cannot become a head.
+
+        Bytes before `unchecked` have been checked when they were received.
+        """
+        end = len(received)
+        if end - start > RESPONSE_HEAD_LIMIT:
             raise MessageError("the head of the answer is too large")
-        start = b"HTTP/1."
-        if not self.buffered.startswith(start[: len(self.buffered)]):
+        begun = STATUS_LINE_START[: end - start]
+        if not received.startswith(begun, start):
             raise MessageError("no status line")
+        # The LF after a CR at the end may not have arrived yet.
+        if received.endswith(b"\r"):
+            end -= 1
+        if FORBIDDEN_BYTES.search(received, unchecked, end):
+            raise MessageError("a control character or a bare line end")
+        if received is not self.buffered:
+            self.buffered += received[start:]
+        else:
+            del self.buffered[:start]
 
 
 def _read_response_head(head: bytes, method: str) -> ResponseHead | None:
     """Parse the head of a response; return None for an interim response."""
+    # Beside the headers: the line of the status, and the empty one.
+    if head.count(LINE_END) > MAX_RESPONSE_HEADERS + 2:
+        raise MessageError("too many headers")
     if FORBIDDEN_BYTES.search(head) or FOLDED.search(head):
         raise MessageError("a control character, bare line end or folded line")
     collector = _Collector()
--- a/tests/transport/test_messages.py
+++ b/tests/transport/test_messages.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from carawayfold.transport.messages import (
+    RESPONSE_HEAD_LIMIT,
     EndlessBody,
     MessageError,
     ResponseReader,
@@ -231,3 +232,53 @@
         response_head(200, [("X-A", "1\r\nX-B: 2")])
     with pytest.raises(MessageError):
         request_bytes("GET", "/", [("X-A", "1\n2")], b"")
+
+
+HEAD_PARTS = {
+    "interim responses": b"HTTP/1.1 100 \r\n\r\n",
+    "interim responses with headers": b"HTTP/1.1 103 \r\nLink: x\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("size", [1, 1000, 65536])
+@pytest.mark.parametrize("interim", HEAD_PARTS.values(), ids=HEAD_PARTS)
+def test_interim_responses_without_end_are_rejected(interim, size):
+    reader = ResponseReader("GET")
+    sent = interim * (65536 // len(interim))
+    with pytest.raises(MessageError):
+        for start in range(0, len(sent), size):
+            reader.feed(sent[start : start + size], lambda head: None)
+
+
+def test_some_interim_responses_are_skipped():
+    heads = []
+    reader = ResponseReader("GET")
+    data = b"HTTP/1.1 100 \r\n\r\n" * 3 + b"HTTP/1.1 200 \r\nContent-Length: 1\r\n\r\na"
+    for place in range(len(data) - 1):
+        reader.feed(data[place : place + 1], heads.append)
+    assert reader.feed(data[-1:], heads.append) == ([b"a"], b"", True)
+    assert [head.status for head in heads] == [200]
+
+
+def test_response_with_too_many_headers_is_rejected():
+    reader = ResponseReader("GET")
+    with pytest.raises(MessageError):
+        reader.feed(
+            b"HTTP/1.1 200 \r\n" + b"a:\r\n" * 1000 + b"\r\n", lambda head: None
+        )
+
+
+def test_response_head_that_is_too_large_is_rejected_when_received_at_once():
+    reader = ResponseReader("GET")
+    head = b"HTTP/1.1 200 \r\nA: " + b"x" * RESPONSE_HEAD_LIMIT + b"\r\n\r\n"
+    with pytest.raises(MessageError):
+        reader.feed(head, lambda head: None)
+
+
+@pytest.mark.parametrize("ending", [b"\x00", b"\n", b"\rx"])
+def test_incomplete_head_with_invalid_bytes_is_rejected_at_once(ending):
+    reader = ResponseReader("GET")
+    reader.feed(b"HTTP/1.1 200 \r", lambda head: None)
+    reader.feed(b"\nA: 1", lambda head: None)
+    with pytest.raises(MessageError):
+        reader.feed(ending, lambda head: None)
