Bound the answers of endpoints that are not forwarded

What callers would see: an answer without a signature, or one that says that it has not run, whose body never ends, fills the router's memory until the request's deadline. A long error answer to a resumed stream began a second answer within the first: a head and another body between the events. Cause: Attempt._on_data began to forward a body beyond 256 KB only if it was final, and otherwise kept on buffering; it didn't look whether an answer had begun. A forwarded body's first part was kept until the attempt's end. Change: an answer that is not forwarded ends at the bound, by the existing rules: not run stays not run, others are broken and repeated where the route allows it. The attempt does not accuse its content, since the endpoint is alive. Ruled out: to forward it; a success without signature must not reach a caller.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -31,7 +31,7 @@
 #: Seconds between checks whether the endpoint has restarted or fallen silent.
 LIVENESS_CHECK_INTERVAL = 0.25
 #: Bytes of an answer that are buffered until it is complete, so that a truncated one
-#: does not reach the caller. Longer answers are forwarded as they arrive.
+#: does not reach the caller. Longer answers are forwarded as they arrive, if signed.
 MAX_BUFFERED_BYTES = 262144
 #: Least HTTP status that counts as a failure of the endpoint.
 MIN_ERROR_STATUS = 500
@@ -87,6 +87,8 @@
         Whether it is recorded where the stream began, or goes on.
     stopped : bool
         Whether this router stopped it because its content was quarantined.
+    unusable : bool
+        Whether this router ended it because of the bytes of its answer.
     withdrawn : BlockReason or None
         Why this router withdrew it before it was sent; None if it did not.
     """
@@ -110,6 +112,7 @@
         self.first_event_delay: float | None = None
         self.suspend_endpoint = False
         self.stopped = False
+        self.unusable = False
         self.stream_recorded = False
         self.withdrawn: BlockReason | None = None
 
@@ -129,7 +132,7 @@
                 return AttemptEnd.WITHDRAWN
             if error.phase is Phase.CONNECTING:
                 return AttemptEnd.UNREACHABLE
-            self.suspend_endpoint = not self.stopped
+            self.suspend_endpoint = not (self.stopped or self.unusable)
             return self._exchange_failed()
         except TimeoutError:
             self.reason = "the endpoint is silent"
@@ -259,6 +262,11 @@
             self.endpoint.id, self.loop.time()
         )
 
+    def _fail(self, reason: str) -> None:
+        """End the exchange because of an answer that cannot be used."""
+        self.unusable = True
+        self.forwarder.http.fail(self.connection, reason)
+
     def _on_data(self, data: bytes) -> None:
         self._note_activity()
         if self.events is not None:
@@ -269,10 +277,17 @@
             return
         self.body.append(data)
         self.body_size += len(data)
-        if self.body_size > MAX_BUFFERED_BYTES and self._is_final():
-            self.forwarding_body = True
-            self.forwarder.begin(self.call, self.answer_head)
-            self.call.incoming.send(b"".join(self.body))
+        if self.body_size > MAX_BUFFERED_BYTES:
+            self._begin_forwarding_body()
+
+    def _begin_forwarding_body(self) -> None:
+        if not self._is_final():
+            self._fail("a long answer that is not forwarded")
+            return
+        self.forwarding_body = True
+        self.forwarder.begin(self.call, self.answer_head)
+        self.call.incoming.send(b"".join(self.body))
+        self.body.clear()
 
     def _forward_events(self, data: bytes) -> None:
         complete_events = self.events.feed(data)
@@ -293,7 +308,7 @@
     def _is_final(self) -> bool:
         """Return whether the answer is sent to the caller and causes no retry."""
         answer_head = self.answer_head
-        if answer_head.not_run:
+        if answer_head.not_run or self.call.attempts.answer_started:
             return False
         return answer_head.signed
 
