Count only new events as progress of a stream

What callers would see: a stream of comments, of unnumbered or repeated events or of an event that never ends is held until the request's deadline, or reaches the caller as a begun answer that can only be cut; a repeatable one is never tried elsewhere. Meanwhile each read of the event costs up to 36 ms (measured at 1 MB, a read of 100 bytes), for which all other requests of the router wait. An unsigned stream was forwarded until its end. A number of thousands of digits raised out of the poller. Cause: NumberedEvents searched the incomplete event from its start at each read, was bounded at 1 MiB for it alone, and Attempt took every byte as a sign of life. Change: new bytes are searched once. 256 KiB without a new event, the bound of a buffered answer, end the attempt. Comments before the first event are withheld, so that the caller gets 502 or 504 rather than a cut stream; they are forwarded with the first event or the stream's end, and at once between events. Only a new event counts as activity; whoever sends comments only is treated as one who sends nothing: kept until another endpoint is granted, or to the deadline. An unsigned stream fails with its head. Ruled out: to drop comments, which belong to the body; to cut slow ones at a time of their own, since silence is no reason to end an answer.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -256,22 +256,24 @@
         streaming = self.call.route.kind is RouteKind.STREAMING
         if streaming and self.answer_head.status in SUCCESS_STATUSES:
             self.events = NumberedEvents(self.call.resume_after)
-
-    def _note_activity(self) -> None:
-        self.forwarder.endpoint_activity.record_bytes(
-            self.endpoint.id, self.loop.time()
-        )
+            if not self.answer_head.signed:
+                self._fail("an unsigned stream")
 
     def _fail(self, reason: str) -> None:
         """End the exchange because of an answer that cannot be used."""
         self.unusable = True
         self.forwarder.http.fail(self.connection, reason)
 
+    def _note_activity(self) -> None:
+        self.forwarder.endpoint_activity.record_bytes(
+            self.endpoint.id, self.loop.time()
+        )
+
     def _on_data(self, data: bytes) -> None:
-        self._note_activity()
         if self.events is not None:
             self._forward_events(data)
             return
+        self._note_activity()
         if self.forwarding_body:
             self.call.incoming.send(data)
             return
@@ -290,7 +292,15 @@
         self.body.clear()
 
     def _forward_events(self, data: bytes) -> None:
-        complete_events = self.events.feed(data)
+        last = self.events.last
+        try:
+            complete_events = self.events.feed(data)
+        except ValueError as error:
+            self._fail(str(error))
+            return
+        if self.events.last != last:
+            # Other bytes show no progress of a stream, and may come without end.
+            self._note_activity()
         if not complete_events:
             return
         waited = self.loop.time() - self.started
@@ -350,6 +360,9 @@
             return AttemptEnd.BROKEN
         if not self.call.attempts.answer_started:
             self.forwarder.begin(self.call, self.answer_head)
+        withheld = self.events.take_withheld()
+        if withheld:
+            self.call.incoming.send(withheld)
         self.call.incoming.end()
         return AttemptEnd.COMPLETE
 
--- a/carawayfold/protocol/events.py
+++ b/carawayfold/protocol/events.py
@@ -6,26 +6,41 @@
 
 #: Terminator of an event.
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+#: Maximum size of a terminator, in bytes.
+MAX_EVENT_END_SIZE = 4
 #: Line of an event that contains its number.
-EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
-#: Maximum size of an incomplete event, in bytes.
-EVENT_LIMIT = 1 << 20
+EVENT_NUMBER = re.compile(rb"^id:[ ]?(\d{1,18})\r?$", re.MULTILINE)
+#: Maximum number of bytes received since the last new event: an incomplete event,
+#: comments, and events that the caller already has. The same as for a buffered answer.
+EVENT_LIMIT = 262144
 
 
 class NumberedEvents:
     """Splits a stream into complete events and drops those the caller already has.
 
+    Comments and events without a number are no progress. Those before the first new
+    event are withheld, so that a stream that never begins can be refused.
+
     Attributes
     ----------
     last : int or None
         Number of the last complete event; None before the first.
-    rest : bytes
+    begun : bool
+        Whether a new event has been received.
+    rest : bytearray
         Bytes of the incomplete next event.
+    withheld : bytearray
+        Comments and events without a number before the first new event.
+    unproductive : int
+        Bytes of complete events and comments received since the last new event.
     """
 
     def __init__(self, last: int | None) -> None:
         self.last = last
-        self.rest = b""
+        self.begun = False
+        self.rest = bytearray()
+        self.withheld = bytearray()
+        self.unproductive = 0
 
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return the complete events.
@@ -33,27 +48,47 @@
         Raises
         ------
         ValueError
-            If an incomplete event exceeds `EVENT_LIMIT`.
+            If `EVENT_LIMIT` bytes bring no new event.
         """
-        data = self.rest + data if self.rest else data
+        received: bytes | bytearray = data
+        searched = 0
+        if self.rest:
+            # A terminator may have begun in the bytes received before.
+            searched = max(0, len(self.rest) - MAX_EVENT_END_SIZE + 1)
+            self.rest += data
+            received = self.rest
         passed: list[bytes] = []
         place = 0
-        for end in EVENT_END.finditer(data):
-            event = data[place : end.end()]
+        for end in EVENT_END.finditer(received, searched):
+            self._handle_event(bytes(received[place : end.end()]), passed)
             place = end.end()
-            if self._is_new(event):
-                passed.append(event)
-        self.rest = data[place:]
-        if len(self.rest) > EVENT_LIMIT:
-            raise ValueError("an event is too large")
+        if received is data:
+            self.rest += data[place:]
+        else:
+            del self.rest[:place]
+        if self.unproductive + len(self.rest) > EVENT_LIMIT:
+            raise ValueError("too many bytes without a new event")
         return b"".join(passed)
 
-    def _is_new(self, event: bytes) -> bool:
+    def take_withheld(self) -> bytes:
+        """Return what was withheld, once a stream without new events has ended."""
+        withheld = bytes(self.withheld)
+        self.withheld.clear()
+        return withheld
+
+    def _handle_event(self, event: bytes, passed: list[bytes]) -> None:
         found = EVENT_NUMBER.search(event)
-        if found is None:
-            return True
-        number = int(found.group(1))
-        if self.last is not None and number <= self.last:
-            return False
-        self.last = number
-        return True
+        number = int(found.group(1)) if found is not None else None
+        if number is not None and (self.last is None or number > self.last):
+            self.last = number
+            self.begun = True
+            self.unproductive = 0
+            if self.withheld:
+                passed.append(self.take_withheld())
+            passed.append(event)
+            return
+        self.unproductive += len(event)
+        if number is None and self.begun:
+            passed.append(event)
+        elif number is None:
+            self.withheld += event
--- a/tests/coordination/requests/test_answers.py
+++ b/tests/coordination/requests/test_answers.py
@@ -1,4 +1,4 @@
-"""Answers that don't end."""
+"""Answers that don't end, and streams on which no event comes."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from carawayfold.coordination.requests.attempts import MAX_BUFFERED_BYTES
 from carawayfold.coordination.requests.retries import AttemptEnd
+from carawayfold.protocol.events import EVENT_LIMIT
 from carawayfold.state.routes import RouteKind
 from tests.coordination.requests.answered_attempts import AnsweredAttempt
 from tests.schedule_builders import route
@@ -65,3 +66,62 @@
         assert answered.attempt.body == []
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "endless", [b"data: ", b": alive\n\n", b"data: x\n\n"], ids=repr
+)
+@pytest.mark.parametrize("begun", [False, True])
+def test_a_stream_without_events_fails(endless, begun):
+    def scenario():
+        answered = AnsweredAttempt(STREAM)
+        answered.head(200, SIGNED)
+        if begun:
+            answered.data(b"id: 1\n\n")
+        for _ in range(2 * EVENT_LIMIT // len(READ)):
+            answered.data(endless * (len(READ) // len(endless)))
+        assert answered.forwarder.done.done()
+        assert answered.end() is AttemptEnd.BROKEN
+        assert not answered.caller.ended
+        assert bool(answered.caller.sent) is begun
+
+    run(scenario)
+
+
+def test_only_events_are_progress_of_a_stream():
+    def scenario():
+        answered = AnsweredAttempt(STREAM)
+        answered.head(200, SIGNED)
+        active = len(answered.forwarder.active_at)
+        for data in (b": alive\n\n", b"data: x\n\n", b"id: 1\nda"):
+            answered.data(data)
+        assert len(answered.forwarder.active_at) == active
+        assert answered.forwarder.begun == []
+        answered.data(b"ta: x\n\n")
+        assert len(answered.forwarder.active_at) == active + 1
+        assert len(answered.forwarder.begun) == 1
+
+    run(scenario)
+
+
+def test_a_complete_stream_without_numbers_is_forwarded():
+    def scenario():
+        answered = AnsweredAttempt(STREAM)
+        answered.head(200, SIGNED)
+        answered.data(b"data: x\n\n")
+        assert answered.end() is AttemptEnd.COMPLETE
+        assert answered.caller.sent == [200, b"data: x\n\n"]
+        assert answered.caller.ended
+
+    run(scenario)
+
+
+def test_an_unsigned_stream_is_not_forwarded():
+    def scenario():
+        answered = AnsweredAttempt(STREAM)
+        answered.head(200)
+        answered.data(b"id: 1\n\n")
+        assert answered.caller.sent == []
+        assert answered.end() is AttemptEnd.BROKEN
+
+    run(scenario)
