Bound what is fetched, and skipped as an answer to another request

Answers to other requests without end, or one whose body never ends, kept a request until its deadline, its endpoint's connection open and the loop busy. Cause: HttpClient.fetch collected any number of bytes, and an answer to another request was skipped without a bound, also if it closes the connection, so that none can follow. Change: a fetch fails at 4 MiB; at most four answers and 1 MiB of their bodies are skipped; one that closes the connection, or has no length, fails the exchange at its head. The connection is closed in each case, and the existing rules repeat or refuse. Ruled out: a shorter timeout; a slow store is not one that sends without end.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -28,6 +28,13 @@
 
 #: Maximum number of bytes per read from a socket.
 READ_SIZE = 65536
+#: Maximum size of a fetched response body, in bytes: the store sends pages of 1 MB of
+#: records, in base64.
+MAX_FETCH_BYTES = 4 << 20
+#: Maximum number of responses to other requests that are skipped before a response.
+MAX_SKIPPED_RESPONSES = 4
+#: Maximum number of body bytes of such responses.
+MAX_SKIPPED_BYTES = 1 << 20
 #: Maximum number of idle connections kept per address.
 MAX_IDLE_CONNECTIONS = 64
 #: Seconds after which an idle connection is closed instead of reused.
@@ -109,6 +116,8 @@
         request, is skipped, and the next one on the connection is awaited.
     skipping : bool
         Whether a response to another request is being skipped.
+    skipped_responses, skipped_bytes : int
+        Number of responses skipped, and of their body bytes.
     method : str
         Method of the request.
     """
@@ -119,6 +128,8 @@
     phase: Phase = Phase.CONNECTING
     is_own_response: Callable[[Head], bool] | None = None
     skipping: bool = False
+    skipped_responses: int = 0
+    skipped_bytes: int = 0
     method: str = "GET"
 
 
@@ -236,12 +247,19 @@
         Raises
         ------
         ExchangeError
-            If no complete response arrived within `timeout` seconds.
+            If no complete response arrived within `timeout` seconds, or its body
+            exceeds `MAX_FETCH_BYTES`.
         """
         heads: list[Head] = []
-        parts: list[bytes] = []
+        received = bytearray()
+
+        def on_data(data: bytes) -> None:
+            received.extend(data)
+            if len(received) > MAX_FETCH_BYTES:
+                self.fail(connection, "the answer is too large")
+
         connection = self.start(
-            address, method, path, headers or [], body, heads.append, parts.append
+            address, method, path, headers or [], body, heads.append, on_data
         )
         exchange = connection.exchange
         try:
@@ -253,7 +271,7 @@
         finally:
             if not exchange.done.done() or exchange.done.cancelled():
                 self.cancel(connection)
-        return Answer(heads[0], b"".join(parts))
+        return Answer(heads[0], bytes(received))
 
     def cancel(self, connection: Connection) -> None:
         """Abort the exchange on `connection` and close the connection."""
@@ -384,7 +402,7 @@
             return
 
         def handle_head(head: ResponseHead) -> None:
-            self._handle_head(connection, exchange, _head(head))
+            self._handle_head(connection, exchange, head)
 
         try:
             while data and connection.exchange is exchange:
@@ -404,13 +422,20 @@
         if connection.exchange is not exchange:
             # The `on_head` callback cancelled the exchange.
             return b""
-        if pieces and not exchange.skipping:
+        if pieces and exchange.skipping:
+            self._skip(exchange, pieces)
+        elif pieces:
             # One call for all parts: several events of a stream arrive together.
             exchange.on_data(b"".join(pieces))
         if complete and connection.exchange is exchange:
             self._complete(connection, exchange, rest)
         return rest
 
+    def _skip(self, exchange: Exchange, pieces: list[bytes]) -> None:
+        exchange.skipped_bytes += sum(map(len, pieces))
+        if exchange.skipped_bytes > MAX_SKIPPED_BYTES:
+            raise MessageError("too many bytes that answer other requests")
+
     def _end_of_stream(self, connection: Connection, exchange: Exchange) -> None:
         if connection.reader.close() and not exchange.skipping:
             self._complete(connection, exchange, b"")
@@ -418,10 +443,17 @@
             self.fail(connection, "the connection was closed")
 
     def _handle_head(
-        self, connection: Connection, exchange: Exchange, head: Head
+        self, connection: Connection, exchange: Exchange, received: ResponseHead
     ) -> None:
+        head = _head(received)
         if exchange.is_own_response is not None and not exchange.is_own_response(head):
             exchange.skipping = True
+            exchange.skipped_responses += 1
+            if exchange.skipped_responses > MAX_SKIPPED_RESPONSES:
+                raise MessageError("too many answers to other requests")
+            if not received.keep_alive:
+                # No response to this request can follow.
+                raise MessageError("an answer to another request closes the connection")
             return
         exchange.skipping = False
         exchange.phase = Phase.ANSWERING
@@ -431,14 +463,12 @@
     def _complete(
         self, connection: Connection, exchange: Exchange, rest: bytes
     ) -> None:
-        reusable = connection.reader.head.keep_alive
         if exchange.skipping:
-            # The response to this request follows if the connection stays open.
+            # The response to this request follows.
             exchange.skipping = False
             connection.reader = ResponseReader(exchange.method)
-            if not reusable:
-                self.fail(connection, "an answer to another request closed it")
             return
+        reusable = connection.reader.head.keep_alive
         exchange.phase = Phase.DONE
         connection.exchange = None
         # Bytes after the response must not be read as the next response.
