Let the stand-in of endpoints be silent or send without end

A suspended process does not work meanwhile either, and cannot be asked what ran. Change: the fault quiet holds back what the server sends on all of its connections for some seconds (SendGate) while requests are accepted and run; operators' calls are answered. The fault endless sends bytes without end in a head, in a body, as comments between events or after a complete answer. An endpoint with a pace sends plain answers in two halves, so that silence also falls into a body. Conclusion: the soak can play both.

--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -3,8 +3,9 @@
 A path that begins with ``/stream`` is answered with numbered events, as many as the
 header ``Token-Usage`` states; any other path is answered with a short body. ``GET
 /ran`` lists the requests that ran, ``GET /arrived`` the ids of all requests, and
-``POST /faults`` sets faults. A body that contains `HARMFUL` crashes the process soon
-after the request has begun to run. Each event contains the software version of the
+``POST /faults`` sets faults; these three are answered whatever the faults are. A body
+that contains `HARMFUL` crashes the process soon after the request has begun to run.
+Each event contains the software version of the
 endpoint and the run that sent it; the endpoint does not check which version sent the
 previous events of a resumed stream.
 """
@@ -18,6 +19,7 @@
 
 import msgspec
 
+from standins import endless
 from standins.web import WebAnswer
 
 if TYPE_CHECKING:
@@ -25,6 +27,8 @@
 
     from standins.web import WebConnection, WebRequest
 
+#: Paths that set faults and read records, for those who operate the stand-in.
+OPERATOR_PATHS = frozenset({"/faults", "/ran", "/arrived"})
 SIGNATURE = ("Server-Signature", "stand-in")
 LEAVING = ("Server-Leaving", "1")
 EVENT_STREAM = ("Content-Type", "text/event-stream")
@@ -65,6 +69,15 @@
         Answer without length and chunks; the end of the connection ends the answer.
     rest : str
         Backoff that is requested with an answer that the request was not run.
+    quiet : float
+        Seconds from now for which nothing is sent on any connection. Requests run
+        meanwhile, and what they would have sent is sent afterwards.
+    endless : str
+        Where bytes without end are sent: in the ``head`` or ``body`` of an answer, as
+        comments between ``events`` of a stream, or ``after`` a complete answer. Plain
+        answers have an endless body in place of comments.
+    interval : float
+        Seconds between portions of bytes without end.
     """
 
     break_after: int = 0
@@ -78,6 +91,9 @@
     leaving: bool = False
     unframed: bool = False
     rest: str = ""
+    quiet: float = 0.0
+    endless: str = ""
+    interval: float = 0.0
 
 
 class Hosted:
@@ -88,7 +104,8 @@
     name : str
         Its id; requests for another endpoint are rejected.
     pace : float
-        Seconds between events, unless a fault sets a pause.
+        Seconds between events, unless a fault sets a pause, and between the halves of
+        a plain answer.
     records : Path or None
         File to which the requests that ran are written before a crash.
     software : str
@@ -115,15 +132,11 @@
         self, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
         """Serve one request."""
-        if request.path == "/faults":
-            self.faults = msgspec.json.decode(request.body, type=HostedFaults)
-            return WebAnswer.json({})
+        if request.path in OPERATOR_PATHS:
+            connection.gated = False
+            return self._serve_operator(request, connection)
         if request.path == "/kv-list":
             return WebAnswer.json({"epoch": 1, "next": 0, "held": self.cached_parts()})
-        if request.path == "/ran":
-            return WebAnswer.json(self.ran)
-        if request.path == "/arrived":
-            return WebAnswer.json(self.arrived)
         self.arrived.append(request.headers.get("request-id", ""))
         if request.headers.get("target-instance", self.name) != self.name:
             return WebAnswer(421, b"", [("Instance-Id", self.name)])
@@ -133,6 +146,17 @@
             return WebAnswer(503, b"", headers)
         return await self._work(request, connection)
 
+    def _serve_operator(
+        self, request: WebRequest, connection: WebConnection
+    ) -> WebAnswer:
+        if request.path == "/ran":
+            return WebAnswer.json(self.ran)
+        if request.path == "/arrived":
+            return WebAnswer.json(self.arrived)
+        self.faults = msgspec.json.decode(request.body, type=HostedFaults)
+        connection.gate.hold(self.faults.quiet)
+        return WebAnswer.json({})
+
     def _notice(self) -> list[tuple[str, str]]:
         """Return the headers of each answer that state whether the endpoint leaves."""
         return [LEAVING] if self.faults.leaving else []
@@ -194,20 +218,49 @@
         if self.faults.fail:
             return WebAnswer(500, b"failed", headers)
         if self.faults.foreign:
-            connection.writer.write(
+            connection.write(
                 b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Signature: x\r\n"
                 b"Content-Length: 5\r\n\r\nother"
             )
+        if self.faults.endless == endless.HEAD:
+            await endless.send_endless_head(connection, self.faults.interval)
+            return None
         if request.path.startswith("/stream"):
             await self._stream(request, connection, headers)
             return None
-        await asyncio.sleep(self.faults.pause)
-        if self.faults.unframed:
+        return await self._answer_plainly(request, connection, headers)
+
+    async def _answer_plainly(
+        self,
+        request: WebRequest,
+        connection: WebConnection,
+        headers: list[tuple[str, str]],
+    ) -> WebAnswer | None:
+        """Answer with a short body, in two halves if the endpoint has a pace."""
+        body = f"answer to {request.headers.get('request-id', '')}".encode()
+        faults = self.faults
+        await asyncio.sleep(faults.pause)
+        if faults.endless == endless.AFTER:
+            connection.answer(WebAnswer(200, body, headers))
+            await endless.send_endless_rest(connection, faults.interval)
+            return None
+        if faults.endless:
+            await endless.send_endless_body(connection, headers, faults.interval)
+            return None
+        if faults.unframed:
             connection.begin(200, headers, chunked=False)
-            connection.send(f"answer to {headers[0][1]}".encode())
+            connection.send(body)
             connection.end()
             return None
-        return WebAnswer(200, f"answer to {headers[0][1]}".encode(), headers)
+        if not self.pace:
+            return WebAnswer(200, body, headers)
+        half = len(body) // 2
+        connection.begin(200, headers)
+        connection.send(body[:half])
+        await asyncio.sleep(self.pace)
+        connection.send(body[half:])
+        connection.end()
+        return None
 
     async def _stream(
         self,
@@ -218,6 +271,11 @@
         count = int(request.headers.get("token-usage", "0,4").partition(",")[2])
         first = int(request.headers.get("last-event-id", "0")) + 1
         chunked = not self.faults.unframed
+        if self.faults.endless == endless.BODY:
+            await endless.send_endless_body(
+                connection, [*headers, EVENT_STREAM], self.faults.interval
+            )
+            return
         connection.begin(200, [*headers, EVENT_STREAM], chunked)
         run = f"{self.name}/{len(self.ran)}"
         for number in range(first, count + 1):
@@ -225,6 +283,9 @@
                 return
             data = f"{self.software} {run}"
             connection.send(f"id: {number}\ndata: {data}\n\n".encode())
+            if self.faults.endless == endless.EVENTS:
+                await endless.send_endless_comments(connection, self.faults.interval)
+                return
             if number - first + 1 == self.faults.break_after:
                 if self.faults.within:
                     connection.send(b"id: 99\nda")
@@ -236,6 +297,8 @@
                 return
             await asyncio.sleep(self.faults.pause or self.pace)
         connection.end()
+        if self.faults.endless == endless.AFTER:
+            await endless.send_endless_rest(connection, self.faults.interval)
 
 
 def _has_harmful_part(request: WebRequest) -> bool:
--- a/standins/web.py
+++ b/standins/web.py
@@ -13,6 +13,8 @@
 import h11
 import msgspec
 
+from standins.send_gate import SendGate
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -54,13 +56,22 @@
         Set once the connection is closed.
     unframed : bool
         Whether the current answer ends with its connection.
+    gate : SendGate
+        Through which all bytes of the server are sent.
+    gated : bool
+        Whether the gate may hold back what is sent on this connection.
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        gate: SendGate | None = None,
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.gate = gate or SendGate()
+        self.gated = True
         self.parser = h11.Connection(h11.SERVER)
         self.closed = asyncio.Event()
         self.unframed = False
@@ -76,7 +87,7 @@
         if self.unframed:
             lines = [f"HTTP/1.1 {status} OK"]
             lines += [f"{name}: {value}" for name, value in headers]
-            self.writer.write("\r\n".join([*lines, "", ""]).encode())
+            self.write("\r\n".join([*lines, "", ""]).encode())
             return
         fields = [*headers, ("Transfer-Encoding", "chunked")]
         self._send(h11.Response(status_code=status, headers=fields))
@@ -85,7 +96,7 @@
         """Send a part of the body."""
         if self.unframed:
             if not self.closed.is_set():
-                self.writer.write(data)
+                self.write(data)
             return
         self._send(h11.Data(data=data))
 
@@ -116,9 +127,24 @@
         self._send(h11.Data(data=answer.body))
         self._send(h11.EndOfMessage())
 
+    def write(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        if self.gated:
+            self.gate.write(self.writer, data)
+        else:
+            self.writer.write(data)
+
+    def close(self) -> None:
+        """Close the connection after all that was sent on it."""
+        self.closed.set()
+        if self.gated:
+            self.gate.close(self.writer)
+        else:
+            self.writer.close()
+
     def _send(self, event: object) -> None:
         if not self.closed.is_set():
-            self.writer.write(self.parser.send(event))
+            self.write(self.parser.send(event))
 
     async def read_request(self) -> WebRequest | None:
         """Return the next request, or None if there is none."""
@@ -175,6 +201,7 @@
         handle: Callable[[WebRequest, WebConnection], Awaitable[WebAnswer | None]],
     ) -> None:
         self.handle = handle
+        self.gate = SendGate()
         self.port = 0
 
     async def start(self, port: int) -> None:
@@ -187,15 +214,14 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = WebConnection(reader, writer)
+        connection = WebConnection(reader, writer, self.gate)
         try:
             while await self._serve_one(connection):
                 connection.parser.start_next_cycle()
         except (ConnectionError, h11.ProtocolError):
             pass
         finally:
-            connection.closed.set()
-            writer.close()
+            connection.close()
 
     async def _serve_one(self, connection: WebConnection) -> bool:
         request = await connection.read_request()
