Check that sound endpoints' silence breaks off no answer

Cause: the soak knew no rule for requests that end cut, failed or unanswered; it left them all to the faults that were played. Change: find_broken_answers lists requests that end cut, with 502 or 504 before their time is over, or without an answer at any time. What excuses them is recorded apart from the disturbances of the other checks and is narrower: a router that does not run, an endpoint that the request reached and that was broken, and lost ways to endpoints of its service. Silence, a stop, a reload, a configuration and the store excuse nothing; a request that crossed the close of its connection is not counted. Ruled out: the disturbances that are there, as they cover five seconds after nearly each fault, a graceful stop among them. No other check has changed.

--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -12,6 +12,8 @@
 
 #: Statuses that state that the request has not run and will not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
+#: Statuses of requests without an answer of an endpoint.
+FAILURES = frozenset({502, 504})
 #: Statuses of requests that the configuration doesn't allow.
 DENIED = frozenset({400, 401, 403, 404, 413, 431})
 #: Seconds for which an endpoint that leaves may still receive requests.
@@ -30,6 +32,8 @@
 MAX_CRASHES_PER_PART = 5
 #: Seconds after the last allowed crash from which sends count as violations.
 QUARANTINE_BOUND = 3.0
+#: Seconds before the end of its time at which a request may be given up.
+TIME_MARGIN = 0.1
 #: Seconds added to each bound, for a busy machine.
 SLACK = 0.5
 
@@ -50,6 +54,12 @@
         Error of a complete answer; empty if it is correct.
     left_at : float
         Time at which the caller disconnected early; 0 if it did not.
+    route : str
+        Name of its route.
+    time_limit : float
+        Seconds for which the router may work on it at least.
+    crossed : bool
+        Whether the router had closed the connection before the request reached it.
     """
 
     request: str
@@ -62,6 +72,9 @@
     whole: bool
     fault: str = ""
     left_at: float = 0.0
+    route: str = ""
+    time_limit: float = float("inf")
+    crossed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +266,59 @@
     return found
 
 
+def find_broken_answers(
+    caller_records: list[CallerRecord], arrivals: list[Arrival], unsound: Disturbances
+) -> list[str]:
+    """Return requests that ended cut, failed or unanswered without a reason.
+
+    A request that was cut, or answered with one of `FAILURES`, may have used up its
+    time. One whose connection ended without an answer has no such reason. Neither has
+    one that crossed the close of its connection, but that is allowed.
+
+    Parameters
+    ----------
+    caller_records : list of CallerRecord
+        What the callers received.
+    arrivals : list of Arrival
+        Requests that reached the endpoints.
+    unsound : Disturbances
+        Periods in which a router did not run or an endpoint did not work properly,
+        under their names, and in which requests may have been lost on their way to
+        endpoints of a service, under the name of the service. A silent endpoint is
+        sound, and so is a router that stops, reads its settings or lacks the store.
+    """
+    endpoints: dict[str, set[str]] = defaultdict(set)
+    for item in arrivals:
+        endpoints[item.request].add(item.endpoint)
+    found = []
+    for item in caller_records:
+        how = _broken(item)
+        names = {item.router, item.service, *endpoints[item.request]}
+        if how and all(
+            unsound.is_undisturbed(name, item.sent_at, item.ended_at) for name in names
+        ):
+            where = ", ".join(sorted(endpoints[item.request])) or "no endpoint"
+            lasted = item.ended_at - item.sent_at
+            found.append(
+                f"{item.request} of {item.route or item.service} at {item.router} "
+                f"and {where} ended {how} after {lasted:.2f} s"
+            )
+    return found
+
+
+def _broken(item: CallerRecord) -> str:
+    """Return how a request was broken off, empty if it was not or its time was over."""
+    if item.left_at or item.crossed:
+        return ""
+    if not item.status:
+        return "without an answer"
+    if item.ended_at - item.sent_at >= item.time_limit - TIME_MARGIN:
+        return ""
+    if not item.whole:
+        return "cut"
+    return f"with {item.status}" if item.status in FAILURES else ""
+
+
 def find_overspent(
     caller_records: list[CallerRecord],
     arrivals: list[Arrival],
--- a/tests/benchmarks/test_promises.py
+++ b/tests/benchmarks/test_promises.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from benchmarks.soak import promises
 from benchmarks.soak.promises import Arrival, CallerRecord, CrashRecord, Disturbances
 
@@ -89,3 +91,71 @@
     assert not calm.in_touch("router-0", 10.0)
     assert calm.in_touch("router-0", 10.1)
     assert calm.in_touch("router-1", 10.0)
+
+
+#: What callers may get beside a silent endpoint, and what they may not.
+BROKEN = {
+    "cut": {"whole": False},
+    "with 502": {"status": 502},
+    "with 504": {"status": 504},
+    "without an answer": {"status": 0, "whole": False},
+}
+
+
+@pytest.mark.parametrize("how", BROKEN)
+def test_a_request_that_is_broken_off_without_a_reason_is_found(how):
+    caller = told(route="again", time_limit=2.5, **BROKEN[how])
+    found = promises.find_broken_answers([caller], [arrival()], Disturbances())
+    assert found == [
+        f"q-1 of again at router-0 and desk-1 ended {how} after 0.10 s",
+    ]
+
+
+@pytest.mark.parametrize("other", [{}, {"status": 503}, {"status": 500}])
+def test_answers_and_refusals_are_no_broken_answers(other):
+    caller = told(**other)
+    assert not promises.find_broken_answers([caller], [arrival()], Disturbances())
+
+
+@pytest.mark.parametrize("how", BROKEN)
+def test_a_request_may_be_broken_off_when_its_time_is_over_but_not_unanswered(how):
+    def find(ended_at):
+        caller = told(time_limit=2.5, ended_at=ended_at, **BROKEN[how])
+        return promises.find_broken_answers([caller], [arrival()], Disturbances())
+
+    assert find(12.3)
+    assert bool(find(12.41)) is (how == "without an answer")
+
+
+@pytest.mark.parametrize("other", [{"left_at": 10.05}, {"crossed": True}])
+def test_who_left_or_crossed_the_close_is_owed_no_answer(other):
+    caller = told(status=0, whole=False, **other)
+    assert not promises.find_broken_answers([caller], [], Disturbances())
+
+
+@pytest.mark.parametrize("how", BROKEN)
+@pytest.mark.parametrize(
+    ("name", "excused"),
+    [
+        ("router-0", True),
+        ("desk-1", True),
+        ("desk", True),
+        ("router-1", False),
+        ("desk-2", False),
+        ("model", False),
+    ],
+)
+def test_only_what_a_request_met_excuses_its_end(how, name, excused):
+    unsound = Disturbances()
+    unsound.begin(name, 10.05).end = 11.0
+    caller = told(**BROKEN[how])
+    found = promises.find_broken_answers([caller], [arrival()], unsound)
+    assert bool(found) is not excused
+
+
+def test_what_was_over_before_or_began_after_excuses_nothing():
+    unsound = Disturbances()
+    unsound.begin("desk-1", 8.0).end = 9.9
+    unsound.begin("router-0", 10.2)
+    caller = told(status=504)
+    assert promises.find_broken_answers([caller], [arrival()], unsound)
