Play silence, bytes without end, changes and signals in the soak

Cause: the soak played one kind of change of the configuration and single signals, and no endpoint that is merely silent; its callers did not tell why a connection had ended. Change: silent endpoints (one, several, all, for 0.9 to 1.6 s); bytes without end; series of changes of timeouts, idle timeouts, splits and keys before a route is added and an older one dropped, both checked; series of SIGHUP, and of SIGTERM while a router stops. Callers keep connections idle for up to four fifths of the least idle timeout that may be active, and tell from the state of the socket whether a request crossed its close. What became of requests is counted by route, and listed with the seconds of all changes in outcomes.txt beside the logs. Not played: a split over two different services; its two parts are of the same service.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from benchmarks.soak import forwarding, own
+from benchmarks.soak import forwarding, outcomes, own
 
 app = typer.Typer(help="Random faults on real processes; lists violated guarantees.")
 
@@ -37,16 +37,27 @@
     routers: Annotated[
         int, typer.Option(help="Number of routers.")
     ] = forwarding.ROUTERS,
+    planned: Annotated[
+        bool, typer.Option(help="Only planned work, silence and faults of the store.")
+    ] = False,
+    without: Annotated[
+        list[str] | None, typer.Option(help="Faults and changes to leave out.")
+    ] = None,
 ) -> None:
     """Run the soak test of forwarding routers."""
     violations: list[str] = []
+    left_out = frozenset(without or ())
     for number in range(seed, seed + seeds):
-        account = asyncio.run(forwarding.soak(seconds, number, routers))
+        account = asyncio.run(
+            forwarding.soak(seconds, number, routers, planned, left_out)
+        )
         print(f"seed {number}, faults {dict(account.faults)}")
+        print("\n".join(outcomes.count_outcomes(account.caller_records)))
         print(
             f"{len(account.caller_records)} requests: {account.whole} whole; "
             f"{len(account.crash_records)} endpoints ended under harmful requests; "
             f"streams resumed by callers, by status: {dict(account.resumptions)}; "
+            f"idle connections: {dict(account.idle_ends)}; "
             f"{len(account.violations)} violations",
             flush=True,
         )
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -12,20 +12,20 @@
 import h11
 
 from benchmarks.hosted import (
-    HOST,
     HostedFleet,
     model_headers,
     plain_headers,
-    read_answer,
     resuming_headers,
     stream_events,
 )
+from benchmarks.soak.connections import CallerConnection
 from benchmarks.soak.promises import Arrival, CallerRecord, CrashRecord, Disturbances
 
 if TYPE_CHECKING:
     import random
 
     from benchmarks.hosted import CallAnswer, StreamEvent
+    from benchmarks.soak.changes import Configurations
 
 #: Seconds that a caller waits for an answer; above the timeouts of all routes.
 ANSWER_TIMEOUT = 12.0
@@ -35,6 +35,14 @@
 #: it does so at most.
 CANCELLATION_PROBABILITY = 0.1
 MAX_CANCELLATION_DELAY = 0.2
+#: Probability that a caller keeps its connection idle after an answer, the fraction of
+#: the idle timeout and the seconds for which it does so at most.
+IDLE_PROBABILITY = 0.01
+MAX_IDLE_FRACTION = 0.8
+MAX_IDLE_DURATION = 4.0
+#: Seconds for which a router may work on requests of each service at least: the time
+#: that the caller states, or the least timeout that a configuration sets.
+TIME_LIMITS = {"model": 4.0, "desk": 2.5}
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +71,13 @@
     faults: Counter[str] = field(default_factory=Counter)
     left: dict[str, float] = field(default_factory=dict)
     disturbances: Disturbances = field(default_factory=Disturbances)
+    #: Routers, endpoints and services that did not work properly; see
+    #: `promises.find_broken_answers`.
+    unsound: Disturbances = field(default_factory=Disturbances)
+    #: Time and kind of each fault and change.
+    changes: list[tuple[float, str]] = field(default_factory=list)
+    #: Connections kept idle, by what became of them.
+    idle_ends: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     crash_records: list[CrashRecord] = field(default_factory=list)
     #: Streams resumed by callers, by the status of the answer.
@@ -74,38 +89,6 @@
         return sum(item.whole and item.status == 200 for item in self.caller_records)
 
 
-class CallerConnection:
-    """A connection that a caller uses until it is closed."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.parser = h11.Connection(h11.CLIENT)
-
-    async def ask(self, path: str, headers: dict[str, str]) -> CallAnswer:
-        """Send a request and read its answer."""
-        fields = {"Host": HOST, "Content-Length": "4", **headers}
-        head = h11.Request(method="POST", target=path, headers=list(fields.items()))
-        data = self.parser.send(head) + self.parser.send(h11.Data(data=b"body"))
-        self.writer.write(data + self.parser.send(h11.EndOfMessage()))
-        return await read_answer(self.reader, self.parser)
-
-    def usable(self) -> bool:
-        """Return whether it can be used for another request, and prepare it."""
-        if self.parser.our_state is not h11.DONE:
-            return False
-        if self.parser.their_state is not h11.DONE or self.reader.at_eof():
-            return False
-        self.parser.start_next_cycle()
-        return True
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        self.writer.transport.abort()
-
-
 class Callers:
     """Callers that send one request after the other to any router.
 
@@ -117,14 +100,21 @@
         Source of all random choices.
     account : Account
         Receives the records.
+    configurations : Configurations
+        Tell the idle timeout that is active.
     """
 
     def __init__(
-        self, fleet: HostedFleet, rng: random.Random, account: Account
+        self,
+        fleet: HostedFleet,
+        rng: random.Random,
+        account: Account,
+        configurations: Configurations,
     ) -> None:
         self.fleet = fleet
         self.rng = rng
         self.account = account
+        self.configurations = configurations
         self.requests = 0
         self.stopped = False
 
@@ -139,10 +129,33 @@
                 if connection is None:
                     continue
             await self.request(connection, router)
-            if not connection.usable():
+            reusable = connection.usable()
+            if reusable and self.rng.random() < IDLE_PROBABILITY:
+                reusable = await self.stay_idle(connection, router)
+            if not reusable:
                 connection.close()
                 connection = None
 
+    async def stay_idle(self, connection: CallerConnection, router: str) -> bool:
+        """Keep a connection idle for a while; return whether it may be used again."""
+        share = self.rng.uniform(0, MAX_IDLE_FRACTION)
+        idle_timeout = self.configurations.least_idle_timeout(time.time())
+        await asyncio.sleep(min(share * idle_timeout, MAX_IDLE_DURATION))
+        now = time.time()
+        allowed = self.configurations.least_idle_timeout(connection.idle_since)
+        if now - connection.idle_since > MAX_IDLE_FRACTION * allowed:
+            self.account.idle_ends["not reused"] += 1
+            return False
+        is_open = connection.is_open()
+        calm = self.account.disturbances.is_undisturbed(
+            router, connection.idle_since, now
+        )
+        if is_open:
+            self.account.idle_ends["reused"] += 1
+        else:
+            self.account.idle_ends["closed early" if calm else "router ended"] += 1
+        return is_open
+
     async def connect(self, router: str) -> CallerConnection | None:
         """Return a connection to a router, or None if it can't be opened."""
         port = self.fleet.ports[router][0]
@@ -178,6 +191,8 @@
             answer = None
         now = time.time()
         gone = now if answer is None and leaves else 0.0
+        unanswered = answer is not None and not answer.status
+        crossed = unanswered and await connection.crossed()
         begun = stream_events(answer.body) if answer and kind.path == "stream" else []
         self.account.caller_records.append(
             CallerRecord(
@@ -191,6 +206,9 @@
                 bool(answer and answer.complete),
                 _fault(answer, request, events if streamed else 0),
                 gone,
+                kind.path,
+                TIME_LIMITS[kind.service],
+                crossed,
             )
         )
         if begun and not answer.complete:
@@ -210,8 +228,10 @@
         with contextlib.suppress(ConnectionError, h11.ProtocolError, TimeoutError):
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 answer = await connection.ask("/stream/x", headers)
-        connection.close()
+        now = time.time()
         status = answer.status if answer else 0
+        crossed = answer is not None and not status and await connection.crossed()
+        connection.close()
         self.account.resumptions[status] += 1
         self.account.caller_records.append(
             CallerRecord(
@@ -220,10 +240,13 @@
                 router,
                 False,
                 sent_at,
-                time.time(),
+                now,
                 status,
                 bool(answer and answer.complete),
                 _fault(answer, again, events, begun),
+                route="stream",
+                time_limit=TIME_LIMITS["model"],
+                crossed=crossed,
             )
         )
 
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -10,9 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 from benchmarks.client import post_json
-from benchmarks.hosted import HostedFleet, configuration, route
-from benchmarks.soak import promises
-from benchmarks.soak.promises import Arrival
+from benchmarks.hosted import HostedFleet
+from benchmarks.soak.promises import Arrival, Disturbances
 
 if TYPE_CHECKING:
     import random
@@ -28,14 +27,15 @@
 FAULT_DURATION = (0.4, 3.0)
 #: Seconds after a disturbance before strict checks apply again.
 RECOVERY = 5.0
+#: Seconds after which a router or endpoint that did not work properly does so again.
+UNSOUND_RECOVERY = 1.0
+#: Seconds from SIGTERM after which a router that stops may break off requests.
+STOP_GRACE = 8.0
+STOP_BREAK_OFF = STOP_GRACE * 5 / 6
 #: Seconds between events of a stream.
 EVENT_INTERVAL = 0.01
 #: Seconds between retries of a write to the store.
 STORE_RETRY_INTERVAL = 0.1
-#: Seconds after a restore until records that the snapshot lacks are written again.
-REWRITE_DELAY = 0.5
-#: Topics of the store.
-TOPICS = ("keyed.op", "keyed.servers", "keyed.routers")
 #: Fault of an endpoint that announces its leaving.
 LEAVING = {"leaving": True}
 #: Software versions of endpoints; a replacement may have a different one.
@@ -70,37 +70,35 @@
         self.rng = rng
         self.account = account
         self.callers = callers
-        self.version = 1
         self.starts = 0
         self.busy: set[str] = set()
         #: All endpoints of the run, including those that have ended.
         self.all_endpoints: dict[str, Process] = {}
 
-    async def inject(self, seconds: float) -> None:
-        """Start faults at random times; they may overlap."""
+    async def inject(
+        self, seconds: float, kinds: list[Callable[[], Awaitable[None]]]
+    ) -> None:
+        """Start faults of some kinds at random times; they may overlap."""
         end = time.time() + seconds
-        kinds: list[Callable[[], Awaitable[None]]] = [
+        async with asyncio.TaskGroup() as group:
+            while time.time() < end:
+                fault = self.rng.choice(kinds)
+                self.account.faults[fault.__name__] += 1
+                self.account.changes.append((time.time(), fault.__name__))
+                group.create_task(fault())
+                await asyncio.sleep(self.rng.uniform(0, PAUSE))
+
+    @property
+    def unplanned(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults that may harm requests."""
+        return [
             self.kill,
             self.kill_many,
             self.freeze,
-            self.stop,
-            self.reload,
-            self.break_store,
-            self.trim_store,
-            self.restore_store,
-            self.break_store_connection,
             self.break_endpoint,
             self.break_link,
             self.crash_endpoint,
-            self.replace_endpoint,
-            self.configure,
         ]
-        async with asyncio.TaskGroup() as group:
-            while time.time() < end:
-                fault = self.rng.choice(kinds)
-                self.account.faults[fault.__name__] += 1
-                group.create_task(fault())
-                await asyncio.sleep(self.rng.uniform(0, PAUSE))
 
     @contextlib.asynccontextmanager
     async def claimed(self, name: str):
@@ -117,21 +115,28 @@
     @contextlib.contextmanager
     def disturbed(self, *names: str):
         """Suspend strict checks for `names` during the block and `RECOVERY` s after."""
-        now = time.time()
-        spans: list[Span] = [
-            self.account.disturbances.begin(name, now) for name in {*names, "any"}
-        ]
-        try:
+        disturbances = self.account.disturbances
+        with _recorded(disturbances, {*names, "any"}, time.time(), RECOVERY):
+            yield
+
+    @contextlib.contextmanager
+    def unsound(self, *names: str, delay: float = 0.0):
+        """Record that `names` do not work properly during the block, from a delay on.
+
+        Names are those of `promises.find_broken_answers`.
+        """
+        unsound = self.account.unsound
+        with _recorded(unsound, {*names}, time.time() + delay, UNSOUND_RECOVERY):
             yield
-        finally:
-            for span in spans:
-                span.over = time.time()
-                span.end = span.over + RECOVERY
 
     def pick_router(self) -> str:
         """Return the name of a random router."""
         return self.rng.choice(sorted(self.fleet.routers))
 
+    def pick_endpoint(self) -> str:
+        """Return the name of a random endpoint."""
+        return self.rng.choice(sorted(self.fleet.endpoints))
+
     def fault_duration(self) -> float:
         """Return a random duration of a fault."""
         return self.rng.uniform(*FAULT_DURATION)
@@ -146,23 +151,23 @@
             *(self.end_router(name, signal.SIGKILL) for name in self.fleet.routers)
         )
 
-    async def stop(self) -> None:
-        """Stop a router gracefully and start it again."""
-        await self.end_router(self.pick_router(), signal.SIGTERM)
-
     async def end_router(self, name: str, number: int) -> None:
-        """End a router by a signal, wait for it, and start it again."""
+        """End a router by a signal and start it again, unless it has another fault."""
         async with self.claimed(name) as free:
-            if not free:
-                return
-            with self.disturbed(name):
-                process = self.fleet.routers[name]
-                process.signal(number)
-                while process.popen.poll() is None:
-                    await asyncio.sleep(0.02)
-                await asyncio.sleep(self.rng.uniform(0, 1))
-                self.fleet.restart_router(name)
-                await self.fleet.wait_ready(name)
+            if free:
+                await self.replace_process(name, number)
+
+    async def replace_process(self, name: str, number: int) -> None:
+        """End the process of a claimed router by a signal and start another one."""
+        delay = 0.0 if number == signal.SIGKILL else STOP_BREAK_OFF
+        with self.disturbed(name), self.unsound(name, delay=delay):
+            process = self.fleet.routers[name]
+            process.signal(number)
+            while process.popen.poll() is None:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(self.rng.uniform(0, 1))
+            self.fleet.restart_router(name)
+            await self.fleet.wait_ready(name)
 
     async def freeze(self) -> None:
         """Suspend a router for a while."""
@@ -170,65 +175,17 @@
         async with self.claimed(name) as free:
             if not free:
                 return
-            with self.disturbed(name):
+            with self.disturbed(name), self.unsound(name):
                 process = self.fleet.routers[name]
                 process.signal(signal.SIGSTOP)
                 await asyncio.sleep(self.fault_duration())
                 process.signal(signal.SIGCONT)
 
-    async def reload(self) -> None:
-        """Change a router's settings file and have it reloaded."""
-        name = self.pick_router()
-        async with self.claimed(name) as free:
-            if free:
-                self.fleet.write_settings(name, log_level="info")
-                self.fleet.routers[name].signal(signal.SIGHUP)
-
-    async def break_store(self) -> None:
-        """Make the store unavailable, or lose its answers."""
-        async with self.claimed("store") as free:
-            if not free:
-                return
-            faults = self.rng.choice(
-                [
-                    {"refuse": True},
-                    {"silent": True},
-                    {"lose": True},
-                    {"silent_topic": self.rng.choice(TOPICS)},
-                ]
-            )
-            with self.disturbed(*self.fleet.routers):
-                await post_json(self.fleet.store.port, "/faults", faults)
-                await asyncio.sleep(self.fault_duration())
-                await post_json(self.fleet.store.port, "/faults", {})
-
-    async def trim_store(self) -> None:
-        """Drop the history of a topic, except for the newest records."""
-        topic = self.rng.choice(TOPICS)
-        await post_json(self.fleet.store.port, f"/forget?topic={topic}", {})
-
-    async def restore_store(self) -> None:
-        """Restore a snapshot of the store; others write their records again."""
-        async with self.claimed("store") as free:
-            if not free:
-                return
-            port = self.fleet.store.port
-            await post_json(port, "/copy", {})
-            await asyncio.sleep(self.fault_duration())
-            with self.disturbed(*self.fleet.routers):
-                await post_json(port, f"/restore?again={REWRITE_DELAY}", {})
-                await asyncio.sleep(REWRITE_DELAY)
-
-    async def break_store_connection(self) -> None:
-        """Reset or delay one router's connections to the store, or drop their data."""
-        name = self.pick_router()
-        with self.disturbed(name):
-            await self.break_proxy(f"store-of-{name}")
-
     async def break_link(self) -> None:
         """Reset or delay the connections to an endpoint, or drop their data."""
-        name = self.rng.choice(sorted(self.fleet.endpoints))
-        with self.disturbed(*self.fleet.routers):
+        name = self.pick_endpoint()
+        service = self.fleet.services[name]
+        with self.disturbed(*self.fleet.routers), self.unsound(name, service):
             await self.break_proxy(f"link-to-{name}")
 
     async def break_proxy(self, name: str) -> None:
@@ -252,7 +209,7 @@
 
     async def break_endpoint(self) -> None:
         """Have an endpoint answer incorrectly, or not at all."""
-        name = self.rng.choice(sorted(self.fleet.endpoints))
+        name = self.pick_endpoint()
         async with self.claimed(name) as free:
             if not free:
                 return
@@ -269,7 +226,7 @@
                     {"pause": 0.1},
                 ]
             )
-            with self.disturbed(*self.fleet.routers):
+            with self.disturbed(*self.fleet.routers), self.unsound(name):
                 port = self.fleet.endpoints[name].port
                 await post_json(port, "/faults", faults)
                 await asyncio.sleep(self.fault_duration())
@@ -277,11 +234,12 @@
 
     async def crash_endpoint(self) -> None:
         """Suspend and kill an endpoint, then start another one."""
-        name = self.rng.choice(sorted(self.fleet.endpoints))
+        name = self.pick_endpoint()
         async with self.claimed(name) as free:
             if not free:
                 return
-            with self.disturbed(*self.fleet.routers):
+            service = self.fleet.services[name]
+            with self.disturbed(*self.fleet.routers), self.unsound(name, service):
                 self.fleet.endpoints[name].signal(signal.SIGSTOP)
                 await asyncio.sleep(self.fault_duration())
                 self.fleet.endpoints[name].signal(signal.SIGCONT)
@@ -293,7 +251,7 @@
 
         Its answers announce it first, since the store may be unavailable.
         """
-        name = self.rng.choice(sorted(self.fleet.endpoints))
+        name = self.pick_endpoint()
         async with self.claimed(name) as free:
             if not free:
                 return
@@ -328,8 +286,9 @@
         process = self.fleet.endpoints[name]
         await post_json(process.port, "/faults", {"decline": True})
         await self.collect(name)
-        process.kill()
-        await self._drop_endpoint(name)
+        with self.unsound(name, self.fleet.services[name]):
+            process.kill()
+            await self._drop_endpoint(name)
 
     async def deregister_crashed_endpoint(self, name: str) -> None:
         """Remove the registration of an endpoint that has crashed."""
@@ -352,27 +311,6 @@
             else:
                 return
 
-    async def configure(self) -> None:
-        """Add a route and check that undisturbed routers apply it in time."""
-        async with self.claimed("configuration") as free:
-            if not free:
-                return
-            self.version += self.rng.randint(1, 5)
-            base = configuration(self.version)
-            name = f"new-{self.version}"
-            base["routes"].append(route(name, "idempotent", "desk"))
-            await self.retry_until_done(self.fleet.configure, base)
-            await asyncio.sleep(promises.CONFIGURATION_BOUND + promises.SLACK)
-            for router in sorted(self.fleet.routers):
-                await self.check_route(router, name)
-
-    async def check_route(self, router: str, name: str) -> None:
-        """Check that a router knows a new route, unless it was disturbed."""
-        in_touch = self.account.disturbances.in_touch(router, time.time())
-        status = await self.callers.probe(router, f"/{name}/x")
-        if status == 404 and in_touch:
-            self.account.violations.append(f"{router} does not know {name} in time")
-
     async def collect(self, name: str) -> None:
         """Record the requests that reached an endpoint."""
         records = await asyncio.to_thread(self.fleet.ran, name)
@@ -381,6 +319,20 @@
         ]
 
 
+@contextlib.contextmanager
+def _recorded(
+    disturbances: Disturbances, names: set[str], start: float, recovery: float
+):
+    """Record a disturbance of `names` from a start to a recovery after the block."""
+    spans: list[Span] = [disturbances.begin(name, start) for name in names]
+    try:
+        yield
+    finally:
+        for span in spans:
+            span.over = time.time()
+            span.end = span.over + recovery
+
+
 def _arrival(record: dict[str, Any], name: str, fleet: HostedFleet) -> Arrival:
     return Arrival(
         record["id"],
--- a/benchmarks/soak/forwarding.py
+++ b/benchmarks/soak/forwarding.py
@@ -2,7 +2,9 @@
 
 Routers, endpoints and the store are separate processes. Connections to the store and
 to the endpoints go through proxies that delay them, reset them or drop their data;
-routers are stopped, paused, killed and restarted.
+routers are stopped, paused, killed and restarted. A planned run has only what leaves
+routers and most endpoints sound, so that most of its requests must be answered: silent
+endpoints, changes of the configuration, signals, and faults of the store.
 """
 
 from __future__ import annotations
@@ -10,14 +12,23 @@
 import asyncio
 import json
 import random
+import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from benchmarks.hosted import HostedFleet, configuration
+from benchmarks.hosted import HostedFleet
 from benchmarks.processes import Processes
-from benchmarks.soak import promises
+from benchmarks.soak import outcomes, promises
 from benchmarks.soak.callers import Account, Callers
+from benchmarks.soak.changes import ConfigurationChanges, Configurations
 from benchmarks.soak.faults import RECOVERY, Faults
 from benchmarks.soak.harm import HarmfulCallers
+from benchmarks.soak.misbehaviour import Misbehaviour
+from benchmarks.soak.signals import Signals
+from benchmarks.soak.store_faults import StoreFaults
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 #: Default number of routers, model endpoints and application endpoints.
 ROUTERS = 4
@@ -32,37 +43,99 @@
 BUDGET = (0.2, 10.0, 10.0)
 
 
-async def soak(seconds: float, seed: int, routers: int = ROUTERS) -> Account:
-    """Run the soak test and return its records, with the violations found."""
+async def soak(
+    seconds: float,
+    seed: int,
+    routers: int = ROUTERS,
+    planned: bool = False,
+    without: frozenset[str] = frozenset(),
+) -> Account:
+    """Run the soak test and return its records, with the violations found.
+
+    Parameters
+    ----------
+    seconds : float
+        Duration of the faults.
+    seed : int
+        Seed of all random choices.
+    routers : int
+        Number of routers.
+    planned : bool
+        Whether only planned work, silence and faults of the store occur.
+    without : frozenset of str
+        Names of faults and changes that are left out.
+    """
     with Processes() as processes:
         fleet = HostedFleet(processes)
-        fleet.configure(configuration())
         rng = random.Random(seed)
+        configurations = Configurations(rng)
+        fleet.configure(configurations.current)
         account = Account()
-        callers = Callers(fleet, rng, account)
+        callers = Callers(fleet, rng, account, configurations)
         faults = Faults(fleet, rng, account, callers)
         harmful = HarmfulCallers(faults, rng, account)
         await start(fleet, faults, routers)
+        began_at = time.time()
         async with asyncio.TaskGroup() as group:
             for _ in range(CALLERS):
                 group.create_task(callers.caller())
-            for content in range(HARMFUL_CONTENTS):
-                group.create_task(harmful.repeat(content))
-            for part in range(HARMFUL_PARTS):
-                group.create_task(harmful.repeat_part(part))
-            group.create_task(harmful.replace_ended())
-            await faults.inject(seconds)
+            if not planned:
+                start_harmful(harmful, group)
+            played = kinds(faults, configurations, planned)
+            await faults.inject(
+                seconds, [kind for kind in played if kind.__name__ not in without]
+            )
             await asyncio.sleep(RECOVERY)
             callers.stopped = harmful.stopped = True
         for name in list(fleet.endpoints):
             await faults.collect(name)
         harmful.record_crashes()
         check(account)
+        keep_outcomes(account, began_at, folder_of(seed, planned))
         if account.violations:
-            keep_logs(fleet, seed)
+            keep_logs(fleet, folder_of(seed, planned))
         return account
 
 
+def start_harmful(harmful: HarmfulCallers, group: asyncio.TaskGroup) -> None:
+    """Start the callers of harmful requests, and replacement of crashed endpoints."""
+    for content in range(HARMFUL_CONTENTS):
+        group.create_task(harmful.repeat(content))
+    for part in range(HARMFUL_PARTS):
+        group.create_task(harmful.repeat_part(part))
+    group.create_task(harmful.replace_ended())
+
+
+def kinds(
+    faults: Faults, configurations: Configurations, planned: bool
+) -> list[Callable[[], Awaitable[None]]]:
+    """Return the faults and changes of a run.
+
+    Silence is twice as frequent in a planned run, which has fewer other faults.
+    """
+    changes = ConfigurationChanges(faults, configurations)
+    misbehaviour = Misbehaviour(faults)
+    signals = Signals(faults)
+    silences = [
+        misbehaviour.silence_one,
+        misbehaviour.silence_several,
+        misbehaviour.silence_all,
+    ]
+    return [
+        *(silences if planned else faults.unplanned),
+        *silences,
+        *StoreFaults(faults).kinds,
+        faults.replace_endpoint,
+        changes.configure,
+        changes.configure_repeatedly,
+        misbehaviour.send_without_end,
+        signals.reload,
+        signals.stop,
+        signals.reload_while_stopping,
+        signals.stop_repeatedly,
+    ]
+
+
 async def start(fleet: HostedFleet, faults: Faults, routers: int) -> None:
     """Start endpoints and routers, and wait until the routers are ready."""
     for service, count in (("model", MODELS), ("desk", DESKS)):
@@ -89,13 +162,27 @@
     found += promises.find_late_arrivals(arrivals, account.left, disturbances)
     found += promises.find_work_without_caller(caller_records, arrivals, disturbances)
     found += promises.find_repeated_crashes(account.crash_records, disturbances)
+    found += promises.find_broken_answers(caller_records, arrivals, account.unsound)
     found += promises.find_overspent(caller_records, arrivals, *BUDGET)
 
 
-def keep_logs(fleet: HostedFleet, seed: int) -> None:
-    """Save the logs of a run that found violations."""
-    folder = Path("build") / f"soak-{seed}"
+def folder_of(seed: int, planned: bool) -> Path:
+    """Return the folder for what a run leaves, and create it."""
+    folder = Path("build") / f"soak-{'planned-' if planned else ''}{seed}"
     folder.mkdir(parents=True, exist_ok=True)
+    return folder
+
+
+def keep_outcomes(account: Account, start: float, folder: Path) -> None:
+    """Save what became of the requests, and when."""
+    records = account.caller_records
+    lines = outcomes.count_outcomes(records)
+    lines += outcomes.list_seconds(records, account.changes, start)
+    (folder / "outcomes.txt").write_text("\n".join([*lines, ""]))
+
+
+def keep_logs(fleet: HostedFleet, folder: Path) -> None:
+    """Save the logs of a run that found violations."""
     for path in fleet.processes.folder.glob("router-*.out"):
         (folder / path.name).write_bytes(path.read_bytes())
     print(json.dumps({"logs": str(folder)}))
--- a/benchmarks/soak/harm.py
+++ b/benchmarks/soak/harm.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import h11
 
 from benchmarks.hosted import call, model_headers
+from benchmarks.soak.faults import UNSOUND_RECOVERY
 from benchmarks.soak.promises import PART_PREFIX, CrashRecord
 from standins.hosted import CRASH_EXIT_CODE, HARMFUL, HARMFUL_PART
 
@@ -27,6 +29,8 @@
 LEASE = (0.5, 3.0)
 #: Seconds that a caller waits for an answer.
 ANSWER_TIMEOUT = 3.0
+#: Seconds before its last record within which an endpoint has crashed.
+CRASH_MARGIN = 0.1
 #: Prefix of the ids of harmful requests.
 PREFIX = "harm"
 #: Paths to which they are sent.
@@ -53,6 +57,8 @@
         self.account = account
         self.requests = 0
         self.stopped = False
+        #: Times at which crashed endpoints were deregistered.
+        self.deregistered: dict[str, float] = {}
 
     async def repeat(self, content: int) -> None:
         """Send one content to random routers until the run ends."""
@@ -96,10 +102,11 @@
     async def _replace(self, name: str) -> None:
         await asyncio.sleep(self.rng.uniform(*LEASE))
         await self.faults.deregister_crashed_endpoint(name)
+        self.deregistered[name] = time.time()
         await self.faults.start_endpoint(self.fleet.services[name])
 
     def record_crashes(self) -> None:
-        """Record the requests that crashed endpoints."""
+        """Record the requests that crashed endpoints, and when these crashed."""
         ended = {
             name
             for name, process in self.faults.all_endpoints.items()
@@ -111,3 +118,15 @@
                 content = rest.partition("-")[0]
                 harm = CrashRecord(content, item.request, item.endpoint, item.at)
                 self.account.crash_records.append(harm)
+        for name in ended:
+            self._record_unsound(name)
+
+    def _record_unsound(self, name: str) -> None:
+        """Record that an endpoint has crashed, until routers know of it."""
+        records = [item for item in self.account.arrivals if item.endpoint == name]
+        crashed_at = max(item.ended_at for item in records) - CRASH_MARGIN
+        unsound = self.account.unsound
+        unsound.begin(name, crashed_at)
+        span = unsound.begin(self.fleet.services[name], crashed_at)
+        if name in self.deregistered:
+            span.end = self.deregistered[name] + UNSOUND_RECOVERY
