Keep polling the peers after one answers with other bytes

What callers would see: a router that stops in the middle of its requests. A 200 whose body is no record, such as from another program at the address of a router that has ended, raised out of AntiEntropy.poll_periodically, and a router whose task fails stops. Cause: only ExchangeError was handled in _fetch. Change: such an answer counts as none, and the peer is asked last for a while. Evidence: test_a_peer_that_answers_with_other_bytes_counts_as_unresponsive failed before (msgspec.ValidationError) and passes.

--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -307,7 +307,10 @@
             return
         try:
             answer = await self.http.fetch(address, "GET", path, timeout=FETCH_TIMEOUT)
-        except ExchangeError as error:
+            if answer.head.status == 200:
+                self._apply_answer(router, path, answer.body)
+        except (ExchangeError, msgspec.MsgspecError, UnicodeDecodeError) as error:
+            # Another program may answer at the address of a router that has ended.
             logger.info(
                 "fetching from a peer failed",
                 extra={"peer": router, "reason": str(error)},
@@ -316,8 +319,6 @@
             self.unresponsive_until[router] = now + UNRESPONSIVE_DURATION
             return
         self.unresponsive_until.pop(router, None)
-        if answer.head.status == 200:
-            self._apply_answer(router, path, answer.body)
 
     def _apply_answer(self, router: RouterId, path: str, body: bytes) -> None:
         if path == CONFIGURATION_PATH:
--- a/tests/coordination/knowledge/test_anti_entropy.py
+++ b/tests/coordination/knowledge/test_anti_entropy.py
@@ -180,3 +180,24 @@
         synchronized_after(fleet, OnePeerSilent(address)) for address in places.values()
     ]
     assert max(took) <= 1.0
+
+
+class GarblingPeer:
+    """Answers every request with bytes that are no record."""
+
+    async def fetch(self, address, method, path, timeout):
+        return Answer(Head(200, {}), b"no record")
+
+
+def test_a_peer_that_answers_with_other_bytes_counts_as_unresponsive():
+    """Otherwise the task that polls the peers, and with it the router, ends."""
+
+    async def run():
+        known, _ = knowledge()
+        made = anti_entropy.AntiEntropy(starting(80), known, GarblingPeer())
+        await made._fetch("router-0", anti_entropy.CONFIGURATION_PATH)
+        await made._fetch("router-1", anti_entropy.ENDPOINTS_PATH)
+        await made._fetch("router-2", anti_entropy.EVACUATIONS_PATH)
+        return set(made.unresponsive_until), known.complete
+
+    assert run_in_loop(run) == ({"router-0", "router-1", "router-2"}, False)
