Bound a list of the store whose pages don't end

What callers would see: a store that answers every page with more_pages keeps the router calling and collecting records until its memory is full; it never learns its routes. Cause: StoreClient.newest went on as long as more_pages was set. Change: a list beyond 16 MiB, or one that comes to a key at which a page already ended, is an error, after which the reader tries again as after any other. Evidence: two cases of test_a_list_without_end_fails failed before and pass. Ruled out: a bound of pages, since few large or many small ones are both sound.

--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -63,6 +63,8 @@
 READ_HEADER = struct.Struct(">QQ")
 #: Header of a record: its size in bytes.
 RECORD_HEADER = struct.Struct(">I")
+#: Maximum size of the pages of one list of newest records, in bytes.
+MAX_LISTED_BYTES = 16 << 20
 #: Most keys of unreadable records to remember; each is logged once however often the
 #: record is rewritten.
 MAX_REMEMBERED_KEYS = 200
@@ -135,10 +137,14 @@
         ------
         RecordsNotRetained
             If the store is restored from a copy between two pages of the list.
+        SourceError
+            If the list exceeds `MAX_LISTED_BYTES` or begins again.
         """
         found: list[Record] = []
         first_end: Position | None = None
         after = ""
+        last_keys: set[str] = set()
+        size = 0
         while True:
             path = f"/log-newest?topic={topic}&part={PARTITION}"
             answer = await self._call("GET", f"{path}{after}")
@@ -150,7 +156,12 @@
             found.extend(_listed_record(item) for item in page.entries)
             if not page.more_pages or not page.entries:
                 return Page(found, first_end)
-            after = f"&after={page.entries[-1].key}"
+            size += len(answer.body)
+            last_key = page.entries[-1].key
+            if size > MAX_LISTED_BYTES or last_key in last_keys:
+                raise SourceError("a list without end")
+            last_keys.add(last_key)
+            after = f"&after={last_key}"
 
     async def read(self, topic: str, start: Position, wait: float) -> Page[Record]:
         """Return records of `topic` from `start` on, waiting up to `wait` seconds.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from carawayfold.platform.store import StoreClient
+from carawayfold.platform.store import MAX_LISTED_BYTES, StoreClient
 from carawayfold.protocol.sources import RecordsNotRetained, SourceError
 from carawayfold.state.positions import position
 from carawayfold.transport.client import Answer, Head
@@ -68,3 +68,44 @@
     client = StoreClient(FakeHttp(("later", page(7))), None)
     with pytest.raises(SourceError):
         asyncio.run(client.newest("t"))
+
+
+#: Calls after which a list counts as endless.
+MAX_CALLS = 50
+
+
+class RepeatingHttp:
+    """HTTP client that returns one answer for ever.
+
+    Attributes
+    ----------
+    calls : int
+        Number of calls.
+    """
+
+    def __init__(self, make_body):
+        self.make_body = make_body
+        self.calls = 0
+
+    async def fetch(self, address, method, path, body, timeout):
+        self.calls += 1
+        assert self.calls < MAX_CALLS
+        return Answer(Head(200, {}), self.make_body(self.calls))
+
+
+def large_page(number):
+    entry = {"key": f"k{number}", "value": "x" * (1 << 20), "offset": 1}
+    return page(7, entries=[entry], more_pages=True)
+
+
+def same_page(number):
+    entry = {"key": "k", "value": "", "offset": 1}
+    return page(7, entries=[entry], more_pages=True)
+
+
+@pytest.mark.parametrize("make_body", [large_page, same_page])
+def test_a_list_without_end_fails(make_body):
+    http = RepeatingHttp(make_body)
+    with pytest.raises(SourceError):
+        asyncio.run(StoreClient(http, None).newest("t"))
+    assert http.calls * len(make_body(1)) < 2 * MAX_LISTED_BYTES
