--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import h11
@@ -110,7 +111,7 @@
         Raises
         ------
         OSError, http.client.HTTPException
-            If the store did not answer.
+            If the store did not answer, or refused.
         """
         return ask_standin(self.store.port, method, path, body)
 
@@ -356,12 +357,15 @@
     Raises
     ------
     OSError, http.client.HTTPException
-        If there was no answer.
+        If there was no answer, or it was not a success.
     """
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=OPERATOR_TIMEOUT)
     try:
         connection.request(method, path, body)
-        return connection.getresponse().read()
+        response = connection.getresponse()
+        if response.status != HTTPStatus.OK:
+            raise http.client.HTTPException(f"status {response.status}")
+        return response.read()
     finally:
         connection.close()
 
