Have connections to a crashed endpoint refused in the soak

Cause: the proxy in front of an endpoint that had ended still accepted connections and reset them, so that routers saw a crash with each request; a process that has ended has no listener. Requests ended with 502 until the routers knew of the deregistration, which the check of broken answers can't tell from other ends. Change: the proxy is ended as the crash is noticed, or the endpoint is removed. A broken link still accepts and resets. Conclusion: requests at an ended endpoint are unreachable, as at the platform.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -295,7 +295,12 @@
         await self.collect(name)
         await self._drop_endpoint(name)
 
+    def cut_link(self, name: str) -> None:
+        """Have connections to an endpoint refused, as its address has no listener."""
+        self.fleet.proxies[f"link-to-{name}"].kill()
+
     async def _drop_endpoint(self, name: str) -> None:
+        self.cut_link(name)
         del self.fleet.endpoints[name]
         await self.retry_until_done(self.fleet.put, "keyed.servers", name, None)
 
--- a/benchmarks/soak/harm.py
+++ b/benchmarks/soak/harm.py
@@ -100,6 +100,7 @@
                 await asyncio.sleep(0.05)
 
     async def _replace(self, name: str) -> None:
+        self.faults.cut_link(name)
         await asyncio.sleep(self.rng.uniform(*LEASE))
         await self.faults.deregister_crashed_endpoint(name)
         self.deregistered[name] = time.time()
