Don't send on connections that were closed while idle

What callers saw: a request that met a reset kept connection to its endpoint ended with an internal error, and its slot stayed taken; a background call (store, list of cached parts) that met one ended with AttributeError, and the router stopped itself. Cause: HttpClient.start wrote to the idle connection at once; where that failed, it ended the exchange before the caller of start had it, so that connection.exchange was None. The client learnt of a close or reset only when its poller had run. Ruled out: handling None at each caller, as the exchange is the promise of start. Change: an idle connection on which anything has arrived is closed, and the next one or a new one is used; a write that fails all the same ends the exchange in the next turn. It costs one recv with MSG_PEEK for each reuse. A request that may run only once is no longer lost on a connection whose end has arrived. Conclusion: mended; a close that is still on its way is as before.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -294,6 +294,10 @@
                 continue
             if now - connection.last_received >= idle_most:
                 return None
+            if _is_readable(connection.sock):
+                # It was closed or reset, or bytes came that belong to no response.
+                self._close(connection)
+                continue
             idle.pop()
             return connection
         return None
@@ -367,7 +371,9 @@
         except BlockingIOError:
             sent = 0
         except OSError as error:
-            self.fail(connection, str(error))
+            # Later, as `start` has to return the exchange.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.fail, connection, str(error))
             return
         del connection.outgoing[:sent]
         writing = self.poller.isWriting(connection.sock)
@@ -512,6 +518,17 @@
             connection.sock.close()
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    """Return whether data, an error or the end of the stream has arrived."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def _reuse_timeout(head: Head) -> float:
     """Return the seconds for which the connection may be reused once idle."""
     for part in head.headers.get("keep-alive", "").split(","):
