Forget a request whose caller leaves before its task has started

What was seen: the request stayed in the list of those in flight for ever, so that a stop waited for its whole grace period; its end was not logged. Cause: a task that is cancelled before its first step never runs its cleanup. Change: the end of the caller's connection removes and logs such a request itself. Evidence: the test failed before (one call left) and passes. Conclusion: mended.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -314,7 +314,18 @@
         self.budget.request(call.service, self.loop.time())
         task = self.loop.create_task(self._run(call))
         self.calls[call] = task
-        incoming.on_disconnect = task.cancel
+        incoming.on_disconnect = lambda: self._cancel(call)
+
+    def _cancel(self, call: ForwardedCall) -> None:
+        """Cancel a request whose caller has disconnected."""
+        task = self.calls.get(call)
+        if task is None:
+            return
+        task.cancel()
+        if call.time_limit is None:
+            # A task that has not started never runs its cleanup.
+            del self.calls[call]
+            self._log_end(call, "caller left")
 
     def _open_call(self, incoming: Incoming, parsed: RequestFields) -> ForwardedCall:
         if self.stopping:
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -217,3 +217,22 @@
         return incoming.statuses, unstarted.statuses
 
     assert asyncio.run(asyncio.wait_for(scenario(), 5)) == ([status], [status])
+
+
+def test_a_request_whose_caller_leaves_before_its_task_starts_is_forgotten():
+    async def run():
+        forwarder = make_forwarder(FakeCoordinator())
+        incoming = SimpleNamespace(
+            headers=[(b"host", ROUTE.host.encode()), (b"request-id", b"x")],
+            method=b"POST",
+            target=b"/summary/x",
+            body=b"",
+            received=asyncio.get_running_loop().time(),
+        )
+        forwarder.serve(incoming)
+        incoming.on_disconnect()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return forwarder.calls
+
+    assert asyncio.run(run()) == {}
