Stop a router also if it can't announce its stop

An error while a stop is announced to the other routers would have kept the router running until it is killed, with all its callers cut, now that a repeated SIGTERM changes nothing. The stop is scheduled before it is announced. Evidence: test_a_router_that_cannot_announce_its_stop_is_stopped failed on the commit before.

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -332,8 +332,8 @@
             return
         logger.info("router stopping", extra={"calls": len(self.forwarder.calls)})
         self.front.stopping = True
-        self.fleet.stop()
         self._spawn(self._stop())
+        self.fleet.stop()
 
     def interrupt(self) -> None:
         """Begin to stop; end the requests in flight at the second call."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -117,3 +117,19 @@
             await gateway.stopped.wait()
 
     run(scenario)
+
+
+def test_a_router_that_cannot_announce_its_stop_is_stopped():
+    async def scenario():
+        async with running_gateway(SHORT_GRACE) as gateway:
+            announce = gateway.fleet.stop
+
+            def fail_to_announce():
+                announce()
+                raise OSError("no route to host")
+
+            gateway.fleet.stop = fail_to_announce
+            signal.raise_signal(signal.SIGTERM)
+            await gateway.stopped.wait()
+
+    run(scenario)
