Never replace a connection whose answer is still being sent

At the limit of connections a new one took the place of the oldest that was being closed, even if a part of its answer was still to be sent. Only those that wait for their caller's end are replaced now. Evidence: test_a_new_caller_does_not_take_the_place_of_an_answer_that_is_being_sent failed on the commit before (12,348 of 900,000 bytes arrived).

--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -259,6 +259,13 @@
         loop = asyncio.get_running_loop()
         lingering.timer = loop.call_later(LINGER_TIMEOUT, self._close, sock)
 
+    def _close_lingering(self) -> None:
+        """Close the oldest connection of which only the caller's end is awaited."""
+        for sock, lingering in self.lingering.items():
+            if lingering.timer is not None:
+                self._close(sock)
+                return
+
     def _drop(self, sock: socket, data: bytes) -> None:
         """Count bytes that are dropped; close the connection at the end or limit."""
         lingering = self.lingering[sock]
@@ -310,8 +317,8 @@
         return True
 
     def _add_connection(self, sock: socket) -> None:
-        if len(self._clients) >= self.limit and self.lingering:
-            self._close(next(iter(self.lingering)))
+        if len(self._clients) >= self.limit:
+            self._close_lingering()
         if len(self._clients) >= self.limit:
             sock.close()
             return
--- a/tests/transport/test_answers_at_a_close.py
+++ b/tests/transport/test_answers_at_a_close.py
@@ -212,3 +212,30 @@
     size, closed = run(scenario)
     assert size > LARGE
     assert closed == {CloseReason.STOPPING: 1}
+
+
+def test_a_new_caller_does_not_take_the_place_of_an_answer_that_is_being_sent():
+    async def scenario():
+        async with open_edge(
+            lambda incoming: incoming.answer(200, [], b"x" * LARGE)
+        ) as edge:
+            edge.limit = 2
+            sock = await open_socket(edge)
+            connection = await accepted(edge)
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await asyncio.get_running_loop().sock_sendall(sock, CLOSING)
+            while not edge.closed:
+                await asyncio.sleep(0)
+            others = []
+            for _ in range(edge.limit):
+                reader, writer = await connect(edge)
+                writer.write(CLOSING)
+                others.append(writer)
+                await reader.read()
+            got = await read_all(sock)
+            for writer in others:
+                writer.close()
+            sock.close()
+            return len(got)
+
+    assert run(scenario) > LARGE
