Collect the records of an endpoint that crashes as it is asked

Change: the question is repeated once the process has ended, and answered from its file. Conclusion: mended; an endpoint that doesn't answer for another reason still ends the run.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -38,6 +38,8 @@
 STORE_RETRY_INTERVAL = 0.1
 #: Fault of an endpoint that announces its leaving.
 LEAVING = {"leaving": True}
+#: Seconds within which the process of an endpoint that crashes has ended.
+CRASH_DURATION = 1.0
 #: Software versions of endpoints; a replacement may have a different one.
 VERSIONS = ("v1", "v2")
 #: Seconds for which an endpoint serves after its leaving notice.
@@ -318,7 +320,13 @@
 
     async def collect(self, name: str) -> None:
         """Record the requests that reached an endpoint."""
-        records = await asyncio.to_thread(self.fleet.ran, name)
+        try:
+            records = await asyncio.to_thread(self.fleet.ran, name)
+        except (OSError, HTTPException):
+            # It has crashed as it was asked, and its records are in a file.
+            popen = self.fleet.endpoints[name].popen
+            await asyncio.to_thread(popen.wait, CRASH_DURATION)
+            records = await asyncio.to_thread(self.fleet.ran, name)
         self.account.arrivals += [
             _arrival(record, name, self.fleet) for record in records
         ]
