Let a silent endpoint go on until another one has taken the request

What callers saw: 502 or a cut stream at a silent endpoint that would have gone on, where the endpoint that was to replace it had no room or refused the connection. Found by: the reviewer. Ruled out: connecting to the second endpoint first, which doesn't tell whether it has room; both attempts until one answers, as a stream may not go on elsewhere while the first endpoint works on it for longer than 400 ms. Change: the replaced attempt keeps its connection until the head of an answer comes from the other endpoint, at most 0.25 s (HANDOVER_DURATION). Whichever of the two sends first goes on, the other is closed in the same turn. If the other endpoint does not take the request, the first attempt continues. A refusal meanwhile counts both as attempts that may have run. Conclusion: mended up to an endpoint that rejects a request later than 0.25 s.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -30,6 +30,10 @@
 MAX_IDLE_DURATION = 1.0
 #: Seconds between checks whether the endpoint has restarted or fallen silent.
 LIVENESS_CHECK_INTERVAL = 0.25
+#: Seconds after the start of an attempt that replaces one at a silent endpoint at which
+#: the latter ends. An endpoint that is full says so at once, and no request may run at
+#: two endpoints for long.
+HANDOVER_DURATION = 0.25
 #: Bytes of an answer that are buffered until it is complete, so that a truncated one
 #: does not reach the caller. Longer answers are forwarded as they arrive, if signed.
 MAX_BUFFERED_BYTES = 262144
@@ -91,6 +95,10 @@
         Whether this router ended it because of the bytes of its answer.
     withdrawn : BlockReason or None
         Why this router withdrew it before it was sent; None if it did not.
+    has_resumed : bool
+        Whether an answer came from its endpoint while it was being replaced.
+    yielded : bool
+        Whether it ended since the endpoint that it was to replace has gone on.
     """
 
     def __init__(self, forwarder: Forwarder, request: AttemptRequest) -> None:
@@ -115,6 +123,9 @@
         self.unusable = False
         self.stream_recorded = False
         self.withdrawn: BlockReason | None = None
+        self.has_resumed = False
+        self.yielded = False
+        self.handover: asyncio.TimerHandle | None = None
 
     @property
     def sent(self) -> bool:
@@ -122,14 +133,21 @@
         return self.exchange is not None and self.exchange.phase is not Phase.CONNECTING
 
     async def run(self) -> AttemptEnd:
-        """Send the request, forward the answer and return how the attempt ended."""
-        self._start()
+        """Send the request, forward the answer and return how the attempt ended.
+
+        An attempt that was not replaced after all is continued by a further call.
+        """
+        if self.connection is None:
+            self._start()
+        self.suspend_endpoint = self.has_resumed = False
         try:
             await self._await_end()
         except ExchangeError as error:
             self.reason = str(error)
             if self.withdrawn is not None:
                 return AttemptEnd.WITHDRAWN
+            if self.yielded:
+                return AttemptEnd.YIELDED
             if error.phase is Phase.CONNECTING:
                 return AttemptEnd.UNREACHABLE
             self.suspend_endpoint = not (self.stopped or self.unusable)
@@ -181,6 +199,21 @@
             **options,
         )
         self.exchange = self.connection.exchange
+        if call.replaced is not None:
+            self.handover = self.loop.call_later(HANDOVER_DURATION, self._replace)
+
+    def _replace(self) -> None:
+        """End the attempt that this one replaces, once the request has been sent."""
+        if self.sent and self.call.replaced is not None:
+            self.forwarder.end_replaced(self.call)
+
+    def _resume(self) -> None:
+        """Continue instead of the attempt that was to replace this one."""
+        self.has_resumed = True
+        replacement = self.call.attempt
+        if replacement is not None and not replacement.exchange.done.done():
+            replacement.yielded = True
+            self.forwarder.http.fail(replacement.connection, "the first one goes on")
 
     async def _await_end(self) -> None:
         done = self.exchange.done
@@ -233,6 +266,8 @@
 
     def close(self) -> None:
         """Cancel the exchange if it is still in flight."""
+        if self.handover is not None:
+            self.handover.cancel()
         if self.connection is None:
             return
         done = self.exchange.done
@@ -253,6 +288,11 @@
         )
         if self.answer_head.rest:
             self.forwarder.withdraw_unusable()
+        if self.call.replaced is not None and not self.answer_head.not_run:
+            if self.call.replaced is self:
+                self._resume()
+            else:
+                self._replace()
         streaming = self.call.route.kind is RouteKind.STREAMING
         if streaming and self.answer_head.status in SUCCESS_STATUSES:
             self.events = NumberedEvents(self.call.resume_after)
@@ -270,6 +310,8 @@
         )
 
     def _on_data(self, data: bytes) -> None:
+        if self.call.replaced is self and not self.has_resumed:
+            self._resume()
         if self.events is not None:
             self._forward_events(data)
             return
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -85,6 +85,7 @@
     AttemptEnd.BROKEN: Outcome.FAILED,
     AttemptEnd.SILENT: Outcome.SILENT,
     AttemptEnd.UNREACHABLE: Outcome.UNREACHABLE,
+    AttemptEnd.YIELDED: Outcome.CANCELLED,
 }
 #: Log event for a grant that is returned unused, by its reason.
 BLOCKED_GRANT_EVENTS = {
@@ -153,6 +154,8 @@
         The attempt in flight.
     replacement : Granted or None
         Grant of the endpoint that takes the place of a silent one.
+    replaced : Attempt or None
+        The attempt at a silent endpoint, until the one that replaces it has been taken.
     waiting_reason : str
         Why it last had to stay at a silent endpoint.
     time_limit : asyncio.Timeout or None
@@ -183,6 +186,7 @@
     cached_content: ContentId | None = None
     attempt: Attempt | None = None
     replacement: Granted | None = None
+    replaced: Attempt | None = None
     waiting_reason: str = ""
     time_limit: asyncio.Timeout | None = None
 
@@ -461,22 +465,44 @@
         self.origins.begun(call.stream, call.route.id, call.origin, expires_at)
 
     async def _try_endpoints(self, call: ForwardedCall) -> None:
-        while True:
-            granted, call.replacement = call.replacement, None
-            if granted is None:
-                granted = await self._obtain_grant(call)
-            self._refuse_harmful_after_grant(call, granted)
-            end = await self._attempt(call, granted)
-            if end is AttemptEnd.WITHDRAWN:
-                continue
-            if end is AttemptEnd.COMPLETE:
-                self.containment.record_success(call, call.incoming.body)
-                if call.origin is not None:
-                    self.origins.completed(call.stream)
-                self._log_end(call, "whole")
-                return
-            call.attempts.add(end)
-            self._check_retry(call, end)
+        try:
+            while not await self._try_endpoint(call):
+                pass
+        finally:
+            if call.replaced is not None:
+                replaced, call.replaced = call.replaced, None
+                self._end_attempt(call, replaced, Outcome.CANCELLED)
+
+    async def _try_endpoint(self, call: ForwardedCall) -> bool:
+        """Make one attempt; return whether the request has been answered.
+
+        Raises
+        ------
+        Refusal
+            It has not been answered, and no further attempt is allowed.
+        """
+        granted, call.replacement = call.replacement, None
+        if granted is None:
+            granted = await self._obtain_grant(call)
+        self._refuse_harmful_after_grant(call, granted)
+        end = await self._attempt(call, granted)
+        while call.replaced is not None and call.replacement is None:
+            # The endpoint that was to replace the silent one has not taken the request.
+            if end not in (AttemptEnd.WITHDRAWN, AttemptEnd.YIELDED):
+                call.attempts.add(end)
+            attempt, call.replaced = call.replaced, None
+            end = await self._follow(call, attempt)
+        if end is AttemptEnd.WITHDRAWN or call.replacement is not None:
+            return False
+        if end is AttemptEnd.COMPLETE:
+            self.containment.record_success(call, call.incoming.body)
+            if call.origin is not None:
+                self.origins.completed(call.stream)
+            self._log_end(call, "whole")
+            return True
+        call.attempts.add(end)
+        self._check_retry(call, end)
+        return False
 
     async def _obtain_grant(self, call: ForwardedCall) -> Granted:
         self._check_endpoints(call)
@@ -553,24 +579,45 @@
         call.copy_source = granted.copy_source
         copy_source = self._check_copy_source(call, granted)
         request = AttemptRequest(call, endpoint, granted.call, copy_source)
-        attempt = call.attempt = Attempt(self, request)
-        outcome = Outcome.CANCELLED
+        return await self._follow(call, Attempt(self, request))
+
+    async def _follow(self, call: ForwardedCall, attempt: Attempt) -> AttemptEnd:
+        """Run an attempt to its end, or until it is to be replaced."""
+        call.attempt = attempt
+        outcome: Outcome | None = Outcome.CANCELLED
         try:
             end = await attempt.run()
             withdrawn = attempt.withdrawn
             outcome = ATTEMPT_OUTCOMES[end] if withdrawn is None else withdrawn.outcome
+            if call.replacement is not None:
+                call.replaced, outcome = attempt, None
+                return end
         finally:
-            attempt.close()
-            self.coordinator.ended(granted.call, outcome)
-            if outcome is Outcome.CANCELLED and attempt.sent:
-                # The deadline passed or the caller disconnected: it may have run.
-                call.attempts.may_have_run += 1
             call.attempt = None
-            self._report_endpoint_loss(call, attempt, outcome)
+            if outcome is not None:
+                self._end_attempt(call, attempt, outcome)
         if end is not AttemptEnd.COMPLETE:
             self._log_attempt(call, end, attempt)
         return end
 
+    def _end_attempt(
+        self, call: ForwardedCall, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        """Close an attempt and report its outcome."""
+        attempt.close()
+        self.coordinator.ended(attempt.call_id, outcome)
+        if outcome is Outcome.CANCELLED and attempt.sent:
+            # The deadline passed or the caller disconnected: it may have run.
+            call.attempts.may_have_run += 1
+        self._report_endpoint_loss(call, attempt, outcome)
+
+    def end_replaced(self, call: ForwardedCall) -> None:
+        """End the attempt at a silent endpoint, since another one took the request."""
+        replaced, call.replaced = call.replaced, None
+        call.attempts.add(AttemptEnd.SILENT)
+        self._end_attempt(call, replaced, Outcome.SILENT)
+        self._log_attempt(call, AttemptEnd.SILENT, replaced)
+
     def _check_granted(self, call: ForwardedCall, granted: Granted) -> Endpoint | None:
         """Return the granted endpoint, or None after returning an unusable grant."""
         endpoint = self.coordinator.endpoints.get(granted.endpoint)
@@ -628,8 +675,6 @@
 
     def _check_retry(self, call: ForwardedCall, end: AttemptEnd) -> None:
         """Raise the final refusal unless a further attempt is allowed."""
-        if call.replacement is not None:
-            return
         self._refuse_harmful(call)
         if self.containment.is_suspected(call, begun=call.origin is not None):
             # A crash of one more endpoint would confirm the suspicion; only a retry by
@@ -720,7 +765,7 @@
         try:
             self.containment.reject_harmful(call)
         except Refusal as refusal:
-            if call.attempts.may_have_run:
+            if call.attempts.may_have_run or call.replaced is not None:
                 kind = ErrorKind.ENDPOINT_FAILED
                 raise Refusal(kind, refusal.detail, Ran.UNKNOWN) from None
             raise
@@ -782,6 +827,8 @@
                 self.containment.reject_harmful(call)
             except Refusal:
                 call.attempt.stop()
+                if call.replaced is not None:
+                    call.replaced.stop()
 
     # Answers
 
--- a/carawayfold/coordination/requests/retries.py
+++ b/carawayfold/coordination/requests/retries.py
@@ -37,6 +37,8 @@
     UNREACHABLE = "unreachable"
     #: Nothing was sent, since the endpoint must not be used any more.
     WITHDRAWN = "withdrawn"
+    #: The silent endpoint that it was to replace has gone on.
+    YIELDED = "yielded"
 
 
 class AttemptHistory(msgspec.Struct):
--- a/tests/coordination/requests/answered_attempts.py
+++ b/tests/coordination/requests/answered_attempts.py
@@ -95,6 +95,7 @@
             organisation="alder",
             resume_after=resume_after,
             route=asked_route,
+            replaced=None,
             attempts=SimpleNamespace(answer_started=answer_started, may_have_run=0),
         )
         request = AttemptRequest(self.call, endpoint(), CallId("r.0.1"))
--- a/tests/coordination/requests/attempt_builders.py
+++ b/tests/coordination/requests/attempt_builders.py
@@ -86,5 +86,6 @@
         resume_after=None,
         route=asked_route,
         replacement=None,
+        replaced=None,
     )
     return Attempt(forwarder, AttemptRequest(call, endpoint(), CallId("r.0.1")))
--- a/tests/coordination/requests/test_attempts.py
+++ b/tests/coordination/requests/test_attempts.py
@@ -50,6 +50,7 @@
         deadline=loop.time() + 1,
         resume_after=None,
         route=route(RouteKind.NON_IDEMPOTENT),
+        replaced=None,
     )
     return Attempt(forwarder, AttemptRequest(call, endpoint(), "r.0.1"))
 
