Read an answer whose Keep-Alive has no plausible number

What callers would see: a sound answer with a Keep-Alive timeout of thousands of digits, or of a digit that is not ASCII, is lost as if its connection had been reset. Cause: int() raised out of the client, so that the poller closed the connection. Evidence: two of four cases of test_keep_alive_that_is_no_number_is_ignored failed before and pass.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import errno
+import re
 import socket
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -42,6 +43,8 @@
 #: Fraction of the keep-alive timeout announced by the remote side that is used, so
 #: that the remote side does not close a connection while a request is being sent.
 KEEP_ALIVE_FRACTION = 0.5
+#: Accepted keep-alive timeouts.
+KEEP_ALIVE_SECONDS = re.compile(r"[0-9]{1,9}")
 #: Methods for which an empty body is sent without ``Content-Length``.
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -516,7 +519,7 @@
     """Return the seconds for which the connection may be reused once idle."""
     for part in head.headers.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
+        if name.lower() == "timeout" and KEEP_ALIVE_SECONDS.fullmatch(value.strip()):
             return min(IDLE_TIMEOUT, int(value) * KEEP_ALIVE_FRACTION)
     return IDLE_TIMEOUT
 
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import pytest
+
 from carawayfold.settings import Address
-from carawayfold.transport.client import HttpClient
+from carawayfold.transport.client import IDLE_TIMEOUT, Head, HttpClient, _reuse_timeout
 from carawayfold.transport.loop import Root
 
 ANSWER = b"HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nbody"
@@ -41,3 +43,9 @@
         return got, open_now
 
     assert asyncio.run(asyncio.wait_for(work(), 10)) == ([200], 0)
+
+
+@pytest.mark.parametrize("seconds", ["9" * 5000, "\u00b2", "-1", ""])
+def test_keep_alive_that_is_no_number_is_ignored(seconds):
+    head = Head(200, {"keep-alive": f"timeout={seconds}"})
+    assert _reuse_timeout(head) == IDLE_TIMEOUT
