--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -8,7 +8,13 @@
 
 from carawayfold.settings import Address
 from carawayfold.transport import client
-from carawayfold.transport.client import ExchangeError, HttpClient
+from carawayfold.transport.client import (
+    IDLE_TIMEOUT,
+    ExchangeError,
+    Head,
+    HttpClient,
+    _reuse_timeout,
+)
 from carawayfold.transport.loop import Root
 from tests.transport.client_builders import idle_connection
 
@@ -75,3 +81,9 @@
                 await opened.client.fetch(Address("127.0.0.1", 1), "GET", "/")
 
     asyncio.run(asyncio.wait_for(work(), 10))
+
+
+@pytest.mark.parametrize("seconds", ["9" * 5000, "\u00b2", "-1", ""])
+def test_keep_alive_that_is_no_number_is_ignored(seconds):
+    head = Head(200, {"keep-alive": f"timeout={seconds}"})
+    assert _reuse_timeout(head) == IDLE_TIMEOUT
