Make searches without result rare, and check more at stops

Cause (found by the reviewer): each search for another endpoint is an offer, which the scheduler counts as demand of its organisation, so that a request that stayed at a silent endpoint for 3.5 s counted as eight. Two tests checked less than their names say: a cancelled search, and a stream at a stop. Change: the interval between searches of one attempt doubles: six offers in 15 s where there were thirty. The tests check that the search was cancelled, and status and all events of the stream. Ruled out: offers that don't count, which need another message between routers. Evidence: test_searches_without_result_become_rare failed before (a search each 0.5 s). Left: each search still counts once.

--- a/carawayfold/coordination/requests/replacement.py
+++ b/carawayfold/coordination/requests/replacement.py
@@ -15,7 +15,8 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds from the start of a search without result to the next one.
+#: Seconds from the start of the first search without result to the next one; doubled
+#: with each further search, since each offer counts as demand of its organisation.
 SEARCH_INTERVAL = 0.5
 
 
@@ -39,6 +40,8 @@
         The search in progress, or one whose result was not read.
     next_at : float
         Loop time in seconds from which the next search may start.
+    interval : float
+        Seconds from the start of the next search to the one after it.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self.give_back = give_back
         self.task: asyncio.Task[Granted | None] | None = None
         self.next_at = 0.0
+        self.interval = SEARCH_INTERVAL
 
     def __enter__(self) -> Self:
         return self
@@ -71,7 +75,8 @@
         """Return the grant that was found, and start a search if one is due."""
         if self.task is None:
             if now >= self.next_at:
-                self.next_at = now + SEARCH_INTERVAL
+                self.next_at = now + self.interval
+                self.interval *= 2
                 self.task = asyncio.get_running_loop().create_task(self.find())
             return None
         if not self.task.done():
--- a/tests/coordination/requests/attempt_builders.py
+++ b/tests/coordination/requests/attempt_builders.py
@@ -27,8 +27,8 @@
         The result of the search for another endpoint.
     accepts : bool
         Whether a grant that was found is accepted.
-    searches : int
-        Searches that were started.
+    searches, cancelled : int
+        Searches that were started, and those that were cancelled.
     returned : list of CallId
         Grants that were returned unused.
     """
@@ -38,7 +38,7 @@
         self.silent = True
         self.accepts = True
         self.found = self.loop.create_future()
-        self.searches = 0
+        self.searches = self.cancelled = 0
         self.returned = []
         self.done = self.loop.create_future()
         self.http = SimpleNamespace(start=self.start, cancel=self.cancel)
@@ -58,7 +58,11 @@
 
     async def find_replacement(self, call):
         self.searches += 1
-        return await asyncio.shield(self.found)
+        try:
+            return await asyncio.shield(self.found)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
 
     def accept_replacement(self, call, granted):
         if self.accepts:
--- a/tests/coordination/requests/test_silent_endpoints.py
+++ b/tests/coordination/requests/test_silent_endpoints.py
@@ -115,7 +115,7 @@
 def test_an_attempt_that_is_cancelled_cancels_its_search():
     end, forwarder = end_of(nothing)
     assert end is None
-    assert forwarder.searches == 1
+    assert (forwarder.searches, forwarder.cancelled) == (1, 1)
     assert forwarder.returned == []
 
 
@@ -131,3 +131,23 @@
     end, forwarder = end_of(nothing, ONCE)
     assert end is None
     assert forwarder.searches == 0
+
+
+def test_searches_without_result_become_rare():
+    async def run():
+        forwarder = SilentForwarder()
+        forwarder.found.set_result(None)
+        started = []
+        search = replacement.ReplacementSearch(
+            lambda: forwarder.find_replacement(None), forwarder.give_back
+        )
+        search.interval = 0.5
+        with search:
+            for tenth in range(160):
+                before = forwarder.searches
+                search.poll(tenth / 10)
+                await turns(3)
+                started += [tenth / 10] * (forwarder.searches - before)
+        return started
+
+    assert asyncio.run(run()) == [0.0, 0.5, 1.5, 3.5, 7.5, 15.5]
--- a/tests/integration/test_repeated_stops.py
+++ b/tests/integration/test_repeated_stops.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from benchmarks.hosted import HostedFleet, call, configuration, model_headers
+from benchmarks.hosted import (
+    HostedFleet,
+    call,
+    configuration,
+    model_headers,
+    stream_events,
+)
 from benchmarks.processes import Processes
 
 #: Seconds between events, and number of events, of a stream.
@@ -17,7 +23,7 @@
 SIGNAL_INTERVAL = 0.2
 
 
-async def stream_under(fleet, numbers):
+async def stream_under(fleet, signals):
     """Return the answer to a stream during which a router gets signals."""
     stream = asyncio.create_task(
         call(
@@ -27,14 +33,14 @@
             headers=model_headers("q-1", EVENTS),
         )
     )
-    for number in numbers:
+    for number in signals:
         await asyncio.sleep(SIGNAL_INTERVAL)
         fleet.routers["router-0"].signal(number)
     return await stream
 
 
 @pytest.mark.parametrize(
-    "numbers",
+    "signals",
     [
         [signal.SIGTERM],
         [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP],
@@ -42,12 +48,14 @@
         [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM],
     ],
 )
-def test_a_stream_ends_whole_at_a_router_that_stops(numbers):
+def test_a_stream_ends_whole_at_a_router_that_stops(signals):
     with Processes() as processes:
         fleet = HostedFleet(processes)
         fleet.configure(configuration())
         fleet.start_endpoint("model-1", "model", pace=EVENT_INTERVAL)
         fleet.start_router("router-0")
         asyncio.run(fleet.wait_ready("router-0"))
-        answer = asyncio.run(stream_under(fleet, numbers))
-    assert answer.complete
+        answer = asyncio.run(stream_under(fleet, signals))
+    assert (answer.status, answer.complete) == (200, True)
+    numbers = [event.number for event in stream_events(answer.body)]
+    assert numbers == list(range(1, EVENTS + 1))
