Count a silence of an endpoint once, however many requests time out

What callers saw: after one pause of a second or so with several requests in flight, a sound endpoint got no requests for up to 4 s more, and each further pause had the same price for everyone.

Cause: each attempt that ended as silent counted as a further consecutive timeout and as a failed answer. Three of them within one pause doubled the suspension to its maximum. Only the first event of a request ended it: streams that went on after the pause told the scheduler nothing, since their first event had been reported before.

Ruled out: a suspension without extension. Requests that time out one after the other show that the endpoint is still silent, so each extends the suspension by its shortest duration.

Change: timeouts of requests that were granted before the last silence was counted belong to it. They neither double the suspension nor count as failures, and do nothing once the endpoint has responded. The first event after half a second without one is reported to the pool's leader again and ends the suspension at once; a leaving endpoint stays suspended.

--- a/carawayfold/coordination/scheduling/backlog.py
+++ b/carawayfold/coordination/scheduling/backlog.py
@@ -42,7 +42,7 @@
         The failure ratio above the mean of the pool. Some requests fail at any
         endpoint, so the absolute ratio is no measure of the endpoint.
     suspended : bool
-        Whether it is suspended, see `EndpointLoad.suspended_until`.
+        Whether it is suspended, see `EndpointLoad.unavailable_until`.
     can_be_copied_from : bool
         Whether other engines may copy its cached prefixes.
     prefill_tokens : float
@@ -89,7 +89,7 @@
             routers can't reach may be unreachable from other engines too.
         """
         failure_ratio = load.current_failure_ratio(now)
-        suspended = load.suspended_until > now
+        suspended = load.unavailable_until > now
         return cls(
             load=load,
             id=load.endpoint.id,
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -131,6 +131,10 @@
 #: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
 #: routers have read the same registrations by then.
 UNKNOWN_POOL_RETRY_AFTER = 1.0
+#: Seconds between two events of an answer after which the scheduler is told that its
+#: endpoint goes on. Shorter than the silence after which a router gives up an attempt,
+#: as that may have begun before the last event here.
+RESUMED_EVENT_INTERVAL = 0.5
 #: Prefixes for which this router remembers the last endpoint.
 MAX_REMEMBERED_PREFIXES = 4000
 
@@ -593,10 +597,19 @@
             self.sent_prefixes.popitem(last=False)
 
     def begun(self, call: CallId, waited: float) -> None:
-        """Report the first byte of a request, `waited` seconds after it was sent."""
+        """Report the first byte of a request, `waited` seconds after it was sent.
+
+        Called with each event of an answer. One that follows a silence is reported
+        too, as it ends the suspension of the endpoint.
+        """
         placed = self.placed.get(call)
-        if placed is None or placed.active.begun:
+        if placed is None:
             return
+        last, placed.last_event_at = placed.last_event_at, self.loop.time()
+        if placed.active.begun:
+            if placed.last_event_at - last < RESUMED_EVENT_INTERVAL:
+                return
+            waited = 0.0
         target = self.fleet.responsible(placed.pool)
         pool_state = self.pools.get(placed.pool)
         if pool_state is not None:
--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,10 @@
 SMOOTHING_WEIGHT = 0.1
 #: Initial residence time of a request in seconds, used until requests have ended.
 DEFAULT_RESIDENCE = 0.05
+#: Seconds for which an endpoint that did not respond is suspended: after the first
+#: silence, doubled with each further one up to the maximum.
+MIN_SUSPENSION_DURATION = 0.5
+MAX_SUSPENSION_DURATION = 4.0
 
 
 class ActiveRequest(msgspec.Struct, eq=False):
@@ -78,12 +83,17 @@
     failure_ratio_at : float
         Time of the last change of `failure_ratio`.
     suspended_until : float
-        Time until which it is suspended because it did not respond, refused
-        connections, leaves or warms up.
+        Time until which it is suspended because it refused connections, leaves or warms
+        up.
+    silent_until : float
+        Time until which it is suspended because it did not respond; 0 once it has
+        responded.
+    silence_counted_at : float
+        Time at which its last silence was counted.
     next_warm_up_grant_at : float
         Time from which the next grant is permitted while it warms up.
-    consecutive_timeouts : int
-        Consecutive attempts without a response.
+    consecutive_silences : int
+        Silences since its last response.
     prefill_tokens : int
         Tokens that wait to be prefilled.
     memory : int
@@ -103,8 +113,10 @@
     failure_ratio: float = 0.0
     failure_ratio_at: float = 0.0
     suspended_until: float = 0.0
+    silent_until: float = 0.0
+    silence_counted_at: float = -math.inf
     next_warm_up_grant_at: float = 0.0
-    consecutive_timeouts: int = 0
+    consecutive_silences: int = 0
     prefill_tokens: int = 0
     memory: int = 0
     active: dict[CallId, ActiveRequest] = field(default_factory=dict)
@@ -123,19 +135,64 @@
             self.prefill_tokens += active.prefill_tokens
         active.queued_tokens = self.prefill_tokens
 
+    @property
+    def unavailable_until(self) -> float:
+        """Return the time until which it is suspended for any reason."""
+        return max(self.suspended_until, self.silent_until)
+
+    @property
+    def suspension_duration(self) -> float:
+        """Return the seconds of suspension after a further silence."""
+        return min(
+            MAX_SUSPENSION_DURATION,
+            MIN_SUSPENSION_DURATION * 2 ** min(self.consecutive_silences, 3),
+        )
+
     def begin(self, call: CallId, waited: float) -> None:
-        """Record the first token of a request, `waited` seconds after it was sent."""
+        """Record the first token of a request, `waited` seconds after it was sent.
+
+        That of a request that has begun before shows that the endpoint is no longer
+        silent.
+        """
         active = self.active.get(call)
-        if active is None or active.begun:
+        if active is None:
+            return
+        self._end_silence()
+        if active.begun:
             return
         active.begun = True
         self.prefixes.read(active.prompt)
         self.prefill_tokens -= active.prefill_tokens
-        self.consecutive_timeouts = 0
         self.suspended_until = 0.0
         if waited > 0 and active.prefill_tokens:
             self.first_tokens.note(active.queued_tokens, waited)
 
+    def _end_silence(self) -> None:
+        self.consecutive_silences = 0
+        self.silent_until = 0.0
+
+    def record_timeout(self, granted_at: float, now: float) -> None:
+        """Record that an attempt ended at `now` without a response.
+
+        All requests in flight time out during one silence. It counts once, so that
+        the suspension doesn't grow with their number, and not at all once the endpoint
+        has responded.
+
+        Parameters
+        ----------
+        granted_at : float
+            Time at which the request was granted.
+        now : float
+            Monotonic seconds.
+        """
+        if granted_at > self.silence_counted_at:
+            self.record_attempt(failed=True, now=now)
+            self.silent_until = now + self.suspension_duration
+            self.consecutive_silences += 1
+            self.silence_counted_at = now
+        elif self.consecutive_silences:
+            self.silent_until = max(self.silent_until, now + MIN_SUSPENSION_DURATION)
+
     def remove(self, call: CallId) -> ActiveRequest | None:
         """Remove a request; return it if it was active."""
         active = self.active.pop(call, None)
--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -55,12 +55,27 @@
 
 
 class PlacedRequest(msgspec.Struct, eq=False):
-    """A request of this router that is active at an endpoint."""
+    """A request of this router that is active at an endpoint.
+
+    Attributes
+    ----------
+    pool : PoolId
+        Pool of the endpoint.
+    active : ActiveRequest
+        The request, as it is reported to the scheduler.
+    endpoint : EndpointId
+        The endpoint.
+    prompt : tuple of Part
+        Its prompt.
+    last_event_at : float
+        Loop time of the last event of its answer; 0 before the first one.
+    """
 
     pool: PoolId
     active: ActiveRequest
     endpoint: EndpointId
     prompt: tuple[Part, ...]
+    last_event_at: float = 0.0
 
 
 class PoolState(msgspec.Struct, eq=False):
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -59,10 +59,6 @@
 ACTIVE_REPORT_TIMEOUT = 1.0
 #: Seconds after which a waiting request that its router no longer offers is dropped.
 OFFER_TIMEOUT = 1.5
-#: Seconds for which an endpoint that did not respond is suspended: after the first
-#: failure, doubled with each further one up to the maximum.
-MIN_SUSPENSION_DURATION = 0.5
-MAX_SUSPENSION_DURATION = 4.0
 #: Seconds of suspension of an endpoint that refuses connections, or that a router
 #: reports as leaving. Its registration is updated within that time.
 UNAVAILABLE_SUSPENSION_DURATION = 4.0
@@ -332,7 +328,10 @@
         self.reported_at.pop(call, None)
 
     def begun(self, call: CallId, waited: float) -> None:
-        """Record the first token of a request, `waited` seconds after it was sent."""
+        """Record the first token of a request, `waited` seconds after it was sent.
+
+        Called again for a stream that goes on after a silence.
+        """
         load = self._load_of(call)
         if load is not None:
             load.begin(call, waited)
@@ -356,16 +355,13 @@
                 load.suspended_until, now + WARMING_SUSPENSION_DURATION
             )
             return
-        if outcome is not Outcome.CANCELLED:
-            load.record_attempt(outcome is not Outcome.COMPLETE, now)
         if outcome is Outcome.SILENT:
-            self._suspend_unresponsive(load, now)
+            load.record_timeout(active.since, now)
+        elif outcome is not Outcome.CANCELLED:
+            load.record_attempt(outcome is not Outcome.COMPLETE, now)
         if outcome is Outcome.UNREACHABLE:
-            duration = min(
-                MAX_SUSPENSION_DURATION,
-                MIN_SUSPENSION_DURATION * 2 ** min(load.consecutive_timeouts, 3),
-            )
-            self.unreachable[active.router, load.endpoint.id] = now + duration
+            until = now + load.suspension_duration
+            self.unreachable[active.router, load.endpoint.id] = until
 
     def suspend(self, endpoint: EndpointId, now: float) -> None:
         """Suspend an endpoint that refuses connections, or leaves."""
@@ -373,14 +369,6 @@
         if load is not None:
             load.suspended_until = now + UNAVAILABLE_SUSPENSION_DURATION
 
-    def _suspend_unresponsive(self, load: EndpointLoad, now: float) -> None:
-        duration = min(
-            MAX_SUSPENSION_DURATION,
-            MIN_SUSPENSION_DURATION * 2 ** min(load.consecutive_timeouts, 3),
-        )
-        load.consecutive_timeouts += 1
-        load.suspended_until = now + duration
-
     def record_active(self, endpoint: EndpointId, active: ActiveRequest) -> None:
         """Record a router's report that a request is active at an endpoint."""
         load = self.loads.get(endpoint)
@@ -616,7 +604,7 @@
         return min(
             (
                 max(
-                    item.load.suspended_until,
+                    item.load.unavailable_until,
                     self.unreachable.get((offer.router, item.id), 0.0),
                     offer.rests.get(item.id, 0.0),
                 )
--- a/tests/coordination/scheduling/test_coordinator.py
+++ b/tests/coordination/scheduling/test_coordinator.py
@@ -462,7 +462,7 @@
             load.prefixes.kept(asked.prompt),
             len(load.active),
             load.failure_ratio,
-            load.suspended_until,
+            load.unavailable_until,
         )
 
     assert play(work) == (0, 0, 0.0, 0.0)
@@ -790,3 +790,29 @@
     for decision in simulate(work):
         assert isinstance(decision, Rejected | Granted)
         assert not isinstance(decision, Rejected) or decision.reason == UNKNOWN_POOL
+
+
+@pytest.mark.parametrize(
+    ("paused", "told", "suspended"), [(0.2, 0, True), (1.2, 1, False)]
+)
+def test_the_leader_is_told_of_a_stream_that_goes_on_after_a_silence(
+    paused, told, suspended
+):
+    async def work():
+        network = SimulatedNetwork()
+        made = coordinators(network, ["a", "b"], endpoints=1)
+        leader = decider(made)
+        [other] = set(made) - {leader}
+        coordinator = made[other]
+        granted = await coordinator.place(request(coordinator, "x"), "model/0")
+        coordinator.begun(granted.call, 0.01)
+        await asyncio.sleep(0.01)
+        load = made[leader].pools["model/0"].scheduler.loads["e-0"]
+        load.silent_until = coordinator.loop.time() + 9.0
+        await asyncio.sleep(paused)
+        sent = network.sent
+        coordinator.begun(granted.call, 0.01 + paused)
+        await asyncio.sleep(0.01)
+        return network.sent - sent, load.silent_until > coordinator.loop.time()
+
+    assert simulate(work) == (told, suspended)
