Let an attempt at a silent endpoint be noted repeatedly

Needed by the caller of CrashReports.note that reports a silence when it is found: attempts stay at silent endpoints until another one is granted, and those of suspected contents until their time is over.

Change: a silence that is probed or held already for the same attempt is not noted again. The new test failed without it (three reports). The call itself, in Forwarder.find_replacement, is not part of this commit.

--- a/carawayfold/coordination/containment/crash_reports.py
+++ b/carawayfold/coordination/containment/crash_reports.py
@@ -173,12 +173,24 @@
         )
 
     def note(self, loss: LostAttempt) -> None:
-        """Probe the endpoint of a lost attempt, once for all attempts lost together."""
+        """Probe the endpoint of a lost attempt, once for all attempts lost together.
+
+        An attempt may be noted repeatedly while its endpoint stays silent.
+        """
+        if loss.silent and self._is_noted(loss):
+            return
         losses = self.probed.setdefault(loss.endpoint.id, [])
         losses.append(loss)
         if len(losses) == 1:
             self.spawn(self._probe_endpoint(loss.endpoint))
 
+    def _is_noted(self, loss: LostAttempt) -> bool:
+        """Return whether an attempt at a silent endpoint is probed or held already."""
+        endpoint = loss.endpoint.id
+        held = (*self.probed.get(endpoint, ()), *self.unconfirmed.get(endpoint, ()))
+        key = (loss.content, loss.started, loss.at)
+        return any((item.content, item.started, item.at) == key for item in held)
+
     async def _probe_endpoint(self, endpoint: Endpoint) -> None:
         probing_started = self.loop.time()
         for delay in PROBE_DELAYS:
--- a/tests/coordination/containment/test_crash_reports.py
+++ b/tests/coordination/containment/test_crash_reports.py
@@ -152,3 +152,8 @@
         ACCEPTED, silent=True, removed_after=3.0, leaving=True
     )
     assert reports == []
+
+
+def test_an_attempt_is_noted_once_during_a_silence():
+    reports, _, _ = probe_endpoint(ACCEPTED, silent=True, losses=3, removed_after=3.0)
+    assert len(reports) == 1
