Play a planned soak of one seed in the tests

Change: one planned soak of 8 s beside the two mixed ones and those of the own interface. Conclusion: the planned soak guards what the incident broke.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -23,3 +23,8 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_forwarding_routers_violate_no_guarantee_under_mixed_faults(seed):
     check_account(asyncio.run(forwarding.soak(8.0, seed)))
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_planned_work_and_silence_break_off_no_request(seed):
+    check_account(asyncio.run(forwarding.soak(8.0, seed, planned=True)))
