Withdraw a request from each router that it was offered to

A request was withdrawn from a silent router only by the request that found it silent. The others moved to the next router without a word, and so did all of them when the leader changed, when this router began to decide, or when their caller left meanwhile (the withdrawal then went to the router that was responsible by then). The one before, standing still for a moment only, read the offers afterwards, granted them, and kept the slots for requests that had ended elsewhere until it missed their reports for 1 s (ACTIVE_REPORT_TIMEOUT): its endpoints looked full. Callers saw waits of up to 1.2 s beside idle endpoints. Also, a router that had once decided itself ignored that the next leader had queued the request, and took it for silent.

Ruled out: a reordering of datagrams in the simulation (delivered in order), remembered decisions (they reserve nothing), the next router's share of the slots.

A pending request now knows the router that it was last offered to; that one is told when another one is asked, and when the caller leaves.

The tests failed before: 5 of 7 of test_withdrawn_offers, and test_holds where the leader stands still (6 of 26).

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -476,6 +476,7 @@
         if target == self.fleet.own.router:
             self._decide_locally(pending)
             return
+        self._set_target(pending, target)
         wait = (
             OFFER_REFRESH_INTERVAL
             if pending.queued
@@ -505,22 +506,30 @@
         return pending.unanswered >= limit
 
     def _fail_over(self, pending: PendingRequest, target: RouterId) -> RouterId:
-        """Withdraw a request from a router that doesn't answer; return the next one."""
+        """Suspect a router that doesn't answer; return the next one to ask."""
         self._log_unanswered(target)
-        self.fleet.send(target, WithdrawMessage(pending.pool, pending.offer.call))
         self.fleet.add_suspect(target)
         pending.first_offer_at = self.loop.time()
         pending.unanswered = 0
         pending.queued = False
         return self.fleet.responsible(pending.pool)
 
+    def _set_target(self, pending: PendingRequest, target: RouterId) -> None:
+        """Withdraw a request from the router that it was offered to before.
+
+        That router may only be late, and would reserve a slot for the request.
+        """
+        if pending.target not in (None, target):
+            self._withdraw(pending)
+        pending.target = target
+
     def _decide_locally(self, pending: PendingRequest) -> None:
+        self._set_target(pending, self.fleet.own.router)
         pool_state = self.pools.get(pending.pool)
         if pool_state is None:
             reason = "the service has no endpoints"
             pending.answered.set_result(Rejected(pending.offer.call, reason, 1.0))
             return
-        pending.local = True
         pool_state.scheduler.offer(pending.offer, self.loop.time())
         self._decide(pool_state)
         if not pending.answered.done():
@@ -546,13 +555,14 @@
             self.ended(decision.call, Outcome.CANCELLED)
 
     def _withdraw(self, pending: PendingRequest) -> None:
+        """Withdraw a request from the router that it was offered to."""
         call = pending.offer.call
-        pool_state = self.pools.get(pending.pool)
-        if pool_state is not None:
-            pool_state.scheduler.withdraw(call)
-        target = self.fleet.responsible(pending.pool)
-        if target != self.fleet.own.router:
-            self.fleet.send(target, WithdrawMessage(pending.pool, call))
+        if pending.target == self.fleet.own.router:
+            pool_state = self.pools.get(pending.pool)
+            if pool_state is not None:
+                pool_state.scheduler.withdraw(call)
+        elif pending.target is not None:
+            self.fleet.send(pending.target, WithdrawMessage(pending.pool, call))
 
     def _record_placement(self, pending: PendingRequest, decision: Granted) -> None:
         offer = pending.offer
@@ -833,7 +843,7 @@
     @_process.register
     def _(self, message: QueuedMessage, sender: RouterId) -> None:
         pending = self.pending.get(message.call)
-        if pending is None or pending.local:
+        if pending is None or pending.target != sender:
             return
         pending.unanswered = 0
         if not pending.queued:
@@ -855,15 +865,10 @@
         pending = self.pending.get(decision.call)
         if pending is None or pending.answered.done():
             return
-        target = self.fleet.responsible(pending.pool)
-        if target not in (sender, self.fleet.own.router):
+        if pending.target != sender:
             # A late answer of a router that was replaced. Its replacement may have
             # reserved a slot meanwhile.
-            self.fleet.send(target, WithdrawMessage(pending.pool, decision.call))
-        if pending.local:
-            pool_state = self.pools.get(pending.pool)
-            if pool_state is not None:
-                pool_state.scheduler.withdraw(decision.call)
+            self._withdraw(pending)
         self._complete(pending, decision, sender)
 
     def _complete(
--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
-from carawayfold.state.ids import EndpointId, PoolId
+from carawayfold.state.ids import EndpointId, PoolId, RouterId
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Decision, Offer
@@ -38,8 +38,8 @@
         Offers sent since the scheduler last answered.
     queued : bool
         Whether the scheduler has confirmed that the request is queued.
-    local : bool
-        Whether this router's scheduler decides.
+    target : RouterId or None
+        Router that it was last offered to, possibly this one; None before.
     timer : asyncio.TimerHandle or None
         Timer of the next offer.
     """
@@ -50,7 +50,7 @@
     first_offer_at: float
     unanswered: int = 0
     queued: bool = False
-    local: bool = False
+    target: RouterId | None = None
     timer: asyncio.TimerHandle | None = None
 
 
