Refuse a request whose route has no services

`Route.choose_service` took the last of no services and raised an IndexError out of `Forwarder.serve`; the poller then closed the caller's connection: neither an answer nor a refusal. Only a configuration whose route has no services does it. It raises `Refusal` (503, not run) now.

It was found by a table of 27 changes of the configuration and 7 of the endpoints at 12 stages of a request, in process, with the product's own forwarder, coordinator, origins and knowledge on a simulated clock, each known everywhere, at the request's router only, or at all but it: `tests/coordination/requests/test_changes_beside_requests.py`. Two tests failed before: the pair "arriving, route without services" and the unit test. In the other 407 pairs nothing raised, and each request had exactly one outcome.

--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.state.ids import OrganisationId, RegionId, RouteId, ServiceId
 
 #: Organisation of requests on routes that need no key.
@@ -107,7 +108,14 @@
         ----------
         draw : float
             Random number from 0 to below 1.
+
+        Raises
+        ------
+        Refusal
+            ``no-endpoint`` if the route has no services.
         """
+        if not self.services:
+            raise Refusal(ErrorKind.NO_ENDPOINT, "the route has no services")
         total = sum(item.weight for item in self.services)
         left = draw * total
         for item in self.services:
--- /dev/null
+++ b/tests/coordination/requests/test_changes_beside_requests.py
@@ -0,0 +1,41 @@
+"""Changes of the configuration and the endpoints, at each stage of a request."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from carawayfold.errors import ErrorKind, Refusal
+from tests.coordination.requests.change_builders import (
+    ASKED,
+    CONFIGURATIONS,
+    ENDPOINTS,
+    KNOWN,
+    REFUSED,
+    STAGES,
+    hold_of,
+    play_change,
+)
+from tests.schedule_builders import route
+from tests.simulated_requests import end_of
+
+#: Seconds within which a request is passed on or refused while an endpoint is free.
+LOST = 0.2
+PAIRS = list(itertools.product(STAGES, [*CONFIGURATIONS, *ENDPOINTS]))
+
+
+@pytest.mark.parametrize(("stage", "change"), PAIRS)
+def test_a_change_beside_a_request(stage, change):
+    allowed = {"whole", REFUSED.get(stage, {}).get(change, "whole")}
+    for known in KNOWN:
+        world = play_change(stage, change, known)
+        world.check()
+        assert end_of(world.callers[ASKED]) in allowed, known
+        assert hold_of(world, stage) <= LOST, known
+
+
+def test_a_route_without_services_refuses_its_requests():
+    with pytest.raises(Refusal) as caught:
+        route(services=()).choose_service(0.5)
+    assert caught.value.kind is ErrorKind.NO_ENDPOINT
