Refuse a request at once whose service has no pools any more

Pending requests of a removed pool went to another pool of the service; where the service had none left, because a configuration dropped it or all its endpoints were gone, they stayed with a scheduler that nobody refreshed any more until their offer was due again (0.4 s, OFFER_REFRESH_INTERVAL), and were refused then. Callers got the same 503 300 ms later than possible (0.1 s after the request came the service was dropped, at 0.404 s it was refused; now at 0.1 s).

Four tests failed before (service removed and all services removed, for requests of two kinds).

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -131,6 +131,8 @@
 #: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
 #: routers have read the same registrations by then.
 UNKNOWN_POOL_RETRY_AFTER = 1.0
+#: The same for a service that has no pools.
+NO_ENDPOINTS_RETRY_AFTER = 1.0
 #: Prefixes for which this router remembers the last endpoint.
 MAX_REMEMBERED_PREFIXES = 4000
 
@@ -253,15 +255,23 @@
             logger.info("pools changed", extra=extra)
 
     def _release_removed_pools(self) -> None:
-        """Reject pending requests of removed pools, so that they go to another pool."""
+        """Reject pending requests of removed pools.
+
+        They go to another pool; if the service has none, they are refused.
+        """
         for pending in list(self.pending.values()):
-            service = ServiceId(pending.pool.rsplit("/", 1)[0])
-            if pending.pool in self.pools or not self.weights.get(service):
+            if pending.pool in self.pools or pending.answered.done():
                 continue
-            if not pending.answered.done():
-                # The leader may still have the pool and would reserve a slot for it.
-                self._withdraw(pending)
-                pending.answered.set_result(_unknown_pool_rejection(pending.offer.call))
+            # The leader may still have the pool and would reserve a slot for it.
+            self._withdraw(pending)
+            call = pending.offer.call
+            service = ServiceId(pending.pool.rsplit("/", 1)[0])
+            rejection = (
+                _unknown_pool_rejection(call)
+                if self.weights.get(service)
+                else _no_endpoints_rejection(call)
+            )
+            pending.answered.set_result(rejection)
 
     def is_superseded(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has restarted since this incarnation."""
@@ -527,8 +537,7 @@
         self._set_target(pending, self.fleet.own.router)
         pool_state = self.pools.get(pending.pool)
         if pool_state is None:
-            reason = "the service has no endpoints"
-            pending.answered.set_result(Rejected(pending.offer.call, reason, 1.0))
+            pending.answered.set_result(_no_endpoints_rejection(pending.offer.call))
             return
         pool_state.scheduler.offer(pending.offer, self.loop.time())
         self._decide(pool_state)
@@ -921,3 +930,8 @@
 def _unknown_pool_rejection(call: CallId) -> Rejected:
     """Return the rejection of a request for a pool that doesn't exist."""
     return Rejected(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY_AFTER)
+
+
+def _no_endpoints_rejection(call: CallId) -> Rejected:
+    """Return the rejection of a request for a service that has no pools."""
+    return Rejected(call, "the service has no endpoints", NO_ENDPOINTS_RETRY_AFTER)
--- a/tests/coordination/requests/test_changes_beside_requests.py
+++ b/tests/coordination/requests/test_changes_beside_requests.py
@@ -12,6 +12,7 @@
     CONFIGURATIONS,
     ENDPOINTS,
     KNOWN,
+    NO_ENDPOINT,
     REFUSED,
     STAGES,
     hold_of,
@@ -35,6 +36,15 @@
         assert hold_of(world, stage) <= LOST, known
 
 
+@pytest.mark.parametrize("stage", ["waiting", "waiting, stream"])
+@pytest.mark.parametrize("change", sorted(NO_ENDPOINT))
+def test_a_request_that_can_no_longer_be_granted_is_refused_at_once(stage, change):
+    for known in ("everywhere", "at the leader and everywhere"):
+        world = play_change(stage, change, known)
+        assert end_of(world.callers[ASKED]) == "503"
+        assert world.callers[ASKED].ended_at - world.changed_at < LOST / 2
+
+
 def test_a_route_without_services_refuses_its_requests():
     with pytest.raises(Refusal) as caught:
         route(services=()).choose_service(0.5)
