Withdraw an unsent request from an endpoint that is no longer registered

An attempt that is still connecting was withdrawn if its endpoint was known to leave, but not if its entry had been removed or the endpoint had started again: it stayed until CONNECT_TIMEOUT (0.25 s), beside free endpoints, and counted as an endpoint that could not be reached.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -568,10 +568,8 @@
             if attempt is None or attempt.sent:
                 continue
             endpoint = self.coordinator.endpoints.get(attempt.endpoint.id)
-            if endpoint is None:
-                continue
-            if self.coordinator.is_excluded(endpoint):
-                call.skipped.add(endpoint.id)
+            if endpoint is None or self.coordinator.is_excluded(endpoint):
+                call.skipped.add(attempt.endpoint.id)
                 attempt.withdraw(BlockReason.LEAVING)
             elif self.coordinator.rests.is_backing_off(endpoint.id, self.loop.time()):
                 attempt.withdraw(BlockReason.RESTING)
--- a/tests/coordination/requests/test_changes_beside_requests.py
+++ b/tests/coordination/requests/test_changes_beside_requests.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 
 import pytest
 
 from carawayfold.errors import ErrorKind, Refusal
+from carawayfold.state.routes import RouteKind
 from tests.coordination.requests.change_builders import (
     ASKED,
     CONFIGURATIONS,
@@ -15,11 +17,14 @@
     NO_ENDPOINT,
     REFUSED,
     STAGES,
+    base_endpoints,
+    base_table,
+    change_of,
     hold_of,
     play_change,
 )
 from tests.schedule_builders import route
-from tests.simulated_requests import end_of
+from tests.simulated_requests import Behaviour, end_of, play
 
 #: Seconds within which a request is passed on or refused while an endpoint is free.
 LOST = 0.2
@@ -45,6 +50,23 @@
         assert world.callers[ASKED].ended_at - world.changed_at < LOST / 2
 
 
+@pytest.mark.parametrize("change", ["endpoint removed", "endpoint restarted"])
+def test_a_request_does_not_wait_for_a_connection_to_an_endpoint_that_is_gone(change):
+    async def scenario(world):
+        never = iter([Behaviour(connect=60.0)])
+        world.behaviours["e-0"] = lambda *args: next(never, Behaviour())
+        router = world.leader()
+        world.send(router, ASKED)
+        await asyncio.sleep(0.02)
+        change_of(world, change, list(world.routers))()
+
+    table = base_table(RouteKind.NON_IDEMPOTENT)
+    world = play(scenario, table, base_endpoints())
+    world.check()
+    assert len(world.sent(ASKED)) == 1
+    assert world.longest_hold(ASKED) < 0.03
+
+
 def test_a_route_without_services_refuses_its_requests():
     with pytest.raises(Refusal) as caught:
         route(services=()).choose_service(0.5)
