Rank requests that state fewer tokens than their cached parts

The value density of an offer was the logarithm of its value by its cost, and the cost was negative where `Token-Usage` states fewer prompt tokens than `Prompt-Prefix` has in parts that an engine keeps. `Scheduler.offer` then raised a ValueError: at the router of the request, which answered 503, or while the leader read the offer from a datagram, which it left unanswered, so that it passed for silent. Found while reading what can raise beside a change.

The test failed before ("math domain error").

--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -724,7 +724,9 @@
             (load.prefixes.kept(offer.prompt) for load in self.loads.values()),
             default=0,
         )
-        cost = offer.prompt_tokens - kept + OUTPUT_TOKEN_WEIGHT * offer.output_tokens
+        # A caller may state fewer tokens than the parts of its prompt have.
+        unread = max(0, offer.prompt_tokens - kept)
+        cost = unread + OUTPUT_TOKEN_WEIGHT * offer.output_tokens
         return math.floor(
             math.log2((offer.answer_value + 1) / (cost + FIXED_COST_TOKENS))
         )
