--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -131,6 +131,8 @@
 #: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
 #: routers have read the same registrations by then.
 UNKNOWN_POOL_RETRY_AFTER = 1.0
+#: The same for a service that has no pools.
+NO_ENDPOINTS_RETRY_AFTER = 1.0
 #: Seconds between two events of an answer after which the scheduler is told that its
 #: endpoint goes on. Shorter than the silence after which a router gives up an attempt,
 #: as that may have begun before the last event here.
@@ -257,15 +259,23 @@
             logger.info("pools changed", extra=extra)
 
     def _release_removed_pools(self) -> None:
-        """Reject pending requests of removed pools, so that they go to another pool."""
+        """Reject pending requests of removed pools.
+
+        They go to another pool; if the service has none, they are refused.
+        """
         for pending in list(self.pending.values()):
-            service = ServiceId(pending.pool.rsplit("/", 1)[0])
-            if pending.pool in self.pools or not self.weights.get(service):
+            if pending.pool in self.pools or pending.answered.done():
                 continue
-            if not pending.answered.done():
-                # The leader may still have the pool and would reserve a slot for it.
-                self._withdraw(pending)
-                pending.answered.set_result(_unknown_pool_rejection(pending.offer.call))
+            # The leader may still have the pool and would reserve a slot for it.
+            self._withdraw(pending)
+            call = pending.offer.call
+            service = ServiceId(pending.pool.rsplit("/", 1)[0])
+            rejection = (
+                _unknown_pool_rejection(call)
+                if self.weights.get(service)
+                else _no_endpoints_rejection(call)
+            )
+            pending.answered.set_result(rejection)
 
     def is_superseded(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has restarted since this incarnation."""
@@ -480,6 +490,7 @@
         if target == self.fleet.own.router:
             self._decide_locally(pending)
             return
+        self._set_target(pending, target)
         wait = (
             OFFER_REFRESH_INTERVAL
             if pending.queued
@@ -509,22 +520,29 @@
         return pending.unanswered >= limit
 
     def _fail_over(self, pending: PendingRequest, target: RouterId) -> RouterId:
-        """Withdraw a request from a router that doesn't answer; return the next one."""
+        """Suspect a router that doesn't answer; return the next one to ask."""
         self._log_unanswered(target)
-        self.fleet.send(target, WithdrawMessage(pending.pool, pending.offer.call))
         self.fleet.add_suspect(target)
         pending.first_offer_at = self.loop.time()
         pending.unanswered = 0
         pending.queued = False
         return self.fleet.responsible(pending.pool)
 
+    def _set_target(self, pending: PendingRequest, target: RouterId) -> None:
+        """Withdraw a request from the router that it was offered to before.
+
+        That router may only be late, and would reserve a slot for the request.
+        """
+        if pending.target not in (None, target):
+            self._withdraw(pending)
+        pending.target = target
+
     def _decide_locally(self, pending: PendingRequest) -> None:
+        self._set_target(pending, self.fleet.own.router)
         pool_state = self.pools.get(pending.pool)
         if pool_state is None:
-            reason = "the service has no endpoints"
-            pending.answered.set_result(Rejected(pending.offer.call, reason, 1.0))
+            pending.answered.set_result(_no_endpoints_rejection(pending.offer.call))
             return
-        pending.local = True
         pool_state.scheduler.offer(pending.offer, self.loop.time())
         self._decide(pool_state)
         if not pending.answered.done():
@@ -550,13 +568,14 @@
             self.ended(decision.call, Outcome.CANCELLED)
 
     def _withdraw(self, pending: PendingRequest) -> None:
+        """Withdraw a request from the router that it was offered to."""
         call = pending.offer.call
-        pool_state = self.pools.get(pending.pool)
-        if pool_state is not None:
-            pool_state.scheduler.withdraw(call)
-        target = self.fleet.responsible(pending.pool)
-        if target != self.fleet.own.router:
-            self.fleet.send(target, WithdrawMessage(pending.pool, call))
+        if pending.target == self.fleet.own.router:
+            pool_state = self.pools.get(pending.pool)
+            if pool_state is not None:
+                pool_state.scheduler.withdraw(call)
+        elif pending.target is not None:
+            self.fleet.send(pending.target, WithdrawMessage(pending.pool, call))
 
     def _record_placement(self, pending: PendingRequest, decision: Granted) -> None:
         offer = pending.offer
@@ -846,7 +865,7 @@
     @_process.register
     def _(self, message: QueuedMessage, sender: RouterId) -> None:
         pending = self.pending.get(message.call)
-        if pending is None or pending.local:
+        if pending is None or pending.target != sender:
             return
         pending.unanswered = 0
         if not pending.queued:
@@ -868,15 +887,10 @@
         pending = self.pending.get(decision.call)
         if pending is None or pending.answered.done():
             return
-        target = self.fleet.responsible(pending.pool)
-        if target not in (sender, self.fleet.own.router):
+        if pending.target != sender:
             # A late answer of a router that was replaced. Its replacement may have
             # reserved a slot meanwhile.
-            self.fleet.send(target, WithdrawMessage(pending.pool, decision.call))
-        if pending.local:
-            pool_state = self.pools.get(pending.pool)
-            if pool_state is not None:
-                pool_state.scheduler.withdraw(decision.call)
+            self._withdraw(pending)
         self._complete(pending, decision, sender)
 
     def _complete(
@@ -929,3 +943,8 @@
 def _unknown_pool_rejection(call: CallId) -> Rejected:
     """Return the rejection of a request for a pool that doesn't exist."""
     return Rejected(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY_AFTER)
+
+
+def _no_endpoints_rejection(call: CallId) -> Rejected:
+    """Return the rejection of a request for a service that has no pools."""
+    return Rejected(call, "the service has no endpoints", NO_ENDPOINTS_RETRY_AFTER)
