Note a silence when it is found, and no stop as a crash

What callers could see: while an attempt stays at a silent endpoint for long, a harmful content was reported only at its end, and a sound one was accused where an endpoint that had announced its stop was removed while it was probed. Cause: the loss of an attempt was noted at its end only, which used to follow the silence at once; the probe's end looked whether the endpoint was registered, not whether it had announced its stop. Change: the search for another endpoint notes the loss; a stop that was announced ends the accusations of the silent attempts that are probed. Evidence: the two new tests failed before (no loss noted; one report).

--- a/carawayfold/coordination/containment/crash_reports.py
+++ b/carawayfold/coordination/containment/crash_reports.py
@@ -165,6 +165,8 @@
         self.loop = asyncio.get_running_loop()
         #: Lost attempts at endpoints that are being probed.
         self.probed: dict[EndpointId, list[LostAttempt]] = {}
+        #: Probed endpoints that are deregistered after they announced their stop.
+        self.stopped: set[EndpointId] = set()
         #: Attempts given up at silent endpoints that have not been found to have ended.
         self.unconfirmed: dict[EndpointId, list[LostAttempt]] = {}
         #: Reports by content and endpoint, the oldest first.
@@ -203,6 +205,8 @@
             if alive or probe_result is ProbeResult.REFUSED:
                 break
         losses = self.probed.pop(endpoint.id)
+        stopped = endpoint.id in self.stopped
+        self.stopped.discard(endpoint.id)
         logger.info(
             "probed an endpoint after lost connections",
             extra={
@@ -221,15 +225,22 @@
             self.on_lost(endpoint.id)
         ended = refused or self.registered(endpoint.id) is None
         for loss in losses:
+            if loss.silent and stopped:
+                continue
             if ended or not loss.silent:
                 self._report(loss, refused)
             else:
                 self.unconfirmed.setdefault(endpoint.id, []).append(loss)
 
     def endpoint_removed(self, endpoint: Endpoint) -> None:
-        """Report the attempts at a silent endpoint that is no longer registered."""
+        """Report the attempts at a silent endpoint that is no longer registered.
+
+        An endpoint that announced its stop has not crashed, also while it is probed.
+        """
         losses = self.unconfirmed.pop(endpoint.id, [])
         if endpoint.leaving:
+            if endpoint.id in self.probed:
+                self.stopped.add(endpoint.id)
             return
         for loss in losses:
             self._report(loss, refused=False)
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -690,6 +690,9 @@
         None if no further attempt is allowed now, or no endpoint is free. The retry is
         counted when the grant is accepted.
         """
+        if call.attempt is not None:
+            # The attempt may last for long, and the endpoint may have crashed under it.
+            self._report_endpoint_loss(call, call.attempt, Outcome.SILENT)
         try:
             self._check_replacement(call)
             if call.origin is not None:
--- a/tests/coordination/containment/test_crash_reports.py
+++ b/tests/coordination/containment/test_crash_reports.py
@@ -157,3 +157,11 @@
 def test_an_attempt_is_noted_once_during_a_silence():
     reports, _, _ = probe_endpoint(ACCEPTED, silent=True, losses=3, removed_after=3.0)
     assert len(reports) == 1
+
+
+@pytest.mark.parametrize("removed_after", [0.5, 3.0])
+def test_a_silent_endpoint_that_is_removed_as_announced_has_not_ended(removed_after):
+    reports, lost, _ = probe_endpoint(
+        ACCEPTED, silent=True, removed_after=removed_after, leaving=True
+    )
+    assert (reports, lost) == ([], [])
--- a/tests/coordination/requests/test_replacements.py
+++ b/tests/coordination/requests/test_replacements.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from carawayfold.coordination.containment.endpoint_activity import EndpointActivity
 from carawayfold.coordination.requests.retries import AttemptEnd
 from carawayfold.coordination.scheduling.offers import BlockReason, Granted
 from carawayfold.state.routes import RouteKind
@@ -117,3 +119,23 @@
     assert not accepted
     assert call.replacement is None
     assert len(coordinator.returned) == 1
+
+
+def test_a_silence_is_noted_although_no_further_attempt_is_possible():
+    noted = []
+
+    def silent(call, forwarder):
+        once_retried(call, forwarder)
+        call.attempt = SimpleNamespace(
+            sent=True,
+            stopped=False,
+            started=0.0,
+            endpoint=forwarder.coordinator.endpoints["m-2"],
+            first_event_delay=None,
+        )
+        forwarder.endpoint_activity = EndpointActivity()
+        forwarder.containment.reports = SimpleNamespace(note=noted.append)
+
+    found, _, _, _ = search(silent)
+    assert found is None
+    assert [loss.silent for loss in noted] == [True]
