Read no further from an endpoint while its caller is slower

What callers saw: a caller that reads nothing for half a second of a 32 MiB answer got 4.6 MB of it and a closed connection. Cause: nothing slows the endpoint's side, so that DirectServer closes the caller's connection once 1 MiB waits to be sent. Change: above 256 KiB the endpoint's connection is not watched for reading, until 64 KiB are left. A paused endpoint doesn't count as silent, neither for its attempt nor for the loss of an endpoint when the caller leaves. The hard limit and the deadline stay. It needs one method of Incoming in transport/edge.py. Ruled out: a larger limit, which costs each slow caller's memory.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -220,9 +220,10 @@
         if not self.call.route.repeatable:
             return
         now = self.loop.time()
-        if not self.forwarder.endpoint_activity.is_silent(
+        silent = self.forwarder.endpoint_activity.is_silent(
             self.endpoint.id, self.started, now
-        ):
+        )
+        if self.connection.paused or not silent:
             search.abandon()
             return
         granted = search.poll(now)
@@ -235,6 +236,9 @@
         """Cancel the exchange if it is still in flight."""
         if self.connection is None:
             return
+        if self.connection.paused:
+            # Its endpoint was not silent: nothing was read from it.
+            self._note_activity()
         done = self.exchange.done
         if not done.done():
             self.forwarder.http.cancel(self.connection)
@@ -275,13 +279,23 @@
             return
         self._note_activity()
         if self.forwarding_body:
-            self.call.incoming.send(data)
+            self._send(data)
             return
         self.body.append(data)
         self.body_size += len(data)
         if self.body_size > MAX_BUFFERED_BYTES:
             self._begin_forwarding_body()
 
+    def _send(self, data: bytes) -> None:
+        """Forward a part of the answer; read no further while the caller is slower."""
+        self.call.incoming.send(data)
+        if self.call.incoming.call_when_drained(self._resume):
+            self.forwarder.http.pause(self.connection)
+
+    def _resume(self) -> None:
+        self._note_activity()
+        self.forwarder.http.resume(self.connection)
+
     def _begin_forwarding_body(self) -> None:
         if not self._is_final():
             self._fail("a long answer that is not forwarded")
@@ -312,7 +326,7 @@
             self.forwarder.record_begun(self.call, self.endpoint)
         if not self.call.attempts.answer_started:
             self.forwarder.begin(self.call, self.answer_head)
-        self.call.incoming.send(complete_events)
+        self._send(complete_events)
         self.call.resume_after = self.events.last
 
     def _is_final(self) -> bool:
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -151,6 +151,8 @@
         Number of exchanges started on it.
     reuse_timeout : float
         Seconds for which it may be reused after it becomes idle.
+    paused : bool
+        Whether nothing is read from it, since the receiver is slower.
     """
 
     address: Address
@@ -163,6 +165,7 @@
     opened: float = 0.0
     used: int = 0
     reuse_timeout: float = IDLE_TIMEOUT
+    paused: bool = False
 
 
 class HttpClient(BaseComponent):
@@ -281,6 +284,18 @@
         connection.exchange = None
         self._close(connection)
 
+    def pause(self, connection: Connection) -> None:
+        """Stop reading from a connection until `resume`."""
+        if connection.sock in self.open and not connection.paused:
+            connection.paused = True
+            self.poller.removeReader(connection.sock)
+
+    def resume(self, connection: Connection) -> None:
+        """Read from a paused connection again."""
+        if connection.sock in self.open and connection.paused:
+            connection.paused = False
+            self.poller.addReader(self, connection.sock)
+
     def close_all(self) -> None:
         """Close every connection."""
         for connection in list(self.open.values()):
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -229,6 +229,13 @@
             self.left -= len(data)
         connection.write(data)
 
+    def call_when_drained(self, resume: Callable[[], None]) -> bool:
+        """Return whether the caller reads too slowly; `resume` is called once not."""
+        connection = self.connection
+        if connection.stage is Stage.CLOSED:
+            return False
+        return connection.edge.server.call_when_drained(connection.sock, resume)
+
     def end(self) -> None:
         """Finish the response; close the connection if the body is incomplete."""
         self.answered = True
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -11,12 +11,17 @@
 from circuits.net.sockets import TCPServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from socket import socket
 
 logger = logbook.Logger(__name__)
 
 #: Maximum number of bytes buffered for a slow reader before its connection closes.
 MAX_WRITE_BACKLOG = 1 << 20
+#: Bytes waiting for a slow reader above which the source of its answer is paused, and
+#: below which it is resumed.
+PAUSE_BACKLOG = 262144
+RESUME_BACKLOG = 65536
 #: Maximum number of bytes per read from a connection.
 READ_SIZE = 65536
 #: Maximum number of connections accepted per loop iteration.
@@ -59,6 +64,27 @@
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
         super().__init__(bind, channel=channel)
         self._clients = OpenSockets()
+        #: Called once the backlog of a connection is below `RESUME_BACKLOG`.
+        self._on_drained: dict[socket, Callable[[], None]] = {}
+
+    def call_when_drained(self, sock: socket, resume: Callable[[], None]) -> bool:
+        """Return whether the backlog of a connection is above `PAUSE_BACKLOG`.
+
+        If so, `resume` is called once it is below `RESUME_BACKLOG`, unless the
+        connection is closed before.
+        """
+        if sock not in self._clients or self._unsent_bytes(sock) <= PAUSE_BACKLOG:
+            return False
+        self._on_drained[sock] = resume
+        return True
+
+    def _unsent_bytes(self, sock: socket) -> int:
+        queue = self._buffers.get(sock)
+        return sum(map(len, queue)) if queue else 0
+
+    def _report_drained(self, sock: socket) -> None:
+        if sock in self._on_drained and self._unsent_bytes(sock) < RESUME_BACKLOG:
+            self._on_drained.pop(sock)()
 
     @handler("write", override=True)
     def write(self, sock: socket, data: bytes) -> None:
@@ -87,7 +113,7 @@
         return True
 
     def _wait_writable(self, sock: socket) -> None:
-        backlog = sum(map(len, self._buffers[sock]))
+        backlog = self._unsent_bytes(sock)
         if backlog > MAX_WRITE_BACKLOG:
             logger.info("caller reads too slowly", extra={"unsent_bytes": backlog})
             self._close(sock)
@@ -157,6 +183,8 @@
     def on_writable(self, sock: socket) -> None:
         """Write buffered data to a connection."""
         self._on_write(sock)
+        if self._on_drained:
+            self._report_drained(sock)
 
     def on_hangup(self, sock: socket) -> None:
         """Close a connection that was lost."""
@@ -186,6 +214,7 @@
 
     def _close(self, sock: socket) -> None:
         known = sock in self._clients
+        self._on_drained.pop(sock, None)
         super()._close(sock)
         if known:
             self.owner.lost(sock)
--- a/tests/coordination/requests/test_answers.py
+++ b/tests/coordination/requests/test_answers.py
@@ -125,3 +125,21 @@
         assert answered.end() is AttemptEnd.BROKEN
 
     run(scenario)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.STREAMING])
+def test_nothing_is_read_while_the_caller_is_slower(kind):
+    def scenario():
+        answered = AnsweredAttempt(route(kind))
+        connection = answered.attempt.connection
+        answered.caller.slow = True
+        answered.head(200, SIGNED)
+        for number in range(READS):
+            answered.data(b"id: %d\ndata: %b\n\n" % (number, READ))
+        assert connection.paused
+        active = len(answered.forwarder.active_at)
+        answered.caller.resume()
+        assert not connection.paused
+        assert len(answered.forwarder.active_at) == active + 1
+
+    run(scenario)
