--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -207,7 +207,7 @@
         if self.sent and self.call.replaced is not None:
             self.forwarder.end_replaced(self.call)
 
-    def _resume(self) -> None:
+    def _displace_replacement(self) -> None:
         """Continue instead of the attempt that was to replace this one."""
         self.has_resumed = True
         replacement = self.call.attempt
@@ -253,9 +253,10 @@
         if not self.call.route.repeatable:
             return
         now = self.loop.time()
-        if not self.forwarder.endpoint_activity.is_silent(
+        silent = self.forwarder.endpoint_activity.is_silent(
             self.endpoint.id, self.started, now
-        ):
+        )
+        if self.connection.paused or not silent:
             search.abandon()
             return
         granted = search.poll(now)
@@ -270,6 +271,9 @@
             self.handover.cancel()
         if self.connection is None:
             return
+        if self.connection.paused:
+            # Its endpoint was not silent: nothing was read from it.
+            self._note_activity()
         done = self.exchange.done
         if not done.done():
             self.forwarder.http.cancel(self.connection)
@@ -290,7 +294,7 @@
             self.forwarder.withdraw_unusable()
         if self.call.replaced is not None and not self.answer_head.not_run:
             if self.call.replaced is self:
-                self._resume()
+                self._displace_replacement()
             else:
                 self._replace()
         streaming = self.call.route.kind is RouteKind.STREAMING
@@ -311,19 +315,29 @@
 
     def _on_data(self, data: bytes) -> None:
         if self.call.replaced is self and not self.has_resumed:
-            self._resume()
+            self._displace_replacement()
         if self.events is not None:
             self._forward_events(data)
             return
         self._note_activity()
         if self.forwarding_body:
-            self.call.incoming.send(data)
+            self._send(data)
             return
         self.body.append(data)
         self.body_size += len(data)
         if self.body_size > MAX_BUFFERED_BYTES:
             self._begin_forwarding_body()
 
+    def _send(self, data: bytes) -> None:
+        """Forward a part of the answer; read no further while the caller is slower."""
+        self.call.incoming.send(data)
+        if self.call.incoming.call_when_drained(self._resume_reading):
+            self.forwarder.http.pause(self.connection)
+
+    def _resume_reading(self) -> None:
+        self._note_activity()
+        self.forwarder.http.resume(self.connection)
+
     def _begin_forwarding_body(self) -> None:
         if not self._is_final():
             self._fail("a long answer that is not forwarded")
@@ -354,7 +368,7 @@
             self.forwarder.record_begun(self.call, self.endpoint)
         if not self.call.attempts.answer_started:
             self.forwarder.begin(self.call, self.answer_head)
-        self.call.incoming.send(complete_events)
+        self._send(complete_events)
         self.call.resume_after = self.events.last
 
     def _is_final(self) -> bool:
