--- a/carawayfold/coordination/requests/replacement.py
+++ b/carawayfold/coordination/requests/replacement.py
@@ -15,9 +15,10 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds from the start of the first search without result to the next one; doubled
-#: with each further search, since each offer counts as demand of its organisation.
+#: Seconds from the start of the first search without result to the next one, and of any
+#: later search: each offer counts as demand of its organisation.
 SEARCH_INTERVAL = 0.5
+MAX_SEARCH_INTERVAL = 1.0
 
 
 class ReplacementSearch:
@@ -76,7 +77,7 @@
         if self.task is None:
             if now >= self.next_at:
                 self.next_at = now + self.interval
-                self.interval *= 2
+                self.interval = min(2 * self.interval, MAX_SEARCH_INTERVAL)
                 self.task = asyncio.get_running_loop().create_task(self.find())
             return None
         if not self.task.done():
