Excuse a request that crossed a close only if it reached no endpoint

Change: the excuse holds only for requests that no endpoint has seen, as the rule says. Evidence: the new test failed before (nothing found).

--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -273,7 +273,8 @@
 
     A request that was cut, or answered with one of `FAILURES`, may have used up its
     time. One whose connection ended without an answer has no such reason. Neither has
-    one that crossed the close of its connection, but that is allowed.
+    one that crossed the close of its connection, but that is allowed unless it reached
+    an endpoint.
 
     Parameters
     ----------
@@ -292,12 +293,12 @@
         endpoints[item.request].add(item.endpoint)
     found = []
     for item in caller_records:
-        how = _broken(item)
-        names = {item.router, item.service, *endpoints[item.request]}
+        how = _broken(item, item.request in endpoints)
+        names = {item.router, item.service, *endpoints.get(item.request, ())}
         if how and all(
             unsound.is_undisturbed(name, item.sent_at, item.ended_at) for name in names
         ):
-            where = ", ".join(sorted(endpoints[item.request])) or "no endpoint"
+            where = ", ".join(sorted(endpoints.get(item.request, ()))) or "no endpoint"
             lasted = item.ended_at - item.sent_at
             found.append(
                 f"{item.request} of {item.route or item.service} at {item.router} "
@@ -306,9 +307,12 @@
     return found
 
 
-def _broken(item: CallerRecord) -> str:
-    """Return how a request was broken off, empty if it was not or its time was over."""
-    if item.left_at or item.crossed:
+def _broken(item: CallerRecord, arrived: bool) -> str:
+    """Return how a request was broken off, empty if it was not or its time was over.
+
+    `arrived` is whether it reached an endpoint.
+    """
+    if item.left_at or (item.crossed and not arrived):
         return ""
     if not item.status:
         return "without an answer"
--- a/tests/benchmarks/test_promises.py
+++ b/tests/benchmarks/test_promises.py
@@ -133,6 +133,11 @@
     assert not promises.find_broken_answers([caller], [], Disturbances())
 
 
+def test_a_request_that_reached_an_endpoint_did_not_cross_the_close():
+    caller = told(status=0, whole=False, crossed=True)
+    assert promises.find_broken_answers([caller], [arrival()], Disturbances())
+
+
 @pytest.mark.parametrize("how", BROKEN)
 @pytest.mark.parametrize(
     ("name", "excused"),
