Refuse requests that come on kept connections late in a stop

A router that stops used to close a kept connection right after an answer that had begun before the stop, and drops what crosses that close; since then it waits for the connection to be idle, for 50 ms at the most, and a request that came meanwhile was passed on, 3 s to 7.4 s after the signal, and cut at the end of the grace period. The new test fails on the code before (the request is passed on). Ruled out: closing at once as before, since a request that has arrived gets no answer. Change: once a router no longer accepts connections, Forwarder refuses further requests as not run, with the close announced.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -289,6 +289,8 @@
         self.in_force: ActiveConfiguration | None = None
         self.wait_estimators: dict[RouteId, WaitEstimator] = {}
         self.calls: dict[ForwardedCall, asyncio.Task[None]] = {}
+        #: Whether requests are accepted; those in flight are finished otherwise.
+        self.accepting = True
         #: Whether requests in flight have been ended and further ones are refused.
         self.stopping = False
 
@@ -332,7 +334,7 @@
             self._log_end(call, "caller left")
 
     def _open_call(self, incoming: Incoming, parsed: RequestFields) -> ForwardedCall:
-        if self.stopping:
+        if self.stopping or not self.accepting:
             raise Refusal(ErrorKind.STOPPING, "the router stops")
         if self.route_index is None:
             raise Refusal(ErrorKind.NOT_READY)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -356,6 +356,7 @@
         await asyncio.sleep(min(STOP_NOTICE_DURATION, max(0.0, end - loop.time())))
         # A request accepted later could not finish before the process is killed.
         self.front.stop_accepting()
+        self.forwarder.accepting = False
         while loop.time() < end and self._is_serving():
             await asyncio.sleep(STOP_POLL_INTERVAL)
             self.front.close_idle()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import logbook
 import pytest
 
+from carawayfold import gateway as gateway_module
 from tests.gateway_builders import REQUEST, running_gateway, send_request
 from tests.transport.edge_builders import run
 
@@ -133,3 +134,28 @@
             await gateway.stopped.wait()
 
     run(scenario)
+
+
+def test_a_request_that_came_too_late_in_a_stop_was_passed_on(monkeypatch):
+    """An answer that began before the stop doesn't tell its caller not to send more."""
+    monkeypatch.setattr(gateway_module, "STOP_NOTICE_DURATION", 0.0)
+
+    async def scenario():
+        async with running_gateway(LONG_GRACE) as gateway:
+            reader, writer = await send_request(gateway)
+            [first] = gateway.forwarder.calls
+            first.incoming.begin(200, [("Content-Length", "2")])
+            gateway.begin_stop()
+            while gateway.front.server._sock is not None:
+                await asyncio.sleep(0)
+            first.incoming.send(b"ok")
+            first.incoming.end()
+            await reader.readuntil(b"\r\n\r\nok")
+            writer.write(REQUEST)
+            answer = await answer_of(reader, writer)
+            return answer, len(gateway.forwarder.calls)
+
+    answer, calls = run(scenario)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Connection: close" in answer
+    assert calls == 1
