Add optional scheduling decisions to settings, offers and messages

Five parts are built side by side. Each gets a setting that is off by default, a field of SchedulingFeatures, and optional fields at the end of the messages that it needs: the wait and use of a pool in decisions, the load of an endpoint and the life of its connection in reports, the size of a body in offers.

Ruled out: one message for each part, which would add datagrams; a change of existing fields, which routers of the version before could not read. Nothing reads the new fields yet, so no decision changes; tests of the messages, the coordinator and the requests pass.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -562,6 +562,7 @@
             cached_at=self.coordinator.cached_at(parsed.prompt, call.allowed),
             allowed=call.allowed,
             software=call.software,
+            body_bytes=len(call.incoming.body),
         )
 
     def _rejection_refusal(self, call: ForwardedCall, decision: Rejected) -> Refusal:
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -22,6 +22,7 @@
 from carawayfold.coordination.scheduling.admission import AdmissionControl
 from carawayfold.coordination.scheduling.decision_statistics import SchedulingStatistics
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.messages import (
     decision_message,
     grant_from_message,
@@ -152,13 +153,20 @@
         Seconds over which an organisation's share is counted.
     basis : callable, optional
         Returns the current state of the registrations at this router.
+    features : SchedulingFeatures, optional
+        Optional decisions; all are off by default.
     """
 
     def __init__(
-        self, fleet: Fleet, window: float, basis: Callable[[], Basis] | None = None
+        self,
+        fleet: Fleet,
+        window: float,
+        basis: Callable[[], Basis] | None = None,
+        features: SchedulingFeatures | None = None,
     ) -> None:
         self.fleet = fleet
         self.window = window
+        self.features = features or SchedulingFeatures()
         self.basis = basis or (lambda: Basis(fleet.own.router))
         self.loop = asyncio.get_running_loop()
         self.pools: dict[PoolId, PoolState] = {}
@@ -224,7 +232,7 @@
                 members = [item for item in assigned if not self.is_evacuated(item)]
                 pool = PoolId(f"{service}/{number}")
                 pool_state = self.pools.get(pool) or PoolState(
-                    pool, Scheduler(self.window)
+                    pool, Scheduler(self.window, features=self.features)
                 )
                 plan = self._plan(service, routes, len(members), engines)
                 pool_state.scheduler.set_endpoints(members, plan)
--- a/carawayfold/coordination/scheduling/messages.py
+++ b/carawayfold/coordination/scheduling/messages.py
@@ -42,6 +42,7 @@
         rests=[(name, round((at - now) * 1000)) for name, at in offer.rests.items()],
         throttled_tokens=offer.throttled_tokens,
         software=offer.software,
+        body_bytes=offer.body_bytes,
     )
 
 
@@ -66,6 +67,7 @@
         rests={name: now + left / 1000 for name, left in message.rests},
         throttled_tokens=message.throttled_tokens,
         software=message.software,
+        body_bytes=message.body_bytes,
     )
 
 
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -83,6 +83,8 @@
     throttled_tokens : int
         Tokens of its organisation that its router throttled since the previous offer,
         see `AdmissionControl`.
+    body_bytes : int
+        Size of its body in bytes.
     shared_prefix_tokens : int
         Tokens of the prompt parts that other requests share.
     """
@@ -106,6 +108,7 @@
     rests: dict[EndpointId, float] = field(default_factory=dict)
     value_density: int = 0
     throttled_tokens: int = 0
+    body_bytes: int = 0
     shared_prefix_tokens: int = field(init=False)
 
     def __post_init__(self) -> None:
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -34,6 +34,7 @@
     ActiveRequest,
     EndpointLoad,
 )
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.offers import (
     OUTPUT_TOKEN_WEIGHT,
     Decision,
@@ -217,6 +218,8 @@
         Seconds over which the usage of organisations is counted.
     plan : PoolPlan
         Capacity and limits of the pool.
+    features : SchedulingFeatures
+        Optional decisions.
     loads : dict
         State of each endpoint.
     waiting : dict
@@ -251,6 +254,7 @@
 
     window: float
     plan: PoolPlan = field(default_factory=PoolPlan)
+    features: SchedulingFeatures = field(default_factory=SchedulingFeatures)
     loads: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     waiting: dict[CallId, Offer] = field(default_factory=dict)
     reported_at: dict[CallId, float] = field(default_factory=dict)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -119,7 +119,7 @@
         self.socket = PeerSocket(settings.router, incarnation, self._on_datagram)
         self.fleet = Fleet(self.socket, own, self._build_heartbeat, self._fleet_changed)
         self.coordinator = SchedulingCoordinator(
-            self.fleet, settings.share_window, self._offer_basis
+            self.fleet, settings.share_window, self._offer_basis, settings.features
         )
         self.caches = CacheReader(
             EngineClient(self.http), self.coordinator, self._spawn
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -7,11 +7,13 @@
 import msgspec
 from expression import Ok, Result
 
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.settings import (
     LOG_LEVELS,
     REQUIRED,
     Address,
     Setting,
+    anything,
     check_table,
     in_range,
     not_empty,
@@ -131,6 +133,46 @@
         in_range(0.1, 600),
         "Window over which shares of the organisations are balanced.",
     ),
+    Setting(
+        "balance_pools",
+        bool,
+        False,
+        "",
+        anything,
+        "Whether requests are first offered to a pool with a short wait.",
+    ),
+    Setting(
+        "reuse_connections",
+        bool,
+        False,
+        "",
+        anything,
+        "Whether endpoints with an open connection are preferred.",
+    ),
+    Setting(
+        "endpoint_load",
+        bool,
+        False,
+        "",
+        anything,
+        "Whether the speed and load that endpoints state in answers are used.",
+    ),
+    Setting(
+        "schedule_returns",
+        bool,
+        False,
+        "",
+        anything,
+        "Whether rejected requests return in the order of a schedule.",
+    ),
+    Setting(
+        "remote_cost",
+        float,
+        0.0,
+        "s/MB",
+        in_range(0, 1000),
+        "Wait that a megabyte between data centres is worth; 0: constant penalty.",
+    ),
     Setting(
         "log_level", str, "info", "", one_of(*LOG_LEVELS), "Least level that is logged."
     ),
@@ -156,6 +198,11 @@
     share_window: float
     regions: dict[DataCentreId, RegionId]
     log_level: str
+    balance_pools: bool = False
+    reuse_connections: bool = False
+    endpoint_load: bool = False
+    schedule_returns: bool = False
+    remote_cost: float = 0.0
 
     @property
     def processor(self) -> int:
@@ -172,6 +219,17 @@
         """Return the fleet's limits on retries."""
         return BudgetBounds(self.retry_ratio, self.retry_extra, self.retry_window)
 
+    @property
+    def features(self) -> SchedulingFeatures:
+        """Return the optional decisions of the schedulers."""
+        return SchedulingFeatures(
+            balance_pools=self.balance_pools,
+            reuse_connections=self.reuse_connections,
+            endpoint_load=self.endpoint_load,
+            schedule_returns=self.schedule_returns,
+            remote_cost=self.remote_cost,
+        )
+
 
 def load(path: Path) -> Result[GatewaySettings, list[str]]:
     """Read and check the settings file at `path`, a JSON file with comments."""
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -120,6 +120,8 @@
         Tokens of its organisation that the router throttled since the previous offer.
     software : SoftwareVersion or None
         Software version that its endpoint must have; None for any.
+    body_bytes : int
+        Size of its body in bytes.
     """
 
     pool: PoolId
@@ -139,6 +141,7 @@
     rests: list[tuple[EndpointId, int]] = []
     throttled_tokens: int = 0
     software: SoftwareVersion | None = None
+    body_bytes: int = 0
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -171,6 +174,10 @@
         Milliseconds since its registrations were last complete.
     admitted_fraction : int
         Thousandths of its organisation's requests that may be offered to the pool.
+    pool_wait : int
+        Predicted wait in milliseconds of a further request in the pool; -1 if unknown.
+    pool_used : int
+        Thousandths of the slots of the pool that are in use; -1 if unknown.
     """
 
     call: CallId
@@ -179,6 +186,8 @@
     offset: Position = Position(0)
     age: int = 0
     admitted_fraction: int = 1000
+    pool_wait: int = -1
+    pool_used: int = -1
 
 
 class RejectMessage(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -196,6 +205,10 @@
         Engine of the pool that has the beginning of its prompt cached.
     admitted_fraction : int
         Thousandths of its organisation's requests that may be offered to the pool.
+    pool_wait : int
+        Predicted wait in milliseconds of a further request in the pool; -1 if unknown.
+    pool_used : int
+        Thousandths of the slots of the pool that are in use; -1 if unknown.
     """
 
     call: CallId
@@ -203,6 +216,25 @@
     retry_after: int
     cached_at: EndpointId | None = None
     admitted_fraction: int = 1000
+    pool_wait: int = -1
+    pool_used: int = -1
+
+
+class LoadReport(msgspec.Struct, array_like=True, frozen=True):
+    """Load that an endpoint stated in an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests in process, requests waiting, and requests processed at once.
+    duration : int
+        Duration of its work at this moment in percent of its usual duration.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    duration: int = 100
 
 
 class FirstByteMessage(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -216,19 +248,39 @@
         The request.
     waited : int
         Milliseconds from sending the request to the first byte.
+    load : LoadReport or None
+        Load that the endpoint stated in the head of the answer.
     """
 
     pool: PoolId
     call: CallId
     waited: int
+    load: LoadReport | None = None
 
 
 class AttemptEndedMessage(msgspec.Struct, array_like=True, tag=8, frozen=True):
-    """End of an attempt at an endpoint."""
+    """End of an attempt at an endpoint.
+
+    Attributes
+    ----------
+    pool : PoolId
+        The pool.
+    call : CallId
+        The request.
+    outcome : str
+        Value of the `Outcome` of the attempt.
+    kept : int
+        Milliseconds for which the router keeps the connection for reuse; 0 if it has
+        closed it.
+    load : LoadReport or None
+        Load that the endpoint stated in the head of the answer.
+    """
 
     pool: PoolId
     call: CallId
     outcome: str
+    kept: int = 0
+    load: LoadReport | None = None
 
 
 class ActiveRequestReport(msgspec.Struct, array_like=True, frozen=True):
