Make an answer due no later than its caller's timeout

Ruled out: a wait in the queue of the leader (no decision was late) and lost offers (all were queued). The estimate of how long a caller has waited does not know it where few of its first attempts reached the same router.

Change: the offer's due time is bounded by the caller's deadline. A request that can't be served before that is refused by the scheduler as late, at once.

Before: test_the_first_event_is_due_before_the_caller_leaves fails for a resumed stream (due 1.0 s, caller leaves after 0.4 s); after: it passes, with all tests of requests and of the coordinator.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -556,7 +556,7 @@
             prompt_tokens=parsed.prompt_tokens,
             output_tokens=parsed.expected_output,
             arrived=self.loop.time(),
-            due=call.due,
+            due=min(call.due, call.deadline),
             expires=call.deadline,
             avoid=frozenset(call.tried | call.skipped),
             cached_at=self.coordinator.cached_at(parsed.prompt, call.allowed),
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -114,6 +114,13 @@
     assert repeated.due < repeated.arrived
 
 
+@pytest.mark.parametrize("headers", [{}, {"last-event-id": "3"}])
+def test_the_first_event_is_due_before_the_caller_leaves(headers):
+    """Otherwise a request that can't be served waits until its caller's timeout."""
+    [offer] = offers_of({"request-deadline": "400", **headers})
+    assert offer.due <= offer.expires
+
+
 def test_a_resumed_stream_is_offered_for_the_version_that_began_it():
     [offer] = offers_of({"last-event-id": "3", "resumes": "first"})
     assert offer.software == "v1"
