Schedule the return of rejected requests

Rejected requests were told twice their predicted wait, so that all of a burst returned during it and were lost at the second rejection. With schedule_returns, a scheduler tells the earliest time at which room is expected, recognises returns by organisation, route, own contents and deadline, and corrects predicted waits by their observed error. Counting returns by organisation was ruled out: one caller's abuse would push back others.

--- a/benchmarks/emulation/ablation.py
+++ b/benchmarks/emulation/ablation.py
@@ -17,7 +17,12 @@
 from benchmarks.emulation.__main__ import net_of, play
 from benchmarks.emulation.deployments import DEPLOYMENTS
 from benchmarks.emulation.run import Policy
-from carawayfold.coordination.scheduling import copy_sources, placement, scheduler
+from carawayfold.coordination.scheduling import (
+    copy_sources,
+    placement,
+    rejections,
+    scheduler,
+)
 from carawayfold.state import usage
 
 if TYPE_CHECKING:
@@ -58,9 +63,9 @@
     Mechanism("half for work beyond a share", scheduler, "BEYOND_SHARE_FRACTION", 1.0),
     Mechanism("the worst served organisation", usage, "BEHIND_FRACTION", 0.0),
     Mechanism("the worst served kind", scheduler, "MIN_SERVED_RATIO", 0.0),
-    Mechanism("long prompts may miss", scheduler, "OWN_PREFILL_FRACTION", 0.0),
-    Mechanism("predictions may miss", scheduler, "PREDICTION_MARGIN", 0.0),
-    Mechanism("late work waits a little", scheduler, "LATE_WAIT_FRACTION", 0.0),
+    Mechanism("long prompts may miss", rejections, "OWN_PREFILL_FRACTION", 0.0),
+    Mechanism("predictions may miss", rejections, "PREDICTION_MARGIN", 0.0),
+    Mechanism("late work waits a little", rejections, "LATE_WAIT_FRACTION", 0.0),
 )
 
 
@@ -76,11 +81,11 @@
     (scheduler, "MIN_SERVED_RATIO"),
     (scheduler, "SERVED_HALF_LIFE"),
     (scheduler, "FIXED_COST_TOKENS"),
-    (scheduler, "PREDICTION_MARGIN"),
-    (scheduler, "OWN_PREFILL_FRACTION"),
-    (scheduler, "LATE_WAIT_FRACTION"),
-    (scheduler, "LATE_RETRY_FACTOR"),
-    (scheduler, "MAX_RETRY_FRACTION"),
+    (rejections, "PREDICTION_MARGIN"),
+    (rejections, "OWN_PREFILL_FRACTION"),
+    (rejections, "LATE_WAIT_FRACTION"),
+    (rejections, "LATE_RETRY_FACTOR"),
+    (rejections, "MAX_RETRY_FRACTION"),
     (usage, "BEHIND_FRACTION"),
 )
 
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -49,6 +49,10 @@
     choose_fallback_pool,
     choose_pool,
 )
+from carawayfold.coordination.scheduling.rejections import (
+    no_endpoints_rejection,
+    unknown_pool_rejection,
+)
 from carawayfold.coordination.scheduling.scheduler import (
     DEFAULT_PREFILL_RATE,
     PoolPlan,
@@ -129,11 +133,6 @@
 #: serve it in time. Without them, an organisation whose requests share a prefix would
 #: get its share of a single pool only, whatever the capacity of the others.
 MAX_FALLBACK_POOLS = 1
-#: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
-#: routers have read the same registrations by then.
-UNKNOWN_POOL_RETRY_AFTER = 1.0
-#: The same for a service that has no pools.
-NO_ENDPOINTS_RETRY_AFTER = 1.0
 #: Seconds between two events of an answer after which the scheduler is told that its
 #: endpoint goes on. Shorter than the silence after which a router gives up an attempt,
 #: as that may have begun before the last event here.
@@ -279,9 +278,9 @@
             call = pending.offer.call
             service = ServiceId(pending.pool.rsplit("/", 1)[0])
             rejection = (
-                _unknown_pool_rejection(call)
+                unknown_pool_rejection(call)
                 if self.weights.get(service)
-                else _no_endpoints_rejection(call)
+                else no_endpoints_rejection(call)
             )
             pending.answered.set_result(rejection)
 
@@ -430,7 +429,9 @@
             elif decision.reason == UNKNOWN_POOL and pool in weights:
                 return await self.place(offer, pool, decide_locally=True)
             else:
-                return min(rejections, key=lambda item: item.retry_after)
+                # With promises, a return before the later one would be too early.
+                choose = max if self.features.schedule_returns else min
+                return choose(rejections, key=lambda item: item.retry_after)
 
     def _throttle(self, offer: Offer, pool: PoolId) -> Rejected | None:
         """Return the rejection of a request that may not be offered to a pool."""
@@ -549,7 +550,7 @@
         self._set_target(pending, self.fleet.own.router)
         pool_state = self.pools.get(pending.pool)
         if pool_state is None:
-            pending.answered.set_result(_no_endpoints_rejection(pending.offer.call))
+            pending.answered.set_result(no_endpoints_rejection(pending.offer.call))
             return
         pool_state.scheduler.offer(pending.offer, self.loop.time())
         self._decide(pool_state)
@@ -678,12 +679,12 @@
             self._decide(pool_state)
         self.admission.expire(now)
         if self.decision_statistics.is_due():
-            accounts = {
-                pool_state.id: pool_state.scheduler.usage
-                for pool_state in self.pools.values()
-            }
+            accounts = {item.id: item.scheduler.usage for item in self.pools.values()}
             leading = {pool for pool in accounts if self.decides_for(pool)}
-            self.decision_statistics.write(accounts, leading)
+            details = {
+                pool: self.pools[pool].scheduler.describe(now) for pool in leading
+            }
+            self.decision_statistics.write(accounts, leading, details)
 
     def report_active(self) -> None:
         """Report this router's requests in flight to the scheduler of each pool."""
@@ -857,7 +858,7 @@
         that didn't answer would be considered failed.
         """
         self.decision_statistics.unknown_pool_offers += 1
-        rejection = _unknown_pool_rejection(message.call)
+        rejection = unknown_pool_rejection(message.call)
         self.fleet.send(sender, decision_message(rejection, self.basis()))
 
     @_process.register
@@ -946,13 +947,3 @@
             )
             active.begun = item.begun
             pool_state.scheduler.record_active(item.endpoint, active)
-
-
-def _unknown_pool_rejection(call: CallId) -> Rejected:
-    """Return the rejection of a request for a pool that doesn't exist."""
-    return Rejected(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY_AFTER)
-
-
-def _no_endpoints_rejection(call: CallId) -> Rejected:
-    """Return the rejection of a request for a service that has no pools."""
-    return Rejected(call, "the service has no endpoints", NO_ENDPOINTS_RETRY_AFTER)
--- a/carawayfold/coordination/scheduling/decision_statistics.py
+++ b/carawayfold/coordination/scheduling/decision_statistics.py
@@ -85,7 +85,12 @@
         """Return whether log lines are due."""
         return self.loop.time() - self.since >= LOG_INTERVAL
 
-    def write(self, accounts: dict[PoolId, UsageTable], leading: set[PoolId]) -> None:
+    def write(
+        self,
+        accounts: dict[PoolId, UsageTable],
+        leading: set[PoolId],
+        details: dict[PoolId, dict[str, float]] | None = None,
+    ) -> None:
         """Log a line on each pool with activity, and reset the counts.
 
         Parameters
@@ -94,12 +99,20 @@
             Usage of organisations, by pool.
         leading : set of PoolId
             Pools of which this router is the leader.
+        details : dict, optional
+            Further fields of the lines, by pool.
         """
+        details = details or {}
         seconds = self.loop.time() - self.since
         for pool, statistics in self.pools.items():
             if pool in accounts:
                 self._write_one(
-                    pool, statistics, accounts[pool], pool in leading, seconds
+                    pool,
+                    statistics,
+                    accounts[pool],
+                    pool in leading,
+                    seconds,
+                    details.get(pool, {}),
                 )
         if self.unknown_pool_offers:
             extra = {"offers": self.unknown_pool_offers, "seconds": round(seconds, 2)}
@@ -115,6 +128,7 @@
         account: UsageTable,
         leads: bool,
         seconds: float,
+        details: dict[str, float],
     ) -> None:
         logger.info(
             "pool decided",
@@ -137,5 +151,6 @@
                         MAX_NAMED_ORGANISATIONS
                     )
                 ],
+                **details,
             },
         )
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -38,6 +38,35 @@
 OUTPUT_TOKEN_VALUE = 10
 
 
+class Standing(Enum):
+    """Whether a request returns after a rejection."""
+
+    #: Not known to return.
+    NEW = "new"
+    #: It returns when its caller was told to, or later.
+    RETURNED = "returned"
+    #: It returns before.
+    EARLY = "early"
+
+
+class WaitPrediction(msgspec.Struct, frozen=True):
+    """Prediction made when a request was first examined and had to wait.
+
+    Attributes
+    ----------
+    wait : float
+        Predicted seconds, without correction.
+    corrected : float
+        The same, corrected.
+    made_at : float
+        Monotonic seconds.
+    """
+
+    wait: float
+    corrected: float
+    made_at: float
+
+
 @dataclass(slots=True, eq=False)
 class Offer:
     """A request that needs an endpoint.
@@ -87,6 +116,10 @@
         Size of its body in bytes.
     shared_prefix_tokens : int
         Tokens of the prompt parts that other requests share.
+    standing : Standing
+        Whether it is the return of a rejected request, as its scheduler knows.
+    prediction : WaitPrediction or None
+        First prediction of its wait by its scheduler; None before.
     """
 
     call: CallId
@@ -110,6 +143,8 @@
     throttled_tokens: int = 0
     body_bytes: int = 0
     shared_prefix_tokens: int = field(init=False)
+    standing: Standing = Standing.NEW
+    prediction: WaitPrediction | None = None
 
     def __post_init__(self) -> None:
         # The last part of a prompt is the request's own.
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -22,13 +22,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
-import xxhash
 
+from carawayfold.coordination.scheduling import rejections
 from carawayfold.coordination.scheduling.backlog import Backlog
-from carawayfold.coordination.scheduling.copy_sources import (
-    MIN_COPIED_TOKENS,
-    find_copy_source,
-)
+from carawayfold.coordination.scheduling.copy_sources import find_copy_source
 from carawayfold.coordination.scheduling.endpoint_load import (
     DEFAULT_RESIDENCE,
     ActiveRequest,
@@ -42,6 +39,7 @@
     Offer,
     Outcome,
     Rejected,
+    Standing,
 )
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
@@ -49,6 +47,9 @@
     compute_excess_failures,
     has_room,
 )
+from carawayfold.coordination.scheduling.rejections import FULL_DURATION
+from carawayfold.coordination.scheduling.return_schedule import Access, ReturnSchedule
+from carawayfold.coordination.scheduling.wait_predictions import WaitPredictions
 from carawayfold.state.usage import UsageTable
 
 if TYPE_CHECKING:
@@ -80,23 +81,6 @@
 SERVED_HALF_LIFE = 5.0
 #: Tokens added to the cost of a request, so that very small ones don't count as free.
 FIXED_COST_TOKENS = 200
-#: Fraction of its objective by which the predicted first token of a request may be
-#: late before the request is rejected; allows for the error of predictions.
-PREDICTION_MARGIN = 0.15
-#: Fraction of its own prefill time by which a request may miss its objective.
-#: Otherwise, prompts whose prefill takes most of the objective would never be served.
-OWN_PREFILL_FRACTION = 0.6
-#: Fraction of its total time that a request past its objective may wait for idle
-#: capacity.
-LATE_WAIT_FRACTION = 0.02
-#: Bounds in seconds of the retry delay of rejected requests.
-MIN_RETRY_AFTER = 0.3
-MAX_RETRY_AFTER = 5.0
-#: Retry delay of requests that can't be answered in time, as a multiple of their
-#: predicted wait, so that the queue is shorter by then.
-LATE_RETRY_FACTOR = 2.0
-#: Maximum retry delay as a fraction of the time until the request expires.
-MAX_RETRY_FRACTION = 1 / 3
 #: Seconds between reviews of the whole queue, which sort it again and reject requests
 #: that can't be in time any more.
 REVIEW_INTERVAL = 0.04
@@ -108,9 +92,6 @@
 #: Assumed prefill rate of an engine in tokens per second where the configuration
 #: states no throughput: the lowest one of the known deployments.
 DEFAULT_PREFILL_RATE = 60_000.0
-#: Seconds for which a pool counts as full after it rejected a request that could not
-#: be in time.
-FULL_DURATION = 0.5
 #: Tokens of a short request; an endpoint with room for one counts as free.
 SHORT_REQUEST_TOKENS = 300
 
@@ -250,6 +231,10 @@
         never.
     usage : UsageTable
         Tokens requested by and granted to each organisation.
+    predictions : WaitPredictions
+        Errors of predicted waits.
+    returns : ReturnSchedule or None
+        When rejected requests return; None if that is switched off.
     """
 
     window: float
@@ -269,9 +254,14 @@
     least_urgent: int = 0
     warm_up_allowed_from: float = 0.0
     usage: UsageTable = field(init=False)
+    predictions: WaitPredictions = field(init=False)
+    returns: ReturnSchedule | None = None
 
     def __post_init__(self) -> None:
         self.usage = UsageTable(self.window)
+        self.predictions = WaitPredictions(self.features.schedule_returns)
+        if self.features.schedule_returns:
+            self.returns = ReturnSchedule()
 
     # Input
 
@@ -298,14 +288,19 @@
         if offer.call in self.waiting:
             return
         self.waiting[offer.call] = offer
-        requested = offer.charged_tokens + offer.throttled_tokens
+        offer.standing, offer.prediction = Standing.NEW, None
+        if self.returns is not None:
+            self.returns.offered(offer, self._is_within_share(offer), now)
+        # A return before its time is not demanded a second time.
+        counted = offer.standing is not Standing.EARLY
+        requested = offer.charged_tokens * counted + offer.throttled_tokens
         self.usage.asked(offer.organisation, now, requested)
         self.least_urgent = max(self.least_urgent, offer.priority)
         statistics = self.routes.setdefault(
             offer.route, RouteStatistics(updated_at=now)
         )
         statistics.decay(now)
-        statistics.offered += 1
+        statistics.offered += counted
         self._record_prefix_hint(offer)
         offer.value_density = self._value_density(offer)
         rank = self._rank(offer, self._overall_granted_ratio(now), now)
@@ -441,29 +436,14 @@
     def _reject_late_tail(
         self, decisions: list[Decision], backlogs: list[Backlog], now: float
     ) -> None:
-        """Reject requests behind the head of the queue that can't be in time.
-
-        The pool is treated as a single endpoint here: evaluating each endpoint for
-        each request of a long queue would take too long.
-        """
-        tail = self.queue[QUEUE_HEAD_LENGTH:]
-        if not tail or not backlogs:
-            return
-        available = [item for item in backlogs if not item.grant_interval] or backlogs
-        speed = self.speed * len(available)
-        slots = sum(item.slots for item in available)
-        residence = sum(item.residence for item in available) / len(available)
-        prefill_tokens = sum(item.prefill_tokens for item in available)
-        queue_position = sum(item.running for item in available) - slots
-        for entry in tail:
-            offer = entry.offer
-            queue_position += 1
-            prefill_tokens += offer.prompt_tokens - offer.shared_prefix_tokens
-            first_token_in = max(
-                prefill_tokens / speed, queue_position * residence / slots
-            )
-            if self._is_too_late(offer, first_token_in, now):
-                decisions.append(self._reject_late(offer, first_token_in, now))
+        """Reject requests behind the head of the queue that can't be in time."""
+        tail = [entry.offer for entry in self.queue[QUEUE_HEAD_LENGTH:]]
+        waits = rejections.predict_tail(tail, backlogs, self.speed)
+        for offer, first_token_in in waits:
+            corrected = self.predictions.predict(offer, first_token_in, now)
+            if self._is_too_late(offer, corrected, now):
+                self.predictions.ended(offer, first_token_in, now)
+                decisions.append(self._reject_late(offer, corrected, now))
 
     def _remove_decided(self, decisions: list[Decision]) -> None:
         if not decisions:
@@ -513,17 +493,25 @@
                 source_id,
                 admitted_fraction=admitted_fraction,
             )
-        if self._is_too_late(offer, candidate.first_token_in, now):
-            return self._reject_late(offer, candidate.first_token_in, now)
+        corrected = self.predictions.predict(offer, candidate.starts_in, now)
+        first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
+        if self._is_too_late(offer, first_token_in, now):
+            self.predictions.ended(offer, candidate.starts_in, now)
+            return self._reject_late(offer, first_token_in, now)
         candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
         return None
 
     def _fillable_share(self, offer: Offer) -> float:
         """Return the fraction of each endpoint that a request may fill."""
-        if self.usage.is_within_share(offer.organisation, offer.charged_tokens):
+        if self._is_within_share(offer):
             return self.plan.share
         return self.plan.share * BEYOND_SHARE_FRACTION
 
+    def _is_within_share(self, offer: Offer) -> bool:
+        return offer.standing is not Standing.EARLY and self.usage.is_within_share(
+            offer.organisation, offer.charged_tokens
+        )
+
     def _backlogs(self, now: float) -> list[Backlog]:
         unreachable_ids = {endpoint for _, endpoint in self.unreachable}
         backlogs = [
@@ -578,16 +566,15 @@
         load.next_warm_up_grant_at = now + candidate.backlog.grant_interval
         self.placements[offer.call] = load.endpoint.id
         self.usage.granted(offer.organisation, now, offer.charged_tokens)
+        self.predictions.ended(offer, 0.0, now)
+        if self.returns is not None:
+            self.returns.granted(offer, now)
         statistics = self.routes[offer.route]
         statistics.granted += 1
 
     def _is_too_late(self, offer: Offer, first_token_in: float, now: float) -> bool:
-        if now >= offer.due:
-            max_wait = (offer.expires - offer.arrived) * LATE_WAIT_FRACTION
-            return now - offer.arrived > max_wait
-        margin = (offer.due - offer.arrived) * PREDICTION_MARGIN
-        own_prefill = offer.prompt_tokens / self.speed * OWN_PREFILL_FRACTION
-        return now + first_token_in > offer.due + margin + own_prefill
+        rules = rejections if self.returns is None else self.returns
+        return rules.is_too_late(offer, first_token_in, self.speed, now)
 
     def _decide_without_endpoint(
         self, offer: Offer, backlogs: list[Backlog], now: float
@@ -597,58 +584,44 @@
         Otherwise it is rejected at once, so that its caller keeps the remaining time
         for a retry.
         """
-        usable_at = self._earliest_usable_at(offer, backlogs)
+        usable_at = rejections.earliest_usable_at(offer, backlogs, self.unreachable)
         if now < offer.expires and usable_at < offer.due:
             return None
         wait = max(0.0, usable_at - now) if usable_at < math.inf else 0.0
         return self._reject(offer, "no endpoint to be reached", wait, now)
 
-    def _earliest_usable_at(self, offer: Offer, backlogs: list[Backlog]) -> float:
-        """Return when the first endpoint becomes usable, infinity for never."""
-        return min(
-            (
-                max(
-                    item.load.unavailable_until,
-                    self.unreachable.get((offer.router, item.id), 0.0),
-                    offer.rests.get(item.id, 0.0),
-                )
-                for item in backlogs
-                if item.id not in offer.avoid and offer.may_run_at(item.load.endpoint)
-            ),
-            default=math.inf,
-        )
-
     def _reject_late(self, offer: Offer, first_token_in: float, now: float) -> Rejected:
         """Reject a request that could not be answered in time."""
         self.full_until = now + FULL_DURATION
-        return self._reject(
-            offer, "no answer in time", LATE_RETRY_FACTOR * first_token_in, now
-        )
+        factor = rejections.LATE_RETRY_FACTOR if self.returns is None else 1.0
+        return self._reject(offer, "no answer in time", factor * first_token_in, now)
 
     def _reject(self, offer: Offer, reason: str, wait: float, now: float) -> Rejected:
-        """Reject a request, with a retry delay that is spread between callers.
-
-        Parameters
-        ----------
-        offer : Offer
-            The request.
-        reason : str
-            Reason reported to the caller.
-        wait : float
-            Seconds before which a retry does not help.
-        now : float
-            Monotonic seconds.
+        """Reject a request, for a `reason` that is reported to its caller.
+
+        A retry does not help before `wait` seconds.
         """
-        draw = xxhash.xxh3_64_intdigest(offer.call.encode()) % 1000 / 1000
-        wanted = max(MIN_RETRY_AFTER, wait) * (0.75 + 0.5 * draw)
-        longest = max(MIN_RETRY_AFTER, (offer.expires - now) * MAX_RETRY_FRACTION)
-        retry_after = min(wanted, longest, MAX_RETRY_AFTER)
-        holder = self._find_prefix_holder(offer, now)
+        if self.returns is None:
+            retry_after = rejections.spread_retry_after(offer, wait, now)
+        else:
+            access = self._access(offer)
+            throughput = self.plan.throughput
+            retry_after = self.returns.promise(offer, wait, access, throughput, now)
+        holder = rejections.find_prefix_holder(offer, self.loads, self.unreachable, now)
         admitted_fraction = self._admitted_fraction(offer, now)
         return Rejected(
             offer.call, reason, retry_after, holder, admitted_fraction=admitted_fraction
         )
 
+    def _access(self, offer: Offer) -> Access:
+        """Return which part of the expected room a rejected request may use."""
+        if not self._is_within_share(offer):
+            return Access.BEYOND_SHARE
+        urgent = offer.priority < self.least_urgent
+        if urgent or self.usage.is_underserved(offer.organisation):
+            return Access.FIRST
+        return Access.WITHIN_SHARE
+
     def _admitted_fraction(self, offer: Offer, now: float) -> float:
         """Return the fraction of similar requests that may be offered to a full pool.
 
@@ -661,22 +634,10 @@
             return 1.0
         return self.usage.admitted_part(offer.organisation)
 
-    def _find_prefix_holder(self, offer: Offer, now: float) -> EndpointId | None:
-        """Return the engine with the longest prefix that can be copied, if any."""
-        if offer.shared_prefix_tokens < MIN_COPIED_TOKENS:
-            return None
-        unreachable_ids = {endpoint for _, endpoint in self.unreachable}
-        longest, holder = MIN_COPIED_TOKENS - 1, None
-        for name, load in self.loads.items():
-            present = load.prefixes.present(offer.prompt)
-            if (
-                present > longest
-                and Backlog.of(
-                    load, now, name not in unreachable_ids
-                ).can_be_copied_from
-            ):
-                longest, holder = present, name
-        return holder
+    def describe(self, now: float) -> dict[str, float]:
+        """Return fields of a log line on the pool since the last one."""
+        waits = self.predictions.take_summary()
+        return waits if self.returns is None else waits | self.returns.take_summary(now)
 
     # Queue order
 
@@ -689,17 +650,15 @@
         return granted / offered if offered else 1.0
 
     def _rank(self, offer: Offer, overall: float, now: float) -> Rank:
-        within_share = self.usage.is_within_share(
-            offer.organisation, offer.charged_tokens
-        )
-        late = now >= offer.due
+        early = offer.standing is Standing.EARLY
+        underserved = self.usage.is_underserved(offer.organisation) and not early
         route_not_behind = (
             self.routes[offer.route].granted_ratio() >= MIN_SERVED_RATIO * overall
         )
         return Rank(
-            organisation_not_behind=not self.usage.is_underserved(offer.organisation),
-            beyond_share=not within_share,
-            late=late,
+            organisation_not_behind=not underserved,
+            beyond_share=not self._is_within_share(offer),
+            late=now >= offer.due or early,
             priority=offer.priority,
             route_not_behind=route_not_behind,
             negated_density=-offer.value_density,
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry
@@ -74,6 +75,7 @@
         )
         yield from self._repeats()
         yield self._prediction_errors()
+        yield from self._predicted_waits()
         yield from self._gauges()
 
     def _repeats(self) -> Iterator[Metric]:
@@ -105,6 +107,25 @@
                 errors.add_metric((endpoint,), load.first_tokens.error)
         return errors
 
+    def _predicted_waits(self) -> Iterator[Metric]:
+        """Yield ended waits and wrong predictions of pools decided here, by route."""
+        pools = self.gateway.coordinator.pools.values()
+        ended: Counter[str] = Counter()
+        wrong: Counter[str] = Counter()
+        for pool in pools:
+            for route, counts in pool.scheduler.predictions.counts.items():
+                ended[route] += counts.ended
+                wrong[route] += counts.wrong
+        families = {
+            "predicted_waits": ("Waits that were predicted and have ended", ended),
+            "wrong_predictions": ("Those wrong by more than half", wrong),
+        }
+        for name, (text, by_route) in families.items():
+            family = CounterMetricFamily(f"carawayfold_{name}", text, labels=("route",))
+            for route, count in by_route.items():
+                family.add_metric((route,), count)
+            yield family
+
     def _gauges(self) -> Iterator[Metric]:
         gateway = self.gateway
         quarantine = gateway.containment.quarantine
