Replay callers that return to a pool with and without a schedule

The part needs a load that shows its worth and each of its failures. The replays drive one scheduler with callers that retry once, repeat at once, leave, or meet a new leader, and compare digests of all decisions with the version before for the setting off.

--- a/carawayfold/coordination/scheduling/return_schedule.py
+++ b/carawayfold/coordination/scheduling/return_schedule.py
@@ -73,7 +73,7 @@
 MIN_RETURN_RATIO = 0.1
 #: Fraction of its remaining time that a request that returned when it was told may
 #: wait for idle capacity. Its caller may not retry again, so a rejection can lose it.
-RETURN_WAIT_FRACTION = 0.25
+RETURN_WAIT_FRACTION = 0.1
 #: Fraction of the permitted delays, the last ones, that is used if no room is expected.
 LAST_FRACTION = 1 / 3
 
@@ -229,7 +229,7 @@
     current_bucket : int
         Number of the bucket of the last event, counted from time 0.
     capacity : float
-        Cost per second that the pool grants while it is full; 0 before it was.
+        Cost per second that the pool grants while it is full; 0 if not known.
     capacity_at : float
         Time of the last change of `capacity`.
     return_ratio : float
@@ -340,9 +340,7 @@
         max_wait = (offer.expires - offer.arrived) * RETURN_WAIT_FRACTION
         return now - offer.arrived + first_token_in > max_wait
 
-    def promise(
-        self, offer: Offer, wait: float, access: Access, throughput: float, now: float
-    ) -> float:
+    def promise(self, offer: Offer, wait: float, access: Access, now: float) -> float:
         """Return the retry delay of a rejected request in seconds, and remember it.
 
         Parameters
@@ -353,13 +351,10 @@
             Seconds before which a retry does not help.
         access : Access
             Fraction of the expected room that it may use.
-        throughput : float
-            Configured throughput in tokens per second; 0 if not stated.
         now : float
             Monotonic seconds.
         """
         self._advance(now)
-        self._observe_capacity(throughput, now)
         longest = rejections.longest_retry_after(offer, now)
         key = key_of(offer)
         known = self._find(offer) if offer.standing is Standing.EARLY else None
@@ -377,6 +372,8 @@
         self, offer: Offer, wait: float, longest: float, access: Access, now: float
     ) -> float:
         """Return when a request should return, and book its cost."""
+        if not self.capacity:
+            return now + rejections.spread_retry_after(offer, wait, now)
         earliest = max(MIN_RETRY_AFTER, wait)
         first = self._bucket_of(now + earliest)
         last = max(first, self._bucket_of(now + longest))
@@ -422,8 +419,16 @@
             current += self.beyond.current.per_second(now)
         return Forecast(self.capacity - mean, current - mean, access.value)
 
-    def _observe_capacity(self, throughput: float, now: float) -> None:
-        """Adjust the capacity to the current rate of grants, as the pool is full."""
+    def observe_capacity(self, throughput: float, now: float) -> None:
+        """Adjust the capacity to the current rate of grants, as the pool is full.
+
+        Parameters
+        ----------
+        throughput : float
+            Configured throughput in tokens per second; 0 if not stated.
+        now : float
+            Monotonic seconds.
+        """
         rate = self.grants.per_second(now)
         if not self.capacity:
             self.capacity = max(throughput, rate)
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -593,8 +593,11 @@
     def _reject_late(self, offer: Offer, first_token_in: float, now: float) -> Rejected:
         """Reject a request that could not be answered in time."""
         self.full_until = now + FULL_DURATION
-        factor = rejections.LATE_RETRY_FACTOR if self.returns is None else 1.0
-        return self._reject(offer, "no answer in time", factor * first_token_in, now)
+        wait = rejections.LATE_RETRY_FACTOR * first_token_in
+        if self.returns is not None:
+            wait = first_token_in
+            self.returns.observe_capacity(self.plan.throughput, now)
+        return self._reject(offer, "no answer in time", wait, now)
 
     def _reject(self, offer: Offer, reason: str, wait: float, now: float) -> Rejected:
         """Reject a request, for a `reason` that is reported to its caller.
@@ -604,9 +607,7 @@
         if self.returns is None:
             retry_after = rejections.spread_retry_after(offer, wait, now)
         else:
-            access = self._access(offer)
-            throughput = self.plan.throughput
-            retry_after = self.returns.promise(offer, wait, access, throughput, now)
+            retry_after = self.returns.promise(offer, wait, self._access(offer), now)
         holder = rejections.find_prefix_holder(offer, self.loads, self.unreachable, now)
         admitted_fraction = self._admitted_fraction(offer, now)
         return Rejected(
--- a/tests/coordination/scheduling/test_coordinator.py
+++ b/tests/coordination/scheduling/test_coordinator.py
@@ -19,6 +19,7 @@
     SchedulingCoordinator,
 )
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.offers import (
     UNKNOWN_POOL,
     Basis,
@@ -424,6 +425,27 @@
     assert isinstance(play(work), Rejected)
 
 
+@pytest.mark.parametrize(("schedule_returns", "told"), [(False, 1.0), (True, 2.0)])
+def test_a_request_that_two_pools_reject_is_told_one_of_their_times(
+    schedule_returns, told
+):
+    """With promises, a return before the later time would be early for that pool."""
+
+    async def work():
+        made = coordinators(SimulatedNetwork(), ["a"], endpoints=2 * MAX_POOL_SIZE)
+        coordinator = made["a"]
+        coordinator.features = SchedulingFeatures(schedule_returns=schedule_returns)
+        delays = iter([2.0, 1.0])
+
+        async def place(offered, pool):
+            return Rejected(offered.call, "no answer in time", next(delays))
+
+        coordinator.place = place
+        return await coordinator.place_with_fallback(request(coordinator, "x"), "model")
+
+    assert play(work).retry_after == told
+
+
 def test_a_request_to_a_service_without_endpoints_is_rejected_at_once():
     async def work():
         made = coordinators(SimulatedNetwork(), ["a"])
--- a/tests/coordination/scheduling/test_decision_statistics.py
+++ b/tests/coordination/scheduling/test_decision_statistics.py
@@ -20,8 +20,9 @@
         for number in range(decision_statistics.MAX_NAMED_ORGANISATIONS + 1):
             account.asked(f"o-{number}", 0.0, 100 * number)
         account.granted("o-2", 0.0, 50)
-        made.write({"model/0": account}, {"model/0"})
-        made.write({"model/0": account}, {"model/0"})
+        details = {"model/0": {"waits": 4}}
+        made.write({"model/0": account}, {"model/0"}, details)
+        made.write({"model/0": account}, {"model/0"}, details)
 
     with logbook.TestHandler() as handler:
         asyncio.run(work())
@@ -31,6 +32,7 @@
     assert (line.extra["offers"], line.extra["again"]) == (3, 2)
     wanted = [["o-3", 300, 0], ["o-2", 200, 50], ["o-1", 100, 0]]
     assert line.extra["organisations"] == wanted
+    assert line.extra["waits"] == 4
 
 
 def test_offers_for_unknown_pools_are_logged_once():
--- /dev/null
+++ b/tests/coordination/scheduling/test_returns.py
@@ -0,0 +1,222 @@
+"""Callers that return to a pool after rejections, replayed at its scheduler."""
+
+from __future__ import annotations
+
+import hashlib
+from functools import cache
+
+import pytest
+
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
+from carawayfold.coordination.scheduling.offers import Granted, Rejected, Standing
+from carawayfold.coordination.scheduling.return_schedule import RETURN_WAIT_FRACTION
+from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
+from tests.schedule_builders import WINDOW, endpoint, offer
+from tests.simulated_returns import Replay, burst
+
+#: Loads of `tests.simulated_returns`, by name.
+LOADS = {
+    "burst": {},
+    "varying timeouts": {"timeout_spread": 0.3},
+    "abusers": {"abusers": 0.2},
+    "leavers": {"leavers": 0.3},
+    "new leader": {"restart_at": 5.0},
+    "lost schedule": {"restart_at": 6.5},
+}
+
+
+@cache
+def replay(name, scheduled, seed=1):
+    return Replay(scheduled, burst(), **LOADS[name], seed=seed).play()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_more_callers_of_a_burst_are_served(seed):
+    """A burst of 2.1 times the capacity for 3 s, with callers that retry once."""
+    before, after = replay("burst", False, seed), replay("burst", True, seed)
+    assert after.ends()["refused"] < 0.7 * before.ends()["refused"]
+    assert after.ends()["in time"] >= before.ends()["in time"]
+
+
+def test_a_burst_has_no_second_peak_of_rejections_at_its_return():
+    before, after = replay("burst", False), replay("burst", True)
+    assert after.later_rejections.total() < 0.7 * before.later_rejections.total()
+    highest = max(after.later_rejections.values())
+    assert highest < max(before.later_rejections.values())
+    assert highest < max(after.first_rejections.values())
+
+
+def test_late_returns_do_not_displace_requests_that_can_be_in_time():
+    """Routers can't estimate how long callers with varying timeouts have waited."""
+    before = replay("varying timeouts", False)
+    after = replay("varying timeouts", True)
+    assert after.ends()["in time"] > 1.1 * before.ends()["in time"]
+    assert after.worth() > before.worth()
+
+
+def test_callers_that_repeat_at_once_gain_nothing_and_harm_nobody():
+    made, without = replay("abusers", True), replay("burst", True)
+    assert made.worth(abuses=True) <= made.worth(abuses=False) + 0.02
+    assert made.worth(abuses=False) >= without.worth() - 0.02
+
+
+def test_more_callers_are_served_although_some_leave():
+    before, after = replay("leavers", False), replay("leavers", True)
+    assert after.ends()["refused"] < 0.7 * before.ends()["refused"]
+    assert after.worth() > before.worth()
+
+
+@pytest.mark.parametrize("name", ["new leader", "lost schedule"])
+def test_a_leader_that_knows_no_promises_serves_as_many_as_without_a_schedule(name):
+    before, after = replay(name, False), replay(name, True)
+    assert after.worth() >= before.worth()
+    assert after.ends()["refused"] <= before.ends()["refused"]
+
+
+@pytest.mark.parametrize("name", [*LOADS])
+def test_nobody_is_held_to_the_deadline(name):
+    made = replay(name, True)
+    assert max(made.held) < 1.5 * RETURN_WAIT_FRACTION * made.timeout
+
+
+@pytest.mark.parametrize(
+    ("fields", "count", "digest"),
+    [
+        ({}, 867, "80bfabb0d048d041"),
+        (
+            {"timeout": 2.6, "objective": 1.5, "abusers": 0.2},
+            756,
+            "7c61206d86841bf9",
+        ),
+    ],
+)
+def test_decisions_without_the_setting_are_those_of_the_version_before(
+    fields, count, digest
+):
+    """Digests of all decisions of the scheduler before the setting existed."""
+    rate = burst(length=1.0, begin=1.0)
+    made = Replay(False, rate, seconds=4.0, **fields).play()
+    assert len(made.decisions) == count
+    text = repr(made.decisions).encode()
+    assert hashlib.sha256(text).hexdigest()[:16] == digest
+
+
+def returning_scheduler(slots=1, throughput=0.0, **features):
+    made = Scheduler(
+        WINDOW, features=SchedulingFeatures(**{"schedule_returns": True, **features})
+    )
+    plan = PoolPlan(throughput, 1_000_000, 100_000.0)
+    made.set_endpoints([endpoint("e-0", slots=slots)], plan)
+    return made
+
+
+def decide(made, now, *offers):
+    for item in offers:
+        made.offer(item, now)
+    return {item.call: item for item in made.decide(now)}
+
+
+def rejection(made, now, item):
+    """Offer a request to a full pool; return its rejection."""
+    made.loads["e-0"].residence = 30.0
+    busy = offer(f"busy.0.{now}", now=now)
+    assert isinstance(decide(made, now, busy)[busy.call], Granted)
+    made.begun(busy.call, 0.1)
+    decided = decide(made, now + 0.1, item)[item.call]
+    assert isinstance(decided, Rejected)
+    return decided
+
+
+def again(item, now, number):
+    return offer(
+        f"r.0.{number}", now=now, prompt=item.prompt, due=9.0, expires=item.expires
+    )
+
+
+def test_a_full_pool_rejects_early_returns_at_once_with_the_time_told_before():
+    made = returning_scheduler()
+    item = offer("r.0.1", now=1.1)
+    first = rejection(made, 1.0, item)
+    early = again(item, 1.2, 2)
+    decided = decide(made, 1.2, early)["r.0.2"]
+    assert decided.retry_after == pytest.approx(first.retry_after - 0.1)
+    assert made.usage.usages["alder"].asked.total == 2 * item.charged_tokens
+
+
+def test_a_free_endpoint_serves_an_early_return():
+    made = returning_scheduler(slots=4)
+    item = offer("r.0.1", now=1.1)
+    made.offer(item, 1.1)
+    made.withdraw("r.0.1")
+    made._reject(item, "no answer in time", 0.0, 1.1)
+    assert isinstance(decide(made, 1.15, again(item, 1.15, 2))["r.0.2"], Granted)
+
+
+def test_early_returns_rank_last_whatever_their_organisation_got():
+    made = returning_scheduler()
+    item = offer("r.0.1", now=1.1)
+    rejection(made, 1.0, item)
+    early = again(item, 1.2, 2)
+    other = offer("r.0.3", now=1.2, organisation="flood", due=1.3)
+    made.usage.granted("flood", 1.2, 1e9)
+    for item in (early, other):
+        made.offer(item, 1.2)
+    assert early.standing is Standing.EARLY
+    assert made._rank(early, 1.0, 1.25) > made._rank(other, 1.0, 1.25)
+
+
+def test_a_late_return_ranks_before_requests_beyond_a_share_and_behind_others():
+    made = returning_scheduler(throughput=20_000)
+    item = offer("r.0.1", now=1.1)
+    delay = rejection(made, 1.0, item).retry_after
+    now = 1.1 + delay + 1.0
+    late, fresh = again(item, now, 2), offer("r.0.3", now=now, organisation="birch")
+    flood = offer("r.0.4", now=now, organisation="flood")
+    made.usage.asked("flood", now, 1e6)
+    made.usage.granted("flood", now, 1e6)
+    made.usage.granted("alder", now, 1e4)
+    made.usage.granted("birch", now, 1e4)
+    for other in (late, fresh, flood):
+        made.offer(other, now)
+    made.usage.share_level = 50_000
+    ranks = [made._rank(other, 1.0, now) for other in (fresh, late, flood)]
+    assert late.standing is Standing.RETURNED
+    assert [rank[1:3] for rank in ranks] == [
+        (False, False),
+        (False, True),
+        (True, False),
+    ]
+
+
+def test_a_request_that_expires_before_its_answer_is_rejected_at_once():
+    made = returning_scheduler()
+    made.loads["e-0"].residence = 0.8
+    busy = offer("r.0.0", now=1.0)
+    decide(made, 1.0, busy)
+    short = offer("r.0.1", now=1.1, due=2.6, expires=1.5)
+    assert isinstance(decide(made, 1.1, short)["r.0.1"], Rejected)
+
+
+@pytest.mark.parametrize("scheduled", [False, True])
+@pytest.mark.parametrize("abusers", [0.0, 0.3])
+def test_floods_of_callers_that_return_get_equal_shares_while_they_last(
+    scheduled, abusers
+):
+    seconds = 8.0
+    made = Replay(
+        scheduled,
+        burst(2.5, 0.0, seconds),
+        seconds=seconds,
+        organisations=("one", "two", "two", "two"),
+        abusers=abusers,
+    ).play()
+    counts = [
+        sum(
+            caller.end in ("in time", "late") and caller.ended_at < seconds
+            for caller in made.callers
+            if caller.organisation == name
+        )
+        for name in ("one", "two")
+    ]
+    # The first organisation asks for five eighths of the capacity.
+    assert counts[0] > 0.5 * counts[1]
