--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import statistics
 from functools import cache
 
 import pytest
@@ -22,6 +23,7 @@
     "leavers": {"leavers": 0.3},
     "new leader": {"restart_at": 5.0},
     "lost schedule": {"restart_at": 6.5},
+    "half urgent": {"urgent": 0.5, "objective": 0.8},
 }
 
 
@@ -73,6 +75,23 @@
     assert after.ends()["refused"] <= before.ends()["refused"]
 
 
+def test_less_urgent_requests_of_a_burst_are_rejected_early():
+    """Urgent requests that arrive later delay them beyond their predicted waits."""
+    before, after = replay("half urgent", False), replay("half urgent", True)
+    held_before, held_after = (
+        statistics.median(item.held_first) for item in (before, after)
+    )
+    assert held_after < 0.6 * held_before
+    (ended, wrong), (ended_before, wrong_before) = (
+        (counts.ended, counts.wrong)
+        for item in (after, before)
+        for counts in item.scheduler.predictions.counts.values()
+    )
+    assert wrong / ended < 0.8 * wrong_before / ended_before
+    assert after.worth() > before.worth()
+    assert after.worth(priority=0) >= before.worth(priority=0)
+
+
 @pytest.mark.parametrize("name", [*LOADS])
 def test_nobody_is_held_to_the_deadline(name):
     made = replay(name, True)
--- a/tests/simulated_returns.py
+++ b/tests/simulated_returns.py
@@ -59,6 +59,8 @@
         Whether it returns at once, whatever it is told.
     leaves : bool
         Whether it leaves after its first rejection.
+    priority : int
+        Priority of its request.
     attempts : int
         Attempts so far.
     end : str
@@ -74,6 +76,7 @@
     timeout: float
     abuses: bool = False
     leaves: bool = False
+    priority: int = 1
     attempts: int = 0
     end: str = ""
     ended_at: float = 0.0
@@ -100,6 +103,8 @@
         long a returning caller has waited if it isn't 0.
     abusers, leavers : float
         Fractions of the callers.
+    urgent : float
+        Fraction of the callers whose requests are more urgent than those of others.
     organisations : tuple of str
         Organisations of callers, drawn evenly.
     restart_at : float
@@ -115,6 +120,7 @@
     timeout_spread: float = 0.0
     abusers: float = 0.0
     leavers: float = 0.0
+    urgent: float = 0.0
     organisations: tuple[str, ...] = ("alder", "birch", "cedar")
     restart_at: float = float("inf")
     callers: list[Caller] = field(default_factory=list)
@@ -123,6 +129,8 @@
     later_rejections: Counter = field(default_factory=Counter)
     #: Seconds for which rejected attempts were held.
     held: list[float] = field(default_factory=list)
+    #: The same, of the first attempts of requests that aren't urgent.
+    held_first: list[float] = field(default_factory=list)
     decisions: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -180,6 +188,8 @@
                 self.draw.random() < self.abusers,
                 self.draw.random() < self.leavers,
             )
+            if self.urgent and self.draw.random() < self.urgent:
+                caller.priority = 0
             if kept:
                 self.callers.append(caller)
                 self._at(at, self._ask, caller)
@@ -193,6 +203,7 @@
             call,
             now=now,
             organisation=caller.organisation,
+            priority=caller.priority,
             prompt=(Part(topic, 500), Part(f"own-{caller.number}", 800)),
             prompt_tokens=1300,
             output_tokens=30,
@@ -211,6 +222,8 @@
         retry_after = decision.retry_after
         self.decisions.append((decision.call, round(retry_after, 6)))
         self.held.append(now - made.arrived)
+        if caller.priority and caller.attempts == 1:
+            self.held_first.append(now - made.arrived)
         counts = self.first_rejections
         if caller.attempts > 1:
             counts = self.later_rejections
@@ -300,6 +313,8 @@
         "burst, abusers": {"abusers": 0.2},
         "burst, leavers": {"leavers": 0.3},
         "burst, new leader": {"restart_at": 5.0},
+        "burst, half urgent": {"urgent": 0.5},
+        "burst, half urgent, 0.8 s": {"urgent": 0.5, "objective": 0.8},
         "burst of 1.3": {"rate": burst(1.3)},
         "lasting overload of 1.3": {"rate": burst(1.3, 1.0, 20.0), "seconds": 15.0},
     }
