Examine fewer buckets for a rejection that finds no room

Each rejection examined up to fifty buckets although the forecast is monotone, and each offer built a key while no promise was open. A hint to the first free bucket was ruled out as a further state.

--- a/carawayfold/coordination/scheduling/return_schedule.py
+++ b/carawayfold/coordination/scheduling/return_schedule.py
@@ -291,6 +291,8 @@
 
     def _find(self, offer: Offer) -> PromiseKey | None:
         """Return the key of the promise made to an offered request, None if none."""
+        if not self.promises:
+            return None
         key = key_of(offer)
         for shift in (0, -1, 1):
             candidate = key._replace(deadline=key.deadline + shift)
@@ -378,10 +380,7 @@
         first = self._bucket_of(now + earliest)
         last = max(first, self._bucket_of(now + longest))
         forecast = self._forecast(access, now)
-        number = next(
-            (item for item in range(first, last + 1) if self._room(item, forecast) > 0),
-            None,
-        )
+        number = self._first_with_room(first, last, forecast)
         if number is None:
             begin = last - math.floor((last - first) * LAST_FRACTION)
             number = min(
@@ -391,6 +390,18 @@
         at = (number + rejections.draw(offer)) * BUCKET_DURATION
         return min(max(at, now + earliest), now + longest)
 
+    def _first_with_room(self, first: int, last: int, forecast: Forecast) -> int | None:
+        """Return the first of some buckets with room, None without any."""
+        fractions = [
+            EXCESS_FRACTIONS[number - self.current_bucket] for number in (first, last)
+        ]
+        if max(forecast.free - forecast.excess * item for item in fractions) <= 0:
+            return None
+        for number in range(first, last + 1):
+            if self._room(number, forecast) > 0:
+                return number
+        return None
+
     def _book(self, number: int, cost: float, forecast: Forecast) -> None:
         """Book a cost in a bucket, and what has no room there in the next ones."""
         end = self.current_bucket + BUCKETS - 1
