Prefer endpoints to which a router has an open connection

Every second request opens a connection to its endpoint, since the choice of the endpoint has no regard to the connections that routers keep, and idle ones are used for half of the announced timeout only.

What the end of an attempt does to the load of an endpoint moves out of the scheduler.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -12,6 +12,7 @@
 from carawayfold.protocol.events import NumberedEvents
 from carawayfold.state.routes import RouteKind
 from carawayfold.transport.client import ExchangeError, Phase
+from carawayfold.transport.keep_alive import IDLE_TIMEOUT
 
 if TYPE_CHECKING:
     from carawayfold.coordination.requests.forwarding import ForwardedCall, Forwarder
@@ -132,6 +133,19 @@
         """Return whether the endpoint may have received the request."""
         return self.exchange is not None and self.exchange.phase is not Phase.CONNECTING
 
+    @property
+    def idle_most(self) -> float:
+        """Return the seconds for which a connection may have been idle for it."""
+        return IDLE_TIMEOUT if self.call.route.repeatable else MAX_IDLE_DURATION
+
+    @property
+    def kept(self) -> int:
+        """Return the milliseconds for which its connection is kept; 0 if closed."""
+        if self.connection is None:
+            return 0
+        seconds = self.forwarder.http.kept_for(self.connection, self.idle_most)
+        return int(seconds * 1000)
+
     async def run(self) -> AttemptEnd:
         """Send the request, forward the answer and return how the attempt ended.
 
@@ -184,7 +198,6 @@
             resume_after,
             self.copy_source,
         )
-        options = {} if call.route.repeatable else {"idle_most": MAX_IDLE_DURATION}
         self.connection = self.forwarder.http.start(
             self.endpoint.address,
             incoming.method.decode("ascii"),
@@ -196,7 +209,8 @@
             is_own_response=lambda head: self.forwarder.dialect.matches_request(
                 call.parsed, head
             ),
-            **options,
+            idle_most=self.idle_most,
+            counted=True,
         )
         self.exchange = self.connection.exchange
         if call.replaced is not None:
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -608,7 +608,7 @@
     ) -> None:
         """Close an attempt and report its outcome."""
         attempt.close()
-        self.coordinator.ended(attempt.call_id, outcome)
+        self.coordinator.ended(attempt.call_id, outcome, attempt.kept)
         if outcome is Outcome.CANCELLED and attempt.sent:
             # The deadline passed or the caller disconnected: it may have run.
             call.attempts.may_have_run += 1
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -648,20 +648,19 @@
             message = FirstByteMessage(placed.pool, call, round(waited * 1000))
             self.fleet.send(target, message)
 
-    def ended(self, call: CallId, outcome: Outcome) -> None:
-        """Report the end of an attempt to the scheduler."""
+    def ended(self, call: CallId, outcome: Outcome, kept: int = 0) -> None:
+        """Report the end of an attempt, whose connection is kept for `kept` ms."""
         placed = self.placed.pop(call, None)
         if placed is None:
             return
         pool_state = self.pools.get(placed.pool)
         if pool_state is not None:
-            pool_state.scheduler.ended(call, outcome, self.loop.time())
+            pool_state.scheduler.ended(call, outcome, self.loop.time(), kept)
             self._schedule_decision(pool_state)
         target = self.fleet.responsible(placed.pool)
         if target != self.fleet.own.router:
-            self.fleet.send(
-                target, AttemptEndedMessage(placed.pool, call, outcome.value)
-            )
+            message = AttemptEndedMessage(placed.pool, call, outcome.value, kept)
+            self.fleet.send(target, message)
 
     async def report_periodically(self) -> None:
         """Report this router's requests in flight periodically, until cancelled."""
@@ -925,8 +924,8 @@
     def _(self, message: AttemptEndedMessage, sender: RouterId) -> None:
         pool_state = self.pools.get(message.pool)
         if pool_state is not None:
-            outcome = Outcome(message.outcome)
-            pool_state.scheduler.ended(message.call, outcome, self.loop.time())
+            outcome, now = Outcome(message.outcome), self.loop.time()
+            pool_state.scheduler.ended(message.call, outcome, now, message.kept)
             self._schedule_decision(pool_state)
 
     @_process.register
--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -12,6 +12,9 @@
 from carawayfold.state.prefix_cache import PrefixCache
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.connection_affinity import (
+        EndpointConnections,
+    )
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId, RouterId
@@ -104,6 +107,8 @@
         Prefixes that it has cached.
     first_tokens : FirstTokenModel
         Model of the time to the first token.
+    connections : EndpointConnections or None
+        Idle connections of the routers to it; None if they are not taken into account.
     """
 
     endpoint: Endpoint
@@ -122,6 +127,7 @@
     active: dict[CallId, ActiveRequest] = field(default_factory=dict)
     prefixes: PrefixCache = field(init=False)
     first_tokens: FirstTokenModel = field(init=False)
+    connections: EndpointConnections | None = None
 
     def __post_init__(self) -> None:
         self.prefixes = PrefixCache(self.memory_tokens)
--- a/carawayfold/coordination/scheduling/placement.py
+++ b/carawayfold/coordination/scheduling/placement.py
@@ -151,6 +151,9 @@
             cost += (
                 FAILURE_PENALTY_OBJECTIVES * objective * backlog.excess_failure_ratio
             )
+    if load.connections is not None:
+        occupied = used if starts_in <= 0 else 1.0
+        cost += load.connections.opening_cost(offer, backlog.data_centre, occupied, now)
     if now + first_token_in > offer.due:
         cost += LATE_PENALTY
     repeated_prefill = offer.shared_prefix_tokens - kept - copied_tokens
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -24,7 +24,12 @@
 import msgspec
 import xxhash
 
+from carawayfold.coordination.scheduling.attempt_ends import (
+    UNAVAILABLE_SUSPENSION_DURATION,
+    record_end,
+)
 from carawayfold.coordination.scheduling.backlog import Backlog
+from carawayfold.coordination.scheduling.connection_affinity import EndpointConnections
 from carawayfold.coordination.scheduling.copy_sources import (
     MIN_COPIED_TOKENS,
     find_copy_source,
@@ -60,12 +65,6 @@
 ACTIVE_REPORT_TIMEOUT = 1.0
 #: Seconds after which a waiting request that its router no longer offers is dropped.
 OFFER_TIMEOUT = 1.5
-#: Seconds of suspension of an endpoint that refuses connections, or that a router
-#: reports as leaving. Its registration is updated within that time.
-UNAVAILABLE_SUSPENSION_DURATION = 4.0
-#: Seconds of suspension of an endpoint that another router knows to be warming up and
-#: this one doesn't. Its registration is read here within that time.
-WARMING_SUSPENSION_DURATION = 0.5
 #: Fraction of the tolerated warm-up rate of an endpoint that is used. Grants don't
 #: arrive as evenly spaced as they are made, and during a network partition two routers
 #: may decide for the same endpoint.
@@ -289,6 +288,8 @@
             load = previous.get(endpoint.id)
             if load is None:
                 load = EndpointLoad(endpoint, plan.memory_tokens, plan.speed, expected)
+                if self.features.reuse_connections:
+                    load.connections = EndpointConnections()
             load.endpoint = endpoint
             self.loads[endpoint.id] = load
 
@@ -340,8 +341,8 @@
         if load is not None:
             load.begin(call, waited)
 
-    def ended(self, call: CallId, outcome: Outcome, now: float) -> None:
-        """Record the end of an attempt and suspend the endpoint where needed."""
+    def ended(self, call: CallId, outcome: Outcome, now: float, kept: int = 0) -> None:
+        """Record the end of an attempt, whose connection is kept for `kept` ms."""
         load = self._load_of(call)
         self.placements.pop(call, None)
         if load is None:
@@ -349,20 +350,7 @@
         active = load.remove(call)
         if active is None:
             return
-        if outcome is Outcome.COMPLETE:
-            load.record_residence(now - active.since)
-        if outcome is Outcome.LEAVING:
-            self.suspend(load.endpoint.id, now)
-            return
-        if outcome is Outcome.WARMING:
-            load.suspended_until = max(
-                load.suspended_until, now + WARMING_SUSPENSION_DURATION
-            )
-            return
-        if outcome is Outcome.SILENT:
-            load.record_timeout(active.since, now)
-        elif outcome is not Outcome.CANCELLED:
-            load.record_attempt(outcome is not Outcome.COMPLETE, now)
+        record_end(load, active, outcome, kept, now)
         if outcome is Outcome.UNREACHABLE:
             until = now + load.suspension_duration
             self.unreachable[active.router, load.endpoint.id] = until
@@ -393,6 +381,8 @@
             if now - offered_at > OFFER_TIMEOUT:
                 self.withdraw(call)
         for load in self.loads.values():
+            if load.connections is not None:
+                load.connections.expire(now)
             for active in list(load.active.values()):
                 if now - active.reported_at > ACTIVE_REPORT_TIMEOUT:
                     load.remove(active.call)
@@ -574,6 +564,8 @@
             prompt=offer.prompt,
         )
         load.add(active)
+        if load.connections is not None:
+            load.connections.take(offer.call, now)
         load.prefixes.send(offer.prompt)
         load.next_warm_up_grant_at = now + candidate.backlog.grant_interval
         self.placements[offer.call] = load.endpoint.id
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -107,7 +107,11 @@
         self.dropped_log_lines = dropped_log_lines
         loop = asyncio.get_running_loop()
         self.root = Root()
-        self.http = HttpClient(self.root).register(self.root)
+        self.http = HttpClient(
+            self.root,
+            settings.reuse_connections,
+            settings.outgoing_connections if settings.reuse_connections else 0,
+        ).register(self.root)
         incarnation = random.getrandbits(63)
         own = Member(
             settings.router,
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -30,6 +30,9 @@
 #: Share of the file descriptors for callers' connections. A request uses one connection
 #: of a caller and one to an endpoint; idle connections of callers are additional.
 CALLER_DESCRIPTOR_SHARE = 0.55
+#: File descriptors for other purposes than connections of callers and to endpoints:
+#: listening sockets, connections of peers, health checks and scrapers, and files.
+RESERVED_DESCRIPTORS = 64
 
 
 def valid_regions(value: dict[str, Any]) -> str:
@@ -214,6 +217,11 @@
         """Return the limit of callers' connections; the rest is for endpoints."""
         return int(self.descriptors * CALLER_DESCRIPTOR_SHARE)
 
+    @property
+    def outgoing_connections(self) -> int:
+        """Return the number of open connections to others that idle ones count in."""
+        return max(1, self.descriptors - self.connections - RESERVED_DESCRIPTORS)
+
     @property
     def budget(self) -> BudgetBounds:
         """Return the fleet's limits on retries."""
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -72,10 +72,24 @@
             "Grants of this router for pools that another one leads",
             gateway.coordinator.decision_statistics.alone,
         )
+        yield self._connections()
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._gauges()
 
+    def _connections(self) -> Metric:
+        """Return how attempts at endpoints came by their connections."""
+        uses = self.gateway.http.uses
+        family = CounterMetricFamily(
+            "carawayfold_endpoint_connections",
+            "Connections of attempts: opened, reused, or reused and then lost",
+            labels=("kind",),
+        )
+        family.add_metric(("opened",), uses.opened)
+        family.add_metric(("reused",), uses.reused)
+        family.add_metric(("lost",), uses.lost)
+        return family
+
     def _repeats(self) -> Iterator[Metric]:
         """Yield retries and retries rejected by the budget, by service."""
         metrics = self.gateway.metrics
@@ -130,6 +144,8 @@
             "quarantined": len(quarantine.held(now)),
             "suspected": len(quarantine.suspected(now)),
             "left_out_log_lines": gateway.dropped_log_lines(),
+            "endpoint_connections_open": len(gateway.http.open),
+            "endpoint_connections_reused_ratio": gateway.http.uses.reused_ratio,
         }
         for name, value in gauges.items():
             yield GaugeMetricFamily(f"carawayfold_{name}", name, value)
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import errno
-import re
 import socket
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -18,6 +17,12 @@
 import msgspec
 from circuits import BaseComponent
 
+from carawayfold.transport.keep_alive import (
+    IDLE_TIMEOUT,
+    announced_timeout,
+    reuse_timeout,
+    unrepeatable_timeout,
+)
 from carawayfold.transport.messages import MessageError, ResponseReader, request_bytes
 
 if TYPE_CHECKING:
@@ -38,13 +43,6 @@
 MAX_SKIPPED_BYTES = 1 << 20
 #: Maximum number of idle connections kept per address.
 MAX_IDLE_CONNECTIONS = 64
-#: Seconds after which an idle connection is closed instead of reused.
-IDLE_TIMEOUT = 20.0
-#: Fraction of the keep-alive timeout announced by the remote side that is used, so
-#: that the remote side does not close a connection while a request is being sent.
-KEEP_ALIVE_FRACTION = 0.5
-#: Accepted keep-alive timeouts.
-KEEP_ALIVE_SECONDS = re.compile(r"[0-9]{1,9}")
 #: Methods for which an empty body is sent without ``Content-Length``.
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -123,6 +121,8 @@
         Number of responses skipped, and of their body bytes.
     method : str
         Method of the request.
+    counted : bool
+        Whether it counts in `HttpClient.uses`.
     """
 
     on_head: Callable[[Head], None]
@@ -134,6 +134,7 @@
     skipped_responses: int = 0
     skipped_bytes: int = 0
     method: str = "GET"
+    counted: bool = False
 
 
 class Connection(msgspec.Struct, eq=False):
@@ -151,6 +152,8 @@
         Number of exchanges started on it.
     reuse_timeout : float
         Seconds for which it may be reused after it becomes idle.
+    announced : int or None
+        Idle timeout in seconds that the remote side announced last.
     paused : bool
         Whether nothing is read from it, since the receiver is slower.
     """
@@ -165,19 +168,78 @@
     opened: float = 0.0
     used: int = 0
     reuse_timeout: float = IDLE_TIMEOUT
+    announced: int | None = None
     paused: bool = False
 
 
+class ConnectionUses(msgspec.Struct):
+    """Numbers of exchanges by how they came by their connections.
+
+    Attributes
+    ----------
+    opened, reused : int
+        Exchanges on a new connection, and on one that was idle.
+    lost : int
+        Exchanges whose reused connection ended before their response began.
+    """
+
+    opened: int = 0
+    reused: int = 0
+    lost: int = 0
+
+    def record(self, reused: bool) -> None:
+        """Count an exchange."""
+        if reused:
+            self.reused += 1
+        else:
+            self.opened += 1
+
+    @property
+    def reused_ratio(self) -> float:
+        """Return the fraction of exchanges on reused connections, 0 without any."""
+        started = self.opened + self.reused
+        return self.reused / started if started else 0.0
+
+
 class HttpClient(BaseComponent):
-    """All outgoing HTTP connections of the process."""
+    """All outgoing HTTP connections of the process.
+
+    Parameters
+    ----------
+    root : Root
+        Root component with the poller.
+    reuse_longer : bool
+        Whether connections are reused for all but a margin of the timeout that the
+        remote side announces, see `carawayfold.transport.keep_alive`.
+    max_open : int
+        Number of open connections from which the one that has been idle for longest is
+        closed for a new one; 0 for no limit.
+
+    Attributes
+    ----------
+    idle : dict of Address to list of Connection
+        Idle connections by address, the most recently used last.
+    idle_order : dict of Connection to None
+        All idle connections, the most recently used last.
+    open : dict of socket.socket to Connection
+        All connections.
+    uses : ConnectionUses
+        Numbers of exchanges by how they came by their connections, of those that count.
+    """
 
     channel = "endpoints"
 
-    def __init__(self, root: Root) -> None:
+    def __init__(
+        self, root: Root, reuse_longer: bool = False, max_open: int = 0
+    ) -> None:
         super().__init__()
         self.poller = root.poller
+        self.reuse_longer = reuse_longer
+        self.max_open = max_open
         self.idle: dict[Address, list[Connection]] = {}
+        self.idle_order: dict[Connection, None] = {}
         self.open: dict[socket.socket, Connection] = {}
+        self.uses = ConnectionUses()
 
     def start(
         self,
@@ -191,6 +253,7 @@
         fresh: bool = False,
         is_own_response: Callable[[Head], bool] | None = None,
         idle_most: float = IDLE_TIMEOUT,
+        counted: bool = False,
     ) -> Connection:
         """Start an exchange and return the connection that carries it.
 
@@ -213,6 +276,8 @@
             See `Exchange`.
         idle_most : float
             Maximum idle time in seconds of a reused connection.
+        counted : bool
+            Whether the exchange counts in `uses`.
 
         Returns
         -------
@@ -226,9 +291,12 @@
             loop.create_future(),
             is_own_response=is_own_response,
             method=method,
+            counted=counted,
         )
         idle = None if fresh else self._take_idle(address, idle_most)
         connection = idle or self._connect(address)
+        if counted:
+            self.uses.record(reused=idle is not None)
         connection.exchange = exchange
         connection.reader = ResponseReader(method)
         connection.last_received = loop.time()
@@ -310,16 +378,44 @@
             if now - connection.last_received >= connection.reuse_timeout:
                 self._close(connection)
                 continue
-            if now - connection.last_received >= idle_most:
+            if now - connection.last_received >= self._idle_limit(
+                connection, idle_most
+            ):
                 return None
             if _is_readable(connection.sock):
                 # It was closed or reset, or bytes came that belong to no response.
                 self._close(connection)
                 continue
             idle.pop()
+            del self.idle_order[connection]
             return connection
         return None
 
+    def _idle_limit(self, connection: Connection, idle_most: float) -> float:
+        """Return the maximum idle time in seconds for a use of a connection."""
+        if self.reuse_longer:
+            idle_most = unrepeatable_timeout(connection.announced, idle_most)
+        return min(connection.reuse_timeout, idle_most)
+
+    def kept_for(
+        self, connection: Connection, idle_most: float = IDLE_TIMEOUT
+    ) -> float:
+        """Return the seconds for which an idle connection is reused from now on.
+
+        Always 0 unless `reuse_longer`, since no scheduler uses it otherwise.
+
+        Parameters
+        ----------
+        connection : Connection
+            A connection, which may be in use or closed: 0 in both cases.
+        idle_most : float
+            See `start`.
+        """
+        if not self.reuse_longer or connection not in self.idle_order:
+            return 0.0
+        idle = asyncio.get_running_loop().time() - connection.last_received
+        return max(0.0, self._idle_limit(connection, idle_most) - idle)
+
     def drop_idle(self, address: Address) -> None:
         """Close idle connections to an address whose process has ended."""
         for connection in list(self.idle.get(address, ())):
@@ -333,6 +429,8 @@
                 self._close(idle[0])
 
     def _connect(self, address: Address) -> Connection:
+        if self.max_open and len(self.open) >= self.max_open and self.idle_order:
+            self._close(next(iter(self.idle_order)))
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -481,7 +579,10 @@
             return
         exchange.skipping = False
         exchange.phase = Phase.ANSWERING
-        connection.reuse_timeout = _reuse_timeout(head)
+        connection.announced = announced_timeout(head.headers)
+        connection.reuse_timeout = reuse_timeout(
+            connection.announced, self.reuse_longer
+        )
         exchange.on_head(head)
 
     def _complete(
@@ -507,6 +608,7 @@
         idle = self.idle.setdefault(connection.address, [])
         if len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
+            self.idle_order[connection] = None
         else:
             self._close(connection)
 
@@ -522,6 +624,8 @@
         connection.exchange = None
         self._close(connection)
         if exchange is not None and not exchange.done.done():
+            if exchange.counted and connection.used > 1:
+                self.uses.lost += exchange.phase is Phase.SENT
             error = ExchangeError(exchange.phase, reason, connection.used > 1)
             exchange.done.set_exception(error)
 
@@ -531,6 +635,7 @@
         idle = self.idle.get(connection.address)
         if idle and connection in idle:
             idle.remove(connection)
+            del self.idle_order[connection]
         self.poller.discard(connection.sock)
         with contextlib.suppress(OSError):
             connection.sock.close()
@@ -547,15 +652,6 @@
     return True
 
 
-def _reuse_timeout(head: Head) -> float:
-    """Return the seconds for which the connection may be reused once idle."""
-    for part in head.headers.get("keep-alive", "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and KEEP_ALIVE_SECONDS.fullmatch(value.strip()):
-            return min(IDLE_TIMEOUT, int(value) * KEEP_ALIVE_FRACTION)
-    return IDLE_TIMEOUT
-
-
 def _head(head: ResponseHead) -> Head:
     fields = [
         (name.decode("ascii"), value.decode("latin-1")) for name, value in head.fields
--- a/tests/coordination/requests/handover_builders.py
+++ b/tests/coordination/requests/handover_builders.py
@@ -77,6 +77,7 @@
             for name, address in addresses.items()
         }
         self.outcomes = {}
+        self.kept = {}
         self.rests = SimpleNamespace(sent=lambda *args: None)
 
     async def place_with_fallback(self, offer, service):
@@ -92,8 +93,9 @@
     def begun(self, call, waited):
         return None
 
-    def ended(self, call, outcome):
+    def ended(self, call, outcome, kept=0):
         self.outcomes[call] = outcome
+        self.kept[call] = kept
 
 
 class Answers:
@@ -120,7 +122,7 @@
             await item.start()
         addresses = {"m-1": self.first.address, "m-2": self.second.address}
         self.coordinator = TwoEndpoints(addresses)
-        forwarder = make_forwarder(self.coordinator, 10.0)
+        forwarder = self.forwarder = make_forwarder(self.coordinator, 10.0)
         forwarder.http = client
         forwarder.dialect = PlatformDialect()
         forwarder.endpoint_activity = EndpointActivity()
@@ -129,10 +131,14 @@
         forwarder.containment.reports = SimpleNamespace(note=lambda loss: None)
         forwarder.metrics.ended = lambda *args: None
         forwarder.metrics.refused = lambda kind: None
+        self.send(asked_route)
+
+    def send(self, asked_route: Route) -> None:
+        """Send a request, the first one or one after it."""
         self.call = make_call(asked_route)
         self.call.tried.clear()
         self.call.incoming = Answers()
-        self.task = asyncio.create_task(forwarder._run(self.call))
+        self.task = asyncio.create_task(self.forwarder._run(self.call))
 
     async def close(self) -> None:
         self.task.cancel()
--- a/tests/coordination/requests/replacement_builders.py
+++ b/tests/coordination/requests/replacement_builders.py
@@ -64,7 +64,7 @@
     def find_block_reason(self, found, granted):
         return self.blocked
 
-    def ended(self, call, outcome):
+    def ended(self, call, outcome, kept=0):
         self.returned.append(call)
 
 
--- a/tests/simulated_requests.py
+++ b/tests/simulated_requests.py
@@ -229,6 +229,10 @@
     def drop_idle(self, address):
         """Keep no idle connections."""
 
+    def kept_for(self, connection, idle_most):
+        """Return that no connection is kept."""
+        return 0.0
+
 
 class Router:
     """One router without sockets."""
--- a/tests/transport/client_builders.py
+++ b/tests/transport/client_builders.py
@@ -32,6 +32,7 @@
         self.client = HttpClient(self.root).register(self.root)
         self.root.attach()
         self.listener = listener
+        self.peers: list[socket.socket] = []
         self.address = Address("127.0.0.1", listener.getsockname()[1])
 
     async def open(self) -> None:
@@ -61,6 +62,14 @@
             await loop.sock_recv(peer, 4096)
             await loop.sock_sendall(peer, EMPTY_RESPONSE)
 
+    async def answer_and_keep(self) -> None:
+        """Accept the next connection, answer one request and keep it open."""
+        loop = asyncio.get_running_loop()
+        peer, _ = await loop.sock_accept(self.listener)
+        self.peers.append(peer)
+        await loop.sock_recv(peer, 4096)
+        await loop.sock_sendall(peer, EMPTY_RESPONSE)
+
 
 @contextlib.asynccontextmanager
 async def idle_connection() -> AsyncIterator[IdleConnection]:
@@ -74,3 +83,5 @@
         finally:
             opened.client.close_all()
             opened.root.detach()
+            for peer in opened.peers:
+                peer.close()
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -9,11 +9,13 @@
 from carawayfold.settings import Address
 from carawayfold.transport import client
 from carawayfold.transport.client import (
-    IDLE_TIMEOUT,
     ExchangeError,
-    Head,
     HttpClient,
-    _reuse_timeout,
+)
+from carawayfold.transport.keep_alive import (
+    IDLE_TIMEOUT,
+    announced_timeout,
+    reuse_timeout,
 )
 from carawayfold.transport.loop import Root
 from tests.transport.client_builders import idle_connection
@@ -85,5 +87,5 @@
 
 @pytest.mark.parametrize("seconds", ["9" * 5000, "\u00b2", "-1", ""])
 def test_keep_alive_that_is_no_number_is_ignored(seconds):
-    head = Head(200, {"keep-alive": f"timeout={seconds}"})
-    assert _reuse_timeout(head) == IDLE_TIMEOUT
+    announced = announced_timeout({"keep-alive": f"timeout={seconds}"})
+    assert reuse_timeout(announced) == IDLE_TIMEOUT
