--- a/carawayfold/coordination/scheduling/connection_affinity.py
+++ b/carawayfold/coordination/scheduling/connection_affinity.py
@@ -14,15 +14,13 @@
 
 from bisect import insort
 from collections import OrderedDict
-from typing import TYPE_CHECKING, NewType
+from typing import TYPE_CHECKING
+
+from carawayfold.coordination.scheduling.offers import holder_of
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Offer
-    from carawayfold.state.ids import CallId, DataCentreId
-
-#: One process of a router: its name and incarnation, as in its call identifiers. A
-#: router that has restarted has none of the connections of its predecessor.
-Holder = NewType("Holder", str)
+    from carawayfold.state.ids import CallId, DataCentreId, Holder
 
 #: Maximum seconds for which a connection counts as kept, whatever a router reports.
 #: Routers close idle connections after that time.
@@ -40,10 +38,11 @@
 #: The same for an endpoint in another data centre, where the round trip takes up to
 #: 3 ms.
 REMOTE_OPENING_DURATION = 0.005
-#: Fraction of an endpoint's slots in use from which connections to it no longer count.
-#: Requests of many routers would else fill it while others are idle, and endpoints slow
-#: down and limit their connections as they fill.
-MAX_ATTRACTING_USE = 0.5
+#: Fraction of an endpoint's slots in use up to which connections to it count in full,
+#: and from which they don't count. Requests of many routers would else fill it while
+#: others have room, and endpoints slow down and limit their connections as they fill.
+FULLY_ATTRACTING_USE = 0.5
+MAX_ATTRACTING_USE = 0.9
 
 
 class EndpointConnections:
@@ -110,9 +109,9 @@
     ) -> float:
         """Return the cost in seconds of opening a connection for a request.
 
-        An idle connection saves all of it at an idle endpoint, and nothing at one with
-        half of its slots in use, so that connections don't attract requests to
-        endpoints that fill up.
+        An idle connection saves all of it at an endpoint with half of its slots free,
+        and nothing at one that is nearly full, so that connections don't attract
+        requests to endpoints that fill up.
 
         Parameters
         ----------
@@ -131,12 +130,9 @@
             if data_centre == offer.data_centre
             else REMOTE_OPENING_DURATION
         )
-        occupied = used / MAX_ATTRACTING_USE
-        if occupied < 1 and self.has_connection(holder_of(offer.call), now):
-            return cost * occupied
-        return cost
-
-
-def holder_of(call: CallId) -> Holder:
-    """Return the process of the router that made a request."""
-    return Holder(call.rpartition(".")[0])
+        if used >= MAX_ATTRACTING_USE or not self.has_connection(offer.holder, now):
+            return cost
+        if used <= FULLY_ATTRACTING_USE:
+            return 0.0
+        width = MAX_ATTRACTING_USE - FULLY_ATTRACTING_USE
+        return cost * (used - FULLY_ATTRACTING_USE) / width
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from carawayfold.state.ids import Position
+from carawayfold.state.ids import Holder, Position
 
 if TYPE_CHECKING:
     from carawayfold.protocol.exchanges import Part
@@ -87,6 +87,8 @@
         Size of its body in bytes.
     shared_prefix_tokens : int
         Tokens of the prompt parts that other requests share.
+    holder : Holder
+        The process of its router, which holds its connections.
     """
 
     call: CallId
@@ -110,8 +112,10 @@
     throttled_tokens: int = 0
     body_bytes: int = 0
     shared_prefix_tokens: int = field(init=False)
+    holder: Holder = field(init=False)
 
     def __post_init__(self) -> None:
+        self.holder = holder_of(self.call)
         # The last part of a prompt is the request's own.
         self.shared_prefix_tokens = sum(part.tokens for part in self.prompt[:-1])
 
@@ -251,3 +255,8 @@
 
 
 Decision = Granted | Rejected
+
+
+def holder_of(call: CallId) -> Holder:
+    """Return the process of the router that made a request."""
+    return Holder(call.rpartition(".")[0])
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -144,8 +144,8 @@
             "quarantined": len(quarantine.held(now)),
             "suspected": len(quarantine.suspected(now)),
             "left_out_log_lines": gateway.dropped_log_lines(),
-            "endpoint_connections_open": len(gateway.http.open),
-            "endpoint_connections_reused_ratio": gateway.http.uses.reused_ratio,
+            "outgoing_connections": len(gateway.http.open),
+            "reused_connections_ratio": gateway.http.uses.reused_ratio,
         }
         for name, value in gauges.items():
             yield GaugeMetricFamily(f"carawayfold_{name}", name, value)
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -35,6 +35,9 @@
 RouteId = NewType("RouteId", str)
 #: Identifier of one call at the scheduler: the router's name and a number.
 CallId = NewType("CallId", str)
+#: One process of a router: its name and incarnation, as in its call identifiers. A
+#: router that has restarted is another holder of connections.
+Holder = NewType("Holder", str)
 #: Identifier of a part of a prompt, equal for equal text.
 PartId = NewType("PartId", str)
 #: Identifier of a stream: digest of its organisation and of the request that began it.
--- a/tests/coordination/scheduling/offer_builders.py
+++ b/tests/coordination/scheduling/offer_builders.py
@@ -63,13 +63,13 @@
         made.take(Datagram(router, 1, [GrantMessage(call, "e-0")]))
 
 
-def coordinator(fleet, usable=True):
+def coordinator(fleet, usable=True, features=None):
     """Return a coordinator of one pool, whose one endpoint may be unusable at first."""
     table = EndpointTable()
     table.put(endpoint("e-0"))
     services = {"model": ServiceConfig("model", "/", 100, 600_000)}
     routes = RouteTable(1, (), services, {}, {}, CallerLimits(), 100_000.0)
-    made = SchedulingCoordinator(fleet, 4.0)
+    made = SchedulingCoordinator(fleet, 4.0, features=features)
     made.refresh(table, routes)
     if not usable:
         now = asyncio.get_running_loop().time()
--- a/tests/coordination/scheduling/test_connection_affinity.py
+++ b/tests/coordination/scheduling/test_connection_affinity.py
@@ -16,10 +16,9 @@
     OPENING_DURATION,
     REMOTE_OPENING_DURATION,
     EndpointConnections,
-    holder_of,
 )
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
-from carawayfold.coordination.scheduling.offers import Granted, Outcome
+from carawayfold.coordination.scheduling.offers import Granted, Outcome, holder_of
 from carawayfold.coordination.scheduling.placement import choose_endpoint, evaluate
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from tests.coordination.scheduling.connection_builders import PLAIN_KINDS, Replay
@@ -87,6 +86,16 @@
     assert found(on) >= found(off) + 0.15
 
 
+def test_connections_of_a_large_fleet_are_found_more_often():
+    large = {"routers": 360, "rate": 342.0, "seed": 1}
+    off, on = Replay(reuse=False, **large), Replay(reuse=True, **large)
+    for item in (off, on):
+        item.run(5.0, counting_from=3.0)
+    assert on.found_ratio >= off.found_ratio + 0.05
+    known = [len(load.connections.idle_until) for load in on.made.loads.values()]
+    assert max(known) <= 360
+
+
 @pytest.mark.parametrize(
     "options", [{}, {"rate": 300.0}, {"kinds": PLAIN_KINDS, "rate": 500.0}]
 )
@@ -257,6 +266,16 @@
         assert cost == OPENING_DURATION
 
 
+def test_connections_count_less_as_an_endpoint_fills():
+    connections = EndpointConnections()
+    connections.keep(CALL, 4000, 0.0)
+    costs = [
+        connections.opening_cost(plain(), "north", used, 0.0) / OPENING_DURATION
+        for used in (0.0, 0.25, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 2.0)
+    ]
+    assert costs == pytest.approx([0, 0, 0, 0.25, 0.5, 0.75, 1, 1, 1])
+
+
 # Bounds
 
 
