Keep to the former reuse on connections to the store and to peers

The longer reuse of idle connections applied to every exchange of the client. Calls of the store that change something are not made repeatable by it, so it now holds for attempts at endpoints only, which are also the ones counted.

Ruled out: learning from closed connections when endpoints close without having announced it.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -210,7 +210,7 @@
                 call.parsed, head
             ),
             idle_most=self.idle_most,
-            counted=True,
+            is_attempt=True,
         )
         self.exchange = self.connection.exchange
         if call.replaced is not None:
--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -121,8 +121,8 @@
         Number of responses skipped, and of their body bytes.
     method : str
         Method of the request.
-    counted : bool
-        Whether it counts in `HttpClient.uses`.
+    is_attempt : bool
+        Whether it is an attempt at an endpoint, see `HttpClient.start`.
     """
 
     on_head: Callable[[Head], None]
@@ -134,7 +134,7 @@
     skipped_responses: int = 0
     skipped_bytes: int = 0
     method: str = "GET"
-    counted: bool = False
+    is_attempt: bool = False
 
 
 class Connection(msgspec.Struct, eq=False):
@@ -209,8 +209,8 @@
     root : Root
         Root component with the poller.
     reuse_longer : bool
-        Whether connections are reused for all but a margin of the timeout that the
-        remote side announces, see `carawayfold.transport.keep_alive`.
+        Whether connections of attempts at endpoints are reused for all but a margin of
+        the announced timeout, see `carawayfold.transport.keep_alive`.
     max_open : int
         Number of open connections from which the one that has been idle for longest is
         closed for a new one; 0 for no limit.
@@ -224,7 +224,7 @@
     open : dict of socket.socket to Connection
         All connections.
     uses : ConnectionUses
-        Numbers of exchanges by how they came by their connections, of those that count.
+        Numbers of attempts at endpoints by how they came by their connections.
     """
 
     channel = "endpoints"
@@ -253,7 +253,7 @@
         fresh: bool = False,
         is_own_response: Callable[[Head], bool] | None = None,
         idle_most: float = IDLE_TIMEOUT,
-        counted: bool = False,
+        is_attempt: bool = False,
     ) -> Connection:
         """Start an exchange and return the connection that carries it.
 
@@ -276,8 +276,9 @@
             See `Exchange`.
         idle_most : float
             Maximum idle time in seconds of a reused connection.
-        counted : bool
-            Whether the exchange counts in `uses`.
+        is_attempt : bool
+            Whether it is an attempt at an endpoint. These count in `uses`, and
+            `reuse_longer` holds for their connections only.
 
         Returns
         -------
@@ -291,11 +292,11 @@
             loop.create_future(),
             is_own_response=is_own_response,
             method=method,
-            counted=counted,
+            is_attempt=is_attempt,
         )
         idle = None if fresh else self._take_idle(address, idle_most)
         connection = idle or self._connect(address)
-        if counted:
+        if is_attempt:
             self.uses.record(reused=idle is not None)
         connection.exchange = exchange
         connection.reader = ResponseReader(method)
@@ -581,7 +582,7 @@
         exchange.phase = Phase.ANSWERING
         connection.announced = announced_timeout(head.headers)
         connection.reuse_timeout = reuse_timeout(
-            connection.announced, self.reuse_longer
+            connection.announced, self.reuse_longer and exchange.is_attempt
         )
         exchange.on_head(head)
 
@@ -624,7 +625,7 @@
         connection.exchange = None
         self._close(connection)
         if exchange is not None and not exchange.done.done():
-            if exchange.counted and connection.used > 1:
+            if exchange.is_attempt and connection.used > 1:
                 self.uses.lost += exchange.phase is Phase.SENT
             error = ExchangeError(exchange.phase, reason, connection.used > 1)
             exchange.done.set_exception(error)
--- a/tests/coordination/scheduling/test_connection_affinity.py
+++ b/tests/coordination/scheduling/test_connection_affinity.py
@@ -137,6 +137,15 @@
     )
 
 
+def test_connections_are_found_though_endpoints_close_them_early():
+    def report(router, kept):
+        return 20_000
+
+    off = replays(reuse=False, lifetime=0.8)
+    on = replays(reuse=True, lifetime=0.8, report=report)
+    assert found(on) >= found(off) + 0.05
+
+
 def test_a_new_leader_learns_the_connections_within_seconds():
     assert found(disturbed(Replay.replace_leader)) >= found(disturbed(None)) - 0.05
 
--- a/tests/transport/client_builders.py
+++ b/tests/transport/client_builders.py
@@ -62,13 +62,13 @@
             await loop.sock_recv(peer, 4096)
             await loop.sock_sendall(peer, EMPTY_RESPONSE)
 
-    async def answer_and_keep(self) -> None:
+    async def answer_and_keep(self, response: bytes = EMPTY_RESPONSE) -> None:
         """Accept the next connection, answer one request and keep it open."""
         loop = asyncio.get_running_loop()
         peer, _ = await loop.sock_accept(self.listener)
         self.peers.append(peer)
         await loop.sock_recv(peer, 4096)
-        await loop.sock_sendall(peer, EMPTY_RESPONSE)
+        await loop.sock_sendall(peer, response)
 
 
 @contextlib.asynccontextmanager
--- a/tests/transport/test_keep_alive.py
+++ b/tests/transport/test_keep_alive.py
@@ -13,7 +13,10 @@
     reuse_timeout,
     unrepeatable_timeout,
 )
-from tests.transport.client_builders import idle_connection
+from tests.transport.client_builders import EMPTY_RESPONSE, idle_connection
+
+#: A response that announces a timeout.
+KEEP_ALIVE = EMPTY_RESPONSE.replace(b"Content", b"Keep-Alive: timeout=4\r\nContent")
 
 
 @pytest.mark.parametrize("announced", [0, 1, 2, 5, 15, 20, 60, 10**8])
@@ -69,6 +72,30 @@
     assert for_one <= 1.0
 
 
+@pytest.mark.parametrize(("is_attempt", "seconds"), [(True, 3.75), (False, 2.0)])
+def test_only_connections_of_attempts_are_reused_for_longer(is_attempt, seconds):
+    async def work():
+        async with idle_connection() as opened:
+            opened.client.reuse_longer = True
+            answering = asyncio.ensure_future(opened.answer_and_keep(KEEP_ALIVE))
+            connection = opened.client.start(
+                opened.address,
+                "GET",
+                "/",
+                [],
+                b"",
+                lambda head: None,
+                None,
+                fresh=True,
+                is_attempt=is_attempt,
+            )
+            await connection.exchange.done
+            await answering
+            return connection.reuse_timeout
+
+    assert asyncio.run(asyncio.wait_for(work(), 10)) == seconds
+
+
 def test_a_connection_that_its_endpoint_has_closed_is_not_kept():
     async def work():
         async with idle_connection() as opened:
