--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from carawayfold.state.ids import Position
+from carawayfold.state.ids import Holder, Position
 
 if TYPE_CHECKING:
     from carawayfold.protocol.exchanges import Part
@@ -120,6 +120,8 @@
         Whether it is the return of a rejected request, as its scheduler knows.
     prediction : WaitPrediction or None
         First prediction of its wait by its scheduler; None before.
+    holder : Holder
+        The process of its router, which holds its connections.
     """
 
     call: CallId
@@ -145,8 +147,10 @@
     shared_prefix_tokens: int = field(init=False)
     standing: Standing = Standing.NEW
     prediction: WaitPrediction | None = None
+    holder: Holder = field(init=False)
 
     def __post_init__(self) -> None:
+        self.holder = holder_of(self.call)
         # The last part of a prompt is the request's own.
         self.shared_prefix_tokens = sum(part.tokens for part in self.prompt[:-1])
 
@@ -286,3 +290,8 @@
 
 
 Decision = Granted | Rejected
+
+
+def holder_of(call: CallId) -> Holder:
+    """Return the process of the router that made a request."""
+    return Holder(call.rpartition(".")[0])
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -73,11 +73,25 @@
             "Grants of this router for pools that another one leads",
             gateway.coordinator.decision_statistics.alone,
         )
+        yield self._connections()
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._predicted_waits()
         yield from self._gauges()
 
+    def _connections(self) -> Metric:
+        """Return how attempts at endpoints came by their connections."""
+        uses = self.gateway.http.uses
+        family = CounterMetricFamily(
+            "carawayfold_endpoint_connections",
+            "Connections of attempts: opened, reused, or reused and then lost",
+            labels=("kind",),
+        )
+        family.add_metric(("opened",), uses.opened)
+        family.add_metric(("reused",), uses.reused)
+        family.add_metric(("lost",), uses.lost)
+        return family
+
     def _repeats(self) -> Iterator[Metric]:
         """Yield retries and retries rejected by the budget, by service."""
         metrics = self.gateway.metrics
@@ -151,6 +165,8 @@
             "quarantined": len(quarantine.held(now)),
             "suspected": len(quarantine.suspected(now)),
             "left_out_log_lines": gateway.dropped_log_lines(),
+            "outgoing_connections": len(gateway.http.open),
+            "reused_connections_ratio": gateway.http.uses.reused_ratio,
         }
         for name, value in gauges.items():
             yield GaugeMetricFamily(f"carawayfold_{name}", name, value)
