Hold sound registrations beside any entry of another writer

An entry of another program with a deeply nested further field ended the task that follows the store, and with it the router: the decoder raises RecursionError, which nothing caught. Entries with counts beyond 64 bits were taken, and the list for peers could then not be encoded. A name with a line break was sent as a header, one beyond Latin-1 failed the request. A key that isn't UTF-8, or a value that isn't ASCII, failed the whole list; keys were sent unquoted when a list was continued. More than 200 unreadable keys were logged again with each read. An entry that turned bad within an outage of the store counted as one that could not be renewed, and stayed usable.

Ruled out: catching every exception of a decoder, which would hide faults of ours. Now such entries are refused by type and bounds, an unreadable entry ends the use of its endpoint at once and is no deregistration, and 200 keys are logged in a minute at most. The time since which a restarted endpoint is known to leave begins anew.

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -262,6 +262,9 @@
             return
         now = self.loop.time()
         listed = [item.endpoint for item in page.items if item.endpoint is not None]
+        for item in page.items:
+            if item.unreadable:
+                self._apply(item, now, page.next)
         self._replace_all(listed, now, "store", page.next)
         # A list does not show what was registered and removed before it was made.
         self.endpoints.software.complete_since = now
@@ -400,7 +403,7 @@
     def _apply(self, item: EndpointChange, now: float, offset: Position) -> bool:
         known = self.endpoints.entries.get(item.name)
         if item.endpoint is None:
-            removed = self.endpoints.remove(item.name, now)
+            removed = self.endpoints.remove(item.name, now, item.unreadable)
             if removed:
                 extra = {
                     "endpoint": item.name,
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from ipaddress import IPv4Address
 from typing import Annotated
@@ -33,6 +34,17 @@
 DEFAULT_PRIORITY = 1
 #: Valid ports of an address.
 VALID_PORTS = range(1, 65536)
+#: Form of an address. Python reads further numerals and separators as numbers.
+ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
+#: Names of endpoints that can be sent in a header.
+ENDPOINT_NAME = re.compile(r"[!-~]{1,255}", re.ASCII)
+#: Most characters of a name within a registration. It is sent in datagrams.
+MAX_NAME_LENGTH = 255
+#: Greatest values of a registration; greater ones are no slots, warm-up of at most a
+#: day, or start time in milliseconds, and don't fit messages between routers.
+MAX_SLOTS = 1_000_000
+MAX_WARM_UP_MS = 86_400_000
+MAX_BORN = 10**15
 
 #: Route kinds by their names in records.
 ROUTE_KINDS = {
@@ -124,6 +136,9 @@
     DRAINING = "draining"
 
 
+WireName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+
+
 class WireEntry(msgspec.Struct):
     """Registration of an endpoint.
 
@@ -132,15 +147,15 @@
     deployments that omit it.
     """
 
-    service: str
+    service: WireName
     address: str
-    zone: str
-    version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    zone: WireName
+    version: WireName
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: WireState
-    cold_remaining_ms: float
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARM_UP_MS)]
     call_seq: int
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
 
 
 def decode_routes(data: bytes) -> RouteTable:
@@ -184,6 +199,8 @@
     SourceError
         If the record is not a valid registration.
     """
+    if not ENDPOINT_NAME.fullmatch(name):
+        raise SourceError("no name of an endpoint")
     wire = _decode(data, WireEntry)
     return Endpoint(
         name=EndpointName(name),
@@ -200,6 +217,8 @@
 
 
 def _address(text: str) -> Address:
+    if not ADDRESS.fullmatch(text):
+        raise SourceError("no address")
     try:
         address = Address.parse(text)
         IPv4Address(address.host)
@@ -257,5 +276,5 @@
 def _decode(data: bytes, kind: type) -> msgspec.Struct:
     try:
         return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise SourceError(str(error)) from None
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import base64
-import binascii
 import struct
+import urllib.parse
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import logbook
@@ -65,9 +65,11 @@
 RECORD_HEADER = struct.Struct(">I")
 #: Maximum size of the pages of one list of newest records, in bytes.
 MAX_LISTED_BYTES = 16 << 20
-#: Most keys of unreadable records to remember; each is logged once however often the
-#: record is rewritten.
+#: Most keys of unreadable records to remember and to log; each is logged once however
+#: often the record is rewritten.
 MAX_REMEMBERED_KEYS = 200
+#: Seconds after which keys may be logged again once that many were logged.
+LOG_RESET_INTERVAL = 60.0
 #: Most characters of a key, and of the reason, in a log line.
 MAX_LOGGED_LENGTH = 200
 
@@ -161,7 +163,7 @@
             if size > MAX_LISTED_BYTES or last_key in last_keys:
                 raise SourceError("a list without end")
             last_keys.add(last_key)
-            after = f"&after={last_key}"
+            after = f"&after={urllib.parse.quote(last_key)}"
 
     async def read(self, topic: str, start: Position, wait: float) -> Page[Record]:
         """Return records of `topic` from `start` on, waiting up to `wait` seconds.
@@ -239,6 +241,8 @@
         self.decode = decode
         self.unreadable = unreadable
         self.logged: set[str] = set()
+        #: Loop time from which `logged` may be cleared.
+        self.log_reset_at = 0.0
 
     async def newest(self) -> Page[T]:
         """Return the newest record of each key."""
@@ -262,8 +266,13 @@
     def _log_unreadable(self, record: Record, error: SourceError) -> None:
         if record.key in self.logged:
             return
+        now = asyncio.get_running_loop().time()
         if len(self.logged) >= MAX_REMEMBERED_KEYS:
+            if now < self.log_reset_at:
+                return
             self.logged.clear()
+        if not self.logged:
+            self.log_reset_at = now + LOG_RESET_INTERVAL
         self.logged.add(record.key)
         extra = {
             "topic": self.topic,
@@ -301,7 +310,7 @@
 
 def endpoint_source(store: StoreClient) -> StoreSource[EndpointChange]:
     """Return the source of endpoints' registrations."""
-    return StoreSource(store, ENDPOINT_TOPIC, _decode_registered, _not_registered)
+    return StoreSource(store, ENDPOINT_TOPIC, _decode_registered, _unreadable)
 
 
 def _decode_operator_record(record: Record) -> RouteTable | Evacuation | None:
@@ -315,14 +324,14 @@
 
 def _decode_registered(record: Record) -> EndpointChange:
     if not record.value:
-        return _not_registered(record)
+        return EndpointChange(EndpointName(record.key), None)
     now = asyncio.get_running_loop().time()
     endpoint = records.decode_endpoint(record.key, record.value, now)
     return EndpointChange(endpoint.name, endpoint)
 
 
-def _not_registered(record: Record) -> EndpointChange:
-    return EndpointChange(EndpointName(record.key), None)
+def _unreadable(record: Record) -> EndpointChange:
+    return EndpointChange(EndpointName(record.key), None, unreadable=True)
 
 
 def _decode_directory_record(record: Record) -> PeerEntry | QuarantineRecord | None:
@@ -331,14 +340,16 @@
     kind = QuarantineRecord if record.key.startswith(CONTENT_KEY_PREFIX) else PeerEntry
     try:
         return msgspec.json.decode(record.value, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise SourceError(str(error)) from None
 
 
 def _decode_newest(data: bytes) -> WireNewest:
+    # A key that is not valid UTF-8 must not hide the other entries.
+    text = data.decode(errors="replace")
     try:
-        return msgspec.json.decode(data, type=WireNewest)
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(text, type=WireNewest)
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise SourceError(str(error)) from None
 
 
@@ -374,6 +385,6 @@
 def _listed_record(entry: WireEntry) -> Record:
     try:
         return Record(entry.key, base64.b64decode(entry.value))
-    except binascii.Error:
+    except ValueError:
         # The raw text fails to decode as a record of the topic, which logs it.
         return Record(entry.key, entry.value.encode())
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -39,10 +39,17 @@
 
 
 class EndpointChange(msgspec.Struct, frozen=True):
-    """An endpoint entry was written, or removed if `endpoint` is None."""
+    """An endpoint entry was written, or removed if `endpoint` is None.
+
+    Attributes
+    ----------
+    unreadable : bool
+        Whether an entry was written that can't be decoded. It names no endpoint to use.
+    """
 
     name: EndpointName
     endpoint: Endpoint | None
+    unreadable: bool = False
 
 
 class Evacuation(msgspec.Struct, frozen=True):
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -164,7 +164,7 @@
         self.entries[endpoint.name] = endpoint
         if not endpoint.leaving:
             self.leaving_since.pop(endpoint.name, None)
-        elif old is None or not old.leaving:
+        elif old is None or not old.leaving or old.id != endpoint.id:
             self.leaving_since[endpoint.name] = now
         return old != endpoint
 
@@ -224,14 +224,27 @@
         oldest = next(name for name in self.incarnations if name not in self.entries)
         del self.incarnations[oldest]
 
-    def remove(self, name: EndpointName, now: float) -> bool:
+    def remove(self, name: EndpointName, now: float, unreadable: bool = False) -> bool:
         """Remove an entry; return whether its endpoint became unusable at once.
 
         An entry removed during an outage of the store stays usable for a time, as its
         lease may have expired only because it could not be renewed.
+
+        Parameters
+        ----------
+        name : EndpointName
+            Name of the endpoint.
+        now : float
+            Monotonic seconds.
+        unreadable : bool
+            Whether it was replaced by one that can't be decoded. The endpoint is not
+            deregistered, but must not be used.
         """
         if name not in self.entries:
             return False
+        if unreadable:
+            self._drop(name, now)
+            return True
         in_outage = now < self.outage_end + LAPSE_DETECTION_DURATION
         if in_outage and not self.entries[name].leaving:
             self.lapsed.setdefault(name, self.outage_end + LAPSE_GRACE_DURATION)
--- /dev/null
+++ b/tests/platform/test_foreign_entries.py
@@ -0,0 +1,179 @@
+"""Entries that other programs write among the registrations of endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+
+import logbook
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayfold.coordination.knowledge.knowledge import Knowledge
+from carawayfold.platform import records, store
+from carawayfold.platform.store import MAX_REMEMBERED_KEYS, Record, StoreClient
+from carawayfold.protocol.sources import Page, SourceError
+from carawayfold.transport.client import Answer, Head
+from tests.platform.record_builders import ENTRY, entry
+
+#: Nesting that exceeds the recursion limit of the decoder.
+NESTED = b"[" * 5000 + b"]" * 5000
+
+#: Values of fields that no endpoint writes.
+ODD_VALUES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**30), 10**30)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8)
+    | st.lists(st.integers(), max_size=2)
+    | st.dictionaries(st.text(max_size=3), st.integers(), max_size=2)
+)
+#: Stored values: any bytes, or an entry with other fields.
+ODD_ENTRIES = st.binary(max_size=40) | st.builds(
+    lambda kept, odd: json.dumps(
+        {**{name: ENTRY[name] for name in kept}, **odd}
+    ).encode(),
+    st.sets(st.sampled_from(sorted(ENTRY))),
+    st.dictionaries(st.sampled_from([*sorted(ENTRY), "born", "x"]), ODD_VALUES),
+)
+#: Keys, in bytes.
+ODD_KEYS = st.binary(min_size=1, max_size=20) | st.just(b"i-2")
+
+
+class OneAnswer:
+    """HTTP client that returns the given bodies in order and keeps the paths."""
+
+    def __init__(self, *bodies):
+        self.bodies = list(bodies)
+        self.paths = []
+
+    async def fetch(self, address, method, path, body, timeout):
+        self.paths.append(path)
+        return Answer(Head(200, {}), self.bodies.pop(0))
+
+
+def read_answer(*rows):
+    """Return the body of a read of the given keys and values, in bytes."""
+    body = struct.pack(">QQ", 0, 0)
+    for key, value in rows:
+        record = bytes([len(key)]) + key + value
+        body += struct.pack(">I", len(record)) + record
+    return body
+
+
+def apply_reads(*bodies):
+    """Return what a router knows after reads of registrations, one after another."""
+
+    async def follow():
+        known = Knowledge(lambda table: None, lambda: None)
+        known.apply_listing(Page([], 0))
+        source = store.endpoint_source(StoreClient(OneAnswer(*bodies), None))
+        for _ in bodies:
+            page = await source.read(known.endpoints.offset, 0.0)
+            known.apply_registrations(page)
+        return known, known.snapshot()
+
+    return asyncio.run(follow())
+
+
+@given(st.lists(st.tuples(ODD_KEYS, ODD_ENTRIES), max_size=5), st.data())
+def test_sound_entries_hold_beside_any_others(rows, data):
+    """Also guards what is passed on to peers, which must be encodable."""
+    rows = [row for row in rows if row[0] != b"i-1"]
+    place = data.draw(st.integers(0, len(rows)))
+    rows.insert(place, (b"i-1", entry(born=1760683167168)))
+    known, snapshot = apply_reads(read_answer(*rows))
+    assert known.endpoints.entries["i-1"].incarnation == 1760683167168
+    assert len(known.endpoints.usable("s")) >= 1
+    assert msgspec.msgpack.encode(snapshot)
+    for endpoint in known.endpoints.entries.values():
+        endpoint.name.encode("ascii")
+        assert not set(endpoint.name) & set("\r\n ")
+        assert 0 < endpoint.address.port < 65536
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        b"\xff\xfe",
+        entry()[:-1] + b', "further": ' + NESTED + b"}",
+        entry(state="paused"),
+        entry(slots=10**30),
+        entry(born=10**30),
+        entry(born=-1),
+        entry(cold_remaining_ms=-1),
+        entry(cold_remaining_ms=1e300),
+        entry(address="10.0.0.1:8_0"),
+        entry(version="v" * 70_000),
+    ],
+)
+def test_an_entry_that_turns_bad_is_not_used_until_it_is_sound_again(value):
+    sound = (b"i-1", entry(born=5))
+    known, _ = apply_reads(read_answer(sound), read_answer((b"i-1", value)))
+    assert known.endpoints.usable("s") == []
+    known, _ = apply_reads(read_answer(sound, (b"i-1", value), sound))
+    assert [item.name for item in known.endpoints.usable("s")] == ["i-1"]
+
+
+def test_an_entry_that_turns_bad_in_an_outage_is_not_used():
+    """An entry that is removed then may be one that could not be renewed."""
+
+    async def follow(listed):
+        known = Knowledge(lambda table: None, lambda: None)
+        sound = Record("i-1", entry())
+        source = store.endpoint_source(StoreClient(OneAnswer(), None))
+        known.apply_listing(source._decoded(Page([sound], 1)))
+        known.endpoints.record_outage(known.loop.time())
+        bad = source._decoded(Page([Record("i-1", b"{")], 2))
+        (known.apply_listing if listed else known.apply_registrations)(bad)
+        return known.endpoints
+
+    for listed in (False, True):
+        endpoints = asyncio.run(follow(listed))
+        assert (endpoints.usable("s"), endpoints.lapsed) == ([], {})
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nTenant-Id: x", "é", "x" * 256])
+def test_a_name_that_cannot_be_sent_in_a_header_is_no_endpoint(name):
+    with pytest.raises(SourceError):
+        records.decode_endpoint(name, entry(), 0.0)
+
+
+@pytest.mark.parametrize("key", [b"\xff", "☃".encode(), b"a b"])
+def test_a_key_that_is_no_name_does_not_hide_the_rest_of_a_list(key):
+    rows = [
+        b'{"key": "%b", "value": "e30=", "offset": 1}' % key,
+        json.dumps({"key": "i-9", "value": "é", "offset": 2}).encode(),
+    ]
+    first = b'{"entries": [%b], "end": 3, "more_pages": true}' % b",".join(rows[::-1])
+    http = OneAnswer(first, b'{"entries": [], "end": 3}')
+    page = asyncio.run(store.endpoint_source(StoreClient(http, None)).newest())
+    assert len(page.items) == 2
+    assert " " not in http.paths[1]
+    assert http.paths[1].isascii()
+
+
+def test_an_answer_nested_too_deeply_is_a_failed_read():
+    body = b'{"entries": [], "end": 3, "x": ' + NESTED + b"}"
+    with pytest.raises(SourceError):
+        asyncio.run(StoreClient(OneAnswer(body), None).newest("t"))
+    with pytest.raises(SourceError):
+        records.decode_routes(b'{"version": 1, "x": ' + NESTED + b"}")
+
+
+def test_log_lines_on_unreadable_records_are_bounded():
+    rows = [Record(f"k-{number}", b"{") for number in range(MAX_REMEMBERED_KEYS + 50)]
+
+    async def read_often():
+        source = store.endpoint_source(StoreClient(OneAnswer(), None))
+        for _ in range(5):
+            source._decoded(Page(rows, 0))
+
+    with logbook.TestHandler() as lines:
+        asyncio.run(read_often())
+    assert len(lines.records) == MAX_REMEMBERED_KEYS
--- a/tests/state/test_endpoints.py
+++ b/tests/state/test_endpoints.py
@@ -107,3 +107,10 @@
     table.put(endpoint("a", incarnation=2000))
     assert table.expire(5.2 + 2 * LAPSE_GRACE_DURATION) == []
     assert [item.incarnation for item in table.usable("model")] == [2000]
+
+
+def test_a_restarted_endpoint_that_leaves_is_known_to_leave_since_then():
+    table = EndpointTable()
+    table.put(endpoint("i-1", leaving=True, incarnation=1), now=10.0)
+    table.put(endpoint("i-1", leaving=True, incarnation=2), now=20.0)
+    assert table.leaving_since == {"i-1": 20.0}
