Read the fourth figure of the load that endpoints state

Endpoints that share machines with others state as a fourth figure how long work takes at the moment, in percent of the usual. The header was dropped as a whole, since exactly three figures were read. Three or four whole numbers are read now, counts bounded as before and the percentage to 1 to 100,000; anything else is no load. Numbers with hundreds of digits are bounded rather than dropped, as a test has demanded of the counts before.

--- a/carawayfold/platform/headers.py
+++ b/carawayfold/platform/headers.py
@@ -7,6 +7,7 @@
 
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.protocol.exchanges import (
+    USUAL_DURATION,
     HeaderList,
     Load,
     Part,
@@ -49,6 +50,9 @@
 MAX_DIGITS = 18
 #: Largest number of tokens or requests that is told apart; sums of many still fit.
 MAX_TOKENS = 10**12
+#: Least and greatest duration of an endpoint's work, in percent of the usual, that is
+#: told apart.
+MIN_DURATION, MAX_DURATION = 1, 100_000
 #: Seconds after which a caller stops waiting, at most; longer values are read as this.
 MAX_TIME_LEFT = 86400.0
 
@@ -274,7 +278,10 @@
 
 
 def _load(text: str) -> Load | None:
-    counts = [_count(item.strip()) for item in text.split(",")]
-    if len(counts) != 3 or None in counts:
+    """Return the load in three or four numbers; the fourth one is in percent."""
+    counts = [_count(item.strip(" \t")) for item in text.split(",")]
+    if len(counts) not in (3, 4) or None in counts:
         return None
-    return Load(*counts)
+    running, waiting, slots = counts[:3]
+    duration = counts[3] if len(counts) == 4 else USUAL_DURATION
+    return Load(running, waiting, slots, min(max(duration, MIN_DURATION), MAX_DURATION))
--- a/carawayfold/protocol/exchanges.py
+++ b/carawayfold/protocol/exchanges.py
@@ -15,6 +15,9 @@
 #: Header names and values, in order.
 HeaderList = list[tuple[str, str]]
 
+#: Duration of work that takes as long as usual, in percent.
+USUAL_DURATION = 100
+
 
 class Part(msgspec.Struct, frozen=True):
     """A part of a prompt that other requests may share."""
@@ -60,11 +63,20 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Load reported by an endpoint, in requests."""
+    """Load reported by an endpoint.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests in process, requests waiting, and requests processed at once.
+    duration : int
+        Duration of its work at this moment in percent of its usual duration.
+    """
 
     running: int
     waiting: int
     slots: int
+    duration: int = USUAL_DURATION
 
 
 class ResponseFields(msgspec.Struct, frozen=True):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -10,11 +10,14 @@
 
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.platform.headers import (
+    MAX_DURATION,
     MAX_TIME_LEFT,
     MAX_TOKENS,
+    MIN_DURATION,
     SINGLE_HEADERS,
     PlatformDialect,
 )
+from carawayfold.protocol.exchanges import Load
 from carawayfold.transport.client import Head
 
 #: Request headers whose values the dialect reads.
@@ -149,6 +152,53 @@
     assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
 
 
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("1,2,3", Load(1, 2, 3, 100)),
+        ("1,2,3,250", Load(1, 2, 3, 250)),
+        (" 1 ,2,\t3, 20 ", Load(1, 2, 3, 20)),
+        ("0,0,0,0", Load(0, 0, 0, MIN_DURATION)),
+        ("1,2,3,100001", Load(1, 2, 3, MAX_DURATION)),
+        ("1,2,3," + "9" * 400, Load(1, 2, 3, MAX_DURATION)),
+        ("9" * 400 + ",2,3,100", Load(MAX_TOKENS, 2, 3, 100)),
+    ],
+)
+def test_a_load_has_three_or_four_bounded_numbers(text, load):
+    assert read(200, ("server-load", text)).load == load
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "1",
+        "1,2",
+        "1,2,3,",
+        ",1,2,3",
+        "1,2,3,100,5",
+        "1,2,3,4,5,6",
+        "a,b,c",
+        "1,2,3,usual",
+        "-1,2,3,100",
+        "1,2,3,-100",
+        "1,2,3,+100",
+        "1,2,3,100%",
+        "1,2,3,1.5",
+        "1,2,3,1e3",
+        "1,2,3,\xb2",
+        "1 1,2,3",
+        "1;2;3",
+    ],
+)
+def test_anything_else_is_no_load(text):
+    assert read(200, ("server-load", text)).load is None
+
+
+def test_an_answer_without_the_header_has_no_load():
+    assert read(200).load is None
+
+
 def test_a_load_of_thousands_of_digits_raised_an_error():
     assert read(200, ("server-load", "1,2," + "9" * 5000)).load.slots == MAX_TOKENS
 
