Predict with the speed that endpoints state

Endpoints that share machines with others take 2.5 times as long for tenths of a second.

With the setting endpoint_load, the load in the head of an answer goes to the leader of the pool with the first byte or the end of the attempt. The stated factor scales residence, prefill rate and time to the first token, halves each 0.3 s in its logarithm, counts never as faster than usual, and is trusted as far as it predicted the endpoint's own answers. What is learnt is divided by it. Waiting requests beyond those of this fleet count as running. Ruled out: health checks, suspension, factors below 1. LoadReport has one more optional field, the age: an engine's head may precede its first token.

The suspension at an attempt's end moved from the scheduler to EndpointLoad, two rejections and two conversions from the coordinator to their modules.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -290,6 +290,7 @@
         self.forwarder.notices.handle_response(
             self.endpoint, self.answer_head, self.started
         )
+        self.forwarder.coordinator.record_load(self.call_id, self.answer_head.load)
         if self.answer_head.rest:
             self.forwarder.withdraw_unusable()
         if self.call.replaced is not None and not self.answer_head.not_run:
--- a/carawayfold/coordination/scheduling/backlog.py
+++ b/carawayfold/coordination/scheduling/backlog.py
@@ -48,7 +48,7 @@
     prefill_tokens : float
         Tokens that wait to be prefilled.
     running : float
-        Requests in flight.
+        Requests in flight, those of others included.
     memory : float
         Tokens of memory in use.
     grant_interval : float
@@ -88,15 +88,16 @@
             Whether no router is known to fail to connect to it. An endpoint that some
             routers can't reach may be unreachable from other engines too.
         """
+        factor = load.stated_speed.factor(now)
         failure_ratio = load.current_failure_ratio(now)
         suspended = load.unavailable_until > now
         return cls(
             load=load,
             id=load.endpoint.id,
             data_centre=load.endpoint.data_centre,
-            speed=load.first_tokens.speed,
-            first_token_delay=load.first_tokens.first_token_delay,
-            residence=load.residence,
+            speed=load.first_tokens.speed / factor,
+            first_token_delay=load.first_tokens.first_token_delay * factor,
+            residence=load.residence * factor,
             slots=load.endpoint.slots,
             failure_ratio=failure_ratio,
             excess_failure_ratio=0.0,
@@ -105,7 +106,7 @@
             and not suspended
             and failure_ratio <= MAX_SOURCE_FAILURE_RATIO,
             prefill_tokens=load.prefill_tokens,
-            running=len(load.active),
+            running=len(load.active) + load.stated_speed.other_requests(now),
             memory=load.memory,
         )
 
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -22,8 +22,10 @@
 from carawayfold.coordination.scheduling.admission import AdmissionControl
 from carawayfold.coordination.scheduling.decision_statistics import SchedulingStatistics
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad, load_report
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.messages import (
+    active_request,
     decision_message,
     grant_from_message,
     offer_from_message,
@@ -38,6 +40,8 @@
     Offer,
     Outcome,
     Rejected,
+    no_endpoints_rejection,
+    unknown_pool_rejection,
 )
 from carawayfold.coordination.scheduling.pending import (
     PendingRequest,
@@ -54,6 +58,7 @@
     PoolPlan,
     Scheduler,
 )
+from carawayfold.coordination.scheduling.slow_endpoints import SlowEndpoints
 from carawayfold.protocol.datagrams import (
     ActiveRequestReport,
     ActiveRequestsMessage,
@@ -82,7 +87,8 @@
 
     from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.coordination.scheduling.offers import Decision
-    from carawayfold.protocol.datagrams import Datagram, Message
+    from carawayfold.protocol.datagrams import Datagram, LoadReport, Message
+    from carawayfold.protocol.exchanges import Load
     from carawayfold.state.endpoints import Endpoint, EndpointTable
     from carawayfold.state.ids import DataCentreId
     from carawayfold.state.routes import RouteTable
@@ -129,11 +135,6 @@
 #: serve it in time. Without them, an organisation whose requests share a prefix would
 #: get its share of a single pool only, whatever the capacity of the others.
 MAX_FALLBACK_POOLS = 1
-#: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
-#: routers have read the same registrations by then.
-UNKNOWN_POOL_RETRY_AFTER = 1.0
-#: The same for a service that has no pools.
-NO_ENDPOINTS_RETRY_AFTER = 1.0
 #: Seconds between two events of an answer after which the scheduler is told that its
 #: endpoint goes on. Shorter than the silence after which a router gives up an attempt,
 #: as that may have begun before the last event here.
@@ -190,6 +191,7 @@
         #: Loop time of the last log line on each router that doesn't answer.
         self.unanswered_logged_at: dict[RouterId, float] = {}
         self.decision_statistics = SchedulingStatistics()
+        self.slow_endpoints = SlowEndpoints()
         self.admission = AdmissionControl()
         #: Loop time from which the next round of decisions may begin, for any pool.
         self.next_round = 0.0
@@ -279,9 +281,9 @@
             call = pending.offer.call
             service = ServiceId(pending.pool.rsplit("/", 1)[0])
             rejection = (
-                _unknown_pool_rejection(call)
+                unknown_pool_rejection(call)
                 if self.weights.get(service)
-                else _no_endpoints_rejection(call)
+                else no_endpoints_rejection(call)
             )
             pending.answered.set_result(rejection)
 
@@ -549,7 +551,7 @@
         self._set_target(pending, self.fleet.own.router)
         pool_state = self.pools.get(pending.pool)
         if pool_state is None:
-            pending.answered.set_result(_no_endpoints_rejection(pending.offer.call))
+            pending.answered.set_result(no_endpoints_rejection(pending.offer.call))
             return
         pool_state.scheduler.offer(pending.offer, self.loop.time())
         self._decide(pool_state)
@@ -623,6 +625,12 @@
         if len(self.sent_prefixes) > MAX_REMEMBERED_PREFIXES:
             self.sent_prefixes.popitem(last=False)
 
+    def record_load(self, call: CallId, load: Load | None) -> None:
+        """Record the load in the head of an answer, for the next report on it."""
+        placed = self.placed.get(call)
+        if placed is not None and self.features.endpoint_load:
+            placed.stated = StatedLoad.of(load, self.loop.time())
+
     def begun(self, call: CallId, waited: float) -> None:
         """Report the first byte of a request, `waited` seconds after it was sent.
 
@@ -639,13 +647,15 @@
             waited = 0.0
         target = self.fleet.responsible(placed.pool)
         pool_state = self.pools.get(placed.pool)
+        stated = placed.take_stated()
         if pool_state is not None:
-            pool_state.scheduler.begun(call, waited)
+            pool_state.scheduler.begun(call, waited, stated)
             self._schedule_decision(pool_state)
         placed.active.begun = True
         self._record_prefix(placed)
         if target != self.fleet.own.router:
-            message = FirstByteMessage(placed.pool, call, round(waited * 1000))
+            report = load_report(stated, self.loop.time())
+            message = FirstByteMessage(placed.pool, call, round(waited * 1000), report)
             self.fleet.send(target, message)
 
     def ended(self, call: CallId, outcome: Outcome) -> None:
@@ -654,14 +664,15 @@
         if placed is None:
             return
         pool_state = self.pools.get(placed.pool)
+        stated, now = placed.take_stated(), self.loop.time()
         if pool_state is not None:
-            pool_state.scheduler.ended(call, outcome, self.loop.time())
+            pool_state.scheduler.ended(call, outcome, now, stated)
             self._schedule_decision(pool_state)
         target = self.fleet.responsible(placed.pool)
         if target != self.fleet.own.router:
-            self.fleet.send(
-                target, AttemptEndedMessage(placed.pool, call, outcome.value)
-            )
+            report = load_report(stated, now)
+            message = AttemptEndedMessage(placed.pool, call, outcome.value, load=report)
+            self.fleet.send(target, message)
 
     async def report_periodically(self) -> None:
         """Report this router's requests in flight periodically, until cancelled."""
@@ -676,6 +687,8 @@
         for pool_state in self.pools.values():
             pool_state.scheduler.expire(now)
             self._decide(pool_state)
+        schedulers = [pool_state.scheduler for pool_state in self.pools.values()]
+        self.slow_endpoints.update(schedulers, now)
         self.admission.expire(now)
         if self.decision_statistics.is_due():
             accounts = {
@@ -689,17 +702,9 @@
         """Report this router's requests in flight to the scheduler of each pool."""
         now = self.loop.time()
         by_pool: dict[PoolId, list[ActiveRequestReport]] = {}
-        for call, placed in self.placed.items():
+        for placed in self.placed.values():
             placed.active.reported_at = now
-            active = placed.active
-            held = ActiveRequestReport(
-                call,
-                placed.endpoint,
-                active.prefill_tokens,
-                active.memory,
-                active.begun,
-            )
-            by_pool.setdefault(placed.pool, []).append(held)
+            by_pool.setdefault(placed.pool, []).append(placed.report())
         for pool, held in by_pool.items():
             target = self.fleet.responsible(pool)
             if target == self.fleet.own.router:
@@ -857,7 +862,7 @@
         that didn't answer would be considered failed.
         """
         self.decision_statistics.unknown_pool_offers += 1
-        rejection = _unknown_pool_rejection(message.call)
+        rejection = unknown_pool_rejection(message.call)
         self.fleet.send(sender, decision_message(rejection, self.basis()))
 
     @_process.register
@@ -918,7 +923,8 @@
     def _(self, message: FirstByteMessage, sender: RouterId) -> None:
         pool_state = self.pools.get(message.pool)
         if pool_state is not None:
-            pool_state.scheduler.begun(message.call, message.waited / 1000)
+            stated = self._stated_load(message.load)
+            pool_state.scheduler.begun(message.call, message.waited / 1000, stated)
             self._schedule_decision(pool_state)
 
     @_process.register
@@ -926,9 +932,15 @@
         pool_state = self.pools.get(message.pool)
         if pool_state is not None:
             outcome = Outcome(message.outcome)
-            pool_state.scheduler.ended(message.call, outcome, self.loop.time())
+            stated = self._stated_load(message.load)
+            pool_state.scheduler.ended(message.call, outcome, self.loop.time(), stated)
             self._schedule_decision(pool_state)
 
+    def _stated_load(self, report: LoadReport | None) -> StatedLoad | None:
+        """Return the load that a router reports, None if this router doesn't use it."""
+        used = report if self.features.endpoint_load else None
+        return StatedLoad.from_report(used, self.loop.time())
+
     @_process.register
     def _(self, message: ActiveRequestsMessage, sender: RouterId) -> None:
         self._record_active(sender, message.pool, message.held)
@@ -941,18 +953,5 @@
             return
         now = self.loop.time()
         for item in held:
-            active = ActiveRequest(
-                item.call, router, item.prefill_tokens, item.memory, now, now
-            )
-            active.begun = item.begun
+            active = active_request(item, router, now)
             pool_state.scheduler.record_active(item.endpoint, active)
-
-
-def _unknown_pool_rejection(call: CallId) -> Rejected:
-    """Return the rejection of a request for a pool that doesn't exist."""
-    return Rejected(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY_AFTER)
-
-
-def _no_endpoints_rejection(call: CallId) -> Rejected:
-    """Return the rejection of a request for a service that has no pools."""
-    return Rejected(call, "the service has no endpoints", NO_ENDPOINTS_RETRY_AFTER)
--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -8,10 +8,16 @@
 
 import msgspec
 
+from carawayfold.coordination.scheduling.endpoint_speed import (
+    FACTOR_HALF_LIFE,
+    EndpointSpeed,
+)
+from carawayfold.coordination.scheduling.offers import Outcome
 from carawayfold.state.first_tokens import FirstTokenModel
 from carawayfold.state.prefix_cache import PrefixCache
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId, RouterId
@@ -22,6 +28,12 @@
 SMOOTHING_WEIGHT = 0.1
 #: Initial residence time of a request in seconds, used until requests have ended.
 DEFAULT_RESIDENCE = 0.05
+#: Seconds of suspension of an endpoint that refuses connections, or that a router
+#: reports as leaving. Its registration is updated within that time.
+UNAVAILABLE_SUSPENSION_DURATION = 4.0
+#: Seconds of suspension of an endpoint that another router knows to be warming up and
+#: this one doesn't. Its registration is read here within that time.
+WARMING_SUSPENSION_DURATION = 0.5
 #: Seconds for which an endpoint that did not respond is suspended: after the first
 #: silence, doubled with each further one up to the maximum.
 MIN_SUSPENSION_DURATION = 0.5
@@ -51,6 +63,8 @@
         Whether its first token has been received.
     prompt : tuple of Part
         Its prompt, if it was granted by this scheduler.
+    stated : StatedLoad or None
+        Load that the endpoint stated in its answer.
     """
 
     call: CallId
@@ -62,6 +76,7 @@
     queued_tokens: int = 0
     begun: bool = False
     prompt: tuple[Part, ...] = ()
+    stated: StatedLoad | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -104,6 +119,8 @@
         Prefixes that it has cached.
     first_tokens : FirstTokenModel
         Model of the time to the first token.
+    stated_speed : EndpointSpeed
+        What it states about its load.
     """
 
     endpoint: Endpoint
@@ -122,6 +139,7 @@
     active: dict[CallId, ActiveRequest] = field(default_factory=dict)
     prefixes: PrefixCache = field(init=False)
     first_tokens: FirstTokenModel = field(init=False)
+    stated_speed: EndpointSpeed = field(default_factory=EndpointSpeed)
 
     def __post_init__(self) -> None:
         self.prefixes = PrefixCache(self.memory_tokens)
@@ -148,16 +166,19 @@
             MIN_SUSPENSION_DURATION * 2 ** min(self.consecutive_silences, 3),
         )
 
-    def begin(self, call: CallId, waited: float) -> None:
+    def begin(
+        self, call: CallId, waited: float, stated: StatedLoad | None = None
+    ) -> None:
         """Record the first token of a request, `waited` seconds after it was sent.
 
         That of a request that has begun before shows that the endpoint is no longer
-        silent.
+        silent. `stated` is the load in the head of its answer.
         """
         active = self.active.get(call)
         if active is None:
             return
         self._end_silence()
+        self._record_stated(active, stated)
         if active.begun:
             return
         active.begun = True
@@ -165,7 +186,15 @@
         self.prefill_tokens -= active.prefill_tokens
         self.suspended_until = 0.0
         if waited > 0 and active.prefill_tokens:
-            self.first_tokens.note(active.queued_tokens, waited)
+            expected = self.first_tokens.predict(active.queued_tokens)
+            usual = self.stated_speed.usual_duration(waited, expected, stated)
+            self.first_tokens.note(active.queued_tokens, usual)
+            self.stated_speed.compare(waited, expected, stated)
+
+    def _record_stated(self, active: ActiveRequest, stated: StatedLoad | None) -> None:
+        if stated is not None:
+            active.stated = stated
+            self.stated_speed.record(stated, len(self.active), self.endpoint.slots)
 
     def _end_silence(self) -> None:
         self.consecutive_silences = 0
@@ -203,6 +232,58 @@
             self.prefill_tokens -= active.prefill_tokens
         return active
 
+    def end(
+        self,
+        call: CallId,
+        outcome: Outcome,
+        now: float,
+        stated: StatedLoad | None = None,
+    ) -> ActiveRequest | None:
+        """Record the end of an attempt; return the request if it was active.
+
+        The endpoint is suspended if the outcome shows that it can't be used.
+
+        Parameters
+        ----------
+        call : CallId
+            The request.
+        outcome : Outcome
+            How the attempt ended.
+        now : float
+            Monotonic seconds.
+        stated : StatedLoad or None
+            Load in the head of its answer, unless it was passed to `begin`.
+        """
+        active = self.active.get(call)
+        if active is None:
+            return None
+        self._record_stated(active, stated)
+        self.remove(call)
+        if outcome is Outcome.COMPLETE:
+            self._record_completed(active, now)
+        if outcome is Outcome.LEAVING:
+            self.suspended_until = now + UNAVAILABLE_SUSPENSION_DURATION
+        elif outcome is Outcome.WARMING:
+            self.suspended_until = max(
+                self.suspended_until, now + WARMING_SUSPENSION_DURATION
+            )
+        elif outcome is Outcome.SILENT:
+            self.record_timeout(active.since, now)
+        elif outcome is not Outcome.CANCELLED:
+            self.record_attempt(outcome is not Outcome.COMPLETE, now)
+        return active
+
+    def _record_completed(self, active: ActiveRequest, now: float) -> None:
+        seconds, stated = now - active.since, active.stated
+        if stated is not None and now - stated.at > FACTOR_HALF_LIFE:
+            # A long stream has lasted through other speeds than that of its beginning.
+            stated = None
+        expected = self.residence
+        usual = self.stated_speed.usual_duration(seconds, expected, stated)
+        self.record_residence(usual)
+        if not active.queued_tokens:
+            self.stated_speed.compare(seconds, expected, stated)
+
     def record_residence(self, seconds: float) -> None:
         """Record the residence time of a completed request."""
         self.residence += SMOOTHING_WEIGHT * (seconds - self.residence)
--- a/carawayfold/coordination/scheduling/messages.py
+++ b/carawayfold/coordination/scheduling/messages.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
 from carawayfold.coordination.scheduling.offers import (
     Basis,
     Granted,
@@ -19,6 +20,7 @@
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Decision
+    from carawayfold.protocol.datagrams import ActiveRequestReport
     from carawayfold.state.ids import PoolId, RouterId
 
 
@@ -71,6 +73,21 @@
     )
 
 
+def active_request(
+    report: ActiveRequestReport, router: RouterId, now: float
+) -> ActiveRequest:
+    """Return the active request that a router reports at monotonic time `now`."""
+    return ActiveRequest(
+        report.call,
+        router,
+        report.prefill_tokens,
+        report.memory,
+        now,
+        now,
+        begun=report.begun,
+    )
+
+
 def decision_message(decision: Decision, basis: Basis) -> GrantMessage | RejectMessage:
     """Return the message with a decision that was made on `basis`."""
     admitted_fraction = round(decision.admitted_fraction * 1000)
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -31,6 +31,11 @@
 UNKNOWN_POOL = "the pool is not known"
 #: Maximum characters of an unknown outcome in a log line.
 MAX_LOGGED_LENGTH = 40
+#: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
+#: routers have read the same registrations by then.
+UNKNOWN_POOL_RETRY_AFTER = 1.0
+#: The same for a service that has no pools.
+NO_ENDPOINTS_RETRY_AFTER = 1.0
 #: Weight of an output token relative to a prompt token when counting the usage of an
 #: organisation, as the platform does.
 OUTPUT_TOKEN_WEIGHT = 2
@@ -251,3 +256,13 @@
 
 
 Decision = Granted | Rejected
+
+
+def unknown_pool_rejection(call: CallId) -> Rejected:
+    """Return the rejection of a request for a pool that doesn't exist."""
+    return Rejected(call, UNKNOWN_POOL, UNKNOWN_POOL_RETRY_AFTER)
+
+
+def no_endpoints_rejection(call: CallId) -> Rejected:
+    """Return the rejection of a request for a service that has no pools."""
+    return Rejected(call, "the service has no endpoints", NO_ENDPOINTS_RETRY_AFTER)
--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.protocol.datagrams import ActiveRequestReport
 from carawayfold.state.ids import EndpointId, PoolId, RouterId
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad
     from carawayfold.coordination.scheduling.offers import Decision, Offer
     from carawayfold.coordination.scheduling.scheduler import Scheduler
     from carawayfold.protocol.exchanges import Part
@@ -69,6 +71,8 @@
         Its prompt.
     last_event_at : float
         Loop time of the last event of its answer; 0 before the first one.
+    stated : StatedLoad or None
+        Load in the head of its answer, until it is reported to the scheduler.
     """
 
     pool: PoolId
@@ -76,6 +80,23 @@
     endpoint: EndpointId
     prompt: tuple[Part, ...]
     last_event_at: float = 0.0
+    stated: StatedLoad | None = None
+
+    def report(self) -> ActiveRequestReport:
+        """Return the report that it is active."""
+        active = self.active
+        return ActiveRequestReport(
+            active.call,
+            self.endpoint,
+            active.prefill_tokens,
+            active.memory,
+            active.begun,
+        )
+
+    def take_stated(self) -> StatedLoad | None:
+        """Return the load stated in the head of its answer, once."""
+        stated, self.stated = self.stated, None
+        return stated
 
 
 class PoolState(msgspec.Struct, eq=False):
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 )
 from carawayfold.coordination.scheduling.endpoint_load import (
     DEFAULT_RESIDENCE,
+    UNAVAILABLE_SUSPENSION_DURATION,
     ActiveRequest,
     EndpointLoad,
 )
@@ -52,6 +53,7 @@
 from carawayfold.state.usage import UsageTable
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId, EndpointId, RouteId, RouterId
@@ -60,12 +62,6 @@
 ACTIVE_REPORT_TIMEOUT = 1.0
 #: Seconds after which a waiting request that its router no longer offers is dropped.
 OFFER_TIMEOUT = 1.5
-#: Seconds of suspension of an endpoint that refuses connections, or that a router
-#: reports as leaving. Its registration is updated within that time.
-UNAVAILABLE_SUSPENSION_DURATION = 4.0
-#: Seconds of suspension of an endpoint that another router knows to be warming up and
-#: this one doesn't. Its registration is read here within that time.
-WARMING_SUSPENSION_DURATION = 0.5
 #: Fraction of the tolerated warm-up rate of an endpoint that is used. Grants don't
 #: arrive as evenly spaced as they are made, and during a network partition two routers
 #: may decide for the same endpoint.
@@ -331,39 +327,30 @@
         self.waiting.pop(call, None)
         self.reported_at.pop(call, None)
 
-    def begun(self, call: CallId, waited: float) -> None:
+    def begun(
+        self, call: CallId, waited: float, stated: StatedLoad | None = None
+    ) -> None:
         """Record the first token of a request, `waited` seconds after it was sent.
 
-        Called again for a stream that goes on after a silence.
+        Called again for a stream that goes on after a silence. `stated` is the load in
+        the head of its answer.
         """
         load = self._load_of(call)
         if load is not None:
-            load.begin(call, waited)
+            load.begin(call, waited, stated)
 
-    def ended(self, call: CallId, outcome: Outcome, now: float) -> None:
+    def ended(
+        self,
+        call: CallId,
+        outcome: Outcome,
+        now: float,
+        stated: StatedLoad | None = None,
+    ) -> None:
         """Record the end of an attempt and suspend the endpoint where needed."""
         load = self._load_of(call)
         self.placements.pop(call, None)
-        if load is None:
-            return
-        active = load.remove(call)
-        if active is None:
-            return
-        if outcome is Outcome.COMPLETE:
-            load.record_residence(now - active.since)
-        if outcome is Outcome.LEAVING:
-            self.suspend(load.endpoint.id, now)
-            return
-        if outcome is Outcome.WARMING:
-            load.suspended_until = max(
-                load.suspended_until, now + WARMING_SUSPENSION_DURATION
-            )
-            return
-        if outcome is Outcome.SILENT:
-            load.record_timeout(active.since, now)
-        elif outcome is not Outcome.CANCELLED:
-            load.record_attempt(outcome is not Outcome.COMPLETE, now)
-        if outcome is Outcome.UNREACHABLE:
+        active = load.end(call, outcome, now, stated) if load is not None else None
+        if active is not None and outcome is Outcome.UNREACHABLE:
             until = now + load.suspension_duration
             self.unreachable[active.router, load.endpoint.id] = until
 
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -229,12 +229,15 @@
         Requests in process, requests waiting, and requests processed at once.
     duration : int
         Duration of its work at this moment in percent of its usual duration.
+    age : int
+        Milliseconds since the answer began.
     """
 
     running: int
     waiting: int
     slots: int
     duration: int = 100
+    age: int = 0
 
 
 class FirstByteMessage(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -124,6 +124,7 @@
             "endpoints_evacuated": sum(
                 item.data_centre in evacuated for item in endpoints
             ),
+            "endpoints_slow": len(gateway.coordinator.slow_endpoints.slow),
             "endpoints_offset": offset_of(known.offset),
             "endpoints_age_seconds": known.age,
             "repeats_extra": budget.extra_share(gateway.fleet.known_size, now),
--- a/tests/coordination/requests/answered_attempts.py
+++ b/tests/coordination/requests/answered_attempts.py
@@ -76,7 +76,8 @@
             record_bytes=lambda name, now: self.active_at.append(now)
         )
         self.coordinator = SimpleNamespace(
-            begun=lambda call, waited: self.begun.append(waited)
+            begun=lambda call, waited: self.begun.append(waited),
+            record_load=lambda call, load: None,
         )
 
     def fail(self, connection, reason):
--- a/tests/coordination/requests/handover_builders.py
+++ b/tests/coordination/requests/handover_builders.py
@@ -89,6 +89,9 @@
     def is_superseded(self, item):
         return False
 
+    def record_load(self, call, load):
+        pass
+
     def begun(self, call, waited):
         return None
 
--- a/tests/coordination/scheduling/offer_builders.py
+++ b/tests/coordination/scheduling/offer_builders.py
@@ -63,14 +63,18 @@
         made.take(Datagram(router, 1, [GrantMessage(call, "e-0")]))
 
 
+def routes():
+    """Return a configuration with the one service."""
+    services = {"model": ServiceConfig("model", "/", 100, 600_000)}
+    return RouteTable(1, (), services, {}, {}, CallerLimits(), 100_000.0)
+
+
 def coordinator(fleet, usable=True):
     """Return a coordinator of one pool, whose one endpoint may be unusable at first."""
     table = EndpointTable()
     table.put(endpoint("e-0"))
-    services = {"model": ServiceConfig("model", "/", 100, 600_000)}
-    routes = RouteTable(1, (), services, {}, {}, CallerLimits(), 100_000.0)
     made = SchedulingCoordinator(fleet, 4.0)
-    made.refresh(table, routes)
+    made.refresh(table, routes())
     if not usable:
         now = asyncio.get_running_loop().time()
         made.pools[POOL].scheduler.loads["e-0"].suspended_until = now + 1.0
