Ignore the counts in heads that are older than other ends

The head of a stream may precede its first event, with which its load is reported, by tenths of a second. Requests that ended meanwhile are no longer known as in flight, and the count in the head would show as many requests of others. Counts older than 50 ms are ignored, the factor keeps its age. Found by reading; the new test has figures of 0, 40 and 300 ms. Two tests show that a prompt avoids a slow engine, but not if its prefix is cached only there.

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -647,7 +647,7 @@
             waited = 0.0
         target = self.fleet.responsible(placed.pool)
         pool_state = self.pools.get(placed.pool)
-        stated = placed.take_stated()
+        stated = placed.take_stated(placed.last_event_at)
         if pool_state is not None:
             pool_state.scheduler.begun(call, waited, stated)
             self._schedule_decision(pool_state)
@@ -664,7 +664,8 @@
         if placed is None:
             return
         pool_state = self.pools.get(placed.pool)
-        stated, now = placed.take_stated(), self.loop.time()
+        now = self.loop.time()
+        stated = placed.take_stated(now)
         if pool_state is not None:
             pool_state.scheduler.ended(call, outcome, now, stated)
             self._schedule_decision(pool_state)
--- a/carawayfold/coordination/scheduling/endpoint_speed.py
+++ b/carawayfold/coordination/scheduling/endpoint_speed.py
@@ -35,6 +35,9 @@
 #: Greatest number of requests of others that is counted, as a multiple of the slots.
 #: Endpoints queue few requests beyond their slots.
 MAX_OTHERS_FACTOR = 2
+#: Seconds after which the counts in a head are ignored. They are compared with the
+#: requests in flight when they arrive, of which others may have ended since.
+MAX_COUNT_AGE = 0.05
 #: Trust in the figures of an endpoint before any answer has confirmed them, 0 to 1.
 INITIAL_TRUST = 0.8
 #: Weight of the newest answer in the trust: five answers reveal false figures.
@@ -70,9 +73,15 @@
         """Return the load in the head of an answer received at `now`, if any."""
         if load is None:
             return None
-        factor = load.duration / USUAL_DURATION
+        factor = max(1, load.duration) / USUAL_DURATION
         return cls(load.running, load.waiting, load.slots, factor, now)
 
+    def at_time(self, now: float) -> StatedLoad:
+        """Return the figures that still hold at `now`."""
+        if now - self.at <= MAX_COUNT_AGE:
+            return self
+        return msgspec.structs.replace(self, waiting=0)
+
     @classmethod
     def from_report(cls, report: LoadReport | None, now: float) -> StatedLoad | None:
         """Return the load reported by a router at `now`, if any."""
--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -93,10 +93,10 @@
             active.begun,
         )
 
-    def take_stated(self) -> StatedLoad | None:
-        """Return the load stated in the head of its answer, once."""
+    def take_stated(self, now: float) -> StatedLoad | None:
+        """Return what holds at `now` of the load in the head of its answer, once."""
         stated, self.stated = self.stated, None
-        return stated
+        return stated.at_time(now) if stated is not None else None
 
 
 class PoolState(msgspec.Struct, eq=False):
--- a/tests/coordination/scheduling/test_endpoint_speed.py
+++ b/tests/coordination/scheduling/test_endpoint_speed.py
@@ -20,6 +20,7 @@
 )
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.offers import Outcome
+from carawayfold.coordination.scheduling.pending import PlacedRequest
 from carawayfold.coordination.scheduling.slow_endpoints import (
     MAX_NAMED_ENDPOINTS,
     SlowEndpoints,
@@ -32,7 +33,7 @@
     decode,
     encode,
 )
-from carawayfold.protocol.exchanges import Load
+from carawayfold.protocol.exchanges import Load, Part
 from carawayfold.state.endpoints import EndpointTable
 from tests.coordination.scheduling.offer_builders import (
     CALL,
@@ -43,7 +44,7 @@
     routes,
 )
 from tests.load_builders import WORK, Replay, plain_scheduler, stated
-from tests.schedule_builders import PoolPlan, endpoint, scheduler
+from tests.schedule_builders import PoolPlan, endpoint, offer, scheduler
 
 #: Factor by which neighbours slow down an endpoint.
 SLOW = 2.5
@@ -155,6 +156,25 @@
     assert models[2] > 1.5 * models[0]
 
 
+def test_a_prompt_goes_to_the_engine_that_is_not_slow():
+    pool = scheduler(endpoints=2)
+    for name, factor in (("e-0", SLOW), ("e-1", 1.0)):
+        pool.loads[name].stated_speed.record(stated(factor, 10.0), 0, 4)
+    pool.offer(offer(now=10.0), 10.0)
+    (granted,) = pool.decide(10.0)
+    assert granted.endpoint == "e-1"
+
+
+def test_a_prompt_is_sent_to_a_slow_engine_that_has_cached_its_prefix():
+    """To read a long prefix again takes longer than the slowness."""
+    pool = scheduler(endpoints=2)
+    pool.loads["e-0"].prefixes.read([Part("topic", 5000)])
+    pool.loads["e-0"].stated_speed.record(stated(SLOW, 10.0), 0, 4)
+    pool.offer(offer(tokens=5000, own=500, now=10.0), 10.0)
+    (granted,) = pool.decide(10.0)
+    assert granted.endpoint == "e-0"
+
+
 # Age of figures
 
 
@@ -232,6 +252,17 @@
     assert Backlog.of(load, 12.0).running == 0
 
 
+@pytest.mark.parametrize(("age", "waiting"), [(0.0, 9), (0.04, 9), (0.3, 0)])
+def test_waiting_requests_in_a_head_are_ignored_once_others_may_have_ended(
+    age, waiting
+):
+    """The head of a stream may be much older than its first event."""
+    placed = PlacedRequest(POOL, None, "e-0", (), stated=stated(SLOW, 10.0, 6, 9))
+    taken = placed.take_stated(10.0 + age)
+    assert (taken.waiting, taken.factor) == (waiting, SLOW)
+    assert placed.take_stated(10.0 + age) is None
+
+
 # Messages
 
 
