Leave a full engine whose requests last longer than before

The choice between endpoints now counts the median age of the requests in flight where no slot is free.

--- a/carawayfold/coordination/scheduling/backlog.py
+++ b/carawayfold/coordination/scheduling/backlog.py
@@ -51,6 +51,9 @@
         Requests in flight, those of others included.
     memory : float
         Tokens of memory in use.
+    excess_age : float
+        Seconds by which requests last longer than `residence`; see
+        `EndpointLoad.excess_age`.
     grant_interval : float
         Seconds between two grants; 0 unless it warms up.
     available_in : float
@@ -71,6 +74,7 @@
     prefill_tokens: float
     running: float
     memory: float
+    excess_age: float = 0.0
     grant_interval: float = 0.0
     available_in: float = 0.0
 
@@ -108,6 +112,7 @@
             prefill_tokens=load.prefill_tokens,
             running=len(load.active) + load.stated_speed.other_requests(now),
             memory=load.memory,
+            excess_age=load.excess_age(now),
         )
 
     def add(self, prefill_tokens: int, memory: int) -> None:
--- a/carawayfold/coordination/scheduling/placement.py
+++ b/carawayfold/coordination/scheduling/placement.py
@@ -140,8 +140,11 @@
     memory = prefill_tokens + copied_tokens + offer.output_tokens
     starts_in = _time_until_room(backlog, prefill_tokens, memory, share)
     first_token_in = starts_in + _time_to_first_token(offer, backlog, prefill_tokens)
-    cost = first_token_in + COPY_WEIGHT * copied_tokens / speed
     used = backlog.running / backlog.slots
+    # Not a part of the prediction by which requests are rejected: while every endpoint
+    # is full, they wait for their organisation's turn.
+    excess_wait = backlog.excess_age * max(0.0, used - 1 + 1 / backlog.slots)
+    cost = first_token_in + excess_wait + COPY_WEIGHT * copied_tokens / speed
     if offer.prompt_tokens:
         cost += FAILURE_PENALTY * backlog.failure_ratio + FULL_ENGINE_PENALTY * used
     else:
@@ -151,7 +154,7 @@
             cost += (
                 FAILURE_PENALTY_OBJECTIVES * objective * backlog.excess_failure_ratio
             )
-    if now + first_token_in > offer.due:
+    if now + first_token_in + excess_wait > offer.due:
         cost += LATE_PENALTY
     repeated_prefill = offer.shared_prefix_tokens - kept - copied_tokens
     if repeated_prefill > 0:
--- a/tests/coordination/scheduling/test_endpoint_speed.py
+++ b/tests/coordination/scheduling/test_endpoint_speed.py
@@ -263,6 +263,31 @@
     assert placed.take_stated(10.0 + age) is None
 
 
+# Full endpoints
+
+
+@pytest.mark.parametrize("active", [3, 4])
+def test_the_age_of_requests_counts_only_while_no_slot_is_free(active):
+    pool = scheduler()
+    load = pool.loads["e-0"]
+    for number in range(active):
+        load.add(ActiveRequest(f"r.0.{number}", "r", 0, 0, 7.0 + number, 10.0))
+    median_age = 10.0 - 8.0
+    expected = median_age - load.residence if active == 4 else 0.0
+    assert load.excess_age(10.0) == pytest.approx(expected)
+
+
+def test_the_age_of_requests_rejects_none_while_all_engines_are_full():
+    """They wait for the turn of their organisation, as before."""
+    pool = scheduler()
+    for number in range(4):
+        active = ActiveRequest(f"r.0.{number}", "r", 0, 0, 0.0, 10.0, begun=True)
+        pool.loads["e-0"].add(active)
+    pool.offer(offer("r.0.9", now=10.0), 10.0)
+    assert pool.decide(10.0) == []
+    assert "r.0.9" in pool.waiting
+
+
 # Messages
 
 
