Merge use of the load that endpoints state

Conflicts with reuse of connections: the end of an attempt now carries both the kept connection and the stated load, and EndpointLoad.end records both; the module attempt_ends is gone.

--- a/carawayfold/coordination/scheduling/connection_affinity.py
+++ b/carawayfold/coordination/scheduling/connection_affinity.py
@@ -16,7 +16,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-from carawayfold.coordination.scheduling.offers import holder_of
+from carawayfold.coordination.scheduling.offers import Outcome, holder_of
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Offer
@@ -43,6 +43,9 @@
 #: others have room, and endpoints slow down and limit their connections as they fill.
 FULLY_ATTRACTING_USE = 0.5
 MAX_ATTRACTING_USE = 0.9
+#: Outcomes after which none of the router's idle connections counts as usable, unless
+#: the one of the attempt was kept.
+BROKEN_OUTCOMES = frozenset({Outcome.FAILED, Outcome.SILENT, Outcome.UNREACHABLE})
 
 
 class EndpointConnections:
@@ -92,6 +95,13 @@
         if len(self.idle_until) > MAX_HOLDERS:
             self.idle_until.popitem(last=False)
 
+    def record_end(self, call: CallId, outcome: Outcome, kept: int, now: float) -> None:
+        """Record the connection of an ended attempt, kept for `kept` milliseconds."""
+        if kept > 0:
+            self.keep(call, kept, now)
+        elif outcome in BROKEN_OUTCOMES:
+            self.forget(call)
+
     def forget(self, call: CallId) -> None:
         """Forget the connections of a router that could not use the endpoint."""
         self.idle_until.pop(holder_of(call), None)
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -22,8 +22,10 @@
 from carawayfold.coordination.scheduling.admission import AdmissionControl
 from carawayfold.coordination.scheduling.decision_statistics import SchedulingStatistics
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad, load_report
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.messages import (
+    active_request,
     decision_message,
     grant_from_message,
     offer_from_message,
@@ -58,6 +60,7 @@
     PoolPlan,
     Scheduler,
 )
+from carawayfold.coordination.scheduling.slow_endpoints import SlowEndpoints
 from carawayfold.protocol.datagrams import (
     ActiveRequestReport,
     ActiveRequestsMessage,
@@ -86,7 +89,8 @@
 
     from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.coordination.scheduling.offers import Decision
-    from carawayfold.protocol.datagrams import Datagram, Message
+    from carawayfold.protocol.datagrams import Datagram, LoadReport, Message
+    from carawayfold.protocol.exchanges import Load
     from carawayfold.state.endpoints import Endpoint, EndpointTable
     from carawayfold.state.ids import DataCentreId
     from carawayfold.state.routes import RouteTable
@@ -189,6 +193,7 @@
         #: Loop time of the last log line on each router that doesn't answer.
         self.unanswered_logged_at: dict[RouterId, float] = {}
         self.decision_statistics = SchedulingStatistics()
+        self.slow_endpoints = SlowEndpoints()
         self.admission = AdmissionControl()
         #: Loop time from which the next round of decisions may begin, for any pool.
         self.next_round = 0.0
@@ -624,6 +629,12 @@
         if len(self.sent_prefixes) > MAX_REMEMBERED_PREFIXES:
             self.sent_prefixes.popitem(last=False)
 
+    def record_load(self, call: CallId, load: Load | None) -> None:
+        """Record the load in the head of an answer, for the next report on it."""
+        placed = self.placed.get(call)
+        if placed is not None and self.features.endpoint_load:
+            placed.stated = StatedLoad.of(load, self.loop.time())
+
     def begun(self, call: CallId, waited: float) -> None:
         """Report the first byte of a request, `waited` seconds after it was sent.
 
@@ -640,13 +651,15 @@
             waited = 0.0
         target = self.fleet.responsible(placed.pool)
         pool_state = self.pools.get(placed.pool)
+        stated = placed.take_stated(placed.last_event_at)
         if pool_state is not None:
-            pool_state.scheduler.begun(call, waited)
+            pool_state.scheduler.begun(call, waited, stated)
             self._schedule_decision(pool_state)
         placed.active.begun = True
         self._record_prefix(placed)
         if target != self.fleet.own.router:
-            message = FirstByteMessage(placed.pool, call, round(waited * 1000))
+            report = load_report(stated, self.loop.time())
+            message = FirstByteMessage(placed.pool, call, round(waited * 1000), report)
             self.fleet.send(target, message)
 
     def ended(self, call: CallId, outcome: Outcome, kept: int = 0) -> None:
@@ -655,12 +668,17 @@
         if placed is None:
             return
         pool_state = self.pools.get(placed.pool)
+        now = self.loop.time()
+        stated = placed.take_stated(now)
         if pool_state is not None:
-            pool_state.scheduler.ended(call, outcome, self.loop.time(), kept)
+            pool_state.scheduler.ended(call, outcome, now, kept, stated)
             self._schedule_decision(pool_state)
         target = self.fleet.responsible(placed.pool)
         if target != self.fleet.own.router:
-            message = AttemptEndedMessage(placed.pool, call, outcome.value, kept)
+            report = load_report(stated, now)
+            message = AttemptEndedMessage(
+                placed.pool, call, outcome.value, kept, report
+            )
             self.fleet.send(target, message)
 
     async def report_periodically(self) -> None:
@@ -676,6 +694,8 @@
         for pool_state in self.pools.values():
             pool_state.scheduler.expire(now)
             self._decide(pool_state)
+        schedulers = [pool_state.scheduler for pool_state in self.pools.values()]
+        self.slow_endpoints.update(schedulers, now)
         self.admission.expire(now)
         if self.decision_statistics.is_due():
             accounts = {item.id: item.scheduler.usage for item in self.pools.values()}
@@ -689,17 +709,9 @@
         """Report this router's requests in flight to the scheduler of each pool."""
         now = self.loop.time()
         by_pool: dict[PoolId, list[ActiveRequestReport]] = {}
-        for call, placed in self.placed.items():
+        for placed in self.placed.values():
             placed.active.reported_at = now
-            active = placed.active
-            held = ActiveRequestReport(
-                call,
-                placed.endpoint,
-                active.prefill_tokens,
-                active.memory,
-                active.begun,
-            )
-            by_pool.setdefault(placed.pool, []).append(held)
+            by_pool.setdefault(placed.pool, []).append(placed.report())
         for pool, held in by_pool.items():
             target = self.fleet.responsible(pool)
             if target == self.fleet.own.router:
@@ -918,7 +930,8 @@
     def _(self, message: FirstByteMessage, sender: RouterId) -> None:
         pool_state = self.pools.get(message.pool)
         if pool_state is not None:
-            pool_state.scheduler.begun(message.call, message.waited / 1000)
+            stated = self._stated_load(message.load)
+            pool_state.scheduler.begun(message.call, message.waited / 1000, stated)
             self._schedule_decision(pool_state)
 
     @_process.register
@@ -926,9 +939,16 @@
         pool_state = self.pools.get(message.pool)
         if pool_state is not None:
             outcome, now = Outcome(message.outcome), self.loop.time()
-            pool_state.scheduler.ended(message.call, outcome, now, message.kept)
+            stated = self._stated_load(message.load)
+            scheduler = pool_state.scheduler
+            scheduler.ended(message.call, outcome, now, message.kept, stated)
             self._schedule_decision(pool_state)
 
+    def _stated_load(self, report: LoadReport | None) -> StatedLoad | None:
+        """Return the load that a router reports, None if this router doesn't use it."""
+        used = report if self.features.endpoint_load else None
+        return StatedLoad.from_report(used, self.loop.time())
+
     @_process.register
     def _(self, message: ActiveRequestsMessage, sender: RouterId) -> None:
         self._record_active(sender, message.pool, message.held)
@@ -941,8 +961,5 @@
             return
         now = self.loop.time()
         for item in held:
-            active = ActiveRequest(
-                item.call, router, item.prefill_tokens, item.memory, now, now
-            )
-            active.begun = item.begun
+            active = active_request(item, router, now)
             pool_state.scheduler.record_active(item.endpoint, active)
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -24,15 +24,12 @@
 import msgspec
 
 from carawayfold.coordination.scheduling import rejections
-from carawayfold.coordination.scheduling.attempt_ends import (
-    UNAVAILABLE_SUSPENSION_DURATION,
-    record_end,
-)
 from carawayfold.coordination.scheduling.backlog import Backlog
 from carawayfold.coordination.scheduling.connection_affinity import EndpointConnections
 from carawayfold.coordination.scheduling.copy_sources import find_copy_source
 from carawayfold.coordination.scheduling.endpoint_load import (
     DEFAULT_RESIDENCE,
+    UNAVAILABLE_SUSPENSION_DURATION,
     ActiveRequest,
     EndpointLoad,
 )
@@ -58,6 +55,7 @@
 from carawayfold.state.usage import UsageTable
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad
     from carawayfold.protocol.exchanges import Part
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.ids import CallId, EndpointId, RouteId, RouterId
@@ -327,26 +325,31 @@
         self.waiting.pop(call, None)
         self.reported_at.pop(call, None)
 
-    def begun(self, call: CallId, waited: float) -> None:
+    def begun(
+        self, call: CallId, waited: float, stated: StatedLoad | None = None
+    ) -> None:
         """Record the first token of a request, `waited` seconds after it was sent.
 
-        Called again for a stream that goes on after a silence.
+        Called again for a stream that goes on after a silence. `stated` is the load in
+        the head of its answer.
         """
         load = self._load_of(call)
         if load is not None:
-            load.begin(call, waited)
+            load.begin(call, waited, stated)
 
-    def ended(self, call: CallId, outcome: Outcome, now: float, kept: int = 0) -> None:
+    def ended(
+        self,
+        call: CallId,
+        outcome: Outcome,
+        now: float,
+        kept: int = 0,
+        stated: StatedLoad | None = None,
+    ) -> None:
         """Record the end of an attempt, whose connection is kept for `kept` ms."""
         load = self._load_of(call)
         self.placements.pop(call, None)
-        if load is None:
-            return
-        active = load.remove(call)
-        if active is None:
-            return
-        record_end(load, active, outcome, kept, now)
-        if outcome is Outcome.UNREACHABLE:
+        active = None if load is None else load.end(call, outcome, now, kept, stated)
+        if active is not None and outcome is Outcome.UNREACHABLE:
             until = now + load.suspension_duration
             self.unreachable[active.router, load.endpoint.id] = until
 
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -101,11 +101,11 @@
 @pytest.mark.parametrize(
     ("fields", "count", "digest"),
     [
-        ({}, 867, "80bfabb0d048d041"),
+        ({}, 859, "0abc0ba8903bcd48"),
         (
             {"timeout": 2.6, "objective": 1.5, "abusers": 0.2},
             756,
-            "7c61206d86841bf9",
+            "10bc726a10add6de",
         ),
     ],
 )
