Decide per request when leaving the data centre pays

An endpoint elsewhere cost a constant 4 ms, so plain requests crossed while their own data centre had free slots, and a full one sent without regard to the callers there. A policy of the pool's scheduler now prices latency and bytes and bounds what other data centres may use; each data centre has a part of the head of the queue, since requests that wait for one otherwise block the others. With remote_cost 0 the choice is as before.

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -674,7 +674,7 @@
         self.report_active()
         now = self.loop.time()
         for pool_state in self.pools.values():
-            pool_state.scheduler.expire(now)
+            pool_state.expire(now)
             self._decide(pool_state)
         self.admission.expire(now)
         if self.decision_statistics.is_due():
--- a/carawayfold/coordination/scheduling/copy_sources.py
+++ b/carawayfold/coordination/scheduling/copy_sources.py
@@ -16,7 +16,7 @@
 
     from carawayfold.coordination.scheduling.backlog import Backlog
     from carawayfold.coordination.scheduling.offers import Offer
-    from carawayfold.state.ids import EndpointId
+    from carawayfold.state.ids import DataCentreId, EndpointId
 
 #: Minimum tokens of a copy. Prefilling 200 tokens takes an engine one to two
 #: milliseconds, so the set-up of a smaller copy is not worth it.
@@ -32,10 +32,13 @@
         The engine.
     cached_tokens : int
         Cached tokens of the prompt, from its beginning.
+    data_centre : DataCentreId or None
+        Its data centre; None if it is in another pool.
     """
 
     id: EndpointId
     cached_tokens: int
+    data_centre: DataCentreId | None = None
 
     def copied_tokens(self, endpoint: EndpointId, cached: int) -> int:
         """Return the tokens that `endpoint` copies if it has `cached` itself."""
@@ -65,7 +68,7 @@
         present = prefixes.present(prompt)
         if present > longest:
             longest = present
-            best = CopySource(backlog.id, present)
+            best = CopySource(backlog.id, present, backlog.data_centre)
     if best is not None or offer.cached_at is None:
         return best
     if any(offer.cached_at == backlog.id for backlog in backlogs):
--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
+from carawayfold.coordination.scheduling.locality_log import log_transfers
 from carawayfold.state.ids import EndpointId, PoolId, RouterId
 
 if TYPE_CHECKING:
@@ -98,6 +99,11 @@
     decision_timer: asyncio.TimerHandle | None = None
     leads: bool = False
 
+    def expire(self, now: float) -> None:
+        """Remove stale state of the scheduler, and log what it began and ended."""
+        self.scheduler.expire(now)
+        log_transfers(self.id, self.scheduler.locality.take_transfers())
+
     def set_leading(self, leads: bool, now: float) -> None:
         """Set whether this router is the leader of the pool.
 
--- a/carawayfold/coordination/scheduling/placement.py
+++ b/carawayfold/coordination/scheduling/placement.py
@@ -128,6 +128,7 @@
     copy_source: CopySource | None,
     share: float,
     now: float,
+    remote_penalty: float = REMOTE_PENALTY,
 ) -> Candidate:
     """Return the evaluation of one endpoint for a request; see `choose_endpoint`."""
     load = backlog.load
@@ -157,7 +158,7 @@
     if repeated_prefill > 0:
         cost += REPEATED_PREFILL_WEIGHT * repeated_prefill / speed
     if backlog.data_centre != offer.data_centre:
-        cost += REMOTE_PENALTY
+        cost += remote_penalty
     return Candidate(
         backlog, prefill_tokens, copied_tokens, memory, starts_in, first_token_in, cost
     )
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -19,7 +19,7 @@
 import math
 from bisect import insort
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 import xxhash
@@ -35,6 +35,7 @@
     EndpointLoad,
 )
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
+from carawayfold.coordination.scheduling.locality import LocalityPolicy
 from carawayfold.coordination.scheduling.offers import (
     OUTPUT_TOKEN_WEIGHT,
     Decision,
@@ -45,10 +46,11 @@
 )
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
-    choose_endpoint,
     compute_excess_failures,
     has_room,
 )
+from carawayfold.coordination.scheduling.rank import QueueEntry, Rank
+from carawayfold.coordination.scheduling.route_statistics import RouteStatistics
 from carawayfold.state.usage import UsageTable
 
 if TYPE_CHECKING:
@@ -76,8 +78,6 @@
 #: A route is preferred while its granted ratio is below this fraction of the overall
 #: granted ratio.
 MIN_SERVED_RATIO = 0.6
-#: Half-life in seconds of the offer and grant counts of a route.
-SERVED_HALF_LIFE = 5.0
 #: Tokens added to the cost of a request, so that very small ones don't count as free.
 FIXED_COST_TOKENS = 200
 #: Fraction of its objective by which the predicted first token of a request may be
@@ -115,71 +115,6 @@
 SHORT_REQUEST_TOKENS = 300
 
 
-class RouteStatistics(msgspec.Struct):
-    """Exponentially decaying counts of offers and grants of one route.
-
-    Attributes
-    ----------
-    offered, granted : float
-        Decayed numbers of requests.
-    updated_at : float
-        Monotonic seconds of the last decay.
-    """
-
-    offered: float = 0.0
-    granted: float = 0.0
-    updated_at: float = 0.0
-
-    def decay(self, now: float) -> None:
-        """Apply the decay up to `now`, in monotonic seconds."""
-        factor = 0.5 ** ((now - self.updated_at) / SERVED_HALF_LIFE)
-        self.offered *= factor
-        self.granted *= factor
-        self.updated_at = now
-
-    def granted_ratio(self) -> float:
-        """Return the fraction of offered requests that were granted; 1 if none were."""
-        return self.granted / self.offered if self.offered else 1.0
-
-
-class Rank(NamedTuple):
-    """Sort key of a queued request; the lowest is served first.
-
-    Attributes
-    ----------
-    organisation_not_behind : bool
-        Whether its organisation has been granted about as much as others.
-    beyond_share : bool
-        Whether it exceeds the share of its organisation.
-    late : bool
-        Whether it has missed its objective already.
-    priority : int
-        Priority of the request; lower numbers are more urgent.
-    route_not_behind : bool
-        Whether its route is served about as often as all routes.
-    negated_density : int
-        Value of the answer per engine time, negated; see `Offer.value_density`.
-    due : float
-        Monotonic seconds at which the answer is due.
-    """
-
-    organisation_not_behind: bool
-    beyond_share: bool
-    late: bool
-    priority: int
-    route_not_behind: bool
-    negated_density: int
-    due: float
-
-
-@dataclass(slots=True, order=True)
-class QueueEntry:
-    """A queued request with its sort key."""
-
-    rank: Rank
-    offer: Offer = field(compare=False)
-
-
 class PoolPlan(msgspec.Struct, frozen=True):
     """Capacity and limits of a pool.
 
@@ -250,6 +185,8 @@
         never.
     usage : UsageTable
         Tokens requested by and granted to each organisation.
+    locality : LocalityPolicy
+        Decides when requests leave their data centre.
     """
 
     window: float
@@ -269,9 +206,11 @@
     least_urgent: int = 0
     warm_up_allowed_from: float = 0.0
     usage: UsageTable = field(init=False)
+    locality: LocalityPolicy = field(init=False)
 
     def __post_init__(self) -> None:
         self.usage = UsageTable(self.window)
+        self.locality = LocalityPolicy(self.features.remote_cost)
 
     # Input
 
@@ -298,6 +237,7 @@
         if offer.call in self.waiting:
             return
         self.waiting[offer.call] = offer
+        self.locality.record_offer(offer)
         requested = offer.charged_tokens + offer.throttled_tokens
         self.usage.asked(offer.organisation, now, requested)
         self.least_urgent = max(self.least_urgent, offer.priority)
@@ -328,7 +268,7 @@
 
     def withdraw(self, call: CallId) -> None:
         """Remove a waiting request."""
-        self.waiting.pop(call, None)
+        self.locality.record_withdrawal(self.waiting.pop(call, None))
         self.reported_at.pop(call, None)
 
     def begun(self, call: CallId, waited: float) -> None:
@@ -338,6 +278,7 @@
         """
         load = self._load_of(call)
         if load is not None:
+            self.locality.record_first_byte(load, call, waited)
             load.begin(call, waited)
 
     def ended(self, call: CallId, outcome: Outcome, now: float) -> None:
@@ -349,6 +290,7 @@
         active = load.remove(call)
         if active is None:
             return
+        self.locality.record_end(load, active.router, outcome, now)
         if outcome is Outcome.COMPLETE:
             load.record_residence(now - active.since)
         if outcome is Outcome.LEAVING:
@@ -389,6 +331,7 @@
 
     def expire(self, now: float) -> None:
         """Remove unreported requests and expired entries of unreachable endpoints."""
+        self.locality.expire(now)
         for call, offered_at in list(self.reported_at.items()):
             if now - offered_at > OFFER_TIMEOUT:
                 self.withdraw(call)
@@ -412,10 +355,12 @@
         if not self.waiting:
             return []
         backlogs = self._backlogs(now)
+        self.locality.refresh(backlogs, self.plan.share, now)
         if now - self.last_review_at >= REVIEW_INTERVAL:
             return self._review(backlogs, now)
         decisions: list[Decision] = []
-        for entry in self.queue[:MAX_DECIDED_BETWEEN_REVIEWS]:
+        head, _ = self.locality.split(self.queue, MAX_DECIDED_BETWEEN_REVIEWS)
+        for entry in head:
             if not self._has_room(backlogs):
                 break
             self._append_decision(decisions, entry.offer, backlogs, now)
@@ -432,21 +377,25 @@
             for offer in self.waiting.values()
         )
         decisions: list[Decision] = []
-        for entry in self.queue[:QUEUE_HEAD_LENGTH]:
+        head, tail = self.locality.split(self.queue, QUEUE_HEAD_LENGTH)
+        for entry in head:
             self._append_decision(decisions, entry.offer, backlogs, now)
-        self._reject_late_tail(decisions, backlogs, now)
+        self._reject_late_tail(tail, decisions, backlogs, now)
         self._remove_decided(decisions)
         return decisions
 
     def _reject_late_tail(
-        self, decisions: list[Decision], backlogs: list[Backlog], now: float
+        self,
+        tail: list[QueueEntry],
+        decisions: list[Decision],
+        backlogs: list[Backlog],
+        now: float,
     ) -> None:
         """Reject requests behind the head of the queue that can't be in time.
 
         The pool is treated as a single endpoint here: evaluating each endpoint for
         each request of a long queue would take too long.
         """
-        tail = self.queue[QUEUE_HEAD_LENGTH:]
         if not tail or not backlogs:
             return
         available = [item for item in backlogs if not item.grant_interval] or backlogs
@@ -499,7 +448,9 @@
         usable = self._usable_backlogs(offer, backlogs, now)
         copy_source = find_copy_source(offer, backlogs)
         share = self._fillable_share(offer)
-        candidate = choose_endpoint(offer, usable, copy_source, share, now)
+        candidate = self.locality.choose(
+            offer, usable, copy_source, share, now, self._is_too_late
+        )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
         if candidate.starts_in <= 0:
