Count waits of the queue, not of its first request, when requests leave

In trials with a data centre at 1.5 times its capacity, its requests waited 100 to 600 ms while another one had free slots: the request examined is the first in the queue and has little left to wait. The wait for those behind it now counts, and apparent differences (emptier endpoints, engines with a long fitted first token because unused) are no reason to leave.

--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -50,6 +50,8 @@
 
 #: Bytes in a megabyte.
 MEGABYTE = 1_000_000
+#: Tokens of a long prompt, for the best prediction at two lengths.
+LONG_PROMPT_TOKENS = 10_000
 #: Estimated bytes of an answer without its tokens: head, framing and a short body.
 ANSWER_BYTES = 1000
 #: Estimated bytes of a token in an answer: some four characters of text, and its part
@@ -106,7 +108,10 @@
     residence : float
         Mean residence time of a request in seconds.
     speed : float
-        Prefill rate of all engines in tokens per second.
+        Prefill rate of all engines that this scheduler may use, in tokens per second.
+    idle_wait, long_idle_wait : float
+        Least predicted seconds to the first token at an idle engine, without a prompt
+        and with one of `LONG_PROMPT_TOKENS`.
     own, remote : float
         Requests in flight of its own callers and of others.
     own_mean : float
@@ -122,6 +127,8 @@
     running: float = 0.0
     residence: float = 0.0
     speed: float = 0.0
+    idle_wait: float = 0.0
+    long_idle_wait: float = 0.0
     own: float = 0.0
     remote: float = 0.0
     own_mean: float = 0.0
@@ -157,6 +164,16 @@
         prefill = self.slots * self.remote_prefill / self.speed if self.speed else 0.0
         return max(self.remote, prefill)
 
+    def best_wait(self, tokens: int) -> float:
+        """Return about the least predicted seconds to the first token when idle."""
+        increase = self.long_idle_wait - self.idle_wait
+        return self.idle_wait + increase * tokens / LONG_PROMPT_TOKENS
+
+    def time_to_serve(self, queued: int, tokens: int) -> float:
+        """Return the seconds until waiting requests with `tokens` have begun here."""
+        by_slots = queued * self.residence / self.slots if self.slots else 0.0
+        return max(by_slots, tokens / self.speed if tokens and self.speed else 0.0)
+
     def budget(self, queued: int) -> float:
         """Return the slots that other data centres may use in total."""
         own_use = self.own_use(queued)
@@ -216,8 +233,8 @@
         State of each ordered pair of data centres.
     routers : dict
         Data centre of each router that offered requests.
-    queued : Counter
-        Waiting requests by data centre.
+    queued, queued_tokens : Counter
+        Waiting requests by data centre, and the tokens of their own parts.
     transfers : deque of Transfer
         Begins and ends of sending that are not logged yet.
     clock : float
@@ -233,6 +250,7 @@
     )
     routers: dict[RouterId, DataCentreId] = field(default_factory=dict)
     queued: Counter[DataCentreId] = field(default_factory=Counter)
+    queued_tokens: Counter[DataCentreId] = field(default_factory=Counter)
     transfers: deque[Transfer] = field(
         default_factory=lambda: deque(maxlen=MAX_TRANSFERS)
     )
@@ -247,6 +265,7 @@
         if not self.remote_cost or not offer.data_centre:
             return
         self.queued[offer.data_centre] += 1
+        self.queued_tokens[offer.data_centre] += _unshared_tokens(offer)
         if len(self.routers) >= MAX_ROUTERS and offer.router not in self.routers:
             del self.routers[next(iter(self.routers))]
         self.routers[offer.router] = offer.data_centre
@@ -256,8 +275,9 @@
         if not self.remote_cost or offer is None or not offer.data_centre:
             return
         self.queued[offer.data_centre] -= 1
+        self.queued_tokens[offer.data_centre] -= _unshared_tokens(offer)
         if self.queued[offer.data_centre] <= 0:
-            del self.queued[offer.data_centre]
+            del self.queued[offer.data_centre], self.queued_tokens[offer.data_centre]
 
     def record_first_byte(
         self, load: EndpointLoad, call: CallId, waited: float
@@ -352,6 +372,10 @@
         room.running = sum(item.running for item in items)
         room.residence = sum(item.residence for item in items) / len(items)
         room.speed = share * sum(item.speed for item in items)
+        room.idle_wait = min(item.first_token_delay for item in items)
+        room.long_idle_wait = min(
+            item.first_token_delay + LONG_PROMPT_TOKENS / item.speed for item in items
+        )
 
     def _count_active(
         self, data_centre: DataCentreId, room: DataCentreRoom, items: list[Backlog]
@@ -468,6 +492,8 @@
         """Return the cost of each other data centre for a request."""
         origin = offer.data_centre
         transfer = self.remote_cost * crossing_bytes(offer) / MEGABYTE
+        relief = self._relief(offer)
+        own = self.rooms.get(origin)
         costs = {}
         for target, room in self.rooms.items():
             if target == origin:
@@ -477,9 +503,7 @@
             reverse = self.pairs.get((target, origin))
             latency = pair.latency if pair is not None else None
             cost = (REMOTE_PENALTY if latency is None else latency) + transfer
-            spreading = FULL_ENGINE_PENALTY if offer.prompt_tokens else room.residence
-            used = min(1.0, room.running / room.slots) if room.slots else 1.0
-            seconds = cost + spreading * (1 - used)
+            seconds = cost + _apparent_saving(offer, own, room)
             if pair is None or not pair.is_sending(now):
                 seconds += START_MARGIN * cost
             against_flow = reverse is not None and reverse.is_sending(now)
@@ -488,11 +512,26 @@
             if limited:
                 objective = max(MIN_OBJECTIVE, offer.due - offer.arrived)
                 seconds += LIMITED_PENALTY_OBJECTIVES * objective
+            seconds = max(0.0, seconds - relief)
             if cut:
                 seconds += CUT_PENALTY
             costs[target] = CrossingCost(cost, seconds, limited, queued > 0, cut)
         return costs
 
+    def _relief(self, offer: Offer) -> float:
+        """Return the seconds that the other requests of a data centre wait.
+
+        A request that leaves saves this time for the last one that waits. The first
+        one, which is examined, may itself have little left to wait.
+        """
+        origin = offer.data_centre
+        room = self.rooms.get(origin)
+        others = self.queued[origin] - 1
+        if room is None or others <= 0:
+            return 0.0
+        tokens = self.queued_tokens[origin] - _unshared_tokens(offer)
+        return room.time_to_serve(others, tokens)
+
     def _record_choice(
         self,
         offer: Offer,
@@ -593,6 +632,30 @@
     return min(MAX_CROSSING_BYTES, max(0, offer.body_bytes) + answer)
 
 
+def _apparent_saving(
+    offer: Offer, own: DataCentreRoom | None, other: DataCentreRoom
+) -> float:
+    """Return the seconds by which another data centre seems better without a wait.
+
+    An evaluation prefers emptier endpoints, and engines with a shorter fitted time to
+    the first token; those that were not used yet have a long one. Neither is a reason
+    to leave. Engines that are really slower let their requests wait, or be late.
+    """
+    used = min(1.0, other.running / other.slots) if other.slots else 1.0
+    if not offer.prompt_tokens:
+        return other.residence * (1 - used)
+    saving = FULL_ENGINE_PENALTY * (1 - used)
+    if own is not None:
+        tokens = offer.prompt_tokens
+        saving += max(0.0, own.best_wait(tokens) - other.best_wait(tokens))
+    return saving
+
+
+def _unshared_tokens(offer: Offer) -> int:
+    """Return the tokens of the prompt that no other request shares."""
+    return max(0, offer.prompt_tokens - offer.shared_prefix_tokens)
+
+
 def _is_copied_from_elsewhere(candidate: Candidate, source: CopySource | None) -> bool:
     """Return whether a prefix would be copied from another data centre."""
     if not candidate.copied_tokens or source is None or source.data_centre is None:
