Test when requests leave their data centre; owe only slots that are waited for

Requests of a full data centre were rejected beside free slots elsewhere: a caller waiting there kept all of them. Now as many as wait are owed. Sent requests, bytes and budgets are metrics.

--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -194,8 +194,8 @@
         Whether the request is beyond the budget or against the flow, so that it may
         not wait for an endpoint there.
     owed : bool
-        Whether callers of that data centre wait, so that a limited request may use
-        idle endpoints only.
+        Whether callers of that data centre wait for its free slots, so that a limited
+        request may use idle endpoints only.
     cut : bool
         Whether the data centre counts as cut off.
     """
@@ -235,6 +235,8 @@
         Data centre of each router that offered requests.
     queued, queued_tokens : Counter
         Waiting requests by data centre, and the tokens of their own parts.
+    granted : Counter
+        Waiting requests by data centre that this round of decisions has granted.
     transfers : deque of Transfer
         Begins and ends of sending that are not logged yet.
     clock : float
@@ -251,6 +253,7 @@
     routers: dict[RouterId, DataCentreId] = field(default_factory=dict)
     queued: Counter[DataCentreId] = field(default_factory=Counter)
     queued_tokens: Counter[DataCentreId] = field(default_factory=Counter)
+    granted: Counter[DataCentreId] = field(default_factory=Counter)
     transfers: deque[Transfer] = field(
         default_factory=lambda: deque(maxlen=MAX_TRANSFERS)
     )
@@ -339,6 +342,7 @@
         if not self.remote_cost:
             return
         self.clock = now
+        self.granted.clear()
         by_data_centre: dict[DataCentreId, list[Backlog]] = {}
         for item in backlogs:
             if not item.suspended:
@@ -498,7 +502,7 @@
         for target, room in self.rooms.items():
             if target == origin:
                 continue
-            queued = self.queued[target]
+            queued = self._waiting(target)
             pair = self.pairs.get((origin, target))
             reverse = self.pairs.get((target, origin))
             latency = pair.latency if pair is not None else None
@@ -509,13 +513,14 @@
             against_flow = reverse is not None and reverse.is_sending(now)
             limited = against_flow or room.remote_use() + 1 > room.budget(queued)
             cut = pair is not None and now < pair.cut_until
+            owed = queued > 0 and queued >= room.slots - room.running
             if limited:
                 objective = max(MIN_OBJECTIVE, offer.due - offer.arrived)
                 seconds += LIMITED_PENALTY_OBJECTIVES * objective
             seconds = max(0.0, seconds - relief)
             if cut:
                 seconds += CUT_PENALTY
-            costs[target] = CrossingCost(cost, seconds, limited, queued > 0, cut)
+            costs[target] = CrossingCost(cost, seconds, limited, owed, cut)
         return costs
 
     def _relief(self, offer: Offer) -> float:
@@ -526,7 +531,7 @@
         """
         origin = offer.data_centre
         room = self.rooms.get(origin)
-        others = self.queued[origin] - 1
+        others = self._waiting(origin) - 1
         if room is None or others <= 0:
             return 0.0
         tokens = self.queued_tokens[origin] - _unshared_tokens(offer)
@@ -542,6 +547,7 @@
     ) -> None:
         """Record a request that is granted an endpoint, wherever that is."""
         origin, target = offer.data_centre, chosen.backlog.data_centre
+        self.granted[origin] += 1
         room = self.rooms.get(target)
         if room is not None:
             room.record_grant(chosen.prefill_tokens, origin == target)
@@ -552,7 +558,7 @@
         if pair is None:
             return
         sent_bytes = crossing_bytes(offer)
-        if local is not None and chosen.prefill_tokens < local.prefill_tokens:
+        if local is not None and _missing_tokens(chosen) < _missing_tokens(local):
             pair.by_prefix.add(sent_bytes)
             return
         pair.by_load.add(sent_bytes)
@@ -600,16 +606,29 @@
     def budgets(self) -> dict[DataCentreId, float]:
         """Return the slots of each data centre that others may use in total."""
         return {
-            data_centre: room.budget(self.queued[data_centre])
+            data_centre: room.budget(self._waiting(data_centre))
             for data_centre, room in self.rooms.items()
         }
 
+    def sent(self) -> dict[tuple[DataCentreId, DataCentreId, str], Sent]:
+        """Return what left each data centre for another, by the reason."""
+        return {
+            (origin, target, reason): sent
+            for (origin, target), pair in self.pairs.items()
+            for reason, sent in (("load", pair.by_load), ("prefix", pair.by_prefix))
+            if sent.requests
+        }
+
     def take_transfers(self) -> list[Transfer]:
         """Return and forget the begins and ends of sending that are not logged yet."""
         transfers = list(self.transfers)
         self.transfers.clear()
         return transfers
 
+    def _waiting(self, data_centre: DataCentreId) -> int:
+        """Return the requests of a data centre that wait, without those granted."""
+        return max(0, self.queued[data_centre] - self.granted[data_centre])
+
     def _known_pair(
         self, router: RouterId, target: DataCentreId
     ) -> DataCentrePair | None:
@@ -651,6 +670,11 @@
     return saving
 
 
+def _missing_tokens(candidate: Candidate) -> int:
+    """Return the tokens of a prompt that an engine doesn't have cached."""
+    return candidate.prefill_tokens + candidate.copied_tokens
+
+
 def _unshared_tokens(offer: Offer) -> int:
     """Return the tokens of the prompt that no other request shares."""
     return max(0, offer.prompt_tokens - offer.shared_prefix_tokens)
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -72,10 +72,38 @@
             "Grants of this router for pools that another one leads",
             gateway.coordinator.decision_statistics.alone,
         )
+        yield from self._remote_requests()
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._gauges()
 
+    def _remote_requests(self) -> Iterator[Metric]:
+        """Yield what this router sent to other data centres, and room for more."""
+        labels = ("pool", "origin", "target", "reason")
+        requests = CounterMetricFamily(
+            "carawayfold_remote_requests",
+            "Requests granted an endpoint in another data centre",
+            labels=labels,
+        )
+        sent_bytes = CounterMetricFamily(
+            "carawayfold_remote_bytes", "Their estimated bytes", labels=labels
+        )
+        budget = GaugeMetricFamily(
+            "carawayfold_remote_budget_slots",
+            "Slots that other data centres may use",
+            labels=("pool", "data_centre"),
+        )
+        coordinator = self.gateway.coordinator
+        for pool, state in coordinator.pools.items():
+            locality = state.scheduler.locality
+            for key, sent in locality.sent().items():
+                requests.add_metric((pool, *key), sent.requests)
+                sent_bytes.add_metric((pool, *key), sent.sent_bytes)
+            if coordinator.decides_for(pool):
+                for name, slots in locality.budgets().items():
+                    budget.add_metric((pool, name), slots)
+        yield from (requests, sent_bytes, budget)
+
     def _repeats(self) -> Iterator[Metric]:
         """Yield retries and retries rejected by the budget, by service."""
         metrics = self.gateway.metrics
--- a/tests/simulated_data_centres.py
+++ b/tests/simulated_data_centres.py
@@ -35,6 +35,8 @@
     granted_at: float | None = None
     served_in: str | None = None
     rejected_at: float | None = None
+    #: Free slots in other data centres, if no caller waits there, when it was rejected.
+    free_elsewhere: int = 0
 
     @property
     def crossed(self):
@@ -76,6 +78,7 @@
         self.free_at = defaultdict(float)
         self.numbers = itertools.count(1)
         self.events = []
+        self.transfers = []
         self.scheduler = Scheduler(
             WINDOW, features=SchedulingFeatures(remote_cost=self.remote_cost)
         )
@@ -127,7 +130,9 @@
     def _arrive(self, now, data_centre):
         call = f"r-{data_centre}.0.{next(self.numbers)}"
         self.requests[call] = SimulatedRequest(data_centre, now)
-        prompt = (Part(f"{call}-own", self.prompt_tokens),) if self.prompt_tokens else ()
+        prompt = (
+            (Part(f"{call}-own", self.prompt_tokens),) if self.prompt_tokens else ()
+        )
         made = offer(
             call,
             router=f"r-{data_centre}",
@@ -158,6 +163,7 @@
             for active in load.active.values():
                 active.reported_at = now
         self.scheduler.expire(now)
+        self.transfers += self.scheduler.locality.take_transfers()
         self._at(now + EXPIRY_INTERVAL, self._expire)
 
     def _decide(self, now):
@@ -165,9 +171,18 @@
             request = self.requests[decision.call]
             if not isinstance(decision, Granted):
                 request.rejected_at = now
+                request.free_elsewhere = self._free_elsewhere(request.data_centre)
                 continue
             self._start(decision, request, now)
 
+    def _free_elsewhere(self, origin):
+        waiting = {item.data_centre for item in self.scheduler.waiting.values()}
+        return sum(
+            max(0, self.slots - len(load.active))
+            for load in self.scheduler.loads.values()
+            if load.endpoint.data_centre not in {origin, *waiting}
+        )
+
     def _start(self, decision, request, now):
         name = decision.endpoint
         request.granted_at = now
@@ -199,12 +214,19 @@
     )
 
 
+def exchanged(requests, one, interval=0.1):
+    """Return how many requests crossed in and out of `one` in the same interval."""
+    counts = defaultdict(lambda: [0, 0])
+    for item in requests:
+        if item.crossed:
+            counts[int(item.granted_at / interval)][item.data_centre == one] += 1
+    return sum(2 * min(both) for both in counts.values())
+
+
 def rejections(requests, origin):
     """Return how many requests of a data centre were rejected."""
     return sum(
-        item.rejected_at is not None
-        for item in requests
-        if item.data_centre == origin
+        item.rejected_at is not None for item in requests if item.data_centre == origin
     )
 
 
