--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -192,7 +192,7 @@
         Penalty in seconds of its endpoints.
     limited : bool
         Whether the request is beyond the budget or against the flow, so that it may
-        not wait for an endpoint there.
+        not wait for an endpoint there unless that has its prefix cached.
     owed : bool
         Whether callers of that data centre wait for its free slots, so that a limited
         request may use idle endpoints only.
@@ -206,16 +206,18 @@
     owed: bool
     cut: bool
 
-    def at(self, candidate: Candidate) -> float:
-        """Return the penalty in seconds of one endpoint there."""
-        waits = self.limited and candidate.starts_in > 0
-        if waits or not self.permits(candidate.backlog):
-            return self.seconds + BLOCKED_PENALTY
-        return self.seconds
+    def permits(self, backlog: Backlog, has_prefix: bool) -> bool:
+        """Return whether a request may use an endpoint there.
 
-    def permits(self, backlog: Backlog) -> bool:
-        """Return whether a request that would be rejected may use an endpoint."""
-        return not self.cut and not (self.limited and self.owed and backlog.running)
+        Parameters
+        ----------
+        backlog : Backlog
+            Load of the endpoint.
+        has_prefix : bool
+            Whether more of the prompt is cached there than in its own data centre.
+        """
+        owed = self.limited and self.owed and backlog.running > 0
+        return not self.cut and (has_prefix or not owed)
 
 
 @dataclass(slots=True, eq=False)
@@ -459,20 +461,36 @@
         if not self.remote_cost or not offer.data_centre:
             return choose_endpoint(offer, usable, copy_source, share, now)
         costs = self._crossing_costs(offer, now)
+        candidates = [
+            evaluate(offer, backlog, copy_source, share, now, 0.0) for backlog in usable
+        ]
+        kept_here = max(
+            (
+                _kept_tokens(offer, item)
+                for item in candidates
+                if item.backlog.data_centre == offer.data_centre
+            ),
+            default=0,
+        )
         best = local = rescue = None
-        for backlog in usable:
-            candidate = evaluate(offer, backlog, copy_source, share, now, 0.0)
+        for candidate in candidates:
             candidate.cost += self._copy_cost(candidate, copy_source)
-            crossing = costs.get(backlog.data_centre)
-            if crossing is not None:
-                candidate.cost += crossing.at(candidate)
-            elif backlog.data_centre == offer.data_centre:
+            data_centre = candidate.backlog.data_centre
+            crossing = costs.get(data_centre)
+            permitted = True
+            if data_centre == offer.data_centre:
                 local = _cheaper(local, candidate)
-            else:
+            elif crossing is None:
                 candidate.cost += REMOTE_PENALTY
+            else:
+                has_prefix = _kept_tokens(offer, candidate) > kept_here
+                permitted = crossing.permits(candidate.backlog, has_prefix)
+                waits = crossing.limited and candidate.starts_in > 0
+                candidate.cost += crossing.seconds
+                if not permitted or (waits and not has_prefix):
+                    candidate.cost += BLOCKED_PENALTY
             best = _cheaper(best, candidate)
-            may_rescue = crossing is None or crossing.permits(backlog)
-            if may_rescue and candidate.starts_in <= 0:
+            if permitted and candidate.starts_in <= 0:
                 rescue = _cheaper(rescue, candidate)
         if best is None:
             return None
@@ -670,6 +688,11 @@
     return saving
 
 
+def _kept_tokens(offer: Offer, candidate: Candidate) -> int:
+    """Return the tokens of a prompt that an engine has cached."""
+    return offer.prompt_tokens - _missing_tokens(candidate)
+
+
 def _missing_tokens(candidate: Candidate) -> int:
     """Return the tokens of a prompt that an engine doesn't have cached."""
     return candidate.prefill_tokens + candidate.copied_tokens
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -283,6 +283,20 @@
     assert not pair.is_sending(0.0)
 
 
+def test_a_request_waits_for_its_prefix_elsewhere_rather_than_read_it_again():
+    prompt = (Part("topic", 20_000), Part("own", 100))
+    for remote_cost in (0.0, 0.05):
+        made = scheduler(remote_cost, memory=1_000_000, a=1, b=1)
+        made.record_cached_prefixes("b-0", [Part("topic", 20_000)])
+        made.unreachable["other", "b-0"] = 10.0
+        fill(made, "b", 6)
+        item = offer(prompt=prompt, prompt_tokens=20_100, data_centre="a", due=2.0)
+        assert place(made, 0.0, item) == [None]
+        made.ended("r-b.9.0", Outcome.COMPLETE, 0.05)
+        (granted,) = made.decide(0.05)
+        assert granted.endpoint == "b-0"
+
+
 # Nothing local, nothing elsewhere
 
 
