--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -105,6 +105,8 @@
         Slots that this scheduler may fill.
     running : float
         Requests in flight.
+    ready : int
+        Endpoints with a free slot and nothing to prefill.
     residence : float
         Mean residence time of a request in seconds.
     speed : float
@@ -125,6 +127,7 @@
 
     slots: float = 0.0
     running: float = 0.0
+    ready: int = 0
     residence: float = 0.0
     speed: float = 0.0
     idle_wait: float = 0.0
@@ -194,8 +197,8 @@
         Whether the request is beyond the budget or against the flow, so that it may
         not wait for an endpoint there unless that has its prefix cached.
     owed : bool
-        Whether callers of that data centre wait for its free slots, so that a limited
-        request may use idle endpoints only.
+        Whether callers of that data centre wait for what is free there, so that a
+        limited request may use idle endpoints only.
     cut : bool
         Whether the data centre counts as cut off.
     """
@@ -376,6 +379,10 @@
             self.counted_at = -math.inf
         room.slots = share * sum(item.slots for item in items)
         room.running = sum(item.running for item in items)
+        room.ready = sum(
+            item.prefill_tokens <= 0 and item.running < share * item.slots
+            for item in items
+        )
         room.residence = sum(item.residence for item in items) / len(items)
         room.speed = share * sum(item.speed for item in items)
         room.idle_wait = min(item.first_token_delay for item in items)
@@ -531,7 +538,9 @@
             against_flow = reverse is not None and reverse.is_sending(now)
             limited = against_flow or room.remote_use() + 1 > room.budget(queued)
             cut = pair is not None and now < pair.cut_until
-            owed = queued > 0 and queued >= room.slots - room.running
+            # Engines are short of prefill before they are short of slots.
+            free = room.ready if offer.prompt_tokens else room.slots - room.running
+            owed = queued > 0 and queued >= free
             if limited:
                 objective = max(MIN_OBJECTIVE, offer.due - offer.arrived)
                 seconds += LIMITED_PENALTY_OBJECTIVES * objective
@@ -570,6 +579,7 @@
         if room is not None:
             room.record_grant(chosen.prefill_tokens, origin == target)
             room.running += 1
+            room.ready -= 1
         if target not in costs:
             return
         pair = self._pair(origin, target)
