--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -209,18 +209,21 @@
     owed: bool
     cut: bool
 
-    def permits(self, backlog: Backlog, has_prefix: bool) -> bool:
-        """Return whether a request may use an endpoint there.
+    def blocks(self, candidate: Candidate, least_missing: int) -> bool:
+        """Return whether an endpoint there is kept from a request.
 
         Parameters
         ----------
-        backlog : Backlog
-            Load of the endpoint.
-        has_prefix : bool
-            Whether more of the prompt is cached there than in its own data centre.
+        candidate : Candidate
+            Evaluation of the endpoint.
+        least_missing : int
+            Least tokens of the prompt that an endpoint at home doesn't have cached.
         """
-        owed = self.limited and self.owed and backlog.running > 0
-        return not self.cut and (has_prefix or not owed)
+        if self.cut:
+            return True
+        if not self.limited or _missing_tokens(candidate) < least_missing:
+            return False
+        return candidate.starts_in > 0 or (self.owed and candidate.backlog.running > 0)
 
 
 @dataclass(slots=True, eq=False)
@@ -468,42 +471,40 @@
         if not self.remote_cost or not offer.data_centre:
             return choose_endpoint(offer, usable, copy_source, share, now)
         costs = self._crossing_costs(offer, now)
-        candidates = [
-            evaluate(offer, backlog, copy_source, share, now, 0.0) for backlog in usable
-        ]
-        kept_here = max(
-            (
-                _kept_tokens(offer, item)
-                for item in candidates
-                if item.backlog.data_centre == offer.data_centre
-            ),
-            default=0,
-        )
-        best = local = rescue = None
-        for candidate in candidates:
-            candidate.cost += self._copy_cost(candidate, copy_source)
-            data_centre = candidate.backlog.data_centre
-            crossing = costs.get(data_centre)
-            permitted = True
-            if data_centre == offer.data_centre:
-                local = _cheaper(local, candidate)
-            elif crossing is None:
+        origin = offer.data_centre
+        best: Candidate | None = None
+        least_missing = offer.prompt_tokens
+        here, elsewhere, blocked = [], [], []
+        for backlog in usable:
+            candidate = evaluate(offer, backlog, copy_source, share, now, 0.0)
+            if candidate.copied_tokens:
+                candidate.cost += self._copy_cost(candidate, copy_source)
+            if backlog.data_centre != origin:
+                elsewhere.append(candidate)
+                continue
+            here.append(candidate)
+            least_missing = min(least_missing, _missing_tokens(candidate))
+            if best is None or candidate.cost < best.cost:
+                best = candidate
+        local = best
+        for candidate in elsewhere:
+            crossing = costs.get(candidate.backlog.data_centre)
+            if crossing is None:
                 candidate.cost += REMOTE_PENALTY
             else:
-                has_prefix = _kept_tokens(offer, candidate) > kept_here
-                permitted = crossing.permits(candidate.backlog, has_prefix)
-                waits = crossing.limited and candidate.starts_in > 0
                 candidate.cost += crossing.seconds
-                if not permitted or (waits and not has_prefix):
+                if crossing.blocks(candidate, least_missing):
                     candidate.cost += BLOCKED_PENALTY
-            best = _cheaper(best, candidate)
-            if permitted and candidate.starts_in <= 0:
-                rescue = _cheaper(rescue, candidate)
+                    blocked.append(candidate)
+            if best is None or candidate.cost < best.cost:
+                best = candidate
         if best is None:
             return None
         waits = best.starts_in > 0
-        if waits and rescue and is_too_late(offer, best.first_token_in, now):
-            best, waits = rescue, False
+        if waits and is_too_late(offer, best.first_token_in, now):
+            rescue = _find_with_room([*here, *elsewhere], blocked)
+            if rescue is not None:
+                best, waits = rescue, False
         if not waits:
             self._record_choice(offer, best, local, costs, now)
         return best
@@ -698,11 +699,6 @@
     return saving
 
 
-def _kept_tokens(offer: Offer, candidate: Candidate) -> int:
-    """Return the tokens of a prompt that an engine has cached."""
-    return offer.prompt_tokens - _missing_tokens(candidate)
-
-
 def _missing_tokens(candidate: Candidate) -> int:
     """Return the tokens of a prompt that an engine doesn't have cached."""
     return candidate.prefill_tokens + candidate.copied_tokens
@@ -720,6 +716,11 @@
     return source.data_centre != candidate.backlog.data_centre
 
 
-def _cheaper(best: Candidate | None, other: Candidate) -> Candidate:
-    """Return the candidate with the lower cost, the first one if they are equal."""
-    return other if best is None or other.cost < best.cost else best
+def _find_with_room(
+    candidates: list[Candidate], blocked: list[Candidate]
+) -> Candidate | None:
+    """Return the cheapest endpoint that could take a request at once, if any."""
+    usable = [
+        item for item in candidates if item.starts_in <= 0 and item not in blocked
+    ]
+    return min(usable, key=lambda item: item.cost, default=None)
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -10,6 +10,7 @@
 import pytest
 
 from carawayfold.coordination.scheduling import placement
+from carawayfold.coordination.scheduling.coordinator import SchedulingCoordinator
 from carawayfold.coordination.scheduling.copy_sources import find_copy_source
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
@@ -24,6 +25,9 @@
 from carawayfold.coordination.scheduling.offers import Granted, Outcome, Rejected
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.exchanges import Part
+from carawayfold.state.endpoints import EndpointTable
+from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
+from tests.coordination.scheduling.offer_builders import RecordingFleet
 from tests.schedule_builders import WINDOW, endpoint, offer
 from tests.simulated_data_centres import (
     DataCentresRun,
@@ -33,6 +37,7 @@
     mean_wait,
     rejections,
 )
+from tests.simulated_fleet import simulate
 
 SLOTS = 6
 
@@ -365,6 +370,23 @@
     assert not made.locality.pairs["a", "b"].failed_at
 
 
+def test_a_cut_costs_few_requests_and_is_over_soon_after_it_ends():
+    run = DataCentresRun(
+        {"a": 3, "b": 3},
+        {"a": constant(1.5), "b": constant(0.4)},
+        duration=5.0,
+        cut=(1.0, 2.5),
+    )
+    requests = run.play()
+    failed = sum(item.failed for item in requests)
+    sent = crossings(requests, "a", 0.0, 1.0)
+    # In each of the two seconds, what is sent until the first connections fail.
+    assert 0 < failed <= 0.2 * sent
+    assert crossings(requests, "a", 1.1, 1.9) <= 2
+    assert crossings(requests, "a", 4.0, 5.0) >= 0.7 * sent
+    assert rejections(requests, "b") == 0
+
+
 def test_one_endpoint_that_fails_cuts_nothing_off():
     made = scheduler(a=1, b=2)
     for item in offers_of("a", 5, allowed=frozenset({"b"})):
@@ -514,6 +536,19 @@
 # The setting
 
 
+def test_the_setting_reaches_the_schedulers_of_a_coordinator():
+    async def run():
+        features = SchedulingFeatures(remote_cost=0.5)
+        made = SchedulingCoordinator(RecordingFleet("own"), 4.0, features=features)
+        table = EndpointTable()
+        table.put(endpoint("e-0"))
+        services = {"model": ServiceConfig("model", "/", 100, 600_000)}
+        made.refresh(table, RouteTable(1, (), services, {}, {}, CallerLimits(), 1e5))
+        return made.pools["model/0"].scheduler.locality.remote_cost
+
+    assert simulate(run) == 0.5
+
+
 def test_without_the_setting_the_choice_is_that_of_placement(monkeypatch):
     def play():
         run = DataCentresRun(
--- a/tests/simulated_data_centres.py
+++ b/tests/simulated_data_centres.py
@@ -22,6 +22,8 @@
 ROUND_INTERVAL = 0.005
 #: Seconds between removals of stale state.
 EXPIRY_INTERVAL = 0.25
+#: Seconds until a connection to an endpoint that can't be reached fails.
+CONNECT_TIMEOUT = 0.05
 #: Prefill rate of an engine in tokens per second.
 ENGINE_SPEED = 100_000.0
 
@@ -37,6 +39,7 @@
     rejected_at: float | None = None
     #: Free slots in other data centres, if no caller waits there, when it was rejected.
     free_elsewhere: int = 0
+    failed: bool = False
 
     @property
     def crossed(self):
@@ -68,8 +71,8 @@
     latency: float = 0.002
     seed: int = 1
     allowed: dict = field(default_factory=dict)
-    #: Called with the run and the time before each round of decisions.
-    on_round: object = None
+    #: Begin and end of a time in which no data centre reaches another.
+    cut: tuple = (float("inf"), float("inf"))
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
@@ -151,8 +154,6 @@
         self._schedule_arrival(data_centre, now)
 
     def _round(self, now):
-        if self.on_round is not None:
-            self.on_round(self, now)
         for call in self.scheduler.waiting:
             self.scheduler.reported_at[call] = now
         self._decide(now)
@@ -187,6 +188,10 @@
         name = decision.endpoint
         request.granted_at = now
         request.served_in = self.scheduler.loads[name].endpoint.data_centre
+        if request.crossed and self.cut[0] <= now < self.cut[1]:
+            request.failed = True
+            self._at(now + CONNECT_TIMEOUT, self._fail, decision.call)
+            return
         distance = self.latency if request.crossed else 0.0
         busy = self.residence * self.random.uniform(0.5, 1.5)
         first = now + busy + distance
@@ -201,6 +206,9 @@
     def _begin(self, now, call, waited):
         self.scheduler.begun(call, waited)
 
+    def _fail(self, now, call):
+        self.scheduler.ended(call, Outcome.UNREACHABLE, now)
+
     def _end(self, now, call):
         self.scheduler.ended(call, Outcome.COMPLETE, now)
 
