--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -491,6 +491,27 @@
     assert costs["a"].limited is sends
 
 
+def test_a_pair_begins_to_send_later_than_it_ends():
+    made = scheduler(remote_cost=2.0, a=1, b=1)
+    fill(made, "a", 6)
+    refresh(made, 0.0)
+    item = plain("r-a.0.1", body_bytes=9000)
+    before = made.locality._crossing_costs(item, 0.0)["b"]
+    made.locality._record_choice(
+        item, candidate_at(made, item, "b-0"), None, {"b": before}, 0.0
+    )
+    after = made.locality._crossing_costs(item, 0.5)["b"]
+    residence = made.loads["b-0"].residence
+    assert before.cost == after.cost == pytest.approx(0.004 + 2.0 * 0.01)
+    assert before.seconds - residence == pytest.approx(1.5 * before.cost)
+    assert after.seconds - residence * 5 / 6 == pytest.approx(after.cost)
+
+
+def candidate_at(made, item, name):
+    (backlog,) = [entry for entry in made._backlogs(0.0) if entry.id == name]
+    return placement.evaluate(item, backlog, None, 1.0, 0.0)
+
+
 def test_a_new_leader_begins_with_the_constant_penalty():
     made = scheduler(a=1, b=1)
     fill(made, "a", 6)
@@ -533,6 +554,15 @@
     assert sorted(found) == ["a"] * 6 + ["b"] * 6
 
 
+def test_a_wrong_data_centre_costs_only_those_who_name_it():
+    made = scheduler(a=1, b=1)
+    liars = [plain(f"x.0.{n}", "b", router="x", now=0.0) for n in range(6)]
+    assert place(made, 0.0, *liars) == ["b"] * 6
+    honest = [plain(f"r-a.0.{n}", "a") for n in range(6)]
+    assert place(made, 0.0, *honest) == ["a"] * 6
+    assert made.locality.budgets()["a"] <= SLOTS
+
+
 # The setting
 
 
