--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -692,7 +692,7 @@
         self.report_active()
         now = self.loop.time()
         for pool_state in self.pools.values():
-            pool_state.scheduler.expire(now)
+            pool_state.expire(now)
             self._decide(pool_state)
         schedulers = [pool_state.scheduler for pool_state in self.pools.values()]
         self.slow_endpoints.update(schedulers, now)
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -19,7 +19,7 @@
 import math
 from bisect import insort
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -34,6 +34,7 @@
     EndpointLoad,
 )
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
+from carawayfold.coordination.scheduling.locality import LocalityPolicy
 from carawayfold.coordination.scheduling.offers import (
     OUTPUT_TOKEN_WEIGHT,
     Decision,
@@ -45,12 +46,13 @@
 )
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
-    choose_endpoint,
     compute_excess_failures,
     has_room,
 )
+from carawayfold.coordination.scheduling.rank import QueueEntry, Rank
 from carawayfold.coordination.scheduling.rejections import FULL_DURATION
 from carawayfold.coordination.scheduling.return_schedule import Access, ReturnSchedule
+from carawayfold.coordination.scheduling.route_statistics import RouteStatistics
 from carawayfold.coordination.scheduling.wait_predictions import WaitPredictions
 from carawayfold.state.usage import UsageTable
 
@@ -74,8 +76,6 @@
 #: A route is preferred while its granted ratio is below this fraction of the overall
 #: granted ratio.
 MIN_SERVED_RATIO = 0.6
-#: Half-life in seconds of the offer and grant counts of a route.
-SERVED_HALF_LIFE = 5.0
 #: Tokens added to the cost of a request, so that very small ones don't count as free.
 FIXED_COST_TOKENS = 200
 #: Seconds between reviews of the whole queue, which sort it again and reject requests
@@ -93,71 +93,6 @@
 SHORT_REQUEST_TOKENS = 300
 
 
-class RouteStatistics(msgspec.Struct):
-    """Exponentially decaying counts of offers and grants of one route.
-
-    Attributes
-    ----------
-    offered, granted : float
-        Decayed numbers of requests.
-    updated_at : float
-        Monotonic seconds of the last decay.
-    """
-
-    offered: float = 0.0
-    granted: float = 0.0
-    updated_at: float = 0.0
-
-    def decay(self, now: float) -> None:
-        """Apply the decay up to `now`, in monotonic seconds."""
-        factor = 0.5 ** ((now - self.updated_at) / SERVED_HALF_LIFE)
-        self.offered *= factor
-        self.granted *= factor
-        self.updated_at = now
-
-    def granted_ratio(self) -> float:
-        """Return the fraction of offered requests that were granted; 1 if none were."""
-        return self.granted / self.offered if self.offered else 1.0
-
-
-class Rank(NamedTuple):
-    """Sort key of a queued request; the lowest is served first.
-
-    Attributes
-    ----------
-    organisation_not_behind : bool
-        Whether its organisation has been granted about as much as others.
-    beyond_share : bool
-        Whether it exceeds the share of its organisation.
-    late : bool
-        Whether it has missed its objective already.
-    priority : int
-        Priority of the request; lower numbers are more urgent.
-    route_not_behind : bool
-        Whether its route is served about as often as all routes.
-    negated_density : int
-        Value of the answer per engine time, negated; see `Offer.value_density`.
-    due : float
-        Monotonic seconds at which the answer is due.
-    """
-
-    organisation_not_behind: bool
-    beyond_share: bool
-    late: bool
-    priority: int
-    route_not_behind: bool
-    negated_density: int
-    due: float
-
-
-@dataclass(slots=True, order=True)
-class QueueEntry:
-    """A queued request with its sort key."""
-
-    rank: Rank
-    offer: Offer = field(compare=False)
-
-
 class PoolPlan(msgspec.Struct, frozen=True):
     """Capacity and limits of a pool.
 
@@ -232,6 +167,8 @@
         Errors of predicted waits.
     returns : ReturnSchedule or None
         When rejected requests return; None if that is switched off.
+    locality : LocalityPolicy
+        Decides when requests leave their data centre.
     """
 
     window: float
@@ -253,12 +190,14 @@
     usage: UsageTable = field(init=False)
     predictions: WaitPredictions = field(init=False)
     returns: ReturnSchedule | None = None
+    locality: LocalityPolicy = field(init=False)
 
     def __post_init__(self) -> None:
         self.usage = UsageTable(self.window)
         self.predictions = WaitPredictions(self.features.schedule_returns)
         if self.features.schedule_returns:
             self.returns = ReturnSchedule()
+        self.locality = LocalityPolicy(self.features.remote_cost)
 
     # Input
 
@@ -287,6 +226,7 @@
         if offer.call in self.waiting:
             return
         self.waiting[offer.call] = offer
+        self.locality.record_offer(offer)
         offer.standing, offer.prediction = Standing.NEW, None
         if self.returns is not None:
             self.returns.offered(offer, self._is_within_share(offer), now)
@@ -322,7 +262,7 @@
 
     def withdraw(self, call: CallId) -> None:
         """Remove a waiting request."""
-        self.waiting.pop(call, None)
+        self.locality.record_withdrawal(self.waiting.pop(call, None))
         self.reported_at.pop(call, None)
 
     def begun(
@@ -335,6 +275,7 @@
         """
         load = self._load_of(call)
         if load is not None:
+            self.locality.record_first_byte(load, call, waited)
             load.begin(call, waited, stated)
 
     def ended(
@@ -349,7 +290,10 @@
         load = self._load_of(call)
         self.placements.pop(call, None)
         active = None if load is None else load.end(call, outcome, now, kept, stated)
-        if active is not None and outcome is Outcome.UNREACHABLE:
+        if active is None:
+            return
+        self.locality.record_end(load, active.router, outcome, now)
+        if outcome is Outcome.UNREACHABLE:
             until = now + load.suspension_duration
             self.unreachable[active.router, load.endpoint.id] = until
 
@@ -375,6 +319,7 @@
 
     def expire(self, now: float) -> None:
         """Remove unreported requests and expired entries of unreachable endpoints."""
+        self.locality.expire(now)
         for call, offered_at in list(self.reported_at.items()):
             if now - offered_at > OFFER_TIMEOUT:
                 self.withdraw(call)
@@ -400,10 +345,12 @@
         if not self.waiting:
             return []
         backlogs = self._backlogs(now)
+        self.locality.refresh(backlogs, self.plan.share, now)
         if now - self.last_review_at >= REVIEW_INTERVAL:
             return self._review(backlogs, now)
         decisions: list[Decision] = []
-        for entry in self.queue[:MAX_DECIDED_BETWEEN_REVIEWS]:
+        head, _ = self.locality.split(self.queue, MAX_DECIDED_BETWEEN_REVIEWS)
+        for entry in head:
             if not self._has_room(backlogs):
                 break
             self._append_decision(decisions, entry.offer, backlogs, now)
@@ -420,18 +367,24 @@
             for offer in self.waiting.values()
         )
         decisions: list[Decision] = []
-        for entry in self.queue[:QUEUE_HEAD_LENGTH]:
+        head, tail = self.locality.split(self.queue, QUEUE_HEAD_LENGTH)
+        for entry in head:
             self._append_decision(decisions, entry.offer, backlogs, now)
-        self._reject_late_tail(decisions, backlogs, now)
+        self._reject_late_tail(tail, decisions, backlogs, now)
         self._remove_decided(decisions)
         return decisions
 
     def _reject_late_tail(
-        self, decisions: list[Decision], backlogs: list[Backlog], now: float
+        self,
+        tail: list[QueueEntry],
+        decisions: list[Decision],
+        backlogs: list[Backlog],
+        now: float,
     ) -> None:
         """Reject requests behind the head of the queue that can't be in time."""
-        tail = [entry.offer for entry in self.queue[QUEUE_HEAD_LENGTH:]]
-        waits = rejections.predict_tail(tail, backlogs, self.speed)
+        waits = rejections.predict_tail(
+            [entry.offer for entry in tail], backlogs, self.speed
+        )
         for offer, first_token_in in waits:
             corrected = self.predictions.predict(offer, first_token_in, now)
             if self._is_too_late(offer, corrected, now):
@@ -472,7 +425,9 @@
         usable = self._usable_backlogs(offer, backlogs, now)
         copy_source = find_copy_source(offer, backlogs)
         share = self._fillable_share(offer)
-        candidate = choose_endpoint(offer, usable, copy_source, share, now)
+        candidate = self.locality.choose(
+            offer, usable, copy_source, share, now, self._is_too_late
+        )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
         if candidate.starts_in <= 0:
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -74,6 +74,7 @@
             gateway.coordinator.decision_statistics.alone,
         )
         yield self._connections()
+        yield from self._remote_requests()
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._predicted_waits()
@@ -92,6 +93,33 @@
         family.add_metric(("lost",), uses.lost)
         return family
 
+    def _remote_requests(self) -> Iterator[Metric]:
+        """Yield what this router sent to other data centres, and room for more."""
+        labels = ("pool", "origin", "target", "reason")
+        requests = CounterMetricFamily(
+            "carawayfold_remote_requests",
+            "Requests granted an endpoint in another data centre",
+            labels=labels,
+        )
+        sent_bytes = CounterMetricFamily(
+            "carawayfold_remote_bytes", "Their estimated bytes", labels=labels
+        )
+        budget = GaugeMetricFamily(
+            "carawayfold_remote_budget_slots",
+            "Slots that other data centres may use",
+            labels=("pool", "data_centre"),
+        )
+        coordinator = self.gateway.coordinator
+        for pool, state in coordinator.pools.items():
+            locality = state.scheduler.locality
+            for key, sent in locality.sent().items():
+                requests.add_metric((pool, *key), sent.requests)
+                sent_bytes.add_metric((pool, *key), sent.sent_bytes)
+            if coordinator.decides_for(pool):
+                for name, slots in locality.budgets().items():
+                    budget.add_metric((pool, name), slots)
+        yield from (requests, sent_bytes, budget)
+
     def _repeats(self) -> Iterator[Metric]:
         """Yield retries and retries rejected by the budget, by service."""
         metrics = self.gateway.metrics
