Offer requests by the load of pools, with a setting

The pool of a request followed from the hash of its prefix alone, so a pool whose prefix is in demand rejected requests while others had idle slots. With balance_pools on, leaders state the wait and use of their pools in grants and rejections, and routers choose the first, the further and, for a request that waits, another pool by them. The search of a pool moves from the coordinator to pool_selection. Withdrawal by the leader was ruled out: it does not know the other pools. With the setting off, choices are as before; tests of scheduling, protocol, layers and settings pass.

--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -44,11 +44,8 @@
     PlacedRequest,
     PoolState,
 )
-from carawayfold.coordination.scheduling.pool_assignment import (
-    PoolAssignment,
-    choose_fallback_pool,
-    choose_pool,
-)
+from carawayfold.coordination.scheduling.pool_assignment import PoolAssignment
+from carawayfold.coordination.scheduling.pool_selection import PoolSelection
 from carawayfold.coordination.scheduling.scheduler import (
     DEFAULT_PREFILL_RATE,
     PoolPlan,
@@ -81,7 +78,7 @@
     from collections.abc import Callable, Collection
 
     from carawayfold.coordination.fleet.fleet import Fleet
-    from carawayfold.coordination.scheduling.offers import Decision
+    from carawayfold.coordination.scheduling.offers import Decision, PoolLoad
     from carawayfold.protocol.datagrams import Datagram, Message
     from carawayfold.state.endpoints import Endpoint, EndpointTable
     from carawayfold.state.ids import DataCentreId
@@ -125,10 +122,6 @@
 OVERLOAD_DURATION = 0.5
 #: Minimum seconds between log lines on one router that doesn't answer.
 UNANSWERED_LOG_INTERVAL = 1.0
-#: Maximum number of other pools to which a request is offered if its own pool can't
-#: serve it in time. Without them, an organisation whose requests share a prefix would
-#: get its share of a single pool only, whatever the capacity of the others.
-MAX_FALLBACK_POOLS = 1
 #: Retry delay in seconds of requests for a pool that its leader doesn't have. Both
 #: routers have read the same registrations by then.
 UNKNOWN_POOL_RETRY_AFTER = 1.0
@@ -191,6 +184,7 @@
         self.unanswered_logged_at: dict[RouterId, float] = {}
         self.decision_statistics = SchedulingStatistics()
         self.admission = AdmissionControl()
+        self.selection = PoolSelection(self)
         #: Loop time from which the next round of decisions may begin, for any pool.
         self.next_round = 0.0
         #: Loop time until which this router counts as overloaded by decisions.
@@ -272,10 +266,8 @@
         They go to another pool; if the service has none, they are refused.
         """
         for pending in list(self.pending.values()):
-            if pending.pool in self.pools or pending.answered.done():
+            if pending.pool in self.pools:
                 continue
-            # The leader may still have the pool and would reserve a slot for it.
-            self._withdraw(pending)
             call = pending.offer.call
             service = ServiceId(pending.pool.rsplit("/", 1)[0])
             rejection = (
@@ -283,7 +275,8 @@
                 if self.weights.get(service)
                 else _no_endpoints_rejection(call)
             )
-            pending.answered.set_result(rejection)
+            # The leader may still have the pool and would reserve a slot for it.
+            self.withdraw_pending(call, rejection)
 
     def is_superseded(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint has restarted since this incarnation."""
@@ -359,33 +352,8 @@
         allowed: Collection[DataCentreId] | None,
         software: SoftwareVersion | None = None,
     ) -> dict[PoolId, int]:
-        """Return the slots of each pool that a request may use.
-
-        Pools without slots are omitted.
-
-        Parameters
-        ----------
-        service : ServiceId
-            Service of the request.
-        allowed : collection of DataCentreId or None
-            Data centres in which it may run; None for any.
-        software : SoftwareVersion or None
-            Software version that its endpoint must have; None for any.
-        """
-        weights = self.weights.get(service, {})
-        if allowed is None and software is None:
-            return weights
-        slots_by_pool = {}
-        for pool in weights:
-            loads = self.pools[pool].scheduler.loads.values()
-            endpoints = [load.endpoint for load in loads]
-            slots_by_pool[pool] = sum(
-                item.slots
-                for item in endpoints
-                if (allowed is None or item.data_centre in allowed)
-                and software in (None, item.software)
-            )
-        return {pool: slots for pool, slots in slots_by_pool.items() if slots}
+        """Return the slots of each pool; see `PoolSelection.weights_for`."""
+        return self.selection.weights_for(service, allowed, software)
 
     def pool_for(
         self,
@@ -395,49 +363,16 @@
         software: SoftwareVersion | None = None,
     ) -> PoolId:
         """Return the pool of `service` for requests with the prefix of `prompt`."""
-        weights = self.weights_for(service, allowed, software)
-        if not weights:
-            return PoolId(f"{service}/0")
-        if len(weights) == 1:
-            return next(iter(weights))
-        return choose_pool(
-            weights, prompt[-2].id if len(prompt) > 1 else str(self.last_call_number)
-        )
+        return self.selection.pool_for(service, prompt, allowed, software)
 
     # Requests of this router
 
     async def place_with_fallback(self, offer: Offer, service: ServiceId) -> Decision:
-        """Return the decision of the pool of a request's prefix, or of a fallback pool.
+        """Return the decision of the pool of a request's prefix, or of another pool.
 
         Cancelling the coroutine withdraws the request.
         """
-        pool = self.pool_for(service, offer.prompt, offer.allowed, offer.software)
-        tried = [pool]
-        rejections: list[Rejected] = []
-        while True:
-            decision = self._throttle(offer, pool) or await self.place(offer, pool)
-            if isinstance(decision, Granted):
-                return decision
-            rejections.append(decision)
-            weights = self.weights_for(service, offer.allowed, offer.software)
-            fallback = choose_fallback_pool(weights, tried, offer.call)
-            # The leader may still remember its decision under the old identifier.
-            cached_at = decision.cached_at or offer.cached_at
-            offer = replace(offer, call=self.next_call(), cached_at=cached_at)
-            if fallback is not None and len(tried) <= MAX_FALLBACK_POOLS:
-                pool = fallback
-                tried.append(pool)
-            elif decision.reason == UNKNOWN_POOL and pool in weights:
-                return await self.place(offer, pool, decide_locally=True)
-            else:
-                return min(rejections, key=lambda item: item.retry_after)
-
-    def _throttle(self, offer: Offer, pool: PoolId) -> Rejected | None:
-        """Return the rejection of a request that may not be offered to a pool."""
-        rejection = self.admission.reject(offer, pool, self.loop.time())
-        if rejection is not None:
-            self.decision_statistics.of(pool).throttled += 1
-        return rejection
+        return await self.selection.place(offer, service)
 
     async def place(
         self, offer: Offer, pool: PoolId, decide_locally: bool = False
@@ -575,6 +510,15 @@
             self._record_placement(pending, decision)
             self.ended(decision.call, Outcome.CANCELLED)
 
+    def withdraw_pending(self, call: CallId, rejection: Rejected) -> bool:
+        """Resolve a request that waits with a rejection; return whether it waited."""
+        pending = self.pending.get(call)
+        if pending is None or pending.answered.done():
+            return False
+        self._withdraw(pending)
+        pending.answered.set_result(rejection)
+        return True
+
     def _withdraw(self, pending: PendingRequest) -> None:
         """Withdraw a request from the router that it was offered to."""
         call = pending.offer.call
@@ -676,6 +620,7 @@
         for pool_state in self.pools.values():
             pool_state.scheduler.expire(now)
             self._decide(pool_state)
+        self.selection.measure_all(now)
         self.admission.expire(now)
         if self.decision_statistics.is_due():
             accounts = {
@@ -760,8 +705,9 @@
         scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
         scheduler.overloaded = now < self.overloaded_until
         decisions = scheduler.decide(now)
+        load = self.selection.measure(pool_state, now) if decisions else None
         for decision in decisions:
-            self._deliver(decision)
+            self._deliver(decision, load)
         self._record_round(pool_state.id, decisions, leads, now)
         ended = self.loop.time()
         pause = ROUND_PAUSE_FACTOR * (ended - now)
@@ -785,8 +731,10 @@
         if not leads:
             self.decision_statistics.alone += granted
 
-    def _deliver(self, decision: Decision) -> None:
+    def _deliver(self, decision: Decision, load: PoolLoad | None) -> None:
+        # Without the load, which would be older in the answer to a repeated offer.
         self.decided[decision.call] = decision
+        decision = msgspec.structs.replace(decision, load=load)
         if len(self.decided) > MAX_REMEMBERED_DECISIONS:
             self.decided.popitem(last=False)
         pending = self.pending.get(decision.call)
@@ -909,6 +857,7 @@
         if isinstance(decision, Rejected) and decision.reason == UNKNOWN_POOL:
             return
         if decider == self.fleet.leader(pending.pool):
+            self.selection.record_decision(pending.offer, pending.pool, decision)
             now = self.loop.time()
             self.admission.record_decision(
                 pending.offer, pending.pool, decision, decider, now
--- a/carawayfold/coordination/scheduling/decision_statistics.py
+++ b/carawayfold/coordination/scheduling/decision_statistics.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
 
 if TYPE_CHECKING:
+    from carawayfold.coordination.scheduling.offers import PoolLoad
     from carawayfold.state.ids import PoolId
     from carawayfold.state.usage import UsageTable
 
@@ -38,6 +40,12 @@
         Seconds spent in these rounds.
     max_delay : float
         Maximum seconds by which a round started late.
+    moved_first, moved_later : int
+        Requests of this router's callers that were offered to this pool instead of the
+        pool of their prefix: at first, and after another pool.
+    load : PoolLoad or None
+        Last load of the pool; None if this router doesn't lead it, or without balance
+        between pools.
     """
 
     offers: int = 0
@@ -49,6 +57,9 @@
     rounds: int = 0
     time_spent: float = 0.0
     max_delay: float = 0.0
+    moved_first: int = 0
+    moved_later: int = 0
+    load: PoolLoad | None = None
 
 
 class SchedulingStatistics:
@@ -63,6 +74,10 @@
         doesn't lead.
     unknown_pool_offers : int
         Offers for pools that this router doesn't have, since the last log lines.
+    pool_moves : Counter
+        Requests since the process started that were offered to another pool than that
+        of their prefix: at the ``first`` offer, while ``waiting`` in a pool, or when
+        ``rejected`` by one. Counted with balance between pools only.
     since : float
         Loop time of the last log lines.
     """
@@ -72,6 +87,7 @@
         self.pools: dict[PoolId, PoolStatistics] = {}
         self.alone = 0
         self.unknown_pool_offers = 0
+        self.pool_moves: Counter[str] = Counter()
         self.since = self.loop.time()
 
     def of(self, pool: PoolId) -> PoolStatistics:
@@ -116,6 +132,7 @@
         leads: bool,
         seconds: float,
     ) -> None:
+        load = statistics.load
         logger.info(
             "pool decided",
             extra={
@@ -131,6 +148,10 @@
                 "rounds": statistics.rounds,
                 "spent_ms": round(statistics.time_spent * 1000, 1),
                 "late_ms": round(statistics.max_delay * 1000, 1),
+                "moved_first": statistics.moved_first,
+                "moved_later": statistics.moved_later,
+                "wait_ms": round(load.wait * 1000) if load else None,
+                "used": round(load.used, 3) if load else None,
                 "organisations": [
                     [name, round(requested), round(granted)]
                     for name, requested, granted in account.top_requesters(
--- a/carawayfold/coordination/scheduling/messages.py
+++ b/carawayfold/coordination/scheduling/messages.py
@@ -8,6 +8,7 @@
     Basis,
     Granted,
     Offer,
+    PoolLoad,
     Rejected,
 )
 from carawayfold.protocol.datagrams import (
@@ -74,6 +75,9 @@
 def decision_message(decision: Decision, basis: Basis) -> GrantMessage | RejectMessage:
     """Return the message with a decision that was made on `basis`."""
     admitted_fraction = round(decision.admitted_fraction * 1000)
+    load = decision.load
+    pool_wait = -1 if load is None else round(load.wait * 1000)
+    pool_used = -1 if load is None else round(load.used * 1000)
     if isinstance(decision, Granted):
         return GrantMessage(
             decision.call,
@@ -82,6 +86,8 @@
             basis.offset,
             round(basis.age * 1000),
             admitted_fraction,
+            pool_wait,
+            pool_used,
         )
     retry_after = round(decision.retry_after * 1000)
     return RejectMessage(
@@ -90,6 +96,8 @@
         retry_after,
         decision.cached_at,
         admitted_fraction,
+        pool_wait,
+        pool_used,
     )
 
 
@@ -102,6 +110,7 @@
         message.copy_source,
         basis,
         message.admitted_fraction / 1000,
+        _load_in(message),
     )
 
 
@@ -114,4 +123,12 @@
         message.cached_at,
         sender,
         message.admitted_fraction / 1000,
+        _load_in(message),
     )
+
+
+def _load_in(message: GrantMessage | RejectMessage) -> PoolLoad | None:
+    """Return the load of the pool that a decision states, None if it states none."""
+    if message.pool_wait < 0 or message.pool_used < 0:
+        return None
+    return PoolLoad(message.pool_wait / 1000, message.pool_used / 1000)
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -204,6 +204,21 @@
     age: float = 0.0
 
 
+class PoolLoad(msgspec.Struct, frozen=True):
+    """Load of a pool.
+
+    Attributes
+    ----------
+    wait : float
+        Predicted wait in seconds of a further request.
+    used : float
+        Fraction of the slots that are in use.
+    """
+
+    wait: float
+    used: float
+
+
 class Granted(msgspec.Struct, frozen=True):
     """Grant of an endpoint to a request.
 
@@ -215,6 +230,8 @@
         State on which it was granted; None until it is filled in.
     admitted_fraction : float
         Fraction of its organisation's requests that may be offered to the pool, 0 to 1.
+    load : PoolLoad or None
+        Load of the pool; None if unknown.
     """
 
     call: CallId
@@ -222,6 +239,7 @@
     copy_source: EndpointId | None = None
     basis: Basis | None = None
     admitted_fraction: float = 1.0
+    load: PoolLoad | None = None
 
 
 class Rejected(msgspec.Struct, frozen=True):
@@ -240,6 +258,8 @@
         Router that decided; None until it is filled in.
     admitted_fraction : float
         Fraction of its organisation's requests that may be offered to the pool, 0 to 1.
+    load : PoolLoad or None
+        Load of the pool; None if unknown.
     """
 
     call: CallId
@@ -248,6 +268,7 @@
     cached_at: EndpointId | None = None
     decider: RouterId | None = None
     admitted_fraction: float = 1.0
+    load: PoolLoad | None = None
 
 
 Decision = Granted | Rejected
--- a/carawayfold/coordination/scheduling/pool_assignment.py
+++ b/carawayfold/coordination/scheduling/pool_assignment.py
@@ -87,6 +87,20 @@
     return max(weights, key=lambda pool: _score(f"{pool}|{prefix}", weights[pool]))
 
 
+def order_pools(weights: Mapping[PoolId, int], prefix: str) -> list[PoolId]:
+    """Return all pools in the order of a prefix; the first is its own pool."""
+    return sorted(
+        weights,
+        key=lambda pool: _score(f"{pool}|{prefix}", weights[pool]),
+        reverse=True,
+    )
+
+
+def draw_fraction(text: str) -> float:
+    """Return a pseudo-random number from 0 to 1 that depends on `text` alone."""
+    return _hash(text) / HASH_RANGE
+
+
 def choose_fallback_pool(
     weights: Mapping[PoolId, int], asked: Collection[PoolId], call: CallId
 ) -> PoolId | None:
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -67,11 +67,20 @@
         for reason, count in gateway.metrics.barred_grants.items():
             barred.add_metric((reason,), count)
         yield barred
+        statistics = gateway.coordinator.decision_statistics
         yield CounterMetricFamily(
             "carawayfold_decided_alone",
             "Grants of this router for pools that another one leads",
-            gateway.coordinator.decision_statistics.alone,
+            statistics.alone,
         )
+        moves = CounterMetricFamily(
+            "carawayfold_pool_moves",
+            "Offers to another pool than that of the prefix",
+            labels=("moment",),
+        )
+        for moment, count in statistics.pool_moves.items():
+            moves.add_metric((moment,), count)
+        yield moves
         yield from self._repeats()
         yield self._prediction_errors()
         yield from self._gauges()
--- a/tests/simulated_pools.py
+++ b/tests/simulated_pools.py
@@ -6,12 +6,12 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from carawayfold.coordination.scheduling.coordinator import MAX_FALLBACK_POOLS
 from carawayfold.coordination.scheduling.offers import Granted, Outcome
 from carawayfold.coordination.scheduling.pool_assignment import (
     choose_fallback_pool,
     choose_pool,
 )
+from carawayfold.coordination.scheduling.pool_selection import MAX_FALLBACK_POOLS
 from tests.schedule_builders import offer, scheduler
 
 #: Simulated seconds, and seconds between two rounds of requests.
