--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -49,10 +49,10 @@
 MAX_BALANCED_POOLS = 2
 #: Part of the remaining objective that a request waits in a pool before it may move to
 #: one that is known to have room. Spread by hash, so that the requests of a full pool
-#: don't move on one load of another.
-MIN_PATIENCE, MAX_PATIENCE = 0.25, 0.58
+#: don't move on one load of another. Two moves leave a third of the objective.
+MIN_PATIENCE, MAX_PATIENCE = 0.2, 0.4
 #: The same before it may move to a pool of unknown load.
-UNKNOWN_PATIENCE = 0.6
+UNKNOWN_PATIENCE = 0.4
 #: Seconds between two looks for a pool with room.
 LOOK_INTERVAL = 0.04
 #: Reason of the rejection with which a waiting request leaves a pool. Callers never
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -43,6 +43,7 @@
     Outcome,
     Rejected,
 )
+from carawayfold.coordination.scheduling.overdue_waits import replace_overdue
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
     choose_endpoint,
@@ -502,17 +503,17 @@
         candidate = choose_endpoint(offer, usable, copy_source, share, now)
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
+        if self.features.balance_pools:
+            candidate = replace_overdue(
+                candidate, offer, usable, copy_source, share, now
+            )
         if candidate.starts_in <= 0:
             self._grant(offer, candidate, now)
             candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
+            endpoint = candidate.backlog.id
             source_id = copy_source.id if candidate.copied_tokens else None
-            admitted_fraction = self._admitted_fraction(offer, now)
-            return Granted(
-                offer.call,
-                candidate.backlog.id,
-                source_id,
-                admitted_fraction=admitted_fraction,
-            )
+            fraction = self._admitted_fraction(offer, now)
+            return Granted(offer.call, endpoint, source_id, None, fraction)
         if self._is_too_late(offer, candidate.first_token_in, now):
             return self._reject_late(offer, candidate.first_token_in, now)
         candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
@@ -644,10 +645,8 @@
         longest = max(MIN_RETRY_AFTER, (offer.expires - now) * MAX_RETRY_FRACTION)
         retry_after = min(wanted, longest, MAX_RETRY_AFTER)
         holder = self._find_prefix_holder(offer, now)
-        admitted_fraction = self._admitted_fraction(offer, now)
-        return Rejected(
-            offer.call, reason, retry_after, holder, admitted_fraction=admitted_fraction
-        )
+        fraction = self._admitted_fraction(offer, now)
+        return Rejected(offer.call, reason, retry_after, holder, None, fraction)
 
     def _admitted_fraction(self, offer: Offer, now: float) -> float:
         """Return the fraction of similar requests that may be offered to a full pool.
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -171,10 +171,10 @@
     It rejects requests while its loop is late, as the product does.
     """
 
-    def __init__(self, fleet, table, processor):
+    def __init__(self, fleet, table, processor, features=None):
         self.clock = Clock(CORE_PARTS[processor])
         ChargedScheduler.clocks.append(self.clock)
-        self.coordinator = SchedulingCoordinator(fleet, 4.0)
+        self.coordinator = SchedulingCoordinator(fleet, 4.0, features=features)
         self.fleet = fleet
         self.pressure = OverloadDetector()
         self.coordinator.loop = self.clock
@@ -273,13 +273,16 @@
         Seconds of load.
     faults : callable, optional
         Called with this simulation once per second.
+    features : SchedulingFeatures, optional
+        Optional decisions of the coordinators.
     """
 
-    def __init__(self, floods, count=36, seconds=8, seed=1, faults=None):
+    def __init__(self, floods, count=36, seconds=8, seed=1, faults=None, features=None):
         self.floods = floods
         self.count = count
         self.seconds = seconds
         self.faults = faults
+        self.features = features
         self.draw = random.Random(seed)
         self.seed = seed
         self.played = Played()
@@ -299,7 +302,7 @@
         self.fleet = ChargedFleet(seed=self.seed, fill_beat=lambda name, beat: beat)
         processors = self.processors = {}
         self.fleet.attach = lambda name, fleet: ChargedRouter(
-            fleet, self.registrations.table_of(name), processors[name]
+            fleet, self.registrations.table_of(name), processors[name], self.features
         )
         for number in range(self.count):
             strong = number < 8
