--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -44,8 +44,8 @@
 #: serve it in time. Without them, an organisation whose requests share a prefix would
 #: get its share of a single pool only, whatever the capacity of the others.
 MAX_FALLBACK_POOLS = 1
-#: The same with balance between pools. The last one is asked only while the objective
-#: lasts or if it is known to have room.
+#: The same with balance between pools. The last one is asked only if it is known to
+#: have room, or nothing is known of it and the objective lasts.
 MAX_BALANCED_POOLS = 2
 #: Part of the remaining objective that a request waits in a pool before it may move to
 #: one that is known to have room. Spread by hash, so that the requests of a full pool
@@ -213,9 +213,12 @@
         if len(asked) > MAX_BALANCED_POOLS:
             return None
         now = self.coordinator.loop.time()
-        if len(asked) > MAX_FALLBACK_POOLS and now >= offer.due:
-            return self.balance.find_room(weights, asked, offer, now)
-        return self.balance.choose_further(weights, asked, offer, now)
+        if len(asked) <= MAX_FALLBACK_POOLS:
+            return self.balance.choose_further(weights, asked, offer, now)
+        found = self.balance.find_room(weights, asked, offer, now)
+        if found is None and now < offer.due:
+            found = self.balance.find_unknown(weights, asked, offer, now)
+        return found
 
     # Requests
 
--- a/tests/simulated_pool_load.py
+++ b/tests/simulated_pool_load.py
@@ -16,14 +16,14 @@
     SchedulingCoordinator,
 )
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
-from carawayfold.coordination.scheduling.offers import Granted, Offer, Outcome
-from carawayfold.protocol.datagrams import (
-    Datagram,
-    GrantMessage,
-    RejectMessage,
-    decode,
-    encode,
+from carawayfold.coordination.scheduling.offers import (
+    Granted,
+    Offer,
+    Outcome,
+    PoolLoad,
 )
+from carawayfold.coordination.scheduling.pool_balance import PoolBalance
+from carawayfold.protocol.datagrams import Datagram, decode, encode
 from carawayfold.protocol.exchanges import Part
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
@@ -76,8 +76,12 @@
         Seconds until each grant.
     pools : list of Counter
         Granted hot requests by pool, of each phase.
+    moves : Counter
+        Offers to other pools than that of the prefix, by moment.
     organisations : Counter
         Granted requests of each organisation.
+    most_running : int
+        Most requests at one engine.
     """
 
     asked: int = 0
@@ -91,6 +95,37 @@
     most_running: int = 0
 
 
+class DistortedBalance(PoolBalance):
+    """Loads of pools that are late, false or not stated.
+
+    Parameters
+    ----------
+    age : float
+        Seconds by which loads are late; they are taken for new ones.
+    liar : str or None
+        Pool of which neither wait nor use is ever stated.
+    silent : bool
+        Whether no loads are stated, as by routers of an older version.
+    """
+
+    def __init__(self, age=0.0, liar=None, silent=False):
+        super().__init__()
+        self.age = age
+        self.liar = liar
+        self.silent = silent
+        self.loop = asyncio.get_running_loop()
+
+    def record(self, pool, load, now):
+        if self.silent:
+            return
+        if pool == self.liar:
+            load = PoolLoad(0.0, 0.0)
+        if not self.age:
+            super().record(pool, load, now)
+            return
+        self.loop.call_later(self.age, super().record, pool, load, now + self.age)
+
+
 class LinkedFleet:
     """Fleet of one router, whose peers are always reachable."""
 
@@ -136,32 +171,18 @@
         Number of routers.
     tokens : int
         Tokens of a prompt, of which four fifths are shared.
-    age : float
-        Seconds by which the loads of pools in decisions are late.
-    liar : str or None
-        Pool whose leader states no load at all, neither wait nor use.
-    silent : bool
-        Whether leaders state no loads, as routers of an older version.
+    distort : callable, optional
+        Returns the `DistortedBalance` of a router.
     """
 
     def __init__(
-        self,
-        phases,
-        balances=True,
-        routers=3,
-        tokens=0,
-        seed=1,
-        age=0.0,
-        liar=None,
-        silent=False,
+        self, phases, balances=True, routers=3, tokens=200, seed=1, distort=PoolBalance
     ):
         self.phases = phases
         self.features = SchedulingFeatures(balance_pools=balances)
         self.names = [f"r-{number}" for number in range(routers)]
         self.tokens = tokens
-        self.age = age
-        self.liar = liar
-        self.silent = silent
+        self.distort = distort
         self.draw = random.Random(seed)
         self.played = LoadPlayed()
         self.running = Counter()
@@ -184,6 +205,7 @@
             fleet = LinkedFleet(self, name, self.names)
             coordinator = SchedulingCoordinator(fleet, 4.0, features=self.features)
             coordinator.refresh(table, routes)
+            coordinator.selection.balance = self.distort()
             self.coordinators[name] = coordinator
         reports = [
             self.loop.create_task(item.report_periodically())
@@ -216,21 +238,12 @@
 
     def carry(self, sender, receiver, message):
         """Deliver a message to a router."""
-        message = self._falsify(message)
         data = encode(Datagram(sender, 1, [message]))
-        if isinstance(message, GrantMessage | RejectMessage):
-            self._state_load(receiver, message)
         self.loop.call_later(DELAY, self._deliver, receiver, data)
 
     def _deliver(self, receiver, data):
         self.coordinators[receiver].take(decode(data))
 
-    def _falsify(self, message):
-        return message
-
-    def _state_load(self, receiver, message):
-        pass
-
     async def _call(self, name, prefix):
         played = self.played
         phase = len(played.pools) - 1
