--- a/carawayfold/coordination/scheduling/pool_balance.py
+++ b/carawayfold/coordination/scheduling/pool_balance.py
@@ -20,6 +20,7 @@
 from carawayfold.coordination.scheduling.placement import READ_AHEAD_DURATION
 from carawayfold.coordination.scheduling.pool_assignment import (
     choose_fallback_pool,
+    choose_pool,
     draw_fraction,
     order_pools,
 )
@@ -159,13 +160,16 @@
             known = self.loads.get(pool)
             if known is None or now - known.at > LOAD_DURATION:
                 continue
-            key = Contradiction(pool, offer.organisation)
-            if self.contradictions.get(key, now) > now:
+            if self._is_contradicted(pool, offer, now):
                 continue
             used = known.load.used + known.added / max(1, slots)
             loads[pool] = PoolLoad(known.load.wait, used)
         return loads
 
+    def _is_contradicted(self, pool: PoolId, offer: Offer, now: float) -> bool:
+        key = Contradiction(pool, offer.organisation)
+        return self.contradictions.get(key, now) > now
+
     def choose_first(
         self, weights: Mapping[PoolId, int], prefix: str, offer: Offer, now: float
     ) -> PoolId:
@@ -213,16 +217,17 @@
         offer: Offer,
         now: float,
     ) -> PoolId | None:
-        """Return the pool with the shortest wait that is known to have room, if any."""
-        loads = self.known(weights, offer, now)
-        fitting = [
-            pool
-            for pool, load in loads.items()
+        """Return a pool that is known to have room, if any.
+
+        Drawn by the hash of the request in proportion to the free slots: all routers
+        know about the same loads, and would fill the pool with the shortest wait.
+        """
+        free = {
+            pool: max(1, round(weights[pool] * (1 - load.used)))
+            for pool, load in self.known(weights, offer, now).items()
             if pool not in asked and _has_room(load, offer, now)
-        ]
-        return min(
-            fitting, key=lambda pool: (loads[pool].wait, loads[pool].used), default=None
-        )
+        }
+        return choose_pool(free, offer.call) if free else None
 
     def find_unknown(
         self,
@@ -231,9 +236,17 @@
         offer: Offer,
         now: float,
     ) -> PoolId | None:
-        """Return a pool of unknown load by the hash of a request, if any."""
+        """Return a pool of unknown load by the hash of a request, if any.
+
+        One that contradicted itself isn't unknown: it had no room for the organisation.
+        """
         loads = self.known(weights, offer, now)
-        return choose_fallback_pool(weights, {*asked, *loads}, offer.call)
+        unknown = {
+            pool: slots
+            for pool, slots in weights.items()
+            if pool not in loads and not self._is_contradicted(pool, offer, now)
+        }
+        return choose_fallback_pool(unknown, asked, offer.call)
 
 
 def measure_load(scheduler: Scheduler, now: float) -> PoolLoad:
--- a/tests/coordination/scheduling/test_pool_shares.py
+++ b/tests/coordination/scheduling/test_pool_shares.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from carawayfold.coordination.scheduling.pool_balance import PoolBalance
 from tests.simulated_pools import PoolsRun
 
 
@@ -19,3 +20,10 @@
 def test_floods_get_equal_shares_whatever_their_prefixes(prefixes):
     got = PoolsRun({"one": prefixes, "two": 40}).play()
     assert min(got["one"], got["two"]) >= 0.5 * max(got.values())
+
+
+@pytest.mark.parametrize("prefixes", [1, 2, 40])
+def test_floods_get_equal_shares_with_balance_between_pools(prefixes):
+    """Full pools aren't skipped, so each one sees the demand of both."""
+    got = PoolsRun({"one": prefixes, "two": 40}, balance=PoolBalance()).play()
+    assert min(got["one"], got["two"]) >= 0.5 * max(got.values())
