--- a/carawayfold/coordination/scheduling/pool_balance.py
+++ b/carawayfold/coordination/scheduling/pool_balance.py
@@ -254,7 +254,8 @@
 
     The pool is treated as a single endpoint, except that a request needs one engine
     that has little prefill left. If no endpoint has room, the wait is no less than that
-    of the request that is served next.
+    of the request that is served next. A pool that has just rejected a request as late
+    states no free slots: those that it has are kept for requests within a share.
     """
     limited = scheduler.plan.warm_up_rate > 0
     usable = [
@@ -275,7 +276,8 @@
         for load in usable
     ):
         wait = max(wait, _head_age(scheduler, now))
-    return PoolLoad(wait, running / slots)
+    used = running / slots
+    return PoolLoad(wait, max(1.0, used) if now < scheduler.full_until else used)
 
 
 def _prefill_wait(load: EndpointLoad) -> float:
--- a/tests/coordination/scheduling/test_decision_statistics.py
+++ b/tests/coordination/scheduling/test_decision_statistics.py
@@ -8,6 +8,7 @@
 
 from carawayfold.coordination.scheduling import decision_statistics
 from carawayfold.coordination.scheduling.decision_statistics import SchedulingStatistics
+from carawayfold.coordination.scheduling.offers import PoolLoad
 from carawayfold.state.usage import UsageTable
 
 
@@ -45,3 +46,20 @@
     (line,) = handler.records
     assert line.message == "offered unknown pools"
     assert line.extra["offers"] == 3
+
+
+def test_a_log_line_states_the_load_of_a_pool_and_the_requests_moved_to_it():
+    async def work():
+        made = SchedulingStatistics()
+        statistics = made.of("model/0")
+        statistics.moved_first, statistics.moved_later = 3, 2
+        statistics.load = PoolLoad(0.0214, 0.75)
+        made.of("model/1").offers = 1
+        made.write({"model/0": UsageTable(4.0), "model/1": UsageTable(4.0)}, set())
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(work())
+    known, unknown = (line.extra for line in handler.records)
+    assert (known["moved_first"], known["moved_later"]) == (3, 2)
+    assert (known["wait_ms"], known["used"]) == (21, 0.75)
+    assert (unknown["wait_ms"], unknown["used"]) == (None, None)
