Order pools of a prefix only when its own pool is full

The order of all pools was computed for each request, beside the choice by hash: 156 us more for 39 pools, of 55 us by hash alone. The order is needed only if the prefix's own pool may be overfull, so its load is looked at first: 5 us more otherwise. Keeping orders by prefix was ruled out, since it needs memory for each prefix.

--- a/carawayfold/coordination/scheduling/pool_balance.py
+++ b/carawayfold/coordination/scheduling/pool_balance.py
@@ -171,7 +171,12 @@
         return self.contradictions.get(key, now) > now
 
     def choose_first(
-        self, weights: Mapping[PoolId, int], prefix: str, offer: Offer, now: float
+        self,
+        weights: Mapping[PoolId, int],
+        own: PoolId,
+        prefix: str,
+        offer: Offer,
+        now: float,
     ) -> PoolId:
         """Return the pool to which a request is offered first.
 
@@ -179,6 +184,8 @@
         ----------
         weights : mapping
             Slots of each pool that the request may use.
+        own : PoolId
+            The pool of its prefix.
         prefix : str
             Identifier of its prefix.
         offer : Offer
@@ -186,12 +193,13 @@
         now : float
             Monotonic seconds.
         """
-        order = order_pools(weights, prefix)
-        own = order[0]
+        load = self.known({own: weights[own]}, offer, now).get(own)
+        if load is None or not _may_be_overfull(load, offer, now):
+            return own
         loads = self.known(weights, offer, now)
-        load = loads.get(own)
-        if load is None or not _is_overfull(load, loads, weights, offer, now):
+        if not _is_overfull(load, loads, weights, offer, now):
             return own
+        order = order_pools(weights, prefix)
         target, fraction = _target(order, loads, weights, offer, now)
         return target if draw_fraction(f"first|{offer.call}") < fraction else own
 
@@ -303,6 +311,12 @@
     return load.used < FULL_USE and load.wait <= longest
 
 
+def _may_be_overfull(load: PoolLoad, offer: Offer, now: float) -> bool:
+    """Return whether a pool is overfull unless the others are as full."""
+    longest = MAX_WAIT_FRACTION * _objective_left(offer, now)
+    return load.used > FULL_USE or load.wait > longest
+
+
 def _is_overfull(
     load: PoolLoad,
     loads: Mapping[PoolId, PoolLoad],
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -195,7 +195,7 @@
             return own
         now = self.coordinator.loop.time()
         prefix = self._prefix_of(offer.prompt)
-        pool = self.balance.choose_first(weights, prefix, offer, now)
+        pool = self.balance.choose_first(weights, own, prefix, offer, now)
         if pool != own:
             statistics = self.coordinator.decision_statistics
             statistics.of(pool).moved_first += 1
--- a/tests/coordination/scheduling/test_pool_balance.py
+++ b/tests/coordination/scheduling/test_pool_balance.py
@@ -48,7 +48,7 @@
 def first_pools(made, now=NOW, count=1000, weights=WEIGHTS):
     """Count the pools to which requests with the prefix are offered first."""
     return Counter(
-        made.choose_first(weights, PREFIX, request(number), now)
+        made.choose_first(weights, OWN, PREFIX, request(number), now)
         for number in range(count)
     )
 
@@ -102,7 +102,7 @@
 def test_a_short_objective_lets_requests_leave_for_a_wait_that_others_accept():
     made = balance(own=PoolLoad(0.2, 0.5), next=IDLE, last=IDLE)
     patient = [offer(f"r.1.{number}", now=NOW, due=NOW + 5) for number in range(200)]
-    pools = {made.choose_first(WEIGHTS, PREFIX, item, NOW) for item in patient}
+    pools = {made.choose_first(WEIGHTS, OWN, PREFIX, item, NOW) for item in patient}
     assert pools == {OWN}
     assert first_pools(made)[NEXT] > 0
 
--- a/tests/simulated_pools.py
+++ b/tests/simulated_pools.py
@@ -78,9 +78,10 @@
 
     def _first(self, wants, now):
         prefix = wants.prompt[0].id
+        own = choose_pool(self.weights, prefix)
         if self.balance is None:
-            return choose_pool(self.weights, prefix)
-        return self.balance.choose_first(self.weights, prefix, wants, now)
+            return own
+        return self.balance.choose_first(self.weights, own, prefix, wants, now)
 
     def _further(self, wants, asked, now):
         if self.balance is None:
