--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -44,6 +44,7 @@
     Rejected,
     Standing,
 )
+from carawayfold.coordination.scheduling.overdue_waits import replace_overdue
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
     compute_excess_failures,
@@ -430,17 +431,17 @@
         )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
+        if self.features.balance_pools:
+            candidate = replace_overdue(
+                candidate, offer, usable, copy_source, share, now
+            )
         if candidate.starts_in <= 0:
             self._grant(offer, candidate, now)
             candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
+            endpoint = candidate.backlog.id
             source_id = copy_source.id if candidate.copied_tokens else None
-            admitted_fraction = self._admitted_fraction(offer, now)
-            return Granted(
-                offer.call,
-                candidate.backlog.id,
-                source_id,
-                admitted_fraction=admitted_fraction,
-            )
+            fraction = self._admitted_fraction(offer, now)
+            return Granted(offer.call, endpoint, source_id, None, fraction)
         corrected = self.predictions.predict(offer, candidate.starts_in, now)
         first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
         if self._is_too_late(offer, first_token_in, now):
@@ -559,10 +560,8 @@
         else:
             retry_after = self.returns.promise(offer, wait, self._access(offer), now)
         holder = rejections.find_prefix_holder(offer, self.loads, self.unreachable, now)
-        admitted_fraction = self._admitted_fraction(offer, now)
-        return Rejected(
-            offer.call, reason, retry_after, holder, admitted_fraction=admitted_fraction
-        )
+        fraction = self._admitted_fraction(offer, now)
+        return Rejected(offer.call, reason, retry_after, holder, None, fraction)
 
     def _access(self, offer: Offer) -> Access:
         """Return which part of the expected room a rejected request may use."""
