--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -73,7 +73,6 @@
 ANSWER_MARGIN = 0.03
 #: Seconds allowed for a request whose caller states no timeout.
 DEFAULT_REQUEST_TIMEOUT = 60.0
-
 #: Seconds after a caller's timeout at which it no longer resumes its stream.
 RETURN_MARGIN = 1.0
 
