Correct no prediction while an endpoint has room

Cause: a request waits for the engine that has its prefix although others are idle, as prefilling a shared part again counts 16-fold. Its wait was multiplied by the ratio of its class, up to 3, and the request rejected beside the idle engine. Behind the head of the queue, the same happened to requests for which no endpoint had been evaluated yet. Ruled out: choosing the endpoint by the corrected wait, which would spread prefixes over engines during a burst. Change: the uncorrected wait counts while an endpoint has room. Two engines, one idle, a ratio of 3: 1 of 1 request was rejected before, and 0 of 1 and 0 of 30 now; undone behind the head alone, the test with 30 fails. Conclusion: a correction refuses requests only where all endpoints are full.

--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -439,8 +439,11 @@
         """Reject requests behind the head of the queue that can't be in time."""
         tail = [entry.offer for entry in self.queue[QUEUE_HEAD_LENGTH:]]
         waits = rejections.predict_tail(tail, backlogs, self.speed)
+        idle = self._has_room(backlogs)
         for offer, first_token_in in waits:
             corrected = self.predictions.predict(offer, first_token_in, now)
+            if idle:
+                corrected = first_token_in
             if self._is_too_late(offer, corrected, now):
                 self.predictions.ended(offer, first_token_in, now)
                 decisions.append(self._reject_late(offer, corrected, now))
@@ -494,6 +497,11 @@
                 admitted_fraction=admitted_fraction,
             )
         corrected = self.predictions.predict(offer, candidate.starts_in, now)
+        if corrected > candidate.starts_in and any(
+            has_room(item, offer.prompt_tokens, share) for item in usable
+        ):
+            # It waits for the endpoint of its prefix, and may go to this one instead.
+            corrected = candidate.starts_in
         first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
         if self._is_too_late(offer, first_token_in, now):
             self.predictions.ended(offer, candidate.starts_in, now)
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.offers import Granted, Rejected, Standing
 from carawayfold.coordination.scheduling.return_schedule import RETURN_WAIT_FRACTION
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
+from carawayfold.protocol.exchanges import Part
 from tests.schedule_builders import WINDOW, endpoint, offer
 from tests.simulated_returns import Replay, burst
 
@@ -207,6 +209,45 @@
     ]
 
 
+def scheduler_with_wrong_predictions():
+    """Return a scheduler of two engines whose predictions have been far too short.
+
+    The first engine has the shared prefix of requests and prefills for 0.45 s; the
+    second one is idle.
+    """
+    features = SchedulingFeatures(schedule_returns=True)
+    made = Scheduler(WINDOW, features=features)
+    engines = [endpoint("e-0", slots=64), endpoint("e-1", slots=64)]
+    made.set_endpoints(engines, PoolPlan(0.0, 1_000_000, 100_000.0))
+    made.loads["e-0"].prefixes.send([Part("topic", 5000)])
+    busy = ActiveRequest("busy", "r", 45_000, 45_000, 1.0, 1.0)
+    made.loads["e-0"].add(busy)
+    for number in range(200):
+        item = offer(f"r.9.{number}", now=0.9)
+        made.predictions.predict(item, 0.02, 0.9)
+        made.predictions.ended(item, 0.0, 1.0)
+    return made
+
+
+@pytest.mark.parametrize("count", [1, 30])
+def test_no_prediction_is_corrected_while_an_engine_has_room(count):
+    """Requests wait for the engine that has their prefix, beside an idle one."""
+    made = scheduler_with_wrong_predictions()
+    offers = [
+        offer(f"r.0.{number}", now=1.0, tokens=5000, own=1500)
+        for number in range(count)
+    ]
+    decisions = decide(made, 1.0, *offers).values()
+    assert not [item for item in decisions if isinstance(item, Rejected)]
+
+
+def test_a_prediction_is_corrected_while_no_engine_has_room():
+    made = scheduler_with_wrong_predictions()
+    made.loads["e-1"].add(ActiveRequest("other", "r", 45_000, 45_000, 1.0, 1.0))
+    item = offer("r.0.1", now=1.0, tokens=5000, own=200)
+    assert isinstance(decide(made, 1.0, item)["r.0.1"], Rejected)
+
+
 def test_a_request_that_expires_before_its_answer_is_rejected_at_once():
     made = returning_scheduler()
     made.loads["e-0"].residence = 0.8
