Take no punctual return or new request for an early one

Cause: a promise is found by organisation, route, contents and deadline. A second rejection with the same ones replaced the promise of the first, so the first caller, who returned when it was told, counted as early: last in rank and rejected at once. That holds for a request sent several times at once, and for requests without a prompt whose deadlines are within 20 ms. And such a request counted as early when its router had taken 10 ms to read it. Ruled out: a longer key, since a return carries nothing else of its own; no recognition without a prompt, since callers that repeat at once would gain. Change: promises with one key are joined, keep the earliest time and count their requests; the objective must be 0.1 s shorter. Conclusion: no caller that waits as told is early for its likeness to another; without a prompt, repeating within 0.1 s counts as a new request, bounded by its organisation's share.

--- a/carawayfold/coordination/scheduling/return_schedule.py
+++ b/carawayfold/coordination/scheduling/return_schedule.py
@@ -62,8 +62,9 @@
 DEADLINE_TOLERANCE = 0.1
 PLAIN_DEADLINE_TOLERANCE = 0.02
 #: Seconds by which an objective must be shorter than that of new requests of its
-#: route for a request without contents of its own to count as a return.
-MIN_WAITED = 0.01
+#: route for a request without contents of its own to count as a return. Longer than a
+#: router takes to read a request, shorter than the least retry delay.
+MIN_WAITED = 0.1
 #: Seconds by which a caller may return before its time, by the error of clocks and of
 #: the time left that it states.
 EARLY_TOLERANCE = 0.1
@@ -168,7 +169,7 @@
     route : RouteId
         Route of the request.
     contents : PartId or str
-        Last part of its prompt, which is its own; empty without a prompt.
+        Last part of its prompt, its own or its session's; empty without a prompt.
     deadline : int
         Deadline of its caller, in units of the tolerance.
     """
@@ -180,21 +181,31 @@
 
 
 class Promise(msgspec.Struct):
-    """A rejected request that may return.
+    """A rejected request that may return, or several that look alike.
 
     Attributes
     ----------
     at : float
-        Monotonic seconds from which it may return.
+        Monotonic seconds from which the first of them may return.
     due : float
-        Monotonic seconds at which its answer was first due.
+        Monotonic seconds at which the last of their answers was first due.
     made_at : float
-        Monotonic seconds of its last rejection.
+        Monotonic seconds of the last rejection.
+    requests : int
+        Number of the requests that have not returned.
     """
 
     at: float
     due: float
     made_at: float
+    requests: int = 1
+
+    def add(self, other: Promise) -> None:
+        """Add the requests of another promise, so that none of them is early."""
+        self.at = min(self.at, other.at)
+        self.due = max(self.due, other.due)
+        self.made_at = max(self.made_at, other.made_at)
+        self.requests += other.requests
 
 
 class ReturnCounts(msgspec.Struct):
@@ -280,7 +291,9 @@
             offer.standing = Standing.EARLY
             self.counts.early += 1
             return
-        del self.promises[key]
+        promise.requests -= 1
+        if not promise.requests:
+            del self.promises[key]
         offer.standing = Standing.RETURNED
         self.counts.returned += 1
         self._record_return(1.0)
@@ -307,8 +320,9 @@
             if now - promise.made_at <= PROMISE_DURATION:
                 break
             del self.promises[key]
-            self.counts.lost += 1
-            self._record_return(0.0)
+            self.counts.lost += promise.requests
+            for _ in range(promise.requests):
+                self._record_return(0.0)
 
     def _record_return(self, returned: float) -> None:
         ratio = self.return_ratio + RETURN_WEIGHT * (returned - self.return_ratio)
@@ -361,14 +375,20 @@
         key = key_of(offer)
         known = self._find(offer) if offer.standing is Standing.EARLY else None
         if known is not None:
-            at = self.promises.pop(known).at
+            promise = self.promises.pop(known)
+            promise.made_at = now
         else:
             at = self._choose_time(offer, min(wait, longest), longest, access, now)
+            promise = Promise(at, offer.due, now)
             self.counts.promised += 1
-        self.promises[key] = Promise(at, offer.due, now)
+        told = promise.at
+        alike = self.promises.pop(key, None)
+        if alike is not None:
+            promise.add(alike)
+        self.promises[key] = promise
         if len(self.promises) > MAX_PROMISES:
             self.promises.popitem(last=False)
-        return min(max(at - now, MIN_RETRY_AFTER), longest)
+        return min(max(told - now, MIN_RETRY_AFTER), longest)
 
     def _choose_time(
         self, offer: Offer, wait: float, longest: float, access: Access, now: float
