Serve early returns behind the head of the queue where an endpoint is free

Ruled out: evaluating more requests at a review, which the length of a round forbids. Change: while an endpoint has room, the rule for new requests applies there, and the next rounds grant them; all 40 are granted now. Conclusion: an early return is refused only where all endpoints are full or its own prefix is worth the wait.

--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -444,7 +444,7 @@
             corrected = self.predictions.predict(offer, first_token_in, now)
             if idle:
                 corrected = first_token_in
-            if self._is_too_late(offer, corrected, now):
+            if self._is_too_late(offer, corrected, now, idle):
                 self.predictions.ended(offer, first_token_in, now)
                 decisions.append(self._reject_late(offer, corrected, now))
 
@@ -580,8 +580,12 @@
         statistics = self.routes[offer.route]
         statistics.granted += 1
 
-    def _is_too_late(self, offer: Offer, first_token_in: float, now: float) -> bool:
-        rules = rejections if self.returns is None else self.returns
+    def _is_too_late(
+        self, offer: Offer, first_token_in: float, now: float, idle: bool = False
+    ) -> bool:
+        # While an endpoint has room, the next rounds may grant it to an early return.
+        kept = idle and offer.standing is Standing.EARLY
+        rules = rejections if self.returns is None or kept else self.returns
         return rules.is_too_late(offer, first_token_in, self.speed, now)
 
     def _decide_without_endpoint(
--- a/carawayfold/coordination/scheduling/wait_predictions.py
+++ b/carawayfold/coordination/scheduling/wait_predictions.py
@@ -19,8 +19,8 @@
     from carawayfold.coordination.scheduling.offers import Offer
     from carawayfold.state.ids import RouteId
 
-#: Half-life in seconds of observed waits. Shorter than a burst, so that a ratio ends
-#: with its load.
+#: Half-life in seconds of observed waits. Shorter than a burst, so that waits after it
+#: soon outweigh those during it.
 OBSERVED_HALF_LIFE = 1.0
 #: Seconds of waiting, predicted and observed alike, that are added to the observed
 #: ones: a few short waits don't change the ratio, and it returns to 1 without any.
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -173,6 +173,24 @@
     assert isinstance(decide(made, 1.15, again(item, 1.15, 2))["r.0.2"], Granted)
 
 
+def test_free_endpoints_serve_more_early_returns_than_one_review_examines():
+    made = Scheduler(WINDOW, features=SchedulingFeatures(schedule_returns=True))
+    engines = [endpoint(f"e-{number}") for number in range(30)]
+    made.set_endpoints(engines, PoolPlan(0.0, 1_000_000, 100_000.0))
+    items = [
+        offer(f"r.0.{number}", f"topic-{number}", 100, 100, now=1.1)
+        for number in range(40)
+    ]
+    for item in items:
+        made._reject(item, "no answer in time", 0.0, 1.1)
+    early = [again(item, 1.15, 100 + number) for number, item in enumerate(items)]
+    decisions = list(decide(made, 1.15, *early).values())
+    assert {item.standing for item in early} == {Standing.EARLY}
+    for step in range(1, 5):
+        decisions += made.decide(1.15 + step * 0.002)
+    assert [isinstance(item, Granted) for item in decisions] == [True] * len(items)
+
+
 def test_early_returns_rank_last_whatever_their_organisation_got():
     made = returning_scheduler()
     item = offer("r.0.1", now=1.1)
