Count no second offer of a router as an early return

Cause: a pool rejects a request and promises a time, a fallback pool grants it, and the endpoint there fails. Its router offers the request to the first pool again, which took this for a caller that returns before its time and rejected it at once, although its only slot was free 0.1 s later; with the setting off it was granted. Ruled out: a mark in the offer, since the endpoints to avoid already say that an attempt was made, and ending the promise by a message for each grant elsewhere. Change: an offer that avoids endpoints is a new request, as before the schedule. The new test fails without it. Conclusion: a failed attempt costs a request no more with the setting than without.

--- a/carawayfold/coordination/scheduling/return_schedule.py
+++ b/carawayfold/coordination/scheduling/return_schedule.py
@@ -280,7 +280,8 @@
         objective = offer.due - now
         longest = self.objectives.get(offer.route, 0.0)
         self.objectives[offer.route] = max(longest, objective)
-        key = self._find(offer)
+        # A request that failed at an endpoint is offered again by its router.
+        key = None if offer.avoid else self._find(offer)
         if key is None or not (offer.prompt or objective < longest - MIN_WAITED):
             demand = self.within if within_share else self.beyond
             demand.add(cost_of(offer), now)
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -4,13 +4,19 @@
 
 import hashlib
 import statistics
+from dataclasses import replace
 from functools import cache
 
 import pytest
 
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
-from carawayfold.coordination.scheduling.offers import Granted, Rejected, Standing
+from carawayfold.coordination.scheduling.offers import (
+    Granted,
+    Outcome,
+    Rejected,
+    Standing,
+)
 from carawayfold.coordination.scheduling.return_schedule import RETURN_WAIT_FRACTION
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.exchanges import Part
@@ -191,6 +197,19 @@
     assert [isinstance(item, Granted) for item in decisions] == [True] * len(items)
 
 
+def test_a_request_that_failed_in_another_pool_is_no_early_return():
+    """Its router offers it again by itself; its caller has not returned."""
+    made = returning_scheduler()
+    item = offer("r.0.1", now=1.1)
+    rejection(made, 1.0, item)
+    made.loads["e-0"].residence = 0.2
+    failed = replace(item, call="r.0.2", arrived=1.2, avoid=frozenset(["other"]))
+    assert not decide(made, 1.2, failed)
+    assert failed.standing is Standing.NEW
+    made.ended("busy.0.1.0", Outcome.COMPLETE, 1.3)
+    assert isinstance(made.decide(1.3)[0], Granted)
+
+
 def test_early_returns_rank_last_whatever_their_organisation_got():
     made = returning_scheduler()
     item = offer("r.0.1", now=1.1)
