--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -386,9 +386,12 @@
         waits = rejections.predict_tail(
             [entry.offer for entry in tail], backlogs, self.speed
         )
+        idle = self._has_room(backlogs)
         for offer, first_token_in in waits:
             corrected = self.predictions.predict(offer, first_token_in, now)
-            if self._is_too_late(offer, corrected, now):
+            if idle:
+                corrected = first_token_in
+            if self._is_too_late(offer, corrected, now, idle):
                 self.predictions.ended(offer, first_token_in, now)
                 decisions.append(self._reject_late(offer, corrected, now))
 
@@ -443,6 +446,11 @@
             fraction = self._admitted_fraction(offer, now)
             return Granted(offer.call, endpoint, source_id, None, fraction)
         corrected = self.predictions.predict(offer, candidate.starts_in, now)
+        if corrected > candidate.starts_in and any(
+            has_room(item, offer.prompt_tokens, share) for item in usable
+        ):
+            # It waits for the endpoint of its prefix, and may go to this one instead.
+            corrected = candidate.starts_in
         first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
         if self._is_too_late(offer, first_token_in, now):
             self.predictions.ended(offer, candidate.starts_in, now)
@@ -523,8 +531,12 @@
         statistics = self.routes[offer.route]
         statistics.granted += 1
 
-    def _is_too_late(self, offer: Offer, first_token_in: float, now: float) -> bool:
-        rules = rejections if self.returns is None else self.returns
+    def _is_too_late(
+        self, offer: Offer, first_token_in: float, now: float, idle: bool = False
+    ) -> bool:
+        # While an endpoint has room, the next rounds may grant it to an early return.
+        kept = idle and offer.standing is Standing.EARLY
+        rules = rejections if self.returns is None or kept else self.returns
         return rules.is_too_late(offer, first_token_in, self.speed, now)
 
     def _decide_without_endpoint(
