List the seed with a share below the bound while there is a pool less

With one pool less and seed 9, the least part is 0.475 where 0.5 is allowed. The seeds of the test were 2 and 3, so that no test showed it.

Seed 9 joins them, with the bound as it is. The cause isn't traced.

--- a/tests/coordination/scheduling/test_shares_across_pools.py
+++ b/tests/coordination/scheduling/test_shares_across_pools.py
@@ -19,7 +19,7 @@
     return run.play().least([flood.name for flood in run.floods], SECONDS)
 
 
-@pytest.mark.parametrize("seed", [2, 3])
+@pytest.mark.parametrize("seed", [2, 3, 9])
 def test_an_organisation_gets_its_share_while_there_is_a_pool_less(seed):
     assert least_part(FAULTS["shrink"], seed).part >= MIN_PART
 
