Refuse entries that reach no single host or take another's identifier

An entry with the address 0.0.0.0 was a usable endpoint, and connections to that address reach the router's own machine; multicast and broadcast addresses were usable as well. An entry named "i-1~5" without a start time had the identifier of the incarnation 5 of "i-1", by which a scheduler holds its state, so that one of them hid the other. A read that ends within the size of a record raised struct.error, which the reader of the topic doesn't handle, and a task that fails stops the router.

Such addresses are refused, a name with "~" always gets a start time in its identifier, and the cut read is a failed one. Refusing names with "~" was ruled out, as a deployment may use them.

--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -36,6 +36,8 @@
 VALID_PORTS = range(1, 65536)
 #: Form of an address. Python reads further numerals and separators as numbers.
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
+#: Address of all hosts of a network.
+BROADCAST = IPv4Address("255.255.255.255")
 #: Names of endpoints that can be sent in a header.
 ENDPOINT_NAME = re.compile(r"[!-~]{1,255}", re.ASCII)
 #: Most characters of a name within a registration. It is sent in datagrams.
@@ -221,9 +223,11 @@
         raise SourceError("no address")
     try:
         address = Address.parse(text)
-        IPv4Address(address.host)
+        host = IPv4Address(address.host)
     except ValueError as error:
         raise SourceError(str(error)) from None
+    if host.is_unspecified or host.is_multicast or host == BROADCAST:
+        raise SourceError("no address of a host")
     if address.port not in VALID_PORTS:
         raise SourceError(f"no port: {address.port}")
     return address
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -366,6 +366,8 @@
     offset = READ_HEADER.size
     found: list[Record] = []
     while offset < len(data):
+        if offset + RECORD_HEADER.size > len(data):
+            raise SourceError("a read that ends within the size of a record")
         size = RECORD_HEADER.unpack_from(data, offset)[0]
         offset += RECORD_HEADER.size
         if offset + size > len(data):
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -81,8 +81,10 @@
 
         All state about an endpoint is stored under this identifier, so that a
         restarted endpoint does not inherit the state of its earlier incarnation.
+        A name that contains "~" always gets a start time, as it could be taken for
+        the identifier of another endpoint.
         """
-        if not self.incarnation:
+        if not self.incarnation and "~" not in self.name:
             return EndpointId(self.name)
         return EndpointId(f"{self.name}~{self.incarnation:x}")
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -158,6 +158,31 @@
     assert http.paths[1].isascii()
 
 
+@pytest.mark.parametrize(
+    "address", ["0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80"]
+)
+def test_an_address_of_no_host_is_no_endpoint(address):
+    """Connections to 0.0.0.0 reach the router itself."""
+    with pytest.raises(SourceError):
+        records.decode_endpoint("i-1", entry(address=address), 0.0)
+
+
+def test_an_entry_named_like_an_incarnation_hides_none():
+    rows = [(b"i-1~5", entry()), (b"i-1", entry(born=5)), (b"i-1~5~0", entry())]
+    known, _ = apply_reads(read_answer(*rows))
+    endpoints = known.endpoints.usable("s")
+    assert len({item.id for item in endpoints}) == 3
+    for item in endpoints:
+        assert known.endpoints.registered(item.id) == item
+
+
+@pytest.mark.parametrize("missing", [1, 2, 3])
+def test_a_read_that_ends_within_the_size_of_a_record_is_a_failed_read(missing):
+    body = read_answer((b"i-1", entry())) + bytes(4 - missing)
+    with pytest.raises(SourceError):
+        asyncio.run(StoreClient(OneAnswer(body), None).read("t", 0, 0.0))
+
+
 def test_an_answer_nested_too_deeply_is_a_failed_read():
     body = b'{"entries": [], "end": 3, "x": ' + NESTED + b"}"
     with pytest.raises(SourceError):
