Count stated slowness once in the age of requests at full endpoints

At a full endpoint that states to be slow, the residence was multiplied by the stated factor, and the age of its requests beyond the residence without that factor was added: requests that last 2.5 times as long, as stated, counted 0.075 s of excess at a residence of 0.05 s, where none is left.

The excess is now the age beyond the residence times the factor. Without figures the factor is 1 and nothing changes.

--- a/carawayfold/coordination/scheduling/backlog.py
+++ b/carawayfold/coordination/scheduling/backlog.py
@@ -93,6 +93,7 @@
             routers can't reach may be unreachable from other engines too.
         """
         factor = load.stated_speed.factor(now)
+        residence = load.residence * factor
         failure_ratio = load.current_failure_ratio(now)
         suspended = load.unavailable_until > now
         return cls(
@@ -101,7 +102,7 @@
             data_centre=load.endpoint.data_centre,
             speed=load.first_tokens.speed / factor,
             first_token_delay=load.first_tokens.first_token_delay * factor,
-            residence=load.residence * factor,
+            residence=residence,
             slots=load.endpoint.slots,
             failure_ratio=failure_ratio,
             excess_failure_ratio=0.0,
@@ -112,7 +113,7 @@
             prefill_tokens=load.prefill_tokens,
             running=len(load.active) + load.stated_speed.other_requests(now),
             memory=load.memory,
-            excess_age=load.excess_age(now),
+            excess_age=load.excess_age(now, residence),
         )
 
     def add(self, prefill_tokens: int, memory: int) -> None:
--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -300,19 +300,26 @@
         """Record the residence time of a completed request."""
         self.residence += SMOOTHING_WEIGHT * (seconds - self.residence)
 
-    def excess_age(self, now: float) -> float:
+    def excess_age(self, now: float, residence: float) -> float:
         """Return by how many seconds the requests of a full endpoint last longer.
 
         The mean residence of completed requests doesn't show that those in flight last
         longer. A request that does is expected to go on for about as long as it has
         lasted: the median age counts. 0 while a slot is free, as no request waits.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        residence : float
+            Seconds that requests are expected to last at `now`.
         """
         if len(self.active) < self.endpoint.slots:
             return 0.0
         # Requests are added when they are granted or first reported, the oldest first.
         middle = (len(self.active) - 1) // 2
         median = next(islice(self.active.values(), middle, None))
-        return max(0.0, now - median.since - self.residence)
+        return max(0.0, now - median.since - residence)
 
     def record_attempt(self, failed: bool, now: float) -> None:
         """Record whether an attempt failed."""
