Distrust stated waiting requests that delay no answer

The trust in an endpoint's figures was found from the stated factor alone, so that waiting requests were believed forever. Three endpoints of six slots that answer as usual, state 10^6 waiting requests and get 50 requests a second had 141 of 200 rejected in 4 s of a simulated replay, at 150 a second 518 of 600; without figures none was.

These counts have a trust of their own, a moving average found in the same way as that of the factor, from how long work takes without its stated slowness. One trust for both was ruled out, as a true factor would lose effect by false counts. The replay tests failed before; the two tests of the bounds set the trust that applies to counts now, with the same expected values. A unit test shows that waiting requests which delay answers are believed.

--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -196,7 +196,7 @@
             expected = self.first_tokens.predict(active.queued_tokens)
             usual = self.stated_speed.usual_duration(waited, expected, stated)
             self.first_tokens.note(active.queued_tokens, usual)
-            self.stated_speed.compare(waited, expected, stated)
+            self._compare(waited, usual, expected, stated)
 
     def _record_stated(self, active: ActiveRequest, stated: StatedLoad | None) -> None:
         if stated is not None:
@@ -294,7 +294,14 @@
         usual = self.stated_speed.usual_duration(seconds, expected, stated)
         self.record_residence(usual)
         if not active.queued_tokens:
-            self.stated_speed.compare(seconds, expected, stated)
+            self._compare(seconds, usual, expected, stated)
+
+    def _compare(
+        self, seconds: float, usual: float, expected: float, stated: StatedLoad | None
+    ) -> None:
+        slots = self.endpoint.slots
+        self.stated_speed.compare(seconds, expected, stated)
+        self.stated_speed.compare_counts(usual, expected, stated, slots)
 
     def record_residence(self, seconds: float) -> None:
         """Record the residence time of a completed request."""
--- a/carawayfold/coordination/scheduling/endpoint_speed.py
+++ b/carawayfold/coordination/scheduling/endpoint_speed.py
@@ -121,13 +121,16 @@
     stated_at : float
         Time of these figures.
     trust : float
-        How well its figures predicted its durations, 0 to 1.
+        How well its factors predicted its durations, 0 to 1.
+    count_trust : float
+        How well its waiting requests predicted its durations, 0 to 1.
     """
 
     stated_factor: float = 1.0
     others: int = 0
     stated_at: float = -math.inf
     trust: float = INITIAL_TRUST
+    count_trust: float = INITIAL_TRUST
 
     def record(self, stated: StatedLoad, in_flight: int, slots: int) -> None:
         """Record stated figures; older ones than the last are ignored.
@@ -158,7 +161,7 @@
 
     def other_requests(self, now: float) -> float:
         """Return how many requests of others count as running at `now`."""
-        return self.others * self.trust * self._weight(now) if self.others else 0
+        return self.others * self.count_trust * self._weight(now) if self.others else 0
 
     def _weight(self, now: float) -> float:
         age = max(0.0, now - self.stated_at)
@@ -188,17 +191,43 @@
     def compare(
         self, duration: float, expected: float, stated: StatedLoad | None
     ) -> None:
-        """Update the trust by how long work took; see `usual_duration`.
+        """Update the trust in factors by how long work took; see `usual_duration`."""
+        if stated is not None:
+            self.trust = _compared(self.trust, duration, expected, stated.factor)
 
-        The trust moves towards the error without the figure, relative to the errors
-        with and without it.
+    def compare_counts(
+        self, duration: float, expected: float, stated: StatedLoad | None, slots: int
+    ) -> None:
+        """Update the trust in waiting requests by how long work took beside them.
+
+        Parameters
+        ----------
+        duration : float
+            Seconds that it took, without its stated slowness; see `usual_duration`.
+        expected : float
+            Seconds that it usually takes.
+        stated : StatedLoad or None
+            Figures in its answer.
+        slots : int
+            Requests that the endpoint processes at once.
         """
-        if stated is None or duration <= 0 or expected <= 0:
-            return
-        factor = math.log(stated.factor)
-        if abs(factor) < math.log(MIN_COMPARED_FACTOR):
-            return
-        ratio = math.log(duration / expected)
-        without, with_figure = abs(ratio), abs(ratio - factor)
-        confirmed = without / (without + with_figure)
-        self.trust += TRUST_SMOOTHING * (confirmed - self.trust)
+        if stated is not None and stated.waiting:
+            factor = 1 + self.others / slots
+            self.count_trust = _compared(self.count_trust, duration, expected, factor)
+
+
+def _compared(trust: float, duration: float, expected: float, factor: float) -> float:
+    """Return the trust in figures by which work takes `factor` times the usual.
+
+    It moves towards the error without the figure, relative to the errors with and
+    without it.
+    """
+    if duration <= 0 or expected <= 0:
+        return trust
+    figure = math.log(factor)
+    if abs(figure) < math.log(MIN_COMPARED_FACTOR):
+        return trust
+    ratio = math.log(duration / expected)
+    without, with_figure = abs(ratio), abs(ratio - figure)
+    confirmed = without / (without + with_figure)
+    return trust + TRUST_SMOOTHING * (confirmed - trust)
--- a/tests/coordination/scheduling/test_endpoint_speed.py
+++ b/tests/coordination/scheduling/test_endpoint_speed.py
@@ -218,7 +218,7 @@
 
 
 def test_figures_are_bounded():
-    speed = EndpointSpeed(trust=1.0)
+    speed = EndpointSpeed(trust=1.0, count_trust=1.0)
     speed.record(stated(1000.0, 10.0, running=10**12, waiting=10**12), 0, 6)
     assert speed.factor(10.0) == MAX_FACTOR
     assert speed.other_requests(10.0) == MAX_OTHERS_FACTOR * 6
@@ -237,7 +237,7 @@
     [(6, 2, 2, 6), (6, 2, 8, 0), (6, 0, 2, 0), (6, 1, 9, 0)],
 )
 def test_waiting_requests_of_others_count_as_running(running, waiting, known, others):
-    speed = EndpointSpeed(trust=1.0)
+    speed = EndpointSpeed(count_trust=1.0)
     speed.record(stated(1.0, 10.0, running, waiting), known, 6)
     assert speed.other_requests(10.0) == others
 
@@ -263,6 +263,26 @@
     assert placed.take_stated(10.0 + age) is None
 
 
+@pytest.mark.parametrize("rate", [50.0, 150.0])
+def test_waiting_requests_that_delay_no_answer_are_not_believed(rate):
+    """Otherwise a pool rejects most requests if all its endpoints state them."""
+
+    def claims(name, at):
+        return 1.0
+
+    played = Replay(usual, claims, rate, waiting=10**6).run(6)
+    assert played.rejected < 0.1 * rate * 6
+    assert played.rejected_after(3.0) == 0
+
+
+def test_waiting_requests_that_delay_answers_are_believed():
+    speed = EndpointSpeed()
+    for _ in range(5):
+        speed.record(stated(1.0, 10.0, running=6, waiting=6), 0, 6)
+        speed.compare_counts(3 * WORK, WORK, stated(1.0, 10.0, 6, 6), 6)
+    assert speed.count_trust > 0.9
+
+
 # Full endpoints
 
 
--- a/tests/load_builders.py
+++ b/tests/load_builders.py
@@ -61,6 +61,8 @@
         Returns the factor that an endpoint states at a time, None for none.
     rate : float
         Requests per second.
+    waiting : int
+        Waiting requests that all endpoints state.
     """
 
     factor: object
@@ -68,9 +70,10 @@
     rate: float = 150.0
     endpoints: int = 3
     scheduler: Scheduler = None
+    waiting: int = 0
     placed: list = field(default_factory=list)
     late: int = 0
-    rejected: int = 0
+    rejections: list = field(default_factory=list)
 
     def __post_init__(self):
         self.scheduler = self.scheduler or plain_scheduler(self.endpoints)
@@ -92,7 +95,7 @@
                 due += 1 / self.rate
             for decision in pool.decide(now):
                 if not isinstance(decision, Granted):
-                    self.rejected += 1
+                    self.rejections.append(now)
                     continue
                 name = decision.endpoint
                 self.placed.append((now, name))
@@ -103,10 +106,19 @@
 
     def _end(self, call, name, at):
         factor = self.states(name, at)
-        load = None if factor is None else stated(factor, at)
+        load = None if factor is None else stated(factor, at, waiting=self.waiting)
         self.scheduler.begun(call, 0.0, load)
         self.scheduler.ended(call, Outcome.COMPLETE, at)
 
+    @property
+    def rejected(self):
+        """Return how many requests were rejected."""
+        return len(self.rejections)
+
+    def rejected_after(self, begin):
+        """Return how many requests were rejected from a time on."""
+        return sum(at >= begin for at in self.rejections)
+
     def share(self, name, begin, end):
         """Return the part of the requests granted in a time that went to `name`."""
         names = [x for at, x in self.placed if begin <= at < end]
