--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -44,7 +44,6 @@
     Rejected,
     Standing,
 )
-from carawayfold.coordination.scheduling.overdue_waits import replace_overdue
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
     compute_excess_failures,
@@ -434,10 +433,6 @@
         )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
-        if self.features.balance_pools:
-            candidate = replace_overdue(
-                candidate, offer, usable, copy_source, share, now
-            )
         if candidate.starts_in <= 0:
             self._grant(offer, candidate, now)
             candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
