Count a request that leaves a queue at once in the load of its target

Timers that end in one turn of the loop are all called before the requests that they withdraw are offered again. Each found the same room: ten requests of a router left for a pool with room for two in a new test. The offers were counted only when they were made. The draw by hash was ruled out as the cause, as one pool had room.

The offer is now counted when the request leaves the queue, and not again when it is made. At most three of the ten leave in the test, which failed before.

--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -231,13 +231,15 @@
         pool = self._first_pool(offer, service)
         asked = [pool]
         rejections: list[Rejected] = []
+        moved = False
         while True:
-            wait = QueueWait(self, offer, service, asked)
+            wait = QueueWait(self, offer, service, asked, counted=moved)
             decision = self._throttle(offer, pool) or await wait.place()
             if isinstance(decision, Granted):
                 return decision
             weights = self.weights_for(service, offer.allowed, offer.software)
             further = wait.moves_to
+            moved = further is not None
             if further is None:
                 rejections.append(decision)
                 further = self._further_pool(offer, weights, asked)
@@ -245,7 +247,7 @@
             cached_at = decision.cached_at or offer.cached_at
             offer = replace(offer, call=coordinator.next_call(), cached_at=cached_at)
             if further is not None:
-                self._count_further(further, moved=wait.moves_to is not None)
+                self._count_further(further, moved)
                 pool = further
                 asked.append(pool)
             elif decision.reason == UNKNOWN_POOL and pool in weights:
@@ -273,6 +275,11 @@
 class QueueWait:
     """Wait of a request for the decision of one pool, which it may leave for another.
 
+    Parameters
+    ----------
+    counted : bool
+        Whether its offer is counted in the load of the pool already.
+
     Attributes
     ----------
     moves_to : PoolId or None
@@ -285,12 +292,14 @@
         offer: Offer,
         service: ServiceId,
         asked: list[PoolId],
+        counted: bool,
     ) -> None:
         self.selection = selection
         self.coordinator = selection.coordinator
         self.offer = offer
         self.service = service
         self.asked = asked
+        self.counted = counted
         self.since = self.coordinator.loop.time()
         self.moves_to: PoolId | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -303,7 +312,8 @@
         pool = self.asked[-1]
         if not self.selection.balances:
             return await self.coordinator.place(self.offer, pool)
-        self.selection.balance.record_offer(pool)
+        if not self.counted:
+            self.selection.balance.record_offer(pool)
         left = self.offer.due - self.since
         if len(self.asked) <= MAX_BALANCED_POOLS and left > 0:
             draw = draw_fraction(f"patience|{self.offer.call}")
@@ -337,4 +347,6 @@
         rejection = Rejected(offer.call, LEFT_QUEUE, 0.0)
         if self.coordinator.withdraw_pending(offer.call, rejection):
             self.moves_to = found
+            # Other requests may leave before this one is offered there.
+            balance.record_offer(found)
             balance.contradict(self.asked[-1], offer.organisation, now)
--- a/tests/coordination/scheduling/test_pool_selection.py
+++ b/tests/coordination/scheduling/test_pool_selection.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from carawayfold.coordination.scheduling import pool_selection
 from carawayfold.coordination.scheduling.messages import (
     decision_message,
     grant_from_message,
@@ -22,6 +23,7 @@
     choose_fallback_pool,
     choose_pool,
 )
+from carawayfold.coordination.scheduling.pool_balance import FULL_USE
 from carawayfold.coordination.scheduling.pool_selection import LEFT_QUEUE
 from carawayfold.protocol.datagrams import OfferMessage, WithdrawMessage
 from carawayfold.protocol.exchanges import Part
@@ -106,6 +108,29 @@
     assert simulate(work) == (True, 1)
 
 
+def test_requests_that_leave_at_the_same_moment_do_not_overfill_a_pool(monkeypatch):
+    monkeypatch.setattr(pool_selection, "MAX_PATIENCE", pool_selection.MIN_PATIENCE)
+
+    async def work():
+        router = AskingRouter()
+        own, following, last = router.order
+        tasks = [router.ask()[0] for _ in range(10)]
+        await asyncio.sleep(0.01)
+        router.record(own, FULL)
+        router.record(last, FULL)
+        free = 2 / router.weights[following]
+        router.record(following, PoolLoad(0.0, FULL_USE - free))
+        await asyncio.sleep(pool_selection.MIN_PATIENCE * OBJECTIVE)
+        pools = [pool for pool, _ in router.offered()]
+        for task in tasks:
+            await end(task)
+        return pools.count(own), pools.count(following)
+
+    stayed, left = simulate(work)
+    assert stayed == 10
+    assert 1 <= left <= 3
+
+
 def test_a_request_stays_in_a_queue_while_other_pools_are_full():
     async def work():
         router = AskingRouter()
