Distrust only stated room, and all of it, after a contradiction

A pool that stated a wait of 1 ms or more was never taken to contradict itself, though a wait up to a tenth of the objective counts as room: requests went on to it. A pool that had contradicted itself counted as unknown for first offers, so a tenth of an overfull pool's requests still went there. And a pool whose room was doubted was not believed when it then stated that it is full: for a second, all first offers of the organisation went to it. Three new tests show one each and failed before. That the loads were merely old was ruled out: the tests record new ones.

Room is now judged as for choices, by the objective of the request, so `contradict` takes the offer (also in the simulated pools). Statements of no room are used.

--- a/carawayfold/coordination/scheduling/pool_balance.py
+++ b/carawayfold/coordination/scheduling/pool_balance.py
@@ -36,7 +36,7 @@
 #: Seconds after which the load of a pool is unknown. Streams last about as long, so
 #: that an older load says little about its slots.
 LOAD_DURATION = 1.0
-#: Seconds for which the load that a pool states is not used for an organisation whose
+#: Seconds for which room that a pool states is not used for an organisation whose
 #: request it rejected or kept waiting although it states room.
 CONTRADICTION_DURATION = 1.0
 #: Pairs of pool and organisation remembered for that, so that memory is bounded.
@@ -98,7 +98,7 @@
     loads : dict
         Load of each pool that stated one within `LOAD_DURATION`.
     contradictions : OrderedDict
-        Time until which the load of a pool isn't used for an organisation.
+        Time until which room that a pool states isn't used for an organisation.
     """
 
     def __init__(self) -> None:
@@ -115,18 +115,17 @@
         if known is not None:
             known.added += 1
 
-    def contradict(
-        self, pool: PoolId, organisation: OrganisationId, now: float
-    ) -> None:
+    def contradict(self, pool: PoolId, offer: Offer, now: float) -> None:
         """Record that a request found no room in a pool.
 
-        If the pool states room, its load is not used for the organisation for a while:
-        it is wrong, or the organisation is beyond its share there.
+        If the pool states room, such a load is not used for the organisation for a
+        while: it is wrong, or the organisation is beyond its share there. That the pool
+        is full is still believed.
         """
         known = self.loads.get(pool)
-        if known is None or known.load.used >= FULL_USE or known.load.wait:
+        if known is None or not _has_room(known.load, offer, offer.arrived):
             return
-        key = Contradiction(pool, organisation)
+        key = Contradiction(pool, offer.organisation)
         self.contradictions[key] = now + CONTRADICTION_DURATION
         self.contradictions.move_to_end(key)
         if len(self.contradictions) > MAX_CONTRADICTIONS:
@@ -160,10 +159,11 @@
             known = self.loads.get(pool)
             if known is None or now - known.at > LOAD_DURATION:
                 continue
-            if self._is_contradicted(pool, offer, now):
-                continue
             used = known.load.used + known.added / max(1, slots)
-            loads[pool] = PoolLoad(known.load.wait, used)
+            load = PoolLoad(known.load.wait, used)
+            if _has_room(load, offer, now) and self._is_contradicted(pool, offer, now):
+                continue
+            loads[pool] = load
         return loads
 
     def _is_contradicted(self, pool: PoolId, offer: Offer, now: float) -> bool:
@@ -200,6 +200,12 @@
         if not _is_overfull(load, loads, weights, offer, now):
             return own
         order = order_pools(weights, prefix)
+        # One that contradicted itself isn't unknown: it had no room before.
+        order = [
+            pool
+            for pool in order
+            if pool in loads or not self._is_contradicted(pool, offer, now)
+        ]
         target, fraction = _target(order, loads, weights, offer, now)
         return target if draw_fraction(f"first|{offer.call}") < fraction else own
 
@@ -344,7 +350,7 @@
     Parameters
     ----------
     order : list of PoolId
-        Pools in the order of the prefix.
+        Pools in the order of the prefix that are known, or may be learnt.
     loads : mapping
         Known loads, that of the first pool included.
     weights : mapping
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -129,7 +129,7 @@
         if decision.load is not None:
             self.balance.record(pool, decision.load, now)
         if isinstance(decision, Rejected):
-            self.balance.contradict(pool, offer.organisation, now)
+            self.balance.contradict(pool, offer, now)
 
     # Pools of a service
 
@@ -349,4 +349,4 @@
             self.moves_to = found
             # Other requests may leave before this one is offered there.
             balance.record_offer(found)
-            balance.contradict(self.asked[-1], offer.organisation, now)
+            balance.contradict(self.asked[-1], offer, now)
--- a/tests/coordination/scheduling/test_pool_balance.py
+++ b/tests/coordination/scheduling/test_pool_balance.py
@@ -134,7 +134,7 @@
 
 def test_a_pool_that_contradicts_itself_is_not_used_for_the_organisation():
     made = balance(own=FULL, next=IDLE, last=FULL)
-    made.contradict(NEXT, "alder", NOW)
+    made.contradict(NEXT, request(1), NOW)
     assert made.find_room(WEIGHTS, [OWN], request(1), NOW) is None
     assert made.find_room(WEIGHTS, [OWN], request(1, organisation="birch"), NOW) == NEXT
     made.record(NEXT, IDLE, NOW + 0.9)
@@ -144,17 +144,38 @@
     assert made.find_room(WEIGHTS, [OWN], request(1), later) == NEXT
 
 
+def test_a_pool_that_states_a_wait_within_the_room_of_a_request_contradicts_itself():
+    made = balance(own=FULL, next=PoolLoad(0.03, 0.3), last=FULL)
+    assert made.find_room(WEIGHTS, [OWN], request(1), NOW) == NEXT
+    made.contradict(NEXT, request(1), NOW)
+    assert made.find_room(WEIGHTS, [OWN], request(2), NOW) is None
+
+
+def test_no_request_leaves_first_for_a_pool_that_contradicted_itself():
+    made = balance(own=FULL, next=IDLE, last=FULL)
+    made.contradict(NEXT, request(1), NOW)
+    assert first_pools(made) == {OWN: 1000}
+
+
+def test_requests_leave_a_pool_that_states_no_room_after_it_contradicted_itself():
+    made = balance(own=IDLE, next=IDLE, last=IDLE)
+    made.contradict(OWN, request(1), NOW)
+    assert made.contradictions
+    made.record(OWN, FULL, NOW + 0.1)
+    assert first_pools(made, NOW + 0.1)[NEXT] > 300
+
+
 def test_a_full_pool_that_rejects_does_not_contradict_itself():
     made = balance(own=FULL)
-    made.contradict(OWN, "alder", NOW)
-    made.contradict(NEXT, "alder", NOW)
+    made.contradict(OWN, request(1), NOW)
+    made.contradict(NEXT, request(1), NOW)
     assert not made.contradictions
 
 
 def test_contradictions_are_bounded_and_expire():
     made = balance(next=IDLE)
     for number in range(MAX_CONTRADICTIONS + 10):
-        made.contradict(NEXT, f"org-{number}", NOW)
+        made.contradict(NEXT, request(1, organisation=f"org-{number}"), NOW)
     assert len(made.contradictions) == MAX_CONTRADICTIONS
     made.expire(NOW + CONTRADICTION_DURATION)
     assert not made.contradictions
--- a/tests/simulated_pools.py
+++ b/tests/simulated_pools.py
@@ -86,7 +86,7 @@
     def _further(self, wants, asked, now):
         if self.balance is None:
             return choose_fallback_pool(self.weights, asked, wants.call)
-        self.balance.contradict(asked[-1], wants.organisation, now)
+        self.balance.contradict(asked[-1], wants, now)
         return self.balance.choose_further(self.weights, asked, wants, now)
 
     def _offers_of(self, name, prefixes, now, first):
