Let a request arrive at each further pool when it is offered there

`Offer.arrived` is the time of the first offer to a scheduler. Remote leaders set it when an offer arrives, but where the router itself led the further pool, the time of the first pool remained: in a new test 0.15 s of an objective of 0.4 s. The wait elsewhere then counted as overdue at once, and as the age of that pool's queue in the load it states. Retries are not the cause, as these are new offers.

With balance_pools on, the time is set when a further pool is chosen. With it off nothing changes.

--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -247,6 +247,9 @@
             cached_at = decision.cached_at or offer.cached_at
             offer = replace(offer, call=coordinator.next_call(), cached_at=cached_at)
             if further is not None:
+                if self.balances:
+                    # A wait elsewhere says nothing about the queue of the next pool.
+                    offer.arrived = coordinator.loop.time()
                 self._count_further(further, moved)
                 pool = further
                 asked.append(pool)
--- a/tests/coordination/scheduling/test_pool_selection.py
+++ b/tests/coordination/scheduling/test_pool_selection.py
@@ -75,6 +75,30 @@
     assert withdrawn < second
 
 
+def test_a_request_arrives_at_the_next_pool_when_it_leaves_the_first(monkeypatch):
+    """Its wait there counts from its first offer, whichever router leads the pool."""
+    arrived = []
+
+    async def work():
+        router = AskingRouter()
+        place = router.coordinator.place
+
+        async def recorded(offer, pool, decide_locally=False):
+            arrived.append((offer.arrived, asyncio.get_running_loop().time()))
+            return await place(offer, pool, decide_locally)
+
+        monkeypatch.setattr(router.coordinator, "place", recorded)
+        task, _ = router.ask()
+        router.record(router.order[1], IDLE)
+        await asyncio.sleep(OBJECTIVE / 2)
+        await end(task)
+
+    simulate(work)
+    (first, began), (second, moved) = arrived
+    assert (first, second) == (began, moved)
+    assert moved > began
+
+
 def test_a_late_grant_of_the_pool_that_was_left_is_not_used():
     async def work():
         router = AskingRouter()
