--- a/tests/coordination/knowledge/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -18,6 +18,7 @@
 )
 from tests.knowledge_builders import knowledge, run_in_loop, table
 from tests.schedule_builders import endpoint
+from tests.simulated_fleet import simulate
 
 
 async def at_once():
@@ -57,6 +58,7 @@
 def test_a_failed_read_logs_its_topic_and_duration():
     class Source:
         async def newest(self):
+            await asyncio.sleep(0.02)
             raise SourceError("no answer in time")
 
     async def run():
@@ -67,14 +69,13 @@
         with logbook.TestHandler() as lines:
             work = asyncio.create_task(follower.follow())
             while not lines.records:
-                await asyncio.sleep(0)
-            await asyncio.sleep(0)
+                await asyncio.sleep(0.01)
             work.cancel()
         return next(x.extra for x in lines.records if x.message == "read failed")
 
-    extra = run_in_loop(run)
+    extra = simulate(run)
     assert extra["topic"] == "operators"
-    assert extra["lasted_ms"] == 0
+    assert extra["lasted_ms"] == 20
     assert extra["pause_ms"] > 0
 
 
