Choose within the locality policy when a wait is too long

Cause: two choices made around the locality policy did not know of it. The policy looked for an endpoint with room instead of a rejection by the uncorrected wait, while the scheduler rejects by the corrected one, so requests were refused beside an idle data centre. And replace_overdue, run after the policy, chose any endpoint with the constant penalty: also one in a data centre that is cut off, or a slot owed to callers who wait there, and what it sent was counted neither as sent nor in the budget.

Ruled out: a second call of the policy after the replacement, as it would record or evaluate each endpoint twice.

Change: the policy is given a check of the corrected wait, and applies overdue waits to its own evaluations and limits. Without remote_cost, replace_overdue runs as before. The builder of schedulers takes features, because they are read when one is made.

--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -29,6 +29,10 @@
     Transfer,
 )
 from carawayfold.coordination.scheduling.offers import Outcome
+from carawayfold.coordination.scheduling.overdue_waits import (
+    overdue_time,
+    replace_overdue,
+)
 from carawayfold.coordination.scheduling.placement import (
     FULL_ENGINE_PENALTY,
     MIN_OBJECTIVE,
@@ -235,6 +239,8 @@
     remote_cost : float
         Seconds of waiting that a megabyte between data centres is worth; 0 switches the
         policy off.
+    replaces_overdue : bool
+        Whether requests whose wait is overdue are granted other endpoints with room.
     rooms : dict
         Use of each data centre with endpoints of the pool.
     pairs : dict
@@ -254,6 +260,7 @@
     """
 
     remote_cost: float = 0.0
+    replaces_overdue: bool = False
     rooms: dict[DataCentreId, DataCentreRoom] = field(default_factory=dict)
     pairs: dict[tuple[DataCentreId, DataCentreId], DataCentrePair] = field(
         default_factory=dict
@@ -448,7 +455,7 @@
         copy_source: CopySource | None,
         share: float,
         now: float,
-        is_too_late: Callable[[Offer, float, float], bool],
+        is_too_late: Callable[[Offer, Candidate, float], bool],
     ) -> Candidate | None:
         """Return the endpoint of a request, None if there is none.
 
@@ -465,11 +472,13 @@
         now : float
             Monotonic seconds.
         is_too_late : callable
-            Returns whether a request whose first token takes a number of seconds from
-            `now` is rejected.
+            Returns whether a request that would wait for an endpoint is rejected.
         """
         if not self.remote_cost or not offer.data_centre:
-            return choose_endpoint(offer, usable, copy_source, share, now)
+            found = choose_endpoint(offer, usable, copy_source, share, now)
+            if found is None or not self.replaces_overdue:
+                return found
+            return replace_overdue(found, offer, usable, copy_source, share, now)
         costs = self._crossing_costs(offer, now)
         origin = offer.data_centre
         best: Candidate | None = None
@@ -500,12 +509,14 @@
                 best = candidate
         if best is None:
             return None
-        waits = best.starts_in > 0
-        if waits and is_too_late(offer, best.first_token_in, now):
-            rescue = _find_with_room([*here, *elsewhere], blocked)
-            if rescue is not None:
-                best, waits = rescue, False
-        if not waits:
+        if best.starts_in > 0:
+            too_late = is_too_late(offer, best, now)
+            overdue = overdue_time(best, offer, now) if self.replaces_overdue else 0.0
+            if too_late or overdue > 0:
+                found = _find_with_room([*here, *elsewhere], blocked)
+                if found is not None and (too_late or found.cost < best.cost + overdue):
+                    best = found
+        if best.starts_in <= 0:
             self._record_choice(offer, best, local, costs, now)
         return best
 
--- a/carawayfold/coordination/scheduling/overdue_waits.py
+++ b/carawayfold/coordination/scheduling/overdue_waits.py
@@ -21,6 +21,13 @@
     from carawayfold.coordination.scheduling.placement import Candidate
 
 
+def overdue_time(candidate: Candidate, offer: Offer, now: float) -> float:
+    """Return the seconds by which a request waited longer than is predicted now."""
+    if candidate.starts_in <= 0:
+        return 0.0
+    return max(0.0, now - offer.arrived - candidate.starts_in)
+
+
 def replace_overdue(
     candidate: Candidate,
     offer: Offer,
@@ -49,8 +56,8 @@
     now : float
         Monotonic seconds.
     """
-    overdue = now - offer.arrived - candidate.starts_in
-    if candidate.starts_in <= 0 or overdue <= 0:
+    overdue = overdue_time(candidate, offer, now)
+    if overdue <= 0:
         return candidate
     free = [item for item in backlogs if has_room(item, offer.prompt_tokens, share)]
     found = choose_endpoint(offer, free, copy_source, share, now)
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -44,7 +44,6 @@
     Rejected,
     Standing,
 )
-from carawayfold.coordination.scheduling.overdue_waits import replace_overdue
 from carawayfold.coordination.scheduling.placement import (
     Candidate,
     compute_excess_failures,
@@ -198,7 +197,8 @@
         self.predictions = WaitPredictions(self.features.schedule_returns)
         if self.features.schedule_returns:
             self.returns = ReturnSchedule()
-        self.locality = LocalityPolicy(self.features.remote_cost)
+        features = self.features
+        self.locality = LocalityPolicy(features.remote_cost, features.balance_pools)
 
     # Input
 
@@ -427,14 +427,10 @@
         copy_source = find_copy_source(offer, backlogs)
         share = self._fillable_share(offer)
         candidate = self.locality.choose(
-            offer, usable, copy_source, share, now, self._is_too_late
+            offer, usable, copy_source, share, now, self._is_wait_too_long
         )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
-        if self.features.balance_pools:
-            candidate = replace_overdue(
-                candidate, offer, usable, copy_source, share, now
-            )
         if candidate.starts_in <= 0:
             self._grant(offer, candidate, now)
             candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
@@ -442,8 +438,7 @@
             source_id = copy_source.id if candidate.copied_tokens else None
             fraction = self._admitted_fraction(offer, now)
             return Granted(offer.call, endpoint, source_id, None, fraction)
-        corrected = self.predictions.predict(offer, candidate.starts_in, now)
-        first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
+        first_token_in = self.predictions.first_token_in(offer, candidate, now)
         if self._is_too_late(offer, first_token_in, now):
             self.predictions.ended(offer, candidate.starts_in, now)
             return self._reject_late(offer, first_token_in, now)
@@ -527,6 +522,10 @@
         rules = rejections if self.returns is None else self.returns
         return rules.is_too_late(offer, first_token_in, self.speed, now)
 
+    def _is_wait_too_long(self, offer: Offer, place: Candidate, now: float) -> bool:
+        first_token_in = self.predictions.first_token_in(offer, place, now)
+        return self._is_too_late(offer, first_token_in, now)
+
     def _decide_without_endpoint(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> Decision | None:
--- a/carawayfold/coordination/scheduling/wait_predictions.py
+++ b/carawayfold/coordination/scheduling/wait_predictions.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Offer
+    from carawayfold.coordination.scheduling.placement import Candidate
     from carawayfold.state.ids import RouteId
 
 #: Half-life in seconds of observed waits. Shorter than a burst, so that a ratio ends
@@ -152,6 +153,11 @@
             offer.prediction = WaitPrediction(wait, corrected, now)
         return corrected
 
+    def first_token_in(self, offer: Offer, candidate: Candidate, now: float) -> float:
+        """Return the corrected seconds until the first token at an endpoint."""
+        corrected = self.predict(offer, candidate.starts_in, now)
+        return candidate.first_token_in + (corrected - candidate.starts_in)
+
     def ended(self, offer: Offer, still_predicted: float, now: float) -> None:
         """Record the end of a wait, by a grant or a rejection.
 
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -12,6 +12,7 @@
 from carawayfold.coordination.scheduling import placement
 from carawayfold.coordination.scheduling.coordinator import SchedulingCoordinator
 from carawayfold.coordination.scheduling.copy_sources import find_copy_source
+from carawayfold.coordination.scheduling.data_centre_pairs import DataCentrePair
 from carawayfold.coordination.scheduling.endpoint_load import ActiveRequest
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.locality import (
@@ -24,6 +25,10 @@
 )
 from carawayfold.coordination.scheduling.offers import Granted, Outcome, Rejected
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
+from carawayfold.coordination.scheduling.wait_predictions import (
+    ObservedWaits,
+    WaitClass,
+)
 from carawayfold.protocol.exchanges import Part
 from carawayfold.state.endpoints import EndpointTable
 from carawayfold.state.routes import CallerLimits, RouteTable, ServiceConfig
@@ -42,9 +47,10 @@
 SLOTS = 6
 
 
-def scheduler(remote_cost=0.05, memory=0, **endpoints):
+def scheduler(remote_cost=0.05, memory=0, other_features=None, **endpoints):
     """Return a scheduler with a number of endpoints in each data centre."""
-    made = Scheduler(WINDOW, features=SchedulingFeatures(remote_cost=remote_cost))
+    features = SchedulingFeatures(remote_cost=remote_cost, **(other_features or {}))
+    made = Scheduler(WINDOW, features=features)
     made.set_endpoints(
         [
             endpoint(f"{name}-{number}", slots=SLOTS, data_centre=name)
@@ -413,6 +419,59 @@
     assert place(made, 0.1, offer("r.0.2", now=0.1, due=0.6, **fields)) == ["b"]
 
 
+def prefix_beside_an_idle_data_centre(tokens, **features):
+    """Return a scheduler whose only engine with a prefix is full, and its prompt."""
+    made = scheduler(memory=1_000_000, other_features=features, a=1, b=1)
+    made.record_cached_prefixes("a-0", [Part("topic", tokens)])
+    # Other engines can't copy from one that some routers don't reach.
+    made.unreachable["other", "a-0"] = 10.0
+    fill(made, "a", SLOTS)
+    made.loads["a-0"].residence = 1.0
+    prompt = (Part("topic", tokens), Part("own", 100))
+    return made, {"prompt": prompt, "prompt_tokens": tokens + 100}
+
+
+def test_a_wait_that_is_too_long_as_corrected_is_no_reason_to_reject():
+    made, prompt = prefix_beside_an_idle_data_centre(20_000, schedule_returns=True)
+    item = plain("r-a.0.1", objective=0.3, **prompt)
+    made.predictions.classes[WaitClass(item.priority, False)] = ObservedWaits(50, 150)
+    assert place(made, 0.0, item) == ["b"]
+
+
+def overdue(made, now=0.6, **fields):
+    """Offer a request that waits for `a`; return its data centre after `now` s."""
+    item = plain("r-a.0.1", objective=5.0, **fields)
+    assert place(made, 0.0, item) == [None]
+    for load in made.loads.values():
+        for active in load.active.values():
+            active.reported_at = now
+    found = [made.loads[item.endpoint].endpoint for item in made.decide(now)]
+    return [item.data_centre for item in found]
+
+
+def test_an_overdue_request_leaves_and_is_counted():
+    made, prompt = prefix_beside_an_idle_data_centre(1500, balance_pools=True)
+    assert overdue(made, **prompt) == ["b"]
+    assert made.locality.pairs["a", "b"].by_load.requests == 1
+    assert made.locality.rooms["b"].remote == 1
+
+
+def test_an_overdue_request_does_not_go_where_its_data_centre_is_cut_off():
+    made, prompt = prefix_beside_an_idle_data_centre(1500, balance_pools=True)
+    made.locality.pairs["a", "b"] = DataCentrePair(cut_until=10.0)
+    assert overdue(made, **prompt) == []
+
+
+def test_an_overdue_request_leaves_owed_slots_to_those_who_wait_there():
+    made, prompt = prefix_beside_an_idle_data_centre(1500, balance_pools=True)
+    fill(made, "b", SLOTS - 1)
+    allowed = frozenset({"c"})
+    for number in range(3):
+        waiting = plain(f"r-b.0.{number}", "b", objective=5.0, allowed=allowed)
+        made.locality.record_offer(waiting)
+    assert overdue(made, **prompt) == []
+
+
 # Latency and stale figures
 
 
--- a/tests/coordination/scheduling/test_overdue_waits.py
+++ b/tests/coordination/scheduling/test_overdue_waits.py
@@ -15,8 +15,8 @@
 
 def full_holder(endpoints=2, balances=True):
     """Return a scheduler whose engine e-0 has the prefix and is full at 1.0 s."""
-    made = scheduler(endpoints=endpoints, slots=2)
-    made.features = SchedulingFeatures(balance_pools=balances)
+    features = SchedulingFeatures(balance_pools=balances)
+    made = scheduler(endpoints=endpoints, slots=2, features=features)
     made.record_cached_prefixes("e-0", [Part("topic", SHARED)])
     for number in range(2):
         active = ActiveRequest(f"b.0.{number}", "b", 0, 1, 1.0, 1.0, begun=True)
--- a/tests/schedule_builders.py
+++ b/tests/schedule_builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.offers import Offer
 from carawayfold.coordination.scheduling.scheduler import PoolPlan, Scheduler
 from carawayfold.protocol.exchanges import Part
@@ -18,9 +19,16 @@
     return Endpoint(name, service, address, data_centre, slots, **other)
 
 
-def scheduler(endpoints=1, slots=4, throughput=0.0, speed=100_000.0, memory=1_000_000):
+def scheduler(
+    endpoints=1,
+    slots=4,
+    throughput=0.0,
+    speed=100_000.0,
+    memory=1_000_000,
+    features=None,
+):
     """Return a scheduler over equal engines named e-0, e-1, ..."""
-    made = Scheduler(WINDOW)
+    made = Scheduler(WINDOW, features=features or SchedulingFeatures())
     plan = PoolPlan(throughput, memory, speed)
     names = [f"e-{number}" for number in range(endpoints)]
     made.set_endpoints([endpoint(name, slots=slots) for name in names], plan)
