Let unused pairs of data centres give way, and count waits after a round

Cause: two faults of the state of a locality policy. Pairs of data centres were never removed, so 256 names from offers, wrong or of routers long gone, kept real pairs from being known: their latency stayed assumed, and a cut was not noticed until the leader changed. And the requests granted in a round stayed subtracted after they had left the queue, so the budget shown by metrics between rounds ignored as many that wait.

Ruled out: removing pairs by age, as their counters are metrics and would begin again.

Change: at the bound, the oldest pair whose callers' data centre has no endpoint of the pool gives way. A withdrawal clears the counts of the round, which has ended by then.

Conclusion: the bound holds, and names no longer fill it for good.

--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -292,6 +292,8 @@
         """Record that a request, None if it wasn't queued, has left the queue."""
         if not self.remote_cost or offer is None or not offer.data_centre:
             return
+        # Those of a round are withdrawn together at its end.
+        self.granted.clear()
         self.queued[offer.data_centre] -= 1
         self.queued_tokens[offer.data_centre] -= _unshared_tokens(offer)
         if self.queued[offer.data_centre] <= 0:
@@ -680,10 +682,21 @@
     def _pair(
         self, origin: DataCentreId, target: DataCentreId
     ) -> DataCentrePair | None:
-        """Return the state of a pair, None if there are too many."""
+        """Return the state of a pair, None if there are too many.
+
+        Pairs from a data centre without endpoints of the pool give way to others, the
+        oldest first.
+        """
         pair = self.pairs.get((origin, target))
-        if pair is None and len(self.pairs) < MAX_DATA_CENTRES**2:
-            pair = self.pairs[origin, target] = DataCentrePair()
+        if pair is not None:
+            return pair
+        if len(self.pairs) >= MAX_DATA_CENTRES**2:
+            others = (known for known in self.pairs if known[0] not in self.rooms)
+            oldest = next(others, None)
+            if oldest is None:
+                return None
+            del self.pairs[oldest]
+        pair = self.pairs[origin, target] = DataCentrePair()
         return pair
 
 
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -607,6 +607,30 @@
     assert not made.locality.queued_tokens
 
 
+def test_pairs_of_data_centres_with_endpoints_replace_others():
+    made = scheduler(a=1, b=1)
+    for number in range(300):
+        made.locality._pair(f"x{number}", "b")
+    refresh(made, 0.0)
+    for number in range(2):
+        item = plain(f"r-a.0.{number}", allowed=frozenset({"b"}))
+        place(made, 0.0, item)
+        made.ended(item.call, Outcome.UNREACHABLE, 0.0)
+        made.unreachable.clear()
+    assert made.locality.pairs["a", "b"].by_load.requests == 2
+    assert len(made.locality.pairs) <= 256
+
+
+def test_the_budget_counts_requests_that_wait_after_a_round():
+    made = scheduler(a=1, b=1)
+    fill(made, "a", 2)
+    allowed = frozenset({"a"})
+    for number in range(8):
+        made.offer(plain(f"r-a.0.{number}", allowed=allowed, objective=5.0), 0.0)
+    made.decide(0.0)
+    assert made.locality.queued["a"] == made.locality._waiting("a") == 4
+
+
 def test_offers_without_a_data_centre_are_placed():
     made = scheduler(a=1, b=1)
     found = place(made, 0.0, *(plain(f"r.0.{n}", "") for n in range(12)))
