Don't reject callers for the queue of another data centre

Cause: requests behind the examined head are rejected by one predicted wait for the whole pool. With remote_cost, the requests of a data centre that is short stay in its own queue, so that queue made callers of a data centre with short bursts too late by prediction, though their own endpoints would have served them in time.

Ruled out: the wait in the own data centre alone, as requests of the one that is short may leave and would be rejected too early.

Change: with the setting, the shorter of both predictions counts. Without it, the prediction is as before. scheduler.py calls the policy and is one line shorter.

--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from carawayfold.coordination.scheduling import rejections
 from carawayfold.coordination.scheduling.data_centre_pairs import (
     DataCentrePair,
     Sent,
@@ -43,7 +44,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from carawayfold.coordination.scheduling.backlog import Backlog
     from carawayfold.coordination.scheduling.copy_sources import CopySource
@@ -452,6 +453,28 @@
                 tail.append(entry)
         return head, tail
 
+    def predict_tail(
+        self, offers: list[Offer], backlogs: list[Backlog], speed: float
+    ) -> Iterator[tuple[Offer, float]]:
+        """Yield each request behind the head of the queue with its predicted wait.
+
+        Requests don't wait for those of another data centre that stay there, so the
+        shorter one of the waits in the pool and in their own data centre counts. See
+        `rejections.predict_tail`.
+        """
+        at_home: dict[CallId, float] = {}
+        for data_centre in self.rooms if self.remote_cost else ():
+            own = [item for item in offers if item.data_centre == data_centre]
+            items = [
+                item
+                for item in backlogs
+                if item.data_centre == data_centre and not item.suspended
+            ]
+            for offer, wait in rejections.predict_tail(own, items, speed):
+                at_home[offer.call] = wait
+        for offer, wait in rejections.predict_tail(offers, backlogs, speed):
+            yield offer, min(wait, at_home.get(offer.call, wait))
+
     def choose(
         self,
         offer: Offer,
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -383,9 +383,8 @@
         now: float,
     ) -> None:
         """Reject requests behind the head of the queue that can't be in time."""
-        waits = rejections.predict_tail(
-            [entry.offer for entry in tail], backlogs, self.speed
-        )
+        offers = [entry.offer for entry in tail]
+        waits = self.locality.predict_tail(offers, backlogs, self.speed)
         for offer, first_token_in in waits:
             corrected = self.predictions.predict(offer, first_token_in, now)
             if self._is_too_late(offer, corrected, now):
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -226,6 +226,22 @@
     assert waits(1.5) <= waits(0.0) + DataCentresRun.residence / 3
 
 
+@pytest.mark.parametrize("allowed", [None, frozenset({"a"})])
+def test_own_callers_are_not_rejected_for_the_queue_of_another_data_centre(allowed):
+    run = DataCentresRun(
+        {"a": 4, "b": 4},
+        {
+            "a": constant(3.0),
+            "b": lambda now: 4.0 if now % 0.2 < 0.03 else 0.1,
+        },
+        duration=1.5,
+        allowed={"a": allowed},
+    )
+    requests = run.play()
+    own = [item for item in requests if item.data_centre == "b"]
+    assert rejections(requests, "b") <= 0.02 * len(own)
+
+
 def test_the_budget_is_what_own_callers_leave():
     made = scheduler(a=3, b=3)
     made.offer(plain("r-b.0.0", "b"), 0.0)
