--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from carawayfold.coordination.scheduling import rejections
 from carawayfold.coordination.scheduling.data_centre_pairs import (
     DataCentrePair,
     Sent,
@@ -39,7 +40,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from carawayfold.coordination.scheduling.backlog import Backlog
     from carawayfold.coordination.scheduling.copy_sources import CopySource
@@ -285,6 +286,8 @@
         """Record that a request, None if it wasn't queued, has left the queue."""
         if not self.remote_cost or offer is None or not offer.data_centre:
             return
+        # Those of a round are withdrawn together at its end.
+        self.granted.clear()
         self.queued[offer.data_centre] -= 1
         self.queued_tokens[offer.data_centre] -= _unshared_tokens(offer)
         if self.queued[offer.data_centre] <= 0:
@@ -429,7 +432,9 @@
         left = length - sum(min(part, count) for count in self.queued.values())
         parts = dict.fromkeys(self.queued, part)
         head, tail = [], []
-        for entry in queue:
+        for position, entry in enumerate(queue):
+            if len(head) == length:
+                return head, tail + queue[position:]
             data_centre = entry.offer.data_centre
             if parts.get(data_centre, 0) > 0:
                 parts[data_centre] -= 1
@@ -441,6 +446,28 @@
                 tail.append(entry)
         return head, tail
 
+    def predict_tail(
+        self, offers: list[Offer], backlogs: list[Backlog], speed: float
+    ) -> Iterator[tuple[Offer, float]]:
+        """Yield each request behind the head of the queue with its predicted wait.
+
+        Requests don't wait for those of another data centre that stay there, so the
+        shorter one of the waits in the pool and in their own data centre counts. See
+        `rejections.predict_tail`.
+        """
+        at_home: dict[CallId, float] = {}
+        for data_centre in self.rooms if self.remote_cost else ():
+            own = [item for item in offers if item.data_centre == data_centre]
+            items = [
+                item
+                for item in backlogs
+                if item.data_centre == data_centre and not item.suspended
+            ]
+            for offer, wait in rejections.predict_tail(own, items, speed):
+                at_home[offer.call] = wait
+        for offer, wait in rejections.predict_tail(offers, backlogs, speed):
+            yield offer, min(wait, at_home.get(offer.call, wait))
+
     def choose(
         self,
         offer: Offer,
@@ -448,7 +475,7 @@
         copy_source: CopySource | None,
         share: float,
         now: float,
-        is_too_late: Callable[[Offer, float, float], bool],
+        is_too_late: Callable[[Offer, Candidate, float], bool],
     ) -> Candidate | None:
         """Return the endpoint of a request, None if there is none.
 
@@ -465,8 +492,7 @@
         now : float
             Monotonic seconds.
         is_too_late : callable
-            Returns whether a request whose first token takes a number of seconds from
-            `now` is rejected.
+            Returns whether a request that would wait for an endpoint is rejected.
         """
         if not self.remote_cost or not offer.data_centre:
             return choose_endpoint(offer, usable, copy_source, share, now)
@@ -500,12 +526,9 @@
                 best = candidate
         if best is None:
             return None
-        waits = best.starts_in > 0
-        if waits and is_too_late(offer, best.first_token_in, now):
-            rescue = _find_with_room([*here, *elsewhere], blocked)
-            if rescue is not None:
-                best, waits = rescue, False
-        if not waits:
+        if best.starts_in > 0 and is_too_late(offer, best, now):
+            best = _find_with_room([*here, *elsewhere], blocked) or best
+        if best.starts_in <= 0:
             self._record_choice(offer, best, local, costs, now)
         return best
 
@@ -667,10 +690,21 @@
     def _pair(
         self, origin: DataCentreId, target: DataCentreId
     ) -> DataCentrePair | None:
-        """Return the state of a pair, None if there are too many."""
+        """Return the state of a pair, None if there are too many.
+
+        Pairs from a data centre without endpoints of the pool give way to others, the
+        oldest first.
+        """
         pair = self.pairs.get((origin, target))
-        if pair is None and len(self.pairs) < MAX_DATA_CENTRES**2:
-            pair = self.pairs[origin, target] = DataCentrePair()
+        if pair is not None:
+            return pair
+        if len(self.pairs) >= MAX_DATA_CENTRES**2:
+            others = (known for known in self.pairs if known[0] not in self.rooms)
+            oldest = next(others, None)
+            if oldest is None:
+                return None
+            del self.pairs[oldest]
+        pair = self.pairs[origin, target] = DataCentrePair()
         return pair
 
 
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -382,9 +382,8 @@
         now: float,
     ) -> None:
         """Reject requests behind the head of the queue that can't be in time."""
-        waits = rejections.predict_tail(
-            [entry.offer for entry in tail], backlogs, self.speed
-        )
+        offers = [entry.offer for entry in tail]
+        waits = self.locality.predict_tail(offers, backlogs, self.speed)
         idle = self._has_room(backlogs)
         for offer, first_token_in in waits:
             corrected = self.predictions.predict(offer, first_token_in, now)
@@ -429,7 +428,7 @@
         copy_source = find_copy_source(offer, backlogs)
         share = self._fillable_share(offer)
         candidate = self.locality.choose(
-            offer, usable, copy_source, share, now, self._is_too_late
+            offer, usable, copy_source, share, now, self._is_wait_too_long
         )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
@@ -440,13 +439,12 @@
             source_id = copy_source.id if candidate.copied_tokens else None
             fraction = self._admitted_fraction(offer, now)
             return Granted(offer.call, endpoint, source_id, None, fraction)
-        corrected = self.predictions.predict(offer, candidate.starts_in, now)
-        if corrected > candidate.starts_in and any(
+        first_token_in = self.predictions.first_token_in(offer, candidate, now)
+        if first_token_in > candidate.first_token_in and any(
             has_room(item, offer.prompt_tokens, share) for item in usable
         ):
             # It waits for the endpoint of its prefix, and may go to this one instead.
-            corrected = candidate.starts_in
-        first_token_in = candidate.first_token_in + (corrected - candidate.starts_in)
+            first_token_in = candidate.first_token_in
         if self._is_too_late(offer, first_token_in, now):
             self.predictions.ended(offer, candidate.starts_in, now)
             return self._reject_late(offer, first_token_in, now)
@@ -534,6 +532,10 @@
         rules = rejections if self.returns is None or kept else self.returns
         return rules.is_too_late(offer, first_token_in, self.speed, now)
 
+    def _is_wait_too_long(self, offer: Offer, place: Candidate, now: float) -> bool:
+        first_token_in = self.predictions.first_token_in(offer, place, now)
+        return self._is_too_late(offer, first_token_in, now)
+
     def _decide_without_endpoint(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> Decision | None:
