Read connections again that their last receiver has paused

Cause: an attempt pauses its connection while its caller reads slowly. If the part that led to it ended the response, the connection became idle while nothing was read from it. The next request on it got no answer until the caller before had read on, and none at all if that caller had left, as a closed connection is never resumed. It was not replaced either, since a paused connection does not count as silent. Ruled out: leaving paused connections out of reuse, which only opens more of them. Change: a connection whose response is complete is read again before it becomes idle. A test of the client failed before (no answer within 2 s) and passes now.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -599,6 +599,8 @@
         connection.exchange = None
         # Bytes after the response must not be read as the next response.
         if reusable and not rest:
+            # Its receiver may have paused it with the last part, and never resume it.
+            self.resume(connection)
             self._store_idle(connection)
         else:
             self._close(connection)
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -89,3 +89,32 @@
 def test_keep_alive_that_is_no_number_is_ignored(seconds):
     announced = announced_timeout({"keep-alive": f"timeout={seconds}"})
     assert reuse_timeout(announced) == IDLE_TIMEOUT
+
+
+def test_a_connection_paused_by_its_last_receiver_is_read_for_the_next():
+    async def work():
+        async with idle_connection() as opened:
+            client, connection = opened.client, opened.connection
+            loop = asyncio.get_running_loop()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            started = client.start(
+                opened.address,
+                "GET",
+                "/",
+                [],
+                b"",
+                lambda head: None,
+                lambda data: client.pause(connection),
+            )
+            assert started is connection
+            await loop.sock_recv(opened.peer, 4096)
+            await loop.sock_sendall(opened.peer, answer)
+            await connection.exchange.done
+            following = asyncio.ensure_future(
+                client.fetch(opened.address, "GET", "/", timeout=2.0)
+            )
+            await loop.sock_recv(opened.peer, 4096)
+            await loop.sock_sendall(opened.peer, answer)
+            return (await following).body, connection.used
+
+    assert asyncio.run(asyncio.wait_for(work(), 10)) == (b"ok", 3)
