Keep half of a short timeout for requests that run only once

Cause: where an endpoint announces a timeout of 1 s, longer reuse let requests that must not be repeated use a connection until 0.25 s before the close, instead of 0.5 s as before: the greater of 1 s and half of the timeout counted, cut to 0.75 s. Ruled out: the lesser of both for all timeouts. It would take longer reuse from these requests altogether, which is for the design to decide. The test that expected 1 s for a timeout of 1 s now expects 0.5 s, which is stricter, and one of 0 s is added. A test of the effective limit, with and without the setting, failed before with 0.75 s.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -394,7 +394,7 @@
 
     def _idle_limit(self, connection: Connection, idle_most: float) -> float:
         """Return the maximum idle time in seconds for a use of a connection."""
-        if self.reuse_longer:
+        if self.reuse_longer and idle_most < IDLE_TIMEOUT:
             idle_most = unrepeatable_timeout(connection.announced, idle_most)
         return min(connection.reuse_timeout, idle_most)
 
--- a/tests/transport/test_keep_alive.py
+++ b/tests/transport/test_keep_alive.py
@@ -38,7 +38,8 @@
 
 
 @pytest.mark.parametrize(
-    ("announced", "seconds"), [(None, 1.0), (1, 1.0), (2, 1.0), (5, 2.5), (30, 15.0)]
+    ("announced", "seconds"),
+    [(None, 1.0), (0, 0.0), (1, 0.5), (2, 1.0), (5, 2.5), (30, 15.0)],
 )
 def test_requests_that_run_once_keep_a_greater_distance(announced, seconds):
     assert unrepeatable_timeout(announced, 1.0) == seconds
@@ -96,6 +97,19 @@
     assert asyncio.run(asyncio.wait_for(work(), 10)) == seconds
 
 
+@pytest.mark.parametrize("reuse_longer", [False, True])
+def test_requests_that_run_once_never_come_nearer_to_a_close(reuse_longer):
+    async def work():
+        async with idle_connection() as opened:
+            client, connection = opened.client, opened.connection
+            client.reuse_longer = reuse_longer
+            connection.announced = 1
+            connection.reuse_timeout = reuse_timeout(1, reuse_longer)
+            return client._idle_limit(connection, 1.0)
+
+    assert asyncio.run(asyncio.wait_for(work(), 10)) == 0.5
+
+
 def test_a_connection_that_its_endpoint_has_closed_is_not_kept():
     async def work():
         async with idle_connection() as opened:
