Count only connections that endpoints have closed as lost

Cause: the metric of lost connections counted each exchange on a reused connection that failed before its response, also those that the router ended itself: a quarantined content, an attempt whose silent predecessor went on, the stop of the router. Ruled out: telling them apart by the reason, which is text for logs. Change: a close, a reset or an error of the socket is counted, a failure by the router is not. A test with both cases failed before (1 instead of 0) and passes now.

--- a/carawayfold/transport/client.py
+++ b/carawayfold/transport/client.py
@@ -180,7 +180,8 @@
     opened, reused : int
         Exchanges on a new connection, and on one that was idle.
     lost : int
-        Exchanges whose reused connection ended before their response began.
+        Exchanges whose reused connection the remote side ended before their response
+        began.
     """
 
     opened: int = 0
@@ -490,7 +491,7 @@
         except OSError as error:
             # Later, as `start` has to return the exchange.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self.fail, connection, str(error))
+            loop.call_soon(self._lose, connection, str(error))
             return
         del connection.outgoing[:sent]
         writing = self.poller.isWriting(connection.sock)
@@ -509,7 +510,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self.fail(connection, str(error))
+            self._lose(connection, str(error))
             return
         if connection.exchange is None:
             # Data or end of stream on an idle connection: it cannot be reused.
@@ -563,7 +564,7 @@
         if connection.reader.close() and not exchange.skipping:
             self._complete(connection, exchange, b"")
         else:
-            self.fail(connection, "the connection was closed")
+            self._lose(connection, "the connection was closed")
 
     def _handle_head(
         self, connection: Connection, exchange: Exchange, received: ResponseHead
@@ -619,7 +620,14 @@
         """Fail the current exchange of a connection that was lost."""
         connection = self.open.get(sock)
         if connection is not None:
-            self.fail(connection, "the connection was reset")
+            self._lose(connection, "the connection was reset")
+
+    def _lose(self, connection: Connection, reason: str) -> None:
+        """Fail the exchange on a connection that the remote side has ended."""
+        exchange = connection.exchange
+        if exchange is not None and exchange.is_attempt and connection.used > 1:
+            self.uses.lost += exchange.phase is Phase.SENT
+        self.fail(connection, reason)
 
     def fail(self, connection: Connection, reason: str) -> None:
         """Fail the exchange on `connection` and close the connection."""
@@ -627,8 +635,6 @@
         connection.exchange = None
         self._close(connection)
         if exchange is not None and not exchange.done.done():
-            if exchange.is_attempt and connection.used > 1:
-                self.uses.lost += exchange.phase is Phase.SENT
             error = ExchangeError(exchange.phase, reason, connection.used > 1)
             exchange.done.set_exception(error)
 
--- a/tests/transport/test_keep_alive.py
+++ b/tests/transport/test_keep_alive.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from carawayfold.transport.client import ExchangeError
 from carawayfold.transport.keep_alive import (
     CLOSE_MARGIN,
     IDLE_TIMEOUT,
@@ -110,6 +111,26 @@
     assert asyncio.run(asyncio.wait_for(work(), 10)) == 0.5
 
 
+@pytest.mark.parametrize(("by_router", "lost"), [(True, 0), (False, 1)])
+def test_only_connections_that_the_endpoint_ends_count_as_lost(by_router, lost):
+    async def work():
+        async with idle_connection() as opened:
+            client = opened.client
+            connection = client.start(
+                opened.address, "GET", "/", [], b"", None, None, is_attempt=True
+            )
+            exchange = connection.exchange
+            if by_router:
+                client.fail(connection, "its content is refused")
+            else:
+                opened.peer.close()
+            with pytest.raises(ExchangeError):
+                await exchange.done
+            return connection.used, client.uses.lost
+
+    assert asyncio.run(asyncio.wait_for(work(), 10)) == (2, lost)
+
+
 def test_a_connection_that_its_endpoint_has_closed_is_not_kept():
     async def work():
         async with idle_connection() as opened:
