Close idle connections to an endpoint that does not answer

Cause: with reuse of connections on, a router keeps idle connections for up to 20 s. When an endpoint or the network to it goes silent, the scheduler forgets the router's connections with the first attempt, but the router kept the others. Each could take one more request into the silence, which a new connection would have shown within 0.25 s as not sent, so that the request could go elsewhere safely. Ruled out: closing them for failed attempts too, since a close by one side says nothing of the others, and closed ones are noticed. With the setting off nothing changes. Change: an attempt that ends in silence or cannot connect in time closes the idle connections to its address. The test's case with the setting on failed before (one connection left); the case with it off guards the former behaviour.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -168,6 +168,9 @@
             return self._exchange_failed()
         except TimeoutError:
             self.reason = "the endpoint is silent"
+            if self.forwarder.http.reuse_longer:
+                # The cause may affect all connections: each would delay a request.
+                self.forwarder.http.drop_idle(self.endpoint.address)
             self.suspend_endpoint = self.sent
             return AttemptEnd.SILENT if self.sent else AttemptEnd.UNREACHABLE
         return self._complete()
--- a/tests/coordination/requests/attempt_builders.py
+++ b/tests/coordination/requests/attempt_builders.py
@@ -44,7 +44,9 @@
         self.searches = self.cancelled = 0
         self.returned = []
         self.done = self.loop.create_future()
-        self.http = SimpleNamespace(start=self.start, cancel=self.cancel)
+        self.http = SimpleNamespace(
+            start=self.start, cancel=self.cancel, reuse_longer=False
+        )
         self.dialect = SimpleNamespace(request_headers=lambda *args: [])
         self.coordinator = SimpleNamespace(is_superseded=lambda item: False)
         self.endpoint_activity = SimpleNamespace(
--- a/tests/coordination/requests/test_reused_connections.py
+++ b/tests/coordination/requests/test_reused_connections.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from carawayfold.coordination.containment import endpoint_activity
+from carawayfold.coordination.requests import attempts
 from carawayfold.coordination.scheduling.offers import Outcome
 from carawayfold.state.budget import BudgetBounds
 from carawayfold.state.routes import RouteKind
@@ -110,3 +112,33 @@
     kept, passed = asyncio.run(asyncio.wait_for(run(), 10))
     # The time since the last byte came is part of the test's own.
     assert expected - passed * 1000 - 1 <= kept <= expected
+
+
+@pytest.mark.parametrize(("reuse_longer", "left"), [(True, 0), (False, 1)])
+def test_idle_connections_to_a_silent_endpoint_are_closed(
+    monkeypatch, reuse_longer, left
+):
+    monkeypatch.setattr(endpoint_activity, "SILENCE_TIMEOUT", 0.05)
+    monkeypatch.setattr(attempts, "LIVENESS_CHECK_INTERVAL", 0.01)
+
+    async def run():
+        async with handover(REPEATABLE) as made:
+            client = made.forwarder.http
+            client.reuse_longer = reuse_longer
+            await made.first.arrived.wait()
+            # The connection of a request beside the one that gets no answer.
+            silent, made.first.arrived = made.first.writer, asyncio.Event()
+            beside = asyncio.ensure_future(client.fetch(made.first.address, "GET", "/"))
+            await made.first.arrived.wait()
+            made.first.answer(WHOLE % b"beside")
+            await beside
+            await made.second.arrived.wait()
+            idle = len(client.idle[made.first.address])
+            made.second.answer(WHOLE % b"second")
+            await made.task
+            silent.close()
+            return made.call.incoming.answers, idle
+
+    answers, idle = asyncio.run(asyncio.wait_for(run(), 10))
+    assert answers == [(200, "second")]
+    assert idle == left
--- a/tests/simulated_requests.py
+++ b/tests/simulated_requests.py
@@ -179,6 +179,8 @@
 class SimulatedClient:
     """Connections of one router to the simulated endpoints."""
 
+    reuse_longer = False
+
     def __init__(self, world, router):
         self.world = world
         self.router = router
