Resume no later request when an earlier caller has read the rest

Cause: an attempt whose caller is slow resumes its connection once the caller has read on. When its exchange had ended meanwhile, a later request could have the connection: its reading went on although its own caller was slow, and the endpoint counted as active although nothing had come from it, which hides a silence. Ruled out: removing the callback at the end of the attempt, for which the server of callers has no interface. Change: the callback does nothing once its own exchange has ended. A test failed before and passes now.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -353,6 +353,9 @@
             self.forwarder.http.pause(self.connection)
 
     def _resume_reading(self) -> None:
+        if self.exchange.done.done():
+            # A later request may have the connection.
+            return
         self._note_activity()
         self.forwarder.http.resume(self.connection)
 
--- a/tests/coordination/requests/test_answers.py
+++ b/tests/coordination/requests/test_answers.py
@@ -143,3 +143,21 @@
         assert len(answered.forwarder.active_at) == active + 1
 
     run(scenario)
+
+
+def test_a_caller_that_reads_the_rest_later_resumes_no_later_request():
+    def scenario():
+        answered = AnsweredAttempt(STREAM)
+        connection = answered.attempt.connection
+        answered.caller.slow = True
+        answered.head(200, SIGNED)
+        answered.data(b"id: 1\ndata: x\n\n")
+        answered.forwarder.done.set_result(None)
+        active = len(answered.forwarder.active_at)
+        # A later request has the connection, and its caller is slow too.
+        connection.paused = True
+        answered.caller.resume()
+        assert connection.paused
+        assert len(answered.forwarder.active_at) == active
+
+    run(scenario)
