Do nothing for a tail of the queue that is empty

Cause: each review of a queue built a list and asked all endpoints for room even where no request waits behind the examined head, with the parts on or off. Change: return at once. Decisions are the same: nothing was decided for an empty tail. Ruled out: moving the check into predict_tail, since the look for room would remain.

--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -382,6 +382,8 @@
         now: float,
     ) -> None:
         """Reject requests behind the head of the queue that can't be in time."""
+        if not tail:
+            return
         offers = [entry.offer for entry in tail]
         waits = self.locality.predict_tail(offers, backlogs, self.speed)
         idle = self._has_room(backlogs)
