Count a crash once although copies of its report are read late

Cause: a report is sent three times and the reader worked out the time of the crash from its age at reading. Ruled out: a request sent on a connection that the endpoint had ended (connections that are readable are not reused); different routers' reports (each crash had one reporter). Change: a report states the time of the crash by its router's clock, equal in all copies, and reports of one router are compared by that clock. Reports of two routers of one crash still depend on when they are read.

--- a/carawayfold/coordination/containment/containment.py
+++ b/carawayfold/coordination/containment/containment.py
@@ -369,8 +369,15 @@
     def _handle_crash(self, message: CrashMessage, sender: RouterId) -> None:
         at = self.loop.time() - message.age / 1000
         lasted = float("inf") if message.lasted is None else message.lasted / 1000
+        observed = None if message.observed is None else message.observed / 1000
         crash = Crash(
-            message.endpoint, sender, at, message.refused, message.begun, at - lasted
+            message.endpoint,
+            sender,
+            at,
+            message.refused,
+            message.begun,
+            at - lasted,
+            observed,
         )
         if not self.crash_table.note(message.content, message.organisation, crash):
             return
--- a/carawayfold/coordination/containment/crash_reports.py
+++ b/carawayfold/coordination/containment/crash_reports.py
@@ -280,6 +280,7 @@
             report.refused,
             loss.begun,
             None if loss.lasted is None else round(loss.lasted * 1000),
+            round(loss.at * 1000),
         )
         if owner == self.fleet.own.router:
             report.sends = SENDS_PER_OWNER
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -354,6 +354,9 @@
         Whether the answer had begun by then.
     lasted : int or None
         Milliseconds for which it had processed the content; None if not known.
+    observed : int or None
+        Monotonic milliseconds of the crash by the clock of the router that observed
+        it, equal in all copies of a report; None if not stated.
     """
 
     content: ContentId
@@ -363,6 +366,7 @@
     refused: bool
     begun: bool
     lasted: int | None = None
+    observed: int | None = None
 
 
 class SuccessMessage(msgspec.Struct, array_like=True, tag=12, frozen=True):
--- a/carawayfold/state/crashes.py
+++ b/carawayfold/state/crashes.py
@@ -74,6 +74,9 @@
     started : float
         Monotonic seconds at which the content was sent to the endpoint; negative
         infinity if not known.
+    observed : float or None
+        Monotonic seconds of the crash by the clock of `router`; None if not known. The
+        times above are later by the time until the report was read.
     """
 
     endpoint: EndpointId
@@ -82,21 +85,35 @@
     refused: bool
     begun: bool = False
     started: float = float("-inf")
+    observed: float | None = None
 
     @property
     def weight(self) -> float:
         """Return the weight against the content, 1 if its answer had not begun."""
         return ANSWER_BEGUN_WEIGHT if self.begun else 1.0
 
+    @property
+    def lasted(self) -> float:
+        """Return the seconds from the sending of the content to the crash."""
+        return self.at - self.started
+
     def is_same(self, other: Crash) -> bool:
         """Return whether two reports on one endpoint are of the same crash.
 
-        A request sent after the other crash was run by the restarted endpoint.
+        A request sent after the other crash was run by the restarted endpoint. Reports
+        of one router are compared by its clock: any of them may have been read late.
         """
-        if abs(self.at - other.at) >= SAME_CRASH_DURATION:
+        after = self._seconds_after(other)
+        if abs(after) >= SAME_CRASH_DURATION:
             return False
-        sent_last = max(self.started, other.started)
-        return sent_last <= min(self.at, other.at) + SEND_TIME_TOLERANCE
+        lasted = self.lasted if after > 0 else other.lasted
+        return lasted >= abs(after) - SEND_TIME_TOLERANCE
+
+    def _seconds_after(self, other: Crash) -> float:
+        known = None not in (self.observed, other.observed)
+        if known and self.router == other.router:
+            return self.observed - other.observed
+        return self.at - other.at
 
 
 class Case(msgspec.Struct):
--- a/tests/coordination/containment/test_containment.py
+++ b/tests/coordination/containment/test_containment.py
@@ -106,6 +106,31 @@
     assert run_connected(work, routers, places, loss=loss) is not None
 
 
+@pytest.mark.parametrize("late", [0.2, 0.4])
+def test_one_crash_counts_once_at_a_router_that_reads_late(late):
+    """Guards against counting each copy of a report as a further crash.
+
+    A router that was paused for 0.2 to 0.4 s at a time counted up to four crashes of
+    one endpoint, and refused the content after two crashes.
+    """
+
+    async def work(fleet, world):
+        [harmful] = killers_of(1)
+        responsible_router = next(iter(fleet.routers.values())).responsible(
+            partition_of(harmful)
+        )
+        sender = min(world.containments.keys() - {responsible_router})
+        made = world.containments[responsible_router]
+        world.send(sender, harmful, True)
+        await fleet.until(lambda: harmful in made.crash_table.cases, 1.0)
+        for _ in range(4):
+            fleet.reads_at[responsible_router] = fleet.loop.time() + late
+            await asyncio.sleep(late)
+        return list(made.crash_table.cases[harmful].crashes)
+
+    assert len(run_connected(work)) == 1
+
+
 @pytest.mark.parametrize(("routers", "places"), SIZES[:2])
 def test_a_router_that_starts_later_gets_the_verdict(routers, places):
     async def work(fleet, world):
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -60,6 +60,7 @@
     number: int
     attempt: int
     begins: float
+    started: float | None = None
 
 
 @dataclass
@@ -228,7 +229,9 @@
         if made is not None:
             begun = now >= run.begins
             made.reports.note(
-                LostAttempt(run.content, "alder", engine.endpoint, now, begun)
+                LostAttempt(
+                    run.content, "alder", engine.endpoint, now, begun, run.started
+                )
             )
         if not run.harmful:
             self.loop.call_later(0.01, self.send_again, run)
@@ -264,8 +267,9 @@
             late = third is not None and self.loop.time() > third + ALLOWED_FOR
             self.tally.late_sends[content] += late
         engine = min(live, key=lambda item: (len(item.runs), self.draw.random()))
-        begins = self.loop.time() + self.draw.uniform(*FIRST_EVENT)
-        run = Run(router, content, harmful, number, attempt, begins)
+        now = self.loop.time()
+        begins = now + self.draw.uniform(*FIRST_EVENT)
+        run = Run(router, content, harmful, number, attempt, begins, now)
         engine.runs.append(run)
         if harmful:
             delay = self.draw.uniform(*CRASH_DELAY)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -94,6 +94,8 @@
         Routers that neither send nor receive datagrams.
     apart : set of str
         Data centres that exchange no datagrams with others.
+    reads_at : dict of float
+        Loop time until which a router that is late reads no datagrams.
     sent, sent_bytes : Counter
         Number of datagrams, and of their bytes, by sender.
     attach : callable or None
@@ -107,6 +109,7 @@
     loss: float = 0.0
     dead: set[str] = field(default_factory=set)
     apart: set[str] = field(default_factory=set)
+    reads_at: dict[str, float] = field(default_factory=dict)
     routers: dict[str, Fleet] = field(default_factory=dict)
     places: dict[str, str] = field(default_factory=dict)
     entries: dict[str, PeerEntry] = field(default_factory=dict)
@@ -140,6 +143,10 @@
     def deliver(self, receiver, data, source):
         if receiver in self.dead or receiver not in self.routers:
             return
+        reads_at = self.reads_at.get(receiver, 0.0)
+        if self.loop.time() < reads_at:
+            self.loop.call_at(reads_at, self.deliver, receiver, data, source)
+            return
         self.taken[receiver] += 1
         datagram = decode(data)
         self.routers[receiver].take(datagram, source)
--- a/tests/state/test_crashes.py
+++ b/tests/state/test_crashes.py
@@ -78,6 +78,33 @@
     assert crashes_counted(later, crash()) == count
 
 
+@pytest.mark.parametrize("delay", [0.2, 0.7])
+def test_copies_of_a_report_that_are_read_late_count_once(delay):
+    """Guards against counting a crash again when the reader was paused.
+
+    A report is sent three times. Its copy was read 0.2 s late, so that a request which
+    had lasted 0.06 s seemed to be sent after the crash.
+    """
+    first = msgspec.structs.replace(crash(), started=AT - 0.06, observed=7.0)
+    copy = msgspec.structs.replace(first, at=AT + delay, started=AT + delay - 0.06)
+    assert crashes_counted(first, copy) == 1
+    assert crashes_counted(copy, first) == 1
+
+
+def test_crashes_read_at_once_are_told_apart_by_their_observer():
+    """Two crashes of an engine that restarts, whose reports a paused router reads."""
+    first = msgspec.structs.replace(crash(), started=AT - 0.06, observed=7.0)
+    second = msgspec.structs.replace(first, observed=7.4)
+    assert crashes_counted(first, second) == 2
+    assert crashes_counted(second, first) == 2
+
+
+def test_clocks_of_two_routers_are_not_compared():
+    first = msgspec.structs.replace(crash(), started=AT - 0.06, observed=7.0)
+    other = msgspec.structs.replace(first, router="r-2", observed=90.0)
+    assert crashes_counted(first, other) == 1
+
+
 def test_reports_of_several_routers_of_one_crash_count_once():
     table = CrashTable()
     assert table.note(content(), "alder", crash())
