Judge a content again whose verdict another router has lowered

Cause: a router that reads nothing for 0.6 s takes itself for responsible. Knowing of two crashes it issued "suspected" with a later stamp, which replaced the quarantine after three at all routers; the responsible router did not judge again, as its own count had not changed. The content then could crash a fourth endpoint, and `carawayfold_quarantined 1.0` was never reported. Two verdicts with one stamp stayed different at the two routers. Ruled out: loss of the verdict's datagrams (heartbeats' checksums repair it); the probe (four, up to 1.3 s). Change: the responsible router judges again after another router lowered its verdict; of two with one stamp the more severe one applies. The test of any order of verdicts now has verdicts with one stamp, and failed before.

--- a/carawayfold/coordination/containment/containment.py
+++ b/carawayfold/coordination/containment/containment.py
@@ -558,8 +558,11 @@
 
     def _accept_verdict(self, entry: Entry, source: RouterId | str) -> bool:
         """Apply a verdict from any source; return whether it is newer."""
+        known = self.quarantine.get(entry.content)
         if not self.quarantine.put(entry):
             return False
+        if known is not None and source != self.fleet.own.router:
+            self._review_if_lowered(entry, known)
         held = self.quarantine.rejection_remaining(entry.content, self.loop.time())
         logger.info(
             "verdict on a content",
@@ -593,6 +596,15 @@
             self._attribute_crashes(entry)
         return True
 
+    def _review_if_lowered(self, entry: Entry, known: Entry) -> None:
+        """Have a content judged again if another router has lowered its verdict.
+
+        That router may have counted fewer crashes than this one.
+        """
+        case = self.crash_table.cases.get(entry.content)
+        if case is not None and entry.level.severity < known.level.severity:
+            case.judged_weights = {}
+
     def _verdict_message(self, entry: Entry) -> VerdictMessage:
         now = self.loop.time()
         return VerdictMessage(
--- a/carawayfold/state/crashes.py
+++ b/carawayfold/state/crashes.py
@@ -130,7 +130,7 @@
         Crashes by endpoint. Further crashes of one endpoint have ``#2``, ``#3`` and so
         on after its name.
     judged_weights : dict
-        Weights of the crashes at the last verdict.
+        Weights of the crashes at the last verdict; empty if it has to be judged again.
     """
 
     organisation: OrganisationId
--- a/carawayfold/state/quarantine.py
+++ b/carawayfold/state/quarantine.py
@@ -65,6 +65,11 @@
         """Return whether a content is neither rejected nor suspected."""
         return self in (Level.CLEARED, Level.LIFTED)
 
+    @property
+    def severity(self) -> int:
+        """Return its rank among the levels, 0 for the lowest."""
+        return list(Level).index(self)
+
 
 #: Seconds of rejection for each level at which a content is rejected.
 REJECTION_DURATIONS = {
@@ -106,6 +111,11 @@
     expires_at: float
     endpoints: tuple[EndpointId, ...] = ()
 
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Return a value that is greatest for the verdict that applies."""
+        return self.stamp, self.level.severity
+
 
 class Quarantine:
     """The verdicts of the fleet, as known to one router.
@@ -127,9 +137,12 @@
         self.checksum = 0
 
     def put(self, entry: Entry) -> bool:
-        """Store a verdict if it is newer; return whether it was stored."""
+        """Store a verdict if it is newer; return whether it was stored.
+
+        Of two with the same stamp, issued by two routers, the more severe one applies.
+        """
         known = self.entries.get(entry.content)
-        if known is not None and known.stamp >= entry.stamp:
+        if known is not None and known.precedence >= entry.precedence:
             return False
         self._drop(entry.content)
         self.entries[entry.content] = entry
--- a/tests/coordination/containment/test_containment.py
+++ b/tests/coordination/containment/test_containment.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from carawayfold.coordination.containment.containment import REVIEW_INTERVAL
 from carawayfold.coordination.containment.crash_reports import partition_of
 from carawayfold.state.contents import content_id
 from carawayfold.state.quarantine import Level
@@ -28,6 +29,8 @@
 ALLOWED_SENDS = 3
 #: Seconds until all routers of a fleet are connected.
 CONNECT_DURATION = 6.0
+#: Seconds for which a router reads nothing, more than until it holds others for failed.
+BLIND_DURATION = 1.5
 SIZES = [(6, 3), (67, 4), (195, 6)]
 
 
@@ -70,6 +73,13 @@
         await world.fleet.until(lambda n=before: world.tally.crashes[content] > n, 1.0)
 
 
+async def crash_from(world, router, content):
+    """Have a router send a content and wait until an endpoint has crashed under it."""
+    before = world.tally.crashes[content]
+    world.send(router, content, True)
+    await world.fleet.until(lambda: world.tally.crashes[content] > before, 1.0)
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("loss", [0.0, 0.03])
 def test_harmful_contents_are_stopped_within_their_allowance(seed, loss):
@@ -131,6 +141,34 @@
     assert len(run_connected(work)) == 1
 
 
+def test_a_late_router_does_not_lower_a_verdict_for_good():
+    """Guards against a quarantine replaced by a verdict on fewer crashes.
+
+    A router that reads nothing for a while considers itself responsible. It knew of two
+    crashes, and its later verdict replaced the quarantine after three at all routers.
+    """
+
+    async def work(fleet, world):
+        [harmful] = killers_of(1)
+        responsible_router = next(iter(fleet.routers.values())).responsible(
+            partition_of(harmful)
+        )
+        late = min(world.containments.keys() - {responsible_router})
+        await crash_from(world, late, harmful)
+        await asyncio.sleep(2 * REVIEW_INTERVAL)
+        reads_at = fleet.loop.time() + BLIND_DURATION
+        fleet.reads_at[late] = reads_at
+        await crash_from(world, late, harmful)
+        await crash_from(world, responsible_router, harmful)
+        await asyncio.sleep(reads_at - fleet.loop.time() - REVIEW_INTERVAL)
+        lowered = world.containments[late].quarantine.get(harmful).level
+        return lowered, await fleet.until(lambda: all_refuse(world, harmful), 1.0)
+
+    lowered, refused_after = run_connected(work)
+    assert lowered is Level.SUSPECTED
+    assert refused_after is not None
+
+
 @pytest.mark.parametrize(("routers", "places"), SIZES[:2])
 def test_a_router_that_starts_later_gets_the_verdict(routers, places):
     async def work(fleet, world):
--- a/tests/state/test_quarantine.py
+++ b/tests/state/test_quarantine.py
@@ -35,7 +35,7 @@
             level=st.sampled_from(list(Level)),
             stamp=st.integers(1, 5),
         ),
-        unique_by=lambda item: (item.content, item.stamp),
+        unique_by=lambda item: (item.content, item.precedence),
     ),
     st.randoms(use_true_random=False),
 )
