Accept an older registration that lasts in the store

Cause: an entry of another writer under the name of a sound endpoint with a start time far in the future (10^15 was accepted) replaced the endpoint's own. Its entry, written again with the true start time, was then ignored as that of an earlier incarnation until the routers restarted, also after the foreign one was removed.

Ruled out: a bound by the local clock (hides all endpoints while it is wrong), a constant bound (does nothing against next year), confirmation by answers (a foreign entry may bear the endpoint's address; idle endpoints give none), and a second record of the older incarnation (an unchanged entry is written once).

Change: older entries are kept apart (state/older_entries.py) and accepted once the store has had them for 5 s without an outage in between. A newer one that is written again, or a removal, drops them. Peers get them as the store has them.

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -330,7 +330,7 @@
 
     def snapshot(self) -> EndpointSnapshot:
         """Return the endpoints for a peer, without loop times of this process."""
-        entries = self.endpoints.entries.values()
+        entries = self.endpoints.stored()
         known = [msgspec.structs.replace(endpoint, warm_at=0.0) for endpoint in entries]
         now = self.loop.time()
         lapsed = {name: until - now for name, until in self.endpoints.lapsed.items()}
@@ -350,7 +350,10 @@
         )
 
     def expire(self) -> None:
-        """Drop entries that the store has not confirmed in time after an outage."""
+        """Drop entries that the store has not confirmed, and accept older ones it has.
+
+        See `EndpointTable.expire` and `EndpointTable.accept_older`.
+        """
         before = self.evacuations.active
         if self.evacuations.expire(self.loop.time()):
             self._evacuations_changed(before, "store")
@@ -358,7 +361,10 @@
         for endpoint in expired:
             extra = {"endpoint": endpoint, "lapsed": True}
             logger.info("endpoint removed", extra=extra)
-        if expired:
+        accepted = self.endpoints.accept_older(self.loop.time())
+        for endpoint in accepted:
+            self._log_registered(endpoint, False, "store", self.endpoints.offset)
+        if expired or accepted:
             self.on_endpoints()
 
     def _replace_all(
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -13,6 +13,7 @@
     ServiceId,
     SoftwareVersion,
 )
+from carawayfold.state.older_entries import MIN_LASTING_DURATION, OlderEntries
 from carawayfold.state.software_history import SoftwareHistory
 
 #: Seconds after an outage of the store for which an endpoint stays usable whose entry
@@ -115,6 +116,8 @@
         Monotonic seconds at which the store was last known to be unreachable.
     software : SoftwareHistory
         Software versions that served each service lately.
+    older : OlderEntries
+        Entries of earlier incarnations that have replaced those in `entries`.
     """
 
     offset: Position = Position(0)
@@ -126,13 +129,15 @@
     announced: dict[EndpointId, bool] = msgspec.field(default_factory=dict)
     outage_end: float = float("-inf")
     software: SoftwareHistory = msgspec.field(default_factory=SoftwareHistory)
+    older: OlderEntries = msgspec.field(default_factory=OlderEntries)
 
     def put(self, endpoint: Endpoint, now: float = 0.0, listed: bool = False) -> bool:
         """Add or change an entry; return whether it changed.
 
-        An entry of an earlier incarnation is ignored. Once an endpoint is leaving,
-        later entries do not revert that: an older entry may be restored from a backup
-        of the store, and the endpoint may have failed to write a newer one.
+        An entry of an earlier incarnation changes nothing until `accept_older`. Once an
+        endpoint is leaving, later entries do not revert that: an older entry may be
+        restored from a backup of the store, and the endpoint may have failed to write a
+        newer one.
 
         Parameters
         ----------
@@ -146,7 +151,9 @@
             still applies.
         """
         if endpoint.incarnation < self.incarnations.get(endpoint.name, 0):
+            self.older.add(endpoint, now)
             return False
+        self.older.discard(endpoint.name)
         self._record_incarnation(endpoint)
         self.lapsed.pop(endpoint.name, None)
         old = self.entries.get(endpoint.name)
@@ -170,6 +177,23 @@
             self.leaving_since[endpoint.name] = now
         return old != endpoint
 
+    def accept_older(self, now: float) -> list[Endpoint]:
+        """Accept and return the older entries that have lasted in the store.
+
+        After an outage, records may not have been read yet that replace them.
+        """
+        if now < self.outage_end + MIN_LASTING_DURATION:
+            return []
+        accepted = self.older.take_lasting(now)
+        for endpoint in accepted:
+            del self.incarnations[endpoint.name]
+            self.put(endpoint, now)
+        return accepted
+
+    def stored(self) -> list[Endpoint]:
+        """Return the entries as last read, older ones in place of newer ones."""
+        return list((self.entries | self.older.entries).values())
+
     def announce(self, endpoint: EndpointId, now: float, by_peer: bool = False) -> bool:
         """Record that an incarnation announced its stop in an answer.
 
@@ -242,6 +266,7 @@
             Whether it was replaced by one that can't be decoded. The endpoint is not
             deregistered, but must not be used.
         """
+        self.older.discard(name)
         if name not in self.entries:
             return False
         if unreadable:
