Refuse registrations with text that can't be passed on

Cause: a key with an escaped lone surrogate made the whole list of registrations unreadable, and so all endpoints; a value outside Base64 with one raised out of the reader. Bytes of a key that are no UTF-8 became backslash escapes, which matched the names of endpoints, so that such a key named a usable endpoint. A service, data centre or version with control characters was accepted. An era of more than 4300 digits raised ValueError, greater eras and ends than a position holds failed later in messages to peers.

Ruled out: the load header, whose numbers were bounded already, and numbers of any length within an entry, which the decoder refuses.

Change: a list that the fast decoder refuses for its syntax is decoded by the standard library, and surrogates are escaped; names contain no backslash; names within an entry contain no control characters; eras and ends are bounded.

--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -38,10 +38,13 @@
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
 #: Address of all hosts of a network.
 BROADCAST = IPv4Address("255.255.255.255")
-#: Names of endpoints that can be sent in a header.
-ENDPOINT_NAME = re.compile(r"[!-~]{1,255}", re.ASCII)
+#: Names of endpoints that can be sent in a header. A backslash is an escape of what is
+#: no text; see `store.Record`.
+ENDPOINT_NAME = re.compile(r"[!-\[\]-~]{1,255}", re.ASCII)
 #: Most characters of a name within a registration. It is sent in datagrams.
 MAX_NAME_LENGTH = 255
+#: Names without control characters and line ends.
+PLAIN_TEXT = r"^[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
 #: Greatest values of a registration; greater ones are no slots, warm-up of at most a
 #: day, or start time in milliseconds, and don't fit messages between routers.
 MAX_SLOTS = 1_000_000
@@ -138,7 +141,7 @@
     DRAINING = "draining"
 
 
-WireName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+WireName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=PLAIN_TEXT)]
 
 
 class WireEntry(msgspec.Struct):
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import base64
+import json
+import re
 import struct
 import urllib.parse
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Annotated, Generic, TypeVar
 
 import logbook
 import msgspec
@@ -23,7 +25,7 @@
     SourceTimeout,
 )
 from carawayfold.state.ids import DataCentreId, EndpointName, Position
-from carawayfold.state.positions import era_of, offset_of, position
+from carawayfold.state.positions import OFFSET_BITS, era_of, offset_of, position
 from carawayfold.transport.client import ExchangeError, ResponseTimeoutError
 
 if TYPE_CHECKING:
@@ -59,6 +61,8 @@
 #: Seconds to wait for the response of a read beyond the time that the store itself
 #: waits for records.
 READ_TIMEOUT_MARGIN = 0.6
+#: Form of an era. Positions, which contain it, are sent in signed numbers of 64 bits.
+ERA = re.compile(r"[0-9]{1,6}", re.ASCII)
 #: Header of a read response: its end offset and the first retained offset.
 READ_HEADER = struct.Struct(">QQ")
 #: Header of a record: its size in bytes.
@@ -77,8 +81,8 @@
 class Record(msgspec.Struct, frozen=True):
     """One record of a compacted topic; `value` is None where the key was removed.
 
-    Bytes of a key that are not valid UTF-8 are replaced by backslash escapes, so that
-    the key matches no valid one.
+    Parts of a key that are no text, bytes that are not valid UTF-8 or surrogates, are
+    replaced by backslash escapes, so that the key matches no valid one.
     """
 
     key: str
@@ -104,7 +108,7 @@
     """Response with the newest record of each key; reads continue from `end`."""
 
     entries: list[WireEntry]
-    end: int
+    end: Annotated[int, msgspec.Meta(ge=0, lt=1 << OFFSET_BITS)]
     more_pages: bool = False
 
 
@@ -163,7 +167,8 @@
             if size > MAX_LISTED_BYTES or last_key in last_keys:
                 raise SourceError("a list without end")
             last_keys.add(last_key)
-            after = f"&after={urllib.parse.quote(last_key)}"
+            quoted = urllib.parse.quote(last_key, errors="surrogatepass")
+            after = f"&after={quoted}"
 
     async def read(self, topic: str, start: Position, wait: float) -> Page[Record]:
         """Return records of `topic` from `start` on, waiting up to `wait` seconds.
@@ -349,13 +354,23 @@
     text = data.decode(errors="replace")
     try:
         return msgspec.json.decode(text, type=WireNewest)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise SourceError(str(error)) from None
+    except msgspec.DecodeError:
+        return _decode_with_surrogates(text)
+
+
+def _decode_with_surrogates(text: str) -> WireNewest:
+    """Return a list of which some keys have escapes of surrogates."""
+    try:
+        return msgspec.convert(json.loads(text), WireNewest)
+    except (ValueError, RecursionError) as error:
         raise SourceError(str(error)) from None
 
 
 def _era(head: Head) -> int:
     text = head.headers.get(ERA_HEADER, "0")
-    if not text.isdecimal():
+    if not ERA.fullmatch(text):
         raise SourceError(f"no era: {text[:MAX_LOGGED_LENGTH]}")
     return int(text)
 
@@ -385,8 +400,13 @@
 
 
 def _listed_record(entry: WireEntry) -> Record:
+    key = _escaped(entry.key).decode()
     try:
-        return Record(entry.key, base64.b64decode(entry.value))
+        return Record(key, base64.b64decode(entry.value))
     except ValueError:
         # The raw text fails to decode as a record of the topic, which logs it.
-        return Record(entry.key, entry.value.encode())
+        return Record(key, _escaped(entry.value))
+
+
+def _escaped(text: str) -> bytes:
+    return text.encode(errors="backslashreplace")
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import struct
 
@@ -12,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from carawayfold.commands.logs import format_record
 from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.platform import records, store
 from carawayfold.platform.store import MAX_REMEMBERED_KEYS, Record, StoreClient
@@ -110,6 +112,14 @@
         entry(cold_remaining_ms=1e300),
         entry(address="10.0.0.1:8_0"),
         entry(version="v" * 70_000),
+        entry(service="s\r\nTenant-Id: x"),
+        entry(zone="z\x1b[2J"),
+        entry(version="v1\x00"),
+        entry(version="v1\n"),
+        entry(zone="z\x7f"),
+        entry(zone="z\x9b"),
+        entry(service="s\u2028"),
+        entry(version="\ud800"),
     ],
 )
 def test_an_entry_that_turns_bad_is_not_used_until_it_is_sound_again(value):
@@ -144,7 +154,9 @@
         records.decode_endpoint(name, entry(), 0.0)
 
 
-@pytest.mark.parametrize("key", [b"\xff", "☃".encode(), b"a b"])
+@pytest.mark.parametrize(
+    "key", [b"\xff", "☃".encode(), b"a b", rb"\ud800", rb"a\udc80b", rb"\u0000"]
+)
 def test_a_key_that_is_no_name_does_not_hide_the_rest_of_a_list(key):
     rows = [
         b'{"key": "%b", "value": "e30=", "offset": 1}' % key,
@@ -158,6 +170,59 @@
     assert http.paths[1].isascii()
 
 
+#: Bytes of a key in a list, as JSON.
+JSON_KEYS = st.lists(
+    st.sampled_from(["a", " ", "☃", r"\n", r"\u0000", r"\\", r"\"", "%"])
+    | (st.integers(0, 0xFFFF) | st.integers(0xD800, 0xDFFF)).map(
+        lambda unit: f"\\u{unit:04x}"
+    ),
+    max_size=6,
+).map(lambda parts: "".join(parts).encode()) | st.just(b"\xed\xa0\x80")
+
+
+@given(st.lists(JSON_KEYS, max_size=4), st.data())
+def test_sound_entries_of_a_list_hold_beside_any_keys(keys, data):
+    value = base64.b64encode(entry())
+    keys.insert(data.draw(st.integers(0, len(keys))), b"i-1")
+    rows = [b'{"key": "%b", "value": "%b", "offset": 1}' % (key, value) for key in keys]
+    body = b'{"entries": [%b], "end": 3, "more_pages": true}' % b",".join(rows)
+
+    async def follow():
+        http = OneAnswer(body, b'{"entries": [], "end": 3}')
+        source = store.endpoint_source(StoreClient(http, None))
+        with logbook.TestHandler() as lines:
+            page = await source.newest()
+        known = Knowledge(lambda table: None, lambda: None)
+        known.apply_listing(page)
+        return http, lines.records, known
+
+    http, lines, known = asyncio.run(follow())
+    assert "i-1" in known.endpoints.entries
+    assert http.paths[1].isascii()
+    assert msgspec.msgpack.encode(known.snapshot())
+    for line in lines:
+        assert json.loads(format_record(line, None))["reason"]
+    for name in known.endpoints.entries:
+        assert "\\" not in name
+
+
+@pytest.mark.parametrize("key", [b"\xff", b"\xed\xa0\x80"])
+def test_a_key_of_no_text_names_no_endpoint(key):
+    """Such a key is kept and logged with escapes."""
+    known, _ = apply_reads(read_answer((key, entry()), (b"i-1", entry())))
+    assert list(known.endpoints.entries) == ["i-1"]
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "version"])
+def test_an_entry_with_control_characters_is_logged_once(field):
+    bad = read_answer((b"i-1", entry(**{field: "x\r\n\x1b[2J"})))
+    with logbook.TestHandler() as lines:
+        apply_reads(bad, bad)
+    (line,) = [json.loads(format_record(item, None)) for item in lines.records]
+    assert (line["event"], line["key"]) == ("unreadable record", "i-1")
+    assert field in line["reason"]
+
+
 @pytest.mark.parametrize(
     "address", ["0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80"]
 )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 
 from carawayfold.platform.store import MAX_LISTED_BYTES, StoreClient
 from carawayfold.protocol.sources import RecordsNotRetained, SourceError
-from carawayfold.state.positions import position
+from carawayfold.state.positions import OFFSET_BITS, position
 from carawayfold.transport.client import Answer, Head
 
 
@@ -64,8 +64,17 @@
         asyncio.run(client.newest("t"))
 
 
-def test_non_numeric_era_raises_source_error():
-    client = StoreClient(FakeHttp(("later", page(7))), None)
+@pytest.mark.parametrize("era", ["later", "", "-1", "²", "٣", "9" * 8, "9" * 5000])
+def test_an_era_that_is_no_number_or_too_great_raises_source_error(era):
+    """Positions are sent to peers, in numbers of 64 bits."""
+    client = StoreClient(FakeHttp((era, page(7))), None)
+    with pytest.raises(SourceError):
+        asyncio.run(client.newest("t"))
+
+
+@pytest.mark.parametrize("end", [-1, 1 << OFFSET_BITS])
+def test_an_end_that_is_no_offset_raises_source_error(end):
+    client = StoreClient(FakeHttp(("0", page(end))), None)
     with pytest.raises(SourceError):
         asyncio.run(client.newest("t"))
 
