Bound the slots that one endpoint registers beyond its service

Cause: an entry may register up to 10^6 slots, and an endpoint that never counts as full gets nearly all requests of a burst before any answer shows otherwise.

Ruled out: a constant maximum (says nothing of services of six slots), and the greatest number seen in flight (it grows with what is sent, as endpoints queue).

Change: an endpoint counts with at most 8 times the median of the slots of its service. The entry itself stays as registered. All routers compute the same, as the choice of a pool follows from the slots.

Limit: a service whose machines truly differ by more than 8 loses the rest.

--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -14,6 +14,7 @@
     SoftwareVersion,
 )
 from carawayfold.state.older_entries import MIN_LASTING_DURATION, OlderEntries
+from carawayfold.state.plausible_slots import with_plausible_slots
 from carawayfold.state.software_history import SoftwareHistory
 
 #: Seconds after an outage of the store for which an endpoint stays usable whose entry
@@ -344,12 +345,16 @@
             self.lapsed[name] = now + LAPSE_GRACE_DURATION
 
     def usable(self, service: ServiceId) -> list[Endpoint]:
-        """Return the endpoints of `service` that may get new requests."""
-        return [
+        """Return the endpoints of `service` that may get new requests.
+
+        Their slots are bounded; see `plausible_slots`.
+        """
+        usable = [
             endpoint
             for endpoint in self.entries.values()
             if endpoint.service == service and not endpoint.leaving
         ]
+        return with_plausible_slots(usable)
 
     def software_of(self, service: ServiceId, now: float) -> set[SoftwareVersion]:
         """Return the software versions that may have served `service` lately."""
