Test that what lasts in the store is used

Cause: the cases of older registrations were single sequences, and none mixed records of several start times, removals and pauses. Ruled out by it: a sequence that leaves an endpoint hidden.

--- a/tests/coordination/knowledge/test_older_entries.py
+++ b/tests/coordination/knowledge/test_older_entries.py
@@ -9,6 +9,8 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from carawayfold.protocol.sources import EndpointChange, Page
 from carawayfold.state.endpoints import MAX_INCARNATIONS
@@ -126,6 +128,34 @@
     assert router.wait(MAX_HIDDEN) == [BORN]
 
 
+@given(
+    st.lists(
+        st.none()
+        | st.floats(0, MAX_HIDDEN)
+        | st.sampled_from([0, BORN, BORN + 1, FAR]).map(
+            lambda born: endpoint("a", incarnation=born)
+        ),
+        max_size=12,
+    )
+)
+def test_what_lasts_in_the_store_is_used(steps):
+    """Records, removals (None) and times without any, in seconds."""
+
+    async def make():
+        return Router()
+
+    router, last = run_in_loop(make), None
+    for step in steps:
+        if isinstance(step, float):
+            router.wait(step)
+        else:
+            router.read(step)
+            last = step
+    stored = [] if last is None else [last.incarnation]
+    assert router.wait(MAX_HIDDEN) == stored
+    assert [item.incarnation for item in router.known.snapshot().endpoints] == stored
+
+
 def test_older_entries_are_bounded(router):
     changes = [
         EndpointChange(f"e-{number}", endpoint(f"e-{number}", incarnation=born))
