Measure the load of a pool at most every 20 ms

Use changes little within 20 ms.

Change: rounds within 20 ms of a measurement state its figures. A late rejection is an exception: a pool that has stated free slots is measured again, so that the rejection isn't stated together with room and taken for a contradiction. Ruled out: keeping the figure in the router's own table of loads, as loads that others stated are there too.

A second test holds that a rejection is stated at once.

--- a/carawayfold/coordination/scheduling/pending.py
+++ b/carawayfold/coordination/scheduling/pending.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.endpoint_speed import StatedLoad
     from carawayfold.coordination.scheduling.offers import Decision, Offer
+    from carawayfold.coordination.scheduling.pool_balance import KnownLoad
     from carawayfold.coordination.scheduling.scheduler import Scheduler
     from carawayfold.protocol.exchanges import Part
 
@@ -113,12 +114,15 @@
         Timer of the next round of decisions.
     leads : bool
         Whether this router is the leader of the pool.
+    measured : KnownLoad or None
+        Load of the pool when it was last measured here.
     """
 
     id: PoolId
     scheduler: Scheduler
     decision_timer: asyncio.TimerHandle | None = None
     leads: bool = False
+    measured: KnownLoad | None = None
 
     def expire(self, now: float) -> None:
         """Remove stale state of the scheduler, and log what it began and ended."""
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -21,6 +21,7 @@
     draw_fraction,
 )
 from carawayfold.coordination.scheduling.pool_balance import (
+    KnownLoad,
     PoolBalance,
     measure_load,
 )
@@ -55,6 +56,9 @@
 UNKNOWN_PATIENCE = 0.4
 #: Seconds between two looks for a pool with room.
 LOOK_INTERVAL = 0.04
+#: Seconds between two measurements of the load of a pool. Its use changes little within
+#: the rounds of decisions of this time.
+MEASURE_INTERVAL = 0.02
 #: Reason of the rejection with which a waiting request leaves a pool. Callers never
 #: see it, as another pool decides on the request.
 LEFT_QUEUE = "it waits for another pool"
@@ -107,10 +111,19 @@
     # Loads of pools
 
     def measure(self, pool_state: PoolState, now: float) -> PoolLoad | None:
-        """Return and record the load of a pool, None if this router doesn't lead it."""
+        """Return and record the load of a pool, None if this router doesn't lead it.
+
+        It is measured again after `MEASURE_INTERVAL`, or once the pool is full.
+        """
         if not self.balances or not self.coordinator.decides_for(pool_state.id):
             return None
-        load = measure_load(pool_state.scheduler, now)
+        measured, scheduler = pool_state.measured, pool_state.scheduler
+        if measured is not None and now - measured.at < MEASURE_INTERVAL:
+            states_full = measured.load.used >= 1
+            if states_full or now >= scheduler.full_until:
+                return measured.load
+        load = measure_load(scheduler, now)
+        pool_state.measured = KnownLoad(load, now)
         self.balance.record(pool_state.id, load, now)
         self.coordinator.decision_statistics.of(pool_state.id).load = load
         return load
--- a/tests/coordination/scheduling/test_pool_load.py
+++ b/tests/coordination/scheduling/test_pool_load.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from carawayfold.coordination.scheduling import pool_selection
+from tests import simulated_pool_load
 from tests.simulated_pool_load import (
     SLOTS,
     DistortedBalance,
@@ -85,6 +87,23 @@
     assert played.most_running <= SLOTS
 
 
+def test_the_load_of_a_pool_is_measured_at_most_sixty_times_a_second(monkeypatch):
+    """A measurement lists the endpoints of the pool, however many rounds there are."""
+    seconds, measured = 2.0, Counter()
+    measure = pool_selection.measure_load
+
+    def count(scheduler, now):
+        measured[id(scheduler)] += 1
+        return measure(scheduler, now)
+
+    monkeypatch.setattr(simulated_pool_load, "RESIDENCE", 0.1)
+    monkeypatch.setattr(pool_selection, "measure_load", count)
+    played = PoolLoadRun([LoadPhase(seconds)], routers=6).play()
+    assert played.granted > 3 * 60 * seconds
+    assert len(measured) == 3
+    assert max(measured.values()) <= 60 * seconds
+
+
 def test_moved_requests_spread_over_routers_without_a_herd():
     """Pools besides the prefix's own get its requests about evenly by their slots."""
     played = PoolLoadRun(BUSY, routers=12).play()
--- a/tests/coordination/scheduling/test_pool_selection.py
+++ b/tests/coordination/scheduling/test_pool_selection.py
@@ -246,6 +246,21 @@
     assert simulate(work) == (True, 2)
 
 
+def test_a_pool_that_rejects_states_it_before_it_is_measured_again(monkeypatch):
+    async def work():
+        coordinator = AskingRouter().coordinator
+        monkeypatch.setattr(coordinator, "decides_for", lambda pool: True)
+        pool = next(iter(coordinator.pools.values()))
+        now = asyncio.get_running_loop().time()
+        before = coordinator.selection.measure(pool, now)
+        pool.scheduler.full_until = now + 0.5
+        return before, coordinator.selection.measure(pool, now + 0.001)
+
+    before, after = simulate(work)
+    assert before.used == 0.0
+    assert after.used == 1.0
+
+
 def test_loads_in_decisions_of_the_leader_are_recorded():
     async def work():
         router = AskingRouter()
