Correct waits only for what more urgent requests take

Cause: with schedule_returns, the mean error of all predicted waits of a priority multiplied each later prediction by up to 3. Requests of one priority overtake one another by value, so the mean was high while large prompts that were not overtaken would have been served in time; they were rejected a fraction of a second after they came.

Change: the correction is bounded by what the classes that always rank before a request explain, 1 / (1 - f) of the fraction f of the tokens that they were granted lately.

--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -520,7 +520,7 @@
         load.next_warm_up_grant_at = now + candidate.backlog.grant_interval
         self.placements[offer.call] = load.endpoint.id
         self.usage.granted(offer.organisation, now, offer.charged_tokens)
-        self.predictions.ended(offer, 0.0, now)
+        self.predictions.granted(offer, now)
         if self.returns is not None:
             self.returns.granted(offer, now)
         statistics = self.routes[offer.route]
--- a/carawayfold/coordination/scheduling/wait_predictions.py
+++ b/carawayfold/coordination/scheduling/wait_predictions.py
@@ -5,6 +5,10 @@
 but not those that arrive later and rank before it. How far predictions were wrong is
 observed by priority and corrects later ones, so that a request that can't be in time is
 rejected at once.
+
+A prediction is corrected so far only as requests that always rank before it explain: by
+the fraction of the pool that these took. Among requests of one priority, some overtake
+others, so that the mean error of all would reject some that are served in time.
 """
 
 from __future__ import annotations
@@ -14,6 +18,7 @@
 import msgspec
 
 from carawayfold.coordination.scheduling.offers import WaitPrediction
+from carawayfold.coordination.scheduling.return_schedule import cost_of
 
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Offer
@@ -29,6 +34,8 @@
 #: Maximum ratio of actual to predicted waits. A request is rejected for a wait of a
 #: third of its objective at the earliest.
 MAX_RATIO = 3.0
+#: Half-life in seconds of the tokens that were granted to each class.
+GRANTED_HALF_LIFE = 1.0
 #: Maximum classes of requests with a ratio; the least recent one is dropped.
 MAX_CLASSES = 32
 #: Relative error from which a prediction counts as wrong.
@@ -54,6 +61,44 @@
     priority: int
     late: bool
 
+    def precedes(self, other: WaitClass) -> bool:
+        """Return whether requests of this class rank before those of the other."""
+        return (self.late, self.priority) < (other.late, other.priority)
+
+
+class GrantedTokens:
+    """Tokens granted to each class lately, which show how much of the pool it takes.
+
+    Attributes
+    ----------
+    tokens : dict of WaitClass to float
+        Decaying sum of each class as of `updated_at`, the most recent class last.
+    updated_at : float
+        Monotonic seconds of the last decay.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: dict[WaitClass, float] = {}
+        self.updated_at = 0.0
+
+    def add(self, granted: WaitClass, tokens: float, now: float) -> None:
+        """Add the tokens of a granted request."""
+        factor = 0.5 ** ((now - self.updated_at) / GRANTED_HALF_LIFE)
+        self.updated_at = now
+        for name in self.tokens:
+            self.tokens[name] *= factor
+        self.tokens[granted] = self.tokens.pop(granted, 0.0) + tokens
+        if len(self.tokens) > MAX_CLASSES:
+            del self.tokens[next(iter(self.tokens))]
+
+    def delay_ratio(self, waiting: WaitClass) -> float:
+        """Return by how much the classes before another one lengthen its waits."""
+        ahead = sum(
+            tokens for name, tokens in self.tokens.items() if name.precedes(waiting)
+        )
+        left = sum(self.tokens.values()) - ahead
+        return min(MAX_RATIO, 1 + ahead / left) if left > 0 else MAX_RATIO
+
 
 class ObservedWaits(msgspec.Struct):
     """Decaying sums of predicted and actual waits of one class, in seconds.
@@ -110,6 +155,8 @@
     ----------
     classes : dict of WaitClass to ObservedWaits
         Waits that were observed, the most recent class last.
+    granted_tokens : GrantedTokens
+        What each class took of the pool.
     counts : dict of RouteId to WaitCounts
         Predictions that have ended, since the start of the process.
     """
@@ -117,6 +164,7 @@
     def __init__(self, corrects: bool) -> None:
         self.corrects = corrects
         self.classes: dict[WaitClass, ObservedWaits] = {}
+        self.granted_tokens = GrantedTokens()
         self.counts: dict[RouteId, WaitCounts] = {}
         #: Sum of the counts in log lines so far.
         self.reported = WaitCounts()
@@ -145,10 +193,12 @@
             Monotonic seconds.
         """
         corrected = wait
-        observed = self.classes.get(_class_of(offer, now)) if self.corrects else None
+        wait_class = _class_of(offer, now)
+        observed = self.classes.get(wait_class) if self.corrects else None
         if observed is not None and wait > 0:
             observed.decay(now)
-            corrected *= observed.ratio()
+            explained = self.granted_tokens.delay_ratio(wait_class)
+            corrected *= min(observed.ratio(), explained)
         if offer.prediction is None and wait > 0:
             offer.prediction = WaitPrediction(wait, corrected, now)
         return corrected
@@ -158,6 +208,12 @@
         corrected = self.predict(offer, candidate.starts_in, now)
         return candidate.first_token_in + (corrected - candidate.starts_in)
 
+    def granted(self, offer: Offer, now: float) -> None:
+        """Record the grant of a request, at `now` in monotonic seconds."""
+        if self.corrects:
+            self.granted_tokens.add(_class_of(offer, now), cost_of(offer), now)
+        self.ended(offer, 0.0, now)
+
     def ended(self, offer: Offer, still_predicted: float, now: float) -> None:
         """Record the end of a wait, by a grant or a rejection.
 
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -285,6 +285,19 @@
     assert isinstance(decide(made, 1.0, item)["r.0.1"], Rejected)
 
 
+@pytest.mark.parametrize(("priority", "rejected"), [(0, True), (1, False)])
+def test_a_prediction_is_corrected_for_what_more_urgent_requests_took_only(
+    priority, rejected
+):
+    """Some of those of its own priority are overtaken by others, some are not."""
+    made = scheduler_with_wrong_predictions()
+    other = offer("r.8.1", "other", 0, 45_000, now=1.0, priority=priority)
+    assert isinstance(decide(made, 1.0, other)["r.8.1"], Granted)
+    item = offer("r.0.1", now=1.05, tokens=5000, own=200, priority=1)
+    decision = decide(made, 1.05, item).get("r.0.1")
+    assert isinstance(decision, Rejected) == rejected
+
+
 def test_a_request_that_expires_before_its_answer_is_rejected_at_once():
     made = returning_scheduler()
     made.loads["e-0"].residence = 0.8
--- a/tests/coordination/scheduling/test_wait_predictions.py
+++ b/tests/coordination/scheduling/test_wait_predictions.py
@@ -61,6 +61,37 @@
     assert predicted(made, 0.2, 6.0) == pytest.approx(0.2 * MAX_RATIO)
 
 
+@pytest.mark.parametrize(
+    ("other", "ratio"),
+    [
+        ({"priority": 1}, 1.0),
+        ({"priority": 0}, 2.0),
+        ({"priority": 2}, 1.0),
+        ({"priority": 0, "due": 0.5}, 1.0),
+    ],
+)
+def test_the_correction_is_bounded_by_what_requests_that_rank_before_took(other, ratio):
+    made = WaitPredictions(corrects=True)
+    for number in range(10):
+        made.granted(offer(f"r.1.{number}", now=1.0, priority=1), 1.0)
+        made.granted(offer(f"r.2.{number}", now=1.0, **other), 1.0)
+    observe(made, predicted=0.1, actual=0.3, count=100, priority=1)
+    assert predicted(made, 0.2, 1.3, priority=1) == pytest.approx(0.2 * ratio)
+
+
+def test_late_requests_wait_for_all_that_can_be_in_time():
+    made = WaitPredictions(corrects=True)
+    late = {"due": 0.5, "priority": 0}
+    made.granted(offer("r.1.1", now=1.0, priority=1), 1.0)
+    made.granted(offer("r.1.2", now=1.0, **late), 1.0)
+    for number in range(100):
+        item = offer(f"r.2.{number}", now=1.0, **late)
+        made.predict(item, 0.1, 1.0)
+        made.ended(item, 0.0, 1.3)
+    item = offer("r.3.1", now=1.3, **late)
+    assert made.predict(item, 0.2, 1.3) == pytest.approx(0.4)
+
+
 def test_the_correction_ends_if_no_request_waits():
     made = WaitPredictions(corrects=True)
     observe(made, predicted=0.1, actual=0.3, count=100)
@@ -85,4 +116,5 @@
     made = WaitPredictions(corrects=True)
     for number in range(3 * MAX_CLASSES):
         observe(made, 0.1, 0.3, 1, priority=number)
-    assert len(made.classes) == MAX_CLASSES
+        made.granted(offer(f"r.1.{number}", priority=number), 1.0)
+    assert len(made.classes) == len(made.granted_tokens.tokens) == MAX_CLASSES
