Take the rate of grants for capacity only without room

Cause: the schedule of returns took the rate of grants for the capacity of the pool at each rejection. Requests beyond their organisation's share are rejected while half of each endpoint is kept free for others, and large prompts while smaller ones still find room; the rate of grants is then lower than what the pool can serve, and callers were told later times than needed. A test without the bench has a pool with 5 of 10 slots in use: its capacity fell from 20,000 to 10,000 tokens/s by one rejection.

Ruled out: a test of all endpoints at each rejection, whose cost grows with the rejections; one at the end of each review, each 0.04 s, knows the endpoints with all requests that are planned.

Change: the capacity is observed at the end of a review, while no endpoint has room for a short request.

--- a/carawayfold/coordination/scheduling/return_schedule.py
+++ b/carawayfold/coordination/scheduling/return_schedule.py
@@ -452,7 +452,7 @@
         return Forecast(self.capacity - mean, current - mean, access.value)
 
     def observe_capacity(self, throughput: float, now: float) -> None:
-        """Adjust the capacity to the current rate of grants, as the pool is full.
+        """Adjust the capacity to the current rate of grants, as no endpoint has room.
 
         Parameters
         ----------
@@ -466,7 +466,7 @@
             self.capacity = max(throughput, rate)
         else:
             weight = 1 - 0.5 ** ((now - self.capacity_at) / CAPACITY_HALF_LIFE)
-            # Without rejections, nothing was observed for longer.
+            # While an endpoint had room, nothing was observed.
             self.capacity += min(weight, 0.5) * (rate - self.capacity)
         self.capacity_at = now
 
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -371,6 +371,8 @@
         for entry in head:
             self._append_decision(decisions, entry.offer, backlogs, now)
         self._reject_late_tail(tail, decisions, backlogs, now)
+        if self.returns is not None and not self._has_room(backlogs):
+            self.returns.observe_capacity(self.plan.throughput, now)
         self._remove_decided(decisions)
         return decisions
 
@@ -555,11 +557,8 @@
     def _reject_late(self, offer: Offer, first_token_in: float, now: float) -> Rejected:
         """Reject a request that could not be answered in time."""
         self.full_until = now + FULL_DURATION
-        wait = rejections.LATE_RETRY_FACTOR * first_token_in
-        if self.returns is not None:
-            wait = first_token_in
-            self.returns.observe_capacity(self.plan.throughput, now)
-        return self._reject(offer, "no answer in time", wait, now)
+        factor = rejections.LATE_RETRY_FACTOR if self.returns is None else 1.0
+        return self._reject(offer, "no answer in time", factor * first_token_in, now)
 
     def _reject(self, offer: Offer, reason: str, wait: float, now: float) -> Rejected:
         """Reject a request, for a `reason` that is reported to its caller.
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -285,6 +285,31 @@
     assert isinstance(decide(made, 1.0, item)["r.0.1"], Rejected)
 
 
+def flooded_scheduler():
+    """Return a scheduler of ten slots whose flood is beyond its share."""
+    made = returning_scheduler(slots=10, throughput=20_000)
+    made.returns.capacity = 20_000.0
+    made.usage.asked("flood", 1.0, 1e6)
+    made.usage.granted("flood", 1.0, 1e6)
+    made.usage.share_level = 50_000
+    made.loads["e-0"].residence = 30.0
+    return made
+
+
+@pytest.mark.parametrize(("running", "adjusted"), [(5, False), (10, True)])
+def test_the_rate_of_grants_is_the_capacity_only_while_no_endpoint_has_room(
+    running, adjusted
+):
+    """Requests beyond a share are rejected while others would find room."""
+    made = flooded_scheduler()
+    for number in range(running):
+        busy = ActiveRequest(f"busy.0.{number}", "r", 0, 100, 1.0, 1.0, begun=True)
+        made.record_active("e-0", busy)
+    item = offer("r.0.1", now=2.0, organisation="flood")
+    assert isinstance(decide(made, 2.0, item)["r.0.1"], Rejected)
+    assert (made.returns.capacity < 20_000.0) == adjusted
+
+
 @pytest.mark.parametrize(("priority", "rejected"), [(0, True), (1, False)])
 def test_a_prediction_is_corrected_for_what_more_urgent_requests_took_only(
     priority, rejected
