Separate the evaluation of endpoints from the choice and its record

Cause: what a scheduler would do with a request could only be learned by offering it, as the choice of an endpoint records the flow between data centres, and its steps were private. Ruled out: a copy of the scheduler, which takes a pause of the loop at a large pool. Change: evaluations of all endpoints are a value (evaluations.py), the choice among them a function; steps that only read are public. No decision changes: tests of locality, scheduler and copy sources as before.

--- a/benchmarks/deciding.py
+++ b/benchmarks/deciding.py
@@ -99,8 +99,8 @@
     note = timed(lambda: made.offer(next(more), 0.0))
     for offer in wanted[count:]:
         made.withdraw(offer.call)
-    full = made._backlogs(0.0)
-    list_backlogs = timed(lambda: made._backlogs(0.0))
+    full = made.backlogs(0.0)
+    list_backlogs = timed(lambda: made.backlogs(0.0))
     for backlog in full:
         backlog.running = 2 * SLOTS
     decide = timed(lambda: made._decide_one(wanted[0], full, 0.0))
--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -29,12 +29,18 @@
     Sent,
     Transfer,
 )
+from carawayfold.coordination.scheduling.evaluations import (
+    CrossingCost,
+    Evaluation,
+    cheapest,
+    missing_tokens,
+    pick,
+)
 from carawayfold.coordination.scheduling.offers import Outcome
 from carawayfold.coordination.scheduling.placement import (
     FULL_ENGINE_PENALTY,
     MIN_OBJECTIVE,
     REMOTE_PENALTY,
-    Candidate,
     choose_endpoint,
     evaluate,
 )
@@ -46,6 +52,7 @@
     from carawayfold.coordination.scheduling.copy_sources import CopySource
     from carawayfold.coordination.scheduling.endpoint_load import EndpointLoad
     from carawayfold.coordination.scheduling.offers import Offer
+    from carawayfold.coordination.scheduling.placement import Candidate
     from carawayfold.coordination.scheduling.rank import QueueEntry
     from carawayfold.state.ids import CallId, DataCentreId, RouterId
 
@@ -185,48 +192,6 @@
         return max(0.0, self.slots - own_use - reserve)
 
 
-class CrossingCost(msgspec.Struct):
-    """Cost of serving a request in another data centre.
-
-    Attributes
-    ----------
-    cost : float
-        Seconds that latency and bytes cost.
-    seconds : float
-        Penalty in seconds of its endpoints.
-    limited : bool
-        Whether the request is beyond the budget or against the flow, so that it may
-        not wait for an endpoint there unless that has its prefix cached.
-    owed : bool
-        Whether callers of that data centre wait for what is free there, so that a
-        limited request may use idle endpoints only.
-    cut : bool
-        Whether the data centre counts as cut off.
-    """
-
-    cost: float
-    seconds: float
-    limited: bool
-    owed: bool
-    cut: bool
-
-    def blocks(self, candidate: Candidate, least_missing: int) -> bool:
-        """Return whether an endpoint there is kept from a request.
-
-        Parameters
-        ----------
-        candidate : Candidate
-            Evaluation of the endpoint.
-        least_missing : int
-            Least tokens of the prompt that an endpoint at home doesn't have cached.
-        """
-        if self.cut:
-            return True
-        if not self.limited or _missing_tokens(candidate) < least_missing:
-            return False
-        return candidate.starts_in > 0 or (self.owed and candidate.backlog.running > 0)
-
-
 @dataclass(slots=True, eq=False)
 class LocalityPolicy:
     """Decides for the scheduler of a pool when requests leave their data centre.
@@ -496,41 +461,46 @@
         """
         if not self.remote_cost or not offer.data_centre:
             return choose_endpoint(offer, usable, copy_source, share, now)
-        costs = self._crossing_costs(offer, now)
-        origin = offer.data_centre
-        best: Candidate | None = None
-        least_missing = offer.prompt_tokens
-        here, elsewhere, blocked = [], [], []
+        evaluation = self.evaluate_all(offer, usable, copy_source, share, now)
+        best = pick(evaluation, lambda place: is_too_late(offer, place, now))
+        if best is not None and best.starts_in <= 0:
+            local = cheapest(evaluation.here)
+            self._record_choice(offer, best, local, evaluation.costs, now)
+        return best
+
+    def evaluate_all(
+        self,
+        offer: Offer,
+        usable: list[Backlog],
+        copy_source: CopySource | None,
+        share: float,
+        now: float,
+    ) -> Evaluation:
+        """Return the evaluation of each endpoint for a request, see `choose`."""
+        if not self.remote_cost or not offer.data_centre:
+            here = [
+                evaluate(offer, backlog, copy_source, share, now) for backlog in usable
+            ]
+            return Evaluation(here)
+        found = Evaluation(costs=self._crossing_costs(offer, now), by_policy=True)
         for backlog in usable:
             candidate = evaluate(offer, backlog, copy_source, share, now, 0.0)
             if candidate.copied_tokens:
                 candidate.cost += self._copy_cost(candidate, copy_source)
-            if backlog.data_centre != origin:
-                elsewhere.append(candidate)
-                continue
-            here.append(candidate)
-            least_missing = min(least_missing, _missing_tokens(candidate))
-            if best is None or candidate.cost < best.cost:
-                best = candidate
-        local = best
-        for candidate in elsewhere:
-            crossing = costs.get(candidate.backlog.data_centre)
+            is_here = backlog.data_centre == offer.data_centre
+            (found.here if is_here else found.elsewhere).append(candidate)
+        missing = [missing_tokens(item) for item in found.here]
+        least_missing = min(missing, default=offer.prompt_tokens)
+        for candidate in found.elsewhere:
+            crossing = found.costs.get(candidate.backlog.data_centre)
             if crossing is None:
                 candidate.cost += REMOTE_PENALTY
-            else:
-                candidate.cost += crossing.seconds
-                if crossing.blocks(candidate, least_missing):
-                    candidate.cost += BLOCKED_PENALTY
-                    blocked.append(candidate)
-            if best is None or candidate.cost < best.cost:
-                best = candidate
-        if best is None:
-            return None
-        if best.starts_in > 0 and is_too_late(offer, best, now):
-            best = _find_with_room([*here, *elsewhere], blocked) or best
-        if best.starts_in <= 0:
-            self._record_choice(offer, best, local, costs, now)
-        return best
+                continue
+            candidate.cost += crossing.seconds
+            if crossing.blocks(candidate, min(least_missing, offer.prompt_tokens)):
+                candidate.cost += BLOCKED_PENALTY
+                found.blocked.append(candidate)
+        return found
 
     def _copy_cost(self, candidate: Candidate, source: CopySource | None) -> float:
         """Return the seconds that copying a prefix from another data centre costs."""
@@ -610,7 +580,7 @@
         if pair is None:
             return
         sent_bytes = crossing_bytes(offer)
-        if local is not None and _missing_tokens(chosen) < _missing_tokens(local):
+        if local is not None and missing_tokens(chosen) < missing_tokens(local):
             pair.by_prefix.add(sent_bytes)
             return
         pair.by_load.add(sent_bytes)
@@ -733,11 +703,6 @@
     return saving
 
 
-def _missing_tokens(candidate: Candidate) -> int:
-    """Return the tokens of a prompt that an engine doesn't have cached."""
-    return candidate.prefill_tokens + candidate.copied_tokens
-
-
 def _unshared_tokens(offer: Offer) -> int:
     """Return the tokens of the prompt that no other request shares."""
     return max(0, offer.prompt_tokens - offer.shared_prefix_tokens)
@@ -748,13 +713,3 @@
     if not candidate.copied_tokens or source is None or source.data_centre is None:
         return False
     return source.data_centre != candidate.backlog.data_centre
-
-
-def _find_with_room(
-    candidates: list[Candidate], blocked: list[Candidate]
-) -> Candidate | None:
-    """Return the cheapest endpoint that could take a request at once, if any."""
-    usable = [
-        item for item in candidates if item.starts_in <= 0 and item not in blocked
-    ]
-    return min(usable, key=lambda item: item.cost, default=None)
--- a/carawayfold/coordination/scheduling/rank.py
+++ b/carawayfold/coordination/scheduling/rank.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+from carawayfold.coordination.scheduling.offers import OUTPUT_TOKEN_WEIGHT
+
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.offers import Offer
 
+#: Tokens added to the cost of a request, so that very small ones don't count as free.
+FIXED_COST_TOKENS = 200
+
 
 class Rank(NamedTuple):
     """Sort key of a queued request; the lowest is served first.
@@ -45,3 +51,22 @@
 
     rank: Rank
     offer: Offer = field(compare=False)
+
+
+def compute_value_density(offer: Offer, kept: int) -> int:
+    """Return the value of the answer per engine time, as a power of two.
+
+    Value and cost are estimates, so only the power of two counts: requests within a
+    factor of two are ordered by when they are due.
+
+    Parameters
+    ----------
+    offer : Offer
+        The request.
+    kept : int
+        Most tokens of its prompt that an endpoint has cached.
+    """
+    # A caller may state fewer tokens than the parts of its prompt have.
+    unread = max(0, offer.prompt_tokens - kept)
+    cost = unread + OUTPUT_TOKEN_WEIGHT * offer.output_tokens
+    return math.floor(math.log2((offer.answer_value + 1) / (cost + FIXED_COST_TOKENS)))
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -36,7 +36,6 @@
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.coordination.scheduling.locality import LocalityPolicy
 from carawayfold.coordination.scheduling.offers import (
-    OUTPUT_TOKEN_WEIGHT,
     Decision,
     Granted,
     Offer,
@@ -49,7 +48,11 @@
     compute_excess_failures,
     has_room,
 )
-from carawayfold.coordination.scheduling.rank import QueueEntry, Rank
+from carawayfold.coordination.scheduling.rank import (
+    QueueEntry,
+    Rank,
+    compute_value_density,
+)
 from carawayfold.coordination.scheduling.rejections import FULL_DURATION
 from carawayfold.coordination.scheduling.return_schedule import Access, ReturnSchedule
 from carawayfold.coordination.scheduling.route_statistics import RouteStatistics
@@ -76,8 +79,6 @@
 #: A route is preferred while its granted ratio is below this fraction of the overall
 #: granted ratio.
 MIN_SERVED_RATIO = 0.6
-#: Tokens added to the cost of a request, so that very small ones don't count as free.
-FIXED_COST_TOKENS = 200
 #: Seconds between reviews of the whole queue, which sort it again and reject requests
 #: that can't be in time any more.
 REVIEW_INTERVAL = 0.04
@@ -89,6 +90,8 @@
 #: Assumed prefill rate of an engine in tokens per second where the configuration
 #: states no throughput: the lowest one of the known deployments.
 DEFAULT_PREFILL_RATE = 60_000.0
+#: Statistics of a route of which no request has been offered.
+UNKNOWN_ROUTE = RouteStatistics()
 #: Tokens of a short request; an endpoint with room for one counts as free.
 SHORT_REQUEST_TOKENS = 300
 
@@ -229,7 +232,7 @@
         self.locality.record_offer(offer)
         offer.standing, offer.prediction = Standing.NEW, None
         if self.returns is not None:
-            self.returns.offered(offer, self._is_within_share(offer), now)
+            self.returns.offered(offer, self.is_within_share(offer), now)
         # A return before its time is not demanded a second time.
         counted = offer.standing is not Standing.EARLY
         requested = offer.charged_tokens * counted + offer.throttled_tokens
@@ -241,8 +244,8 @@
         statistics.decay(now)
         statistics.offered += counted
         self._record_prefix_hint(offer)
-        offer.value_density = self._value_density(offer)
-        rank = self._rank(offer, self._overall_granted_ratio(now), now)
+        offer.value_density = self.value_density(offer)
+        rank = self.rank(offer, self.overall_granted_ratio(now), now)
         insort(self.queue, QueueEntry(rank, offer))
 
     def _record_prefix_hint(self, offer: Offer) -> None:
@@ -344,7 +347,7 @@
         """Return the grants and rejections that are possible at `now`."""
         if not self.waiting:
             return []
-        backlogs = self._backlogs(now)
+        backlogs = self.backlogs(now)
         self.locality.refresh(backlogs, self.plan.share, now)
         if now - self.last_review_at >= REVIEW_INTERVAL:
             return self._review(backlogs, now)
@@ -361,9 +364,9 @@
         """Sort the whole queue again and examine each request."""
         self.last_review_at = now
         self.usage.refresh(now, self.plan.throughput)
-        overall = self._overall_granted_ratio(now)
+        overall = self.overall_granted_ratio(now)
         self.queue = sorted(
-            QueueEntry(self._rank(offer, overall, now), offer)
+            QueueEntry(self.rank(offer, overall, now), offer)
             for offer in self.waiting.values()
         )
         decisions: list[Decision] = []
@@ -391,7 +394,7 @@
             corrected = self.predictions.predict(offer, first_token_in, now)
             if idle:
                 corrected = first_token_in
-            if self._is_too_late(offer, corrected, now, idle):
+            if self.is_too_late(offer, corrected, now, idle):
                 self.predictions.ended(offer, first_token_in, now)
                 decisions.append(self._reject_late(offer, corrected, now))
 
@@ -417,7 +420,7 @@
 
     def has_room(self, now: float) -> bool:
         """Return whether any endpoint could take a short request at once."""
-        return self._has_room(self._backlogs(now))
+        return self._has_room(self.backlogs(now))
 
     def _has_room(self, backlogs: list[Backlog]) -> bool:
         share = self.plan.share
@@ -426,11 +429,11 @@
     def _decide_one(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> Decision | None:
-        usable = self._usable_backlogs(offer, backlogs, now)
+        usable = self.usable_backlogs(offer, backlogs, now)
         copy_source = find_copy_source(offer, backlogs)
-        share = self._fillable_share(offer)
+        share = self.fillable_share(offer)
         candidate = self.locality.choose(
-            offer, usable, copy_source, share, now, self._is_wait_too_long
+            offer, usable, copy_source, share, now, self.is_wait_too_long
         )
         if candidate is None:
             return self._decide_without_endpoint(offer, backlogs, now)
@@ -441,30 +444,40 @@
             source_id = copy_source.id if candidate.copied_tokens else None
             fraction = self._admitted_fraction(offer, now)
             return Granted(offer.call, endpoint, source_id, None, fraction)
-        first_token_in = self.predictions.first_token_in(offer, candidate, now)
-        if first_token_in > candidate.first_token_in and any(
-            has_room(item, offer.prompt_tokens, share) for item in usable
-        ):
-            # It waits for the endpoint of its prefix, and may go to this one instead.
-            first_token_in = candidate.first_token_in
-        if self._is_too_late(offer, first_token_in, now):
+        first_token_in = self.first_token_in(offer, candidate, usable, now)
+        if self.is_too_late(offer, first_token_in, now):
             self.predictions.ended(offer, candidate.starts_in, now)
             return self._reject_late(offer, first_token_in, now)
         candidate.backlog.add(candidate.prefill_tokens, candidate.memory)
         return None
 
-    def _fillable_share(self, offer: Offer) -> float:
+    def first_token_in(
+        self, offer: Offer, candidate: Candidate, usable: list[Backlog], now: float
+    ) -> float:
+        """Return the corrected seconds until the first token at an endpoint."""
+        corrected = self.predictions.first_token_in(offer, candidate, now)
+        share = self.fillable_share(offer)
+        if corrected > candidate.first_token_in and any(
+            has_room(item, offer.prompt_tokens, share) for item in usable
+        ):
+            # It waits for the endpoint of its prefix, and may go to this one instead.
+            return candidate.first_token_in
+        return corrected
+
+    def fillable_share(self, offer: Offer) -> float:
         """Return the fraction of each endpoint that a request may fill."""
-        if self._is_within_share(offer):
+        if self.is_within_share(offer):
             return self.plan.share
         return self.plan.share * BEYOND_SHARE_FRACTION
 
-    def _is_within_share(self, offer: Offer) -> bool:
+    def is_within_share(self, offer: Offer) -> bool:
+        """Return whether a request is within its organisation's share."""
         return offer.standing is not Standing.EARLY and self.usage.is_within_share(
             offer.organisation, offer.charged_tokens
         )
 
-    def _backlogs(self, now: float) -> list[Backlog]:
+    def backlogs(self, now: float) -> list[Backlog]:
+        """Return the load of each endpoint at the begin of a round."""
         unreachable_ids = {endpoint for _, endpoint in self.unreachable}
         backlogs = [
             Backlog.of(load, now, endpoint not in unreachable_ids)
@@ -486,9 +499,10 @@
             next_grant_at = min(next_grant_at, load.endpoint.warm_at)
             backlog.warm_up(1 / (WARM_UP_RATE_FRACTION * rate), next_grant_at - now)
 
-    def _usable_backlogs(
+    def usable_backlogs(
         self, offer: Offer, backlogs: list[Backlog], now: float
     ) -> list[Backlog]:
+        """Return the endpoints that a request may use."""
         usable = [item for item in backlogs if not item.suspended]
         if offer.allowed is not None or offer.software is not None:
             usable = [item for item in usable if offer.may_run_at(item.load.endpoint)]
@@ -526,17 +540,19 @@
         statistics = self.routes[offer.route]
         statistics.granted += 1
 
-    def _is_too_late(
+    def is_too_late(
         self, offer: Offer, first_token_in: float, now: float, idle: bool = False
     ) -> bool:
+        """Return whether a request with that prediction is rejected."""
         # While an endpoint has room, the next rounds may grant it to an early return.
         kept = idle and offer.standing is Standing.EARLY
         rules = rejections if self.returns is None or kept else self.returns
         return rules.is_too_late(offer, first_token_in, self.speed, now)
 
-    def _is_wait_too_long(self, offer: Offer, place: Candidate, now: float) -> bool:
+    def is_wait_too_long(self, offer: Offer, place: Candidate, now: float) -> bool:
+        """Return whether a request is rejected if it waits for an endpoint."""
         first_token_in = self.predictions.first_token_in(offer, place, now)
-        return self._is_too_late(offer, first_token_in, now)
+        return self.is_too_late(offer, first_token_in, now)
 
     def _decide_without_endpoint(
         self, offer: Offer, backlogs: list[Backlog], now: float
@@ -576,7 +592,7 @@
 
     def _access(self, offer: Offer) -> Access:
         """Return which part of the expected room a rejected request may use."""
-        if not self._is_within_share(offer):
+        if not self.is_within_share(offer):
             return Access.BEYOND_SHARE
         urgent = offer.priority < self.least_urgent
         if urgent or self.usage.is_underserved(offer.organisation):
@@ -602,7 +618,8 @@
 
     # Queue order
 
-    def _overall_granted_ratio(self, now: float) -> float:
+    def overall_granted_ratio(self, now: float) -> float:
+        """Return the fraction of recent requests that were granted."""
         offered = granted = 0.0
         for statistics in self.routes.values():
             statistics.decay(now)
@@ -610,15 +627,17 @@
             granted += statistics.granted
         return granted / offered if offered else 1.0
 
-    def _rank(self, offer: Offer, overall: float, now: float) -> Rank:
+    def rank(self, offer: Offer, overall: float, now: float) -> Rank:
+        """Return the place of a request in the order of the queue."""
         early = offer.standing is Standing.EARLY
         underserved = self.usage.is_underserved(offer.organisation) and not early
         route_not_behind = (
-            self.routes[offer.route].granted_ratio() >= MIN_SERVED_RATIO * overall
+            self.routes.get(offer.route, UNKNOWN_ROUTE).granted_ratio()
+            >= MIN_SERVED_RATIO * overall
         )
         return Rank(
             organisation_not_behind=not underserved,
-            beyond_share=not self._is_within_share(offer),
+            beyond_share=not self.is_within_share(offer),
             late=now >= offer.due or early,
             priority=offer.priority,
             route_not_behind=route_not_behind,
@@ -626,19 +645,8 @@
             due=offer.due,
         )
 
-    def _value_density(self, offer: Offer) -> int:
-        """Return the value of the answer per engine time, as a power of two.
-
-        Value and cost are estimates, so only the power of two counts: requests within
-        a factor of two are ordered by when they are due.
-        """
-        kept = max(
-            (load.prefixes.kept(offer.prompt) for load in self.loads.values()),
-            default=0,
-        )
-        # A caller may state fewer tokens than the parts of its prompt have.
-        unread = max(0, offer.prompt_tokens - kept)
-        cost = unread + OUTPUT_TOKEN_WEIGHT * offer.output_tokens
-        return math.floor(
-            math.log2((offer.answer_value + 1) / (cost + FIXED_COST_TOKENS))
-        )
+    def value_density(self, offer: Offer) -> int:
+        """Return the value of the answer per engine time; see `Offer.value_density`."""
+        loads = self.loads.values()
+        kept = max((load.prefixes.kept(offer.prompt) for load in loads), default=0)
+        return compute_value_density(offer, kept)
--- a/tests/coordination/scheduling/test_copy_sources.py
+++ b/tests/coordination/scheduling/test_copy_sources.py
@@ -53,9 +53,9 @@
     pool = scheduler(endpoints=2, slots=1)
     first = grant(pool, offer("r.0.1", tokens=5000, now=1.0), 1.0)
     item = offer("r.0.2", tokens=5000, now=1.01, due=1.1)
-    assert find_copy_source(item, pool._backlogs(1.01)) is None
+    assert find_copy_source(item, pool.backlogs(1.01)) is None
     pool.begun("r.0.1", 0.05)
-    found = find_copy_source(item, pool._backlogs(1.06))
+    found = find_copy_source(item, pool.backlogs(1.06))
     assert found.id == first.endpoint
 
 
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -247,7 +247,7 @@
     made.decide(0.0)
     fill(made, "b", 8)
     for step in range(40):
-        made.locality.refresh(made._backlogs(step / 10), 1.0, step / 10)
+        made.locality.refresh(made.backlogs(step / 10), 1.0, step / 10)
     # Nine own requests and a reserve of three of eighteen slots.
     assert made.locality.budgets()["b"] == pytest.approx(6.0, abs=0.2)
     assert made.locality.budgets()["a"] == 18.0
@@ -286,7 +286,7 @@
     item = offer(prompt=prompt, prompt_tokens=5500, data_centre="a", due=2.0)
     fill(made, "b", 6)
     made.offer(item, 0.0)
-    backlogs = made._backlogs(0.0)
+    backlogs = made.backlogs(0.0)
     made.locality.refresh(backlogs, 1.0, 0.0)
     source = find_copy_source(item, backlogs)
     here = made.locality.choose(item, backlogs[:1], source, 1.0, 0.0, never_late)
@@ -469,7 +469,7 @@
 
 
 def refresh(made, now):
-    made.locality.refresh(made._backlogs(now), 1.0, now)
+    made.locality.refresh(made.backlogs(now), 1.0, now)
 
 
 def test_the_latency_is_learned_from_first_bytes():
@@ -548,7 +548,7 @@
 
 
 def candidate_at(made, item, name):
-    (backlog,) = [entry for entry in made._backlogs(0.0) if entry.id == name]
+    (backlog,) = [entry for entry in made.backlogs(0.0) if entry.id == name]
     return placement.evaluate(item, backlog, None, 1.0, 0.0)
 
 
--- a/tests/coordination/scheduling/test_scheduler.py
+++ b/tests/coordination/scheduling/test_scheduler.py
@@ -142,7 +142,7 @@
     pool.loads["e-0"].first_tokens.speed = speed
     decide(pool, 1.0, offer("r.0.0", "x", 1, 100, now=1.0))
     long = offer("r.0.1", "l", 1, 40_000, now=1.0, due=2.0)
-    assert pool._is_too_late(long, 1.0 + 0.15 + 0.3, 1.0) is not waits
+    assert pool.is_too_late(long, 1.0 + 0.15 + 0.3, 1.0) is not waits
 
 
 def test_an_idle_engine_serves_a_request_that_is_late_already():
--- a/tests/simulated_deciders.py
+++ b/tests/simulated_deciders.py
@@ -152,17 +152,17 @@
         self.charge(NOTE)
         Scheduler.offer(self, offer, now)
 
-    def _backlogs(self, now):
+    def backlogs(self, now):
         self.charge(LOOK)
-        return Scheduler._backlogs(self, now)
+        return Scheduler.backlogs(self, now)
 
     def _decide_one(self, offer, backlogs, now):
         self.charge(WEIGH)
         return Scheduler._decide_one(self, offer, backlogs, now)
 
-    def _rank(self, offer, overall, now):
+    def rank(self, offer, overall, now):
         self.charge(RANK)
-        return Scheduler._rank(self, offer, overall, now)
+        return Scheduler.rank(self, offer, overall, now)
 
 
 class ChargedRouter:
