Reject rather than send to an endpoint that fails

Cause: with remote_cost, a request that would be late goes to the cheapest endpoint with room, whatever the penalties; an endpoint that fails its answers at once always has room and drew such requests. Ruled out: allowing only what costs less but for the distance, which rejects requests whose prefix is not cached at idle engines (two tests). Change: endpoints whose recent answers failed by more than 0.3 are no alternative to a rejection. Two of four cases of the new test failed before.

--- a/carawayfold/coordination/scheduling/evaluations.py
+++ b/carawayfold/coordination/scheduling/evaluations.py
@@ -12,6 +12,10 @@
     from carawayfold.coordination.scheduling.placement import Candidate
     from carawayfold.state.ids import DataCentreId
 
+#: Recent ratio of failed answers, 0 to 1, above which an endpoint is no better than a
+#: rejection: two failures one after the other.
+MAX_FAILURE_RATIO = 0.3
+
 
 class CrossingCost(msgspec.Struct):
     """Cost of serving a request in another data centre.
@@ -112,12 +116,17 @@
 
 
 def _find_with_room(evaluation: Evaluation) -> Candidate | None:
-    """Return the cheapest endpoint that could take a request at once, if any."""
+    """Return the cheapest endpoint that could take a request at once, if any.
+
+    An endpoint that fails often isn't better than a rejection, and always has room.
+    """
     blocked = evaluation.blocked
     return cheapest(
         [
             item
             for item in evaluation.candidates
-            if item.starts_in <= 0 and item not in blocked
+            if item.starts_in <= 0
+            and item.backlog.failure_ratio <= MAX_FAILURE_RATIO
+            and item not in blocked
         ]
     )
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -708,3 +708,24 @@
     room = made.locality.rooms["a"]
     for tokens in (0, LONG_PROMPT_TOKENS):
         assert room.best_wait(tokens) == pytest.approx(model.predict(tokens))
+
+
+@pytest.mark.parametrize("remote_cost", [0.0, 0.05])
+@pytest.mark.parametrize("failing", ["a-1", "b-0"])
+def test_a_request_that_would_be_late_is_rejected_beside_a_failing_endpoint(
+    remote_cost, failing
+):
+    made = scheduler(remote_cost, memory=1_000_000, a=2, b=1)
+    others = [load for name, load in made.loads.items() if name != failing]
+    for load in others:
+        load.residence = 2.0
+        for number in range(SLOTS):
+            call = f"r-a.9.{load.endpoint.id}-{number}"
+            made.record_active(
+                load.endpoint.id, ActiveRequest(call, "r-a", 0, 0, 0.0, 0.0, begun=True)
+            )
+    made.loads[failing].failure_ratio = 0.9
+    item = offer("r-a.0.1", data_centre="a", router="r-a", due=0.2, tokens=100, own=100)
+    made.offer(item, 0.0)
+    [decision] = made.decide(0.0)
+    assert isinstance(decision, Rejected)
