Explain where a request would go now, without sending it

Cause: operators can read from logs where a request went, not where one would go and why another endpoint was not taken. Ruled out: offering the request and withdrawing it, which reserves a slot and counts in the share of its organisation; a copy of the whole scheduler, a long pause at a large pool. Change: routers answer questions on a request and on an offer at their address for peers, with the evaluation and rules of the scheduler; the command follows the pools that the router would ask. Classification of a request by the configuration is a module now, forwarding.py 18 lines shorter.

--- a/carawayfold/commands/line.py
+++ b/carawayfold/commands/line.py
@@ -9,7 +9,7 @@
 import typer
 
 from carawayfold import __version__, settings
-from carawayfold.commands import logs, operate, quarantine
+from carawayfold.commands import explain, logs, operate, quarantine
 from carawayfold.commands.exits import BAD_SETTINGS
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
 )
 operate.register(app)
 quarantine.register(app)
+explain.register(app)
 
 SettingsFile = Annotated[Path, typer.Argument(help="Settings: JSON with comments.")]
 
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -10,6 +10,7 @@
 
 from carawayfold.coordination.containment.crash_reports import LostAttempt
 from carawayfold.coordination.requests.attempts import Attempt, AttemptRequest
+from carawayfold.coordination.requests.classification import classify
 from carawayfold.coordination.requests.retries import (
     AttemptEnd,
     AttemptHistory,
@@ -27,8 +28,7 @@
 from carawayfold.protocol import problem
 from carawayfold.state.contents import content_id, part_content_id
 from carawayfold.state.positions import offset_of
-from carawayfold.state.residency import allowed_data_centres
-from carawayfold.state.routes import ANONYMOUS, RouteKind
+from carawayfold.state.routes import RouteKind
 from carawayfold.state.stream_origins import Origin, stream_id
 from carawayfold.state.wait_estimator import WaitEstimator
 
@@ -61,7 +61,6 @@
         ActiveConfiguration,
         Route,
         RouteIndex,
-        RouteTable,
     )
     from carawayfold.transport.client import HttpClient
     from carawayfold.transport.edge import Incoming
@@ -335,14 +334,8 @@
     def _open_call(self, incoming: Incoming, parsed: RequestFields) -> ForwardedCall:
         if self.stopping or not self.accepting:
             raise Refusal(ErrorKind.STOPPING, "the router stops")
-        if self.route_index is None:
-            raise Refusal(ErrorKind.NOT_READY)
-        routes = self.route_index.table
-        path = incoming.target.partition(b"?")[0]
-        route = self.route_index.find(parsed.host, path)
-        if route is None:
-            raise Refusal(ErrorKind.UNKNOWN_ROUTE)
-        organisation = self._organisation(routes, route, parsed)
+        found = classify(parsed, incoming.target, self.route_index, self.regions)
+        route = found.route
         now = incoming.received
         left = DEFAULT_REQUEST_TIMEOUT if parsed.time_left is None else parsed.time_left
         # The time that a retrying caller has already waited counts against the
@@ -351,30 +344,19 @@
         estimator = self.wait_estimators.setdefault(route.id, WaitEstimator())
         resumes = parsed.resume_after is not None
         waited = 0.0 if resumes else estimator.waited(left)
-        allowed = allowed_data_centres(route, organisation, routes, self.regions)
         return ForwardedCall(
             incoming=incoming,
             parsed=parsed,
             route=route,
             service=route.choose_service(self.draw()),
-            organisation=organisation,
-            priority=routes.priorities.get(organisation, route.priority),
+            organisation=found.organisation,
+            priority=found.priority,
             deadline=now + min(left, route.timeout) - ANSWER_MARGIN,
             due=now + route.objective - waited,
             resume_after=parsed.resume_after,
-            allowed=allowed,
+            allowed=found.allowed,
         )
 
-    def _organisation(
-        self, routes: RouteTable, route: Route, parsed: RequestFields
-    ) -> OrganisationId:
-        if route.anonymous or not routes.organisations:
-            return ANONYMOUS
-        organisation = routes.organisations.get(parsed.key)
-        if organisation is None:
-            raise Refusal(ErrorKind.UNKNOWN_KEY)
-        return organisation
-
     # Running a request
 
     async def _run(self, call: ForwardedCall) -> None:
--- a/carawayfold/coordination/scheduling/admission.py
+++ b/carawayfold/coordination/scheduling/admission.py
@@ -110,6 +110,13 @@
         )
         return Rejected(offer.call, REJECTION_REASON, wait, None, limit.decider)
 
+    def admitted_fraction(self, offer: Offer, pool: PoolId, now: float) -> float:
+        """Return the fraction of requests like this that may be offered, 0 to 1."""
+        limit = self.limits.get(_key_of(offer, pool))
+        if limit is None or limit.until < now:
+            return 1.0
+        return limit.admitted_fraction
+
     def take_throttled_tokens(self, offer: Offer, pool: PoolId) -> int:
         """Return the tokens throttled since the last offer, and reset the count."""
         limit = self.limits.get(_key_of(offer, pool))
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -188,6 +188,17 @@
         return str(self.coordinator.last_call_number)
 
     def _first_pool(self, offer: Offer, service: ServiceId) -> PoolId:
+        """Return the pool to which a request is offered first, and count a move."""
+        pool = self.find_first_pool(offer, service)
+        if self.balances and pool != self.pool_for(
+            service, offer.prompt, offer.allowed, offer.software
+        ):
+            statistics = self.coordinator.decision_statistics
+            statistics.of(pool).moved_first += 1
+            statistics.pool_moves["first"] += 1
+        return pool
+
+    def find_first_pool(self, offer: Offer, service: ServiceId) -> PoolId:
         """Return the pool to which a request is offered first."""
         own = self.pool_for(service, offer.prompt, offer.allowed, offer.software)
         weights = self.weights_for(service, offer.allowed, offer.software)
@@ -195,14 +206,9 @@
             return own
         now = self.coordinator.loop.time()
         prefix = self._prefix_of(offer.prompt)
-        pool = self.balance.choose_first(weights, own, prefix, offer, now)
-        if pool != own:
-            statistics = self.coordinator.decision_statistics
-            statistics.of(pool).moved_first += 1
-            statistics.pool_moves["first"] += 1
-        return pool
+        return self.balance.choose_first(weights, own, prefix, offer, now)
 
-    def _further_pool(
+    def find_further_pool(
         self, offer: Offer, weights: Mapping[PoolId, int], asked: list[PoolId]
     ) -> PoolId | None:
         """Return the next pool for a rejected request, None if no other is asked."""
@@ -242,7 +248,7 @@
             moved = further is not None
             if further is None:
                 rejections.append(decision)
-                further = self._further_pool(offer, weights, asked)
+                further = self.find_further_pool(offer, weights, asked)
             # The leader may still remember its decision under the old identifier.
             cached_at = decision.cached_at or offer.cached_at
             offer = replace(offer, call=coordinator.next_call(), cached_at=cached_at)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -62,6 +62,8 @@
 
 logger = logbook.Logger(__name__)
 
+#: Begin of the paths of questions where a request would go, on the address for peers.
+EXPLANATION_PATHS = "/explain/"
 #: Seconds after the stop signal during which new connections are still served: the
 #: load balancer checks readiness once a second and removes a router after two
 #: failed checks.
@@ -468,9 +470,23 @@
             incoming.answer(200, [], msgspec.msgpack.encode(snapshot))
         elif path.startswith(quarantine_list.LIST_PATH):
             self._serve_quarantine(incoming, path)
+        elif path.startswith(EXPLANATION_PATHS) and incoming.method == b"POST":
+            self._serve_explanation(incoming, path)
         else:
             incoming.answer(404, [])
 
+    def _serve_explanation(self, incoming: Incoming, path: str) -> None:
+        # Imported at the first question to shorten the start of a router.
+        from carawayfold.coordination.requests.explanation import Explainer
+
+        try:
+            answer = Explainer(self.forwarder).answer(path, incoming.body)
+        except msgspec.MsgspecError as error:
+            incoming.answer(400, [], str(error).encode())
+            return
+        headers = [("Content-Type", "application/json")]
+        incoming.answer(404 if answer is None else 200, headers, answer or b"")
+
     def _serve_quarantine(self, incoming: Incoming, path: str) -> None:
         content = ContentId(path.removeprefix(quarantine_list.LIFT_PATH))
         if incoming.method == b"POST" and path != content:
