Leave failing endpoints out where requests stay in their data centre

Cause: an endpoint elsewhere that is kept for its own callers costs ten seconds more, so an engine at home whose answers fail (two seconds at most) became the cheapest one for a data centre that is short. Ruled out: a higher penalty of failures for all, which changes older deployments; the absolute ratio, since endpoints that all fail alike must still be used. Change: with the policy on, endpoints that fail by 0.3 more than the mean of their pool are left out while another may be used. The new test fails before with remote_cost 0.05 only.

--- a/carawayfold/coordination/scheduling/evaluations.py
+++ b/carawayfold/coordination/scheduling/evaluations.py
@@ -12,9 +12,9 @@
     from carawayfold.coordination.scheduling.placement import Candidate
     from carawayfold.state.ids import DataCentreId
 
-#: Recent ratio of failed answers, 0 to 1, above which an endpoint is no better than a
-#: rejection: two failures one after the other.
-MAX_FAILURE_RATIO = 0.3
+#: Excess of an endpoint's failure ratio over the mean of its pool, 0 to 1, above which
+#: it is no better than a rejection: about two failures one after the other.
+MAX_EXCESS_FAILURES = 0.3
 
 
 class CrossingCost(msgspec.Struct):
@@ -109,24 +109,21 @@
     is_too_late : callable
         Returns whether the request is rejected if it would wait for an endpoint.
     """
-    best = cheapest(evaluation.candidates)
-    if best is None or not evaluation.by_policy or best.starts_in <= 0:
+    if not evaluation.by_policy:
+        return cheapest(evaluation.candidates)
+    sound = [item for item in evaluation.candidates if not _fails_often(item)]
+    best = cheapest(sound or evaluation.candidates)
+    if best is None or best.starts_in <= 0 or not is_too_late(best):
         return best
-    return (_find_with_room(evaluation) if is_too_late(best) else None) or best
+    blocked = evaluation.blocked
+    with_room = [item for item in sound if item.starts_in <= 0 and item not in blocked]
+    return cheapest(with_room) or best
 
 
-def _find_with_room(evaluation: Evaluation) -> Candidate | None:
-    """Return the cheapest endpoint that could take a request at once, if any.
+def _fails_often(candidate: Candidate) -> bool:
+    """Return whether an endpoint is no better than a rejection.
 
-    An endpoint that fails often isn't better than a rejection, and always has room.
+    It has room since it fails at once, and draws requests whose data centre is short
+    of others. Endpoints that all fail alike are compared by their cost.
     """
-    blocked = evaluation.blocked
-    return cheapest(
-        [
-            item
-            for item in evaluation.candidates
-            if item.starts_in <= 0
-            and item.backlog.failure_ratio <= MAX_FAILURE_RATIO
-            and item not in blocked
-        ]
-    )
+    return candidate.backlog.excess_failure_ratio > MAX_EXCESS_FAILURES
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -729,3 +729,27 @@
     made.offer(item, 0.0)
     [decision] = made.decide(0.0)
     assert isinstance(decision, Rejected)
+
+
+@pytest.mark.parametrize("remote_cost", [0.0, 0.05])
+def test_a_short_data_centre_does_not_use_a_failing_endpoint_in_place_of_a_wait(
+    remote_cost,
+):
+    made = scheduler(remote_cost, memory=1_000_000, a=2, b=1)
+    for name, residence in (("a-0", 6.0), ("b-0", 1.0)):
+        made.loads[name].residence = residence
+        for number in range(SLOTS):
+            call = f"r-{name[0]}.9.{name}-{number}"
+            active = ActiveRequest(call, f"r-{name[0]}", 0, 0, 0.0, 0.0, begun=True)
+            made.record_active(name, active)
+    made.loads["a-1"].failure_ratio = 0.45
+    item = offer("r-a.0.1", data_centre="a", router="r-a", due=2.0, tokens=100, own=100)
+    made.offer(item, 0.0)
+    assert made.decide(0.0) == []
+
+
+def test_endpoints_that_all_fail_are_still_used():
+    made = scheduler(memory=1_000_000, a=1, b=1)
+    for load in made.loads.values():
+        load.failure_ratio = 0.9
+    assert place(made, 0.0, offer("r-a.0.1", data_centre="a", router="r-a")) == ["a"]
