--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -247,7 +247,7 @@
     made.decide(0.0)
     fill(made, "b", 8)
     for step in range(40):
-        made.locality.refresh(made._backlogs(step / 10), 1.0, step / 10)
+        made.locality.refresh(made.backlogs(step / 10), 1.0, step / 10)
     # Nine own requests and a reserve of three of eighteen slots.
     assert made.locality.budgets()["b"] == pytest.approx(6.0, abs=0.2)
     assert made.locality.budgets()["a"] == 18.0
@@ -286,7 +286,7 @@
     item = offer(prompt=prompt, prompt_tokens=5500, data_centre="a", due=2.0)
     fill(made, "b", 6)
     made.offer(item, 0.0)
-    backlogs = made._backlogs(0.0)
+    backlogs = made.backlogs(0.0)
     made.locality.refresh(backlogs, 1.0, 0.0)
     source = find_copy_source(item, backlogs)
     here = made.locality.choose(item, backlogs[:1], source, 1.0, 0.0, never_late)
@@ -469,7 +469,7 @@
 
 
 def refresh(made, now):
-    made.locality.refresh(made._backlogs(now), 1.0, now)
+    made.locality.refresh(made.backlogs(now), 1.0, now)
 
 
 def test_the_latency_is_learned_from_first_bytes():
@@ -548,7 +548,7 @@
 
 
 def candidate_at(made, item, name):
-    (backlog,) = [entry for entry in made._backlogs(0.0) if entry.id == name]
+    (backlog,) = [entry for entry in made.backlogs(0.0) if entry.id == name]
     return placement.evaluate(item, backlog, None, 1.0, 0.0)
 
 
@@ -708,3 +708,48 @@
     room = made.locality.rooms["a"]
     for tokens in (0, LONG_PROMPT_TOKENS):
         assert room.best_wait(tokens) == pytest.approx(model.predict(tokens))
+
+
+@pytest.mark.parametrize("remote_cost", [0.0, 0.05])
+@pytest.mark.parametrize("failing", ["a-1", "b-0"])
+def test_a_request_that_would_be_late_is_rejected_beside_a_failing_endpoint(
+    remote_cost, failing
+):
+    made = scheduler(remote_cost, memory=1_000_000, a=2, b=1)
+    others = [load for name, load in made.loads.items() if name != failing]
+    for load in others:
+        load.residence = 2.0
+        for number in range(SLOTS):
+            call = f"r-a.9.{load.endpoint.id}-{number}"
+            made.record_active(
+                load.endpoint.id, ActiveRequest(call, "r-a", 0, 0, 0.0, 0.0, begun=True)
+            )
+    made.loads[failing].failure_ratio = 0.9
+    item = offer("r-a.0.1", data_centre="a", router="r-a", due=0.2, tokens=100, own=100)
+    made.offer(item, 0.0)
+    [decision] = made.decide(0.0)
+    assert isinstance(decision, Rejected)
+
+
+@pytest.mark.parametrize("remote_cost", [0.0, 0.05])
+def test_a_short_data_centre_does_not_use_a_failing_endpoint_in_place_of_a_wait(
+    remote_cost,
+):
+    made = scheduler(remote_cost, memory=1_000_000, a=2, b=1)
+    for name, residence in (("a-0", 6.0), ("b-0", 1.0)):
+        made.loads[name].residence = residence
+        for number in range(SLOTS):
+            call = f"r-{name[0]}.9.{name}-{number}"
+            active = ActiveRequest(call, f"r-{name[0]}", 0, 0, 0.0, 0.0, begun=True)
+            made.record_active(name, active)
+    made.loads["a-1"].failure_ratio = 0.45
+    item = offer("r-a.0.1", data_centre="a", router="r-a", due=2.0, tokens=100, own=100)
+    made.offer(item, 0.0)
+    assert made.decide(0.0) == []
+
+
+def test_endpoints_that_all_fail_are_still_used():
+    made = scheduler(memory=1_000_000, a=1, b=1)
+    for load in made.loads.values():
+        load.failure_ratio = 0.9
+    assert place(made, 0.0, offer("r-a.0.1", data_centre="a", router="r-a")) == ["a"]
