Count error answers that are passed on as failures of the endpoint

Cause: a signed error answer to a request that may not be retried ended its attempt as complete. The scheduler took it for an answer after 2 ms and a prompt that was read, so that engines that answer all with errors seemed the fastest and emptiest. Ruled out: retrying such requests, which may have run; routes that may be retried report a failure already. Change: the answer goes to the caller as before, and the scheduler learns of a failure and of no first token.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -100,6 +100,8 @@
         Whether an answer came from its endpoint while it was being replaced.
     yielded : bool
         Whether it ended since the endpoint that it was to replace has gone on.
+    error_answered : bool
+        Whether its answer has an error status, and was sent to the caller.
     """
 
     def __init__(self, forwarder: Forwarder, request: AttemptRequest) -> None:
@@ -126,6 +128,7 @@
         self.withdrawn: BlockReason | None = None
         self.has_resumed = False
         self.yielded = False
+        self.error_answered = False
         self.handover: asyncio.TimerHandle | None = None
 
     @property
@@ -415,7 +418,10 @@
         if answer_head.status >= MIN_ERROR_STATUS and self._may_retry_error():
             self.reason = f"status {answer_head.status}"
             return AttemptEnd.ERROR_ANSWER
-        self.forwarder.coordinator.begun(self.call_id, self.loop.time() - self.started)
+        self.error_answered = answer_head.status >= MIN_ERROR_STATUS
+        if not self.error_answered:
+            waited = self.loop.time() - self.started
+            self.forwarder.coordinator.begun(self.call_id, waited)
         if self.call.attempts.answer_started:
             # The resumption of a stream failed: the caller has an incomplete answer.
             self.reason = f"status {answer_head.status} to a resumption"
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -571,8 +571,7 @@
         outcome: Outcome | None = Outcome.CANCELLED
         try:
             end = await attempt.run()
-            withdrawn = attempt.withdrawn
-            outcome = ATTEMPT_OUTCOMES[end] if withdrawn is None else withdrawn.outcome
+            outcome = outcome_of(attempt, end)
             if call.replacement is not None:
                 call.replaced, outcome = attempt, None
                 return end
@@ -988,3 +987,10 @@
                 "time_left_ms": round((call.deadline - now) * 1000, 1),
             },
         )
+
+
+def outcome_of(attempt: Attempt, end: AttemptEnd) -> Outcome:
+    """Return the outcome of an attempt that is reported to the scheduler."""
+    if attempt.withdrawn is not None:
+        return attempt.withdrawn.outcome
+    return Outcome.FAILED if attempt.error_answered else ATTEMPT_OUTCOMES[end]
--- a/tests/coordination/requests/test_answers.py
+++ b/tests/coordination/requests/test_answers.py
@@ -7,7 +7,9 @@
 import pytest
 
 from carawayfold.coordination.requests.attempts import MAX_BUFFERED_BYTES
+from carawayfold.coordination.requests.forwarding import outcome_of
 from carawayfold.coordination.requests.retries import AttemptEnd
+from carawayfold.coordination.scheduling.offers import Outcome
 from carawayfold.protocol.events import EVENT_LIMIT
 from carawayfold.state.routes import RouteKind
 from tests.coordination.requests.answered_attempts import AnsweredAttempt
@@ -161,3 +163,38 @@
         assert len(answered.forwarder.active_at) == active
 
     run(scenario)
+
+
+@pytest.mark.parametrize("status", [500, 503, 504])
+def test_an_error_answer_that_is_not_retried_counts_as_a_failure(status):
+    """Guards against an engine that answers each request with an error at once.
+
+    It seemed to answer within two milliseconds and to have read the prompts, and drew
+    most of the requests with long prompts.
+    """
+
+    def scenario():
+        answered = AnsweredAttempt(route(RouteKind.NON_IDEMPOTENT))
+        answered.head(status, SIGNED)
+        answered.data(READ)
+        end = answered.end()
+        assert end is AttemptEnd.COMPLETE
+        assert answered.caller.sent[0] == status
+        assert answered.caller.ended
+        assert answered.forwarder.begun == []
+        assert outcome_of(answered.attempt, end) is Outcome.FAILED
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("status", [200, 404, 429])
+def test_an_answer_without_an_error_of_the_endpoint_counts_as_complete(status):
+    def scenario():
+        answered = AnsweredAttempt(route(RouteKind.NON_IDEMPOTENT))
+        answered.head(status, SIGNED)
+        answered.data(READ)
+        end = answered.end()
+        assert outcome_of(answered.attempt, end) is Outcome.COMPLETE
+        assert len(answered.forwarder.begun) == 1
+
+    run(scenario)
--- a/tests/coordination/scheduling/test_returns.py
+++ b/tests/coordination/scheduling/test_returns.py
@@ -220,7 +220,7 @@
     for item in (early, other):
         made.offer(item, 1.2)
     assert early.standing is Standing.EARLY
-    assert made._rank(early, 1.0, 1.25) > made._rank(other, 1.0, 1.25)
+    assert made.rank(early, 1.0, 1.25) > made.rank(other, 1.0, 1.25)
 
 
 def test_a_late_return_ranks_before_requests_beyond_a_share_and_behind_others():
@@ -237,7 +237,7 @@
     for other in (late, fresh, flood):
         made.offer(other, now)
     made.usage.share_level = 50_000
-    ranks = [made._rank(other, 1.0, now) for other in (fresh, late, flood)]
+    ranks = [made.rank(other, 1.0, now) for other in (fresh, late, flood)]
     assert late.standing is Standing.RETURNED
     assert [rank[1:3] for rank in ranks] == [
         (False, False),
