--- a/tests/coordination/scheduling/test_shares_across_pools.py
+++ b/tests/coordination/scheduling/test_shares_across_pools.py
@@ -33,3 +33,9 @@
 def test_an_organisation_gets_its_share_with_balance_between_pools(seed):
     features = SchedulingFeatures(balance_pools=True)
     assert least_part(FAULTS["none"], seed, features).part >= MIN_PART
+
+
+@pytest.mark.parametrize("seed", [1, 3])
+def test_an_organisation_gets_its_share_with_balance_while_there_is_a_pool_less(seed):
+    features = SchedulingFeatures(balance_pools=True)
+    assert least_part(FAULTS["shrink"], seed, features).part >= MIN_PART
