Keep failing endpoints if only a data centre that is cut off has others

Cause: endpoints that fail by 0.3 more than the mean of their pool are left out while any other may be used, also one in a data centre that counts as cut off; requests at home then go to endpoints that can't be reached, whose penalty of 60 s no longer counts. Change: a cut-off data centre is no alternative. The new test failed before (request granted in the data centre that is cut off) and passes; test_locality passes.

--- a/carawayfold/coordination/scheduling/evaluations.py
+++ b/carawayfold/coordination/scheduling/evaluations.py
@@ -111,7 +111,11 @@
     """
     if not evaluation.by_policy:
         return cheapest(evaluation.candidates)
-    sound = [item for item in evaluation.candidates if not _fails_often(item)]
+    sound = [
+        item
+        for item in evaluation.candidates
+        if not _fails_often(item) and not _is_cut_off(evaluation, item)
+    ]
     best = cheapest(sound or evaluation.candidates)
     if best is None or best.starts_in <= 0 or not is_too_late(best):
         return best
@@ -127,3 +131,9 @@
     of others. Endpoints that all fail alike are compared by their cost.
     """
     return candidate.backlog.excess_failure_ratio > MAX_EXCESS_FAILURES
+
+
+def _is_cut_off(evaluation: Evaluation, candidate: Candidate) -> bool:
+    """Return whether the data centre of an endpoint counts as cut off."""
+    crossing = evaluation.costs.get(candidate.backlog.data_centre)
+    return crossing is not None and crossing.cut
--- a/tests/coordination/scheduling/test_locality.py
+++ b/tests/coordination/scheduling/test_locality.py
@@ -753,3 +753,13 @@
     for load in made.loads.values():
         load.failure_ratio = 0.9
     assert place(made, 0.0, offer("r-a.0.1", data_centre="a", router="r-a")) == ["a"]
+
+
+def test_a_data_centre_that_is_cut_off_is_no_alternative_to_failing_endpoints():
+    made = scheduler(memory=1_000_000, a=1, b=1)
+    made.loads["a-0"].failure_ratio = 0.9
+    made.offer(offer("r-a.0.0", data_centre="a", router="r-a"), 0.0)
+    made.decide(0.0)
+    made.locality._pair("a", "b").cut_until = 100.0
+    item = offer("r-a.0.1", data_centre="a", router="r-a", due=2.0, now=0.1)
+    assert place(made, 0.1, item) == ["a"]
