Explain requests by the part of the queue that is examined

Cause: explanations took the first 24 requests of the queue for the examined ones. With remote_cost, each data centre has its part of these, so that a request behind 24 others of another data centre was explained as waiting and granted at once. Change: the queue with the request is split as the scheduler does. The new test failed before (wait explained, grant decided) and passes; test_explanation and test_locality pass.

--- a/carawayfold/coordination/scheduling/explanation.py
+++ b/carawayfold/coordination/scheduling/explanation.py
@@ -55,33 +55,37 @@
     locality.record_offer(offer)
     locality.refresh(backlogs, scheduler.plan.share, now)
     offer.value_density = scheduler.value_density(offer)
-    before = _queued_before(scheduler, offer, now)
-    for other in before[:QUEUE_HEAD_LENGTH]:
+    queue = _queue_with(scheduler, offer, now)
+    position = next(at for at, entry in enumerate(queue) if entry.offer is offer)
+    head, tail = (
+        [entry.offer for entry in part]
+        for part in locality.split(queue, QUEUE_HEAD_LENGTH)
+    )
+    is_in_head = offer in head
+    for other in head[: head.index(offer)] if is_in_head else head:
         # The first prediction of a request is kept with it.
         _plan(scheduler, locality, copy.copy(other), backlogs, now)
     evaluation = _evaluate(scheduler, locality, offer, backlogs, now)
     chosen = _pick(scheduler, offer, evaluation, now)
     answer = _decide(scheduler, offer, chosen, backlogs, now)
-    if chosen is not None and len(before) >= QUEUE_HEAD_LENGTH:
-        tail = [*before[QUEUE_HEAD_LENGTH:], offer]
-        waits = locality.predict_tail(tail, backlogs, scheduler.speed)
+    if chosen is not None and not is_in_head:
+        until_it = tail[: tail.index(offer) + 1]
+        waits = locality.predict_tail(until_it, backlogs, scheduler.speed)
         answer = _decide_behind_head(scheduler, offer, list(waits), now)
     answer.waiting = len(scheduler.waiting)
-    answer.position = len(before)
+    answer.position = position
     answer.within_share = scheduler.is_within_share(offer)
     answer.endpoints = _explain_endpoints(scheduler, offer, backlogs, evaluation, now)
     return answer
 
 
-def _queued_before(scheduler: Scheduler, offer: Offer, now: float) -> list[Offer]:
-    """Return the waiting requests that would be served before a request."""
+def _queue_with(scheduler: Scheduler, offer: Offer, now: float) -> list[QueueEntry]:
+    """Return the queue in order, with a further request behind its equals."""
     overall = scheduler.overall_granted_ratio(now)
-    entries = sorted(
+    return sorted(
         QueueEntry(scheduler.rank(other, overall, now), other)
-        for other in scheduler.waiting.values()
+        for other in [*scheduler.waiting.values(), offer]
     )
-    own_rank = scheduler.rank(offer, overall, now)
-    return [entry.offer for entry in entries if entry.rank <= own_rank]
 
 
 def _evaluate(
--- a/tests/coordination/scheduling/test_explanation.py
+++ b/tests/coordination/scheduling/test_explanation.py
@@ -213,3 +213,24 @@
     assert answer.verdict is Verdict.WAIT
     late = explain(pool, offer("r.0.y", priority=2, due=1.0), 0.0)
     assert late.verdict is Verdict.REJECT
+
+
+def test_each_data_centre_has_its_part_of_the_examined_requests():
+    pool = Scheduler(WINDOW, features=SchedulingFeatures(remote_cost=0.05))
+    members = [
+        endpoint(f"{name}-0", slots=1, data_centre=name) for name in ("north", "south")
+    ]
+    pool.set_endpoints(members, PoolPlan(0.0, 100_000, 100_000.0))
+    pool.suspend("north-0", 0.0)
+    for number in range(30):
+        item = offer(
+            f"r-n.0.{number}", data_centre="north", router="r-n", allowed={"north"}
+        )
+        pool.offer(item, 0.0)
+    place = {"data_centre": "south", "router": "r-s", "allowed": {"south"}}
+    answer = explain(pool, offer("r-s.0.1", **place), 0.0)
+    wanted = offer("r-s.0.1", **place)
+    pool.offer(wanted, 0.0)
+    granted = [item for item in pool.decide(0.0) if isinstance(item, Granted)]
+    assert [(item.call, item.endpoint) for item in granted] == [("r-s.0.1", "south-0")]
+    assert (answer.verdict, answer.endpoint) == (Verdict.GRANT, "south-0")
