Remember no organisation for which a request is only explained

Cause: reading whether an organisation is within its share added an empty usage for it, so a question on an offer of an unknown organisation changed the table of the scheduler until the next review. Change: reads give an empty usage without an entry. The new test failed before; test_usage and test_explanation pass after.

--- a/carawayfold/state/usage.py
+++ b/carawayfold/state/usage.py
@@ -122,7 +122,10 @@
 
     def is_within_share(self, organisation: OrganisationId, tokens: float) -> bool:
         """Return whether a request of `tokens` is within the organisation's share."""
-        return self._usage_of(organisation).granted.total + tokens <= self.share_level
+        return (
+            self._known_usage_of(organisation).granted.total + tokens
+            <= self.share_level
+        )
 
     def is_underserved(self, organisation: OrganisationId) -> bool:
         """Return whether an organisation got far less than the best served one.
@@ -130,7 +133,7 @@
         The comparison is limited to the tokens that it requested. It also applies
         above the shares, so that two overloading organisations get equal amounts.
         """
-        usage = self._usage_of(organisation)
+        usage = self._known_usage_of(organisation)
         due = min(usage.asked.total, self.max_granted)
         return usage.granted.total < BEHIND_FRACTION * due
 
@@ -141,7 +144,7 @@
         An organisation below the common limit offers all its requests. So does an
         underserved one, as possibly few of its requests can meet their deadlines.
         """
-        asked = self._usage_of(organisation).asked.total
+        asked = self._known_usage_of(organisation).asked.total
         if asked <= self.offer_limit or self.is_underserved(organisation):
             return 1.0
         return max(MIN_ADMITTED_FRACTION, self.offer_limit / asked)
@@ -162,3 +165,7 @@
 
     def _usage_of(self, organisation: OrganisationId) -> OrganisationUsage:
         return self.usages.setdefault(organisation, OrganisationUsage())
+
+    def _known_usage_of(self, organisation: OrganisationId) -> OrganisationUsage:
+        """Return the usage of an organisation to read it, without a new entry."""
+        return self.usages.get(organisation) or OrganisationUsage()
--- a/tests/coordination/scheduling/test_explanation.py
+++ b/tests/coordination/scheduling/test_explanation.py
@@ -234,3 +234,9 @@
     granted = [item for item in pool.decide(0.0) if isinstance(item, Granted)]
     assert [(item.call, item.endpoint) for item in granted] == [("r-s.0.1", "south-0")]
     assert (answer.verdict, answer.endpoint) == (Verdict.GRANT, "south-0")
+
+
+def test_an_unknown_organisation_is_not_remembered():
+    pool = scheduler(endpoints=1)
+    explain(pool, offer(organisation="unheard-of"), 0.0)
+    assert "unheard-of" not in pool.usage.usages
