Name bad arguments of explain, and routers that can't explain

Cause: an argument that is no UTF-8 ended the command with a traceback (UnicodeEncodeError, exit code 1), and a router of the version before was reported as a bare 404. Change: the argument is an error with exit code 2, as are control characters; a 404 says that the router doesn't have the pool or can't explain. The message on 404 has no test.

--- a/carawayfold/commands/explain.py
+++ b/carawayfold/commands/explain.py
@@ -82,6 +82,7 @@
     json: Json = False,
 ) -> None:
     """Explain where a request would go now, and why. It is not sent."""
+    _check_text([target, method, *header])
     question = RequestQuestion(
         method, target, [_parse_header(item) for item in header], _read(body)
     )
@@ -135,6 +136,11 @@
         raise Unanswered(f"{router} did not answer: {error}") from None
     finally:
         connection.close()
+    if response.status == http.HTTPStatus.NOT_FOUND:
+        raise Unanswered(
+            f"{router} answered 404: it doesn't have the pool, or its version can't "
+            "explain requests"
+        )
     if response.status != http.HTTPStatus.OK:
         raise Unanswered(f"{router} answered {response.status}")
     try:
@@ -143,6 +149,13 @@
         raise Unanswered(f"{router} is no router that forwards: {error}") from None
 
 
+def _check_text(texts: list[str]) -> None:
+    """Raise an error for arguments with bytes that are no text, or controls."""
+    for text in texts:
+        if not text.isprintable():
+            raise typer.BadParameter(f"{text!a} has characters that can't be sent")
+
+
 def _parse_header(text: str) -> tuple[str, str]:
     name, colon, value = text.partition(":")
     if not colon or not name.strip():
