Answer 400 to offers with numbers that can't be computed

Cause: a question on an offer with negative tokens or a huge time raised ValueError or OverflowError in the handler of peers; its edge caught it, logged an internal error and answered 503. Change: such questions are bad requests.

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -481,7 +481,8 @@
 
         try:
             answer = Explainer(self.forwarder).answer(path, incoming.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, ArithmeticError) as error:
+            # Numbers that no router states, like negative tokens, can't be computed.
             incoming.answer(400, [], str(error).encode())
             return
         headers = [("Content-Type", "application/json")]
--- a/tests/integration/test_explain.py
+++ b/tests/integration/test_explain.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import subprocess
 import sys
 
+import msgspec
 import pytest
 
 from benchmarks.hosted import HOST, call, model_headers
@@ -121,3 +123,32 @@
     )
     assert completed.returncode == 2
     assert options[-2] in completed.stderr
+
+
+def test_arguments_that_are_no_text_are_a_clear_error():
+    options = ["--router", "127.0.0.1:1", "--method", "\udcff"]
+    completed = subprocess.run(
+        [sys.executable, "-m", "carawayfold", "explain", "/x", *options],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert completed.returncode == 2
+    assert "can't be sent" in completed.stderr
+
+
+@pytest.mark.parametrize("changes", [{"output_tokens": -100}, {"due": 10**400}])
+def test_numbers_that_no_router_states_are_a_bad_request(fleet, changes):
+    options = header_options(model_headers("call-1"))
+    completed = run_explain(fleet, ROUTERS[0], TARGET, "--json", *options)
+    [request] = explanations.decode(completed.stdout.encode(), Explanation).requests
+    offer = msgspec.structs.replace(request.offer, **changes)
+    body = json.dumps(
+        {
+            "router": request.router,
+            "offer": [2, *msgspec.structs.astuple(offer)],
+        }
+    ).encode()
+    port = fleet.ports[ROUTERS[0]][2]
+    answer = asyncio.run(call(port, "POST", explanations.POOL_PATH, body))
+    assert answer.status == 400
