Log questions that can't be answered

Cause: a question whose numbers can't be computed was answered with 400 and left no trace, so that a fault of the evaluation would stay unseen. Ruled out: letting the exception pass, which answers 503 as an internal error.

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -483,6 +483,7 @@
             answer = Explainer(self.forwarder).answer(path, incoming.body)
         except (msgspec.MsgspecError, ValueError, ArithmeticError) as error:
             # Numbers that no router states, like negative tokens, can't be computed.
+            logger.info("question not answered", extra={"reason": repr(error)})
             incoming.answer(400, [], str(error).encode())
             return
         headers = [("Content-Type", "application/json")]
