Count long error answers as failures too

Cause: the mark of an error answer that is passed on was set where a buffered answer ends; one of more than 256 KiB is passed on as it arrives, ends elsewhere, and still counted as complete. Ruled out: setting the mark at both places. Change: whether the status is an error follows from the head of the answer, so that no state is kept and the outcome is the same for both ways. The new test failed before; test_answers, test_attempts, test_forwarding and test_replacements pass. Conclusion: the mend of error answers holds for each length.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -100,8 +100,6 @@
         Whether an answer came from its endpoint while it was being replaced.
     yielded : bool
         Whether it ended since the endpoint that it was to replace has gone on.
-    error_answered : bool
-        Whether its answer has an error status, and was sent to the caller.
     """
 
     def __init__(self, forwarder: Forwarder, request: AttemptRequest) -> None:
@@ -128,7 +126,6 @@
         self.withdrawn: BlockReason | None = None
         self.has_resumed = False
         self.yielded = False
-        self.error_answered = False
         self.handover: asyncio.TimerHandle | None = None
 
     @property
@@ -136,6 +133,12 @@
         """Return whether the endpoint may have received the request."""
         return self.exchange is not None and self.exchange.phase is not Phase.CONNECTING
 
+    @property
+    def is_error(self) -> bool:
+        """Return whether the status of its answer is a failure of the endpoint."""
+        head = self.answer_head
+        return head is not None and head.status >= MIN_ERROR_STATUS
+
     @property
     def idle_most(self) -> float:
         """Return the seconds for which a connection may have been idle for it."""
@@ -415,11 +418,10 @@
         if not answer_head.signed:
             self.reason = f"unsigned answer, status {answer_head.status}"
             return AttemptEnd.BROKEN
-        if answer_head.status >= MIN_ERROR_STATUS and self._may_retry_error():
+        if self.is_error and self._may_retry_error():
             self.reason = f"status {answer_head.status}"
             return AttemptEnd.ERROR_ANSWER
-        self.error_answered = answer_head.status >= MIN_ERROR_STATUS
-        if not self.error_answered:
+        if not self.is_error:
             waited = self.loop.time() - self.started
             self.forwarder.coordinator.begun(self.call_id, waited)
         if self.call.attempts.answer_started:
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -993,4 +993,7 @@
     """Return the outcome of an attempt that is reported to the scheduler."""
     if attempt.withdrawn is not None:
         return attempt.withdrawn.outcome
-    return Outcome.FAILED if attempt.error_answered else ATTEMPT_OUTCOMES[end]
+    if end is AttemptEnd.COMPLETE and attempt.is_error:
+        # The answer went to the caller, and may not be retried.
+        return Outcome.FAILED
+    return ATTEMPT_OUTCOMES[end]
--- a/tests/coordination/requests/test_answers.py
+++ b/tests/coordination/requests/test_answers.py
@@ -187,6 +187,22 @@
     run(scenario)
 
 
+def test_a_long_error_answer_counts_as_a_failure():
+    """Its body is passed on as it arrives."""
+
+    def scenario():
+        answered = AnsweredAttempt(route(RouteKind.NON_IDEMPOTENT))
+        answered.head(500, SIGNED)
+        for _ in range(READS):
+            answered.data(READ)
+        end = answered.end()
+        assert end is AttemptEnd.COMPLETE
+        assert answered.caller.ended
+        assert outcome_of(answered.attempt, end) is Outcome.FAILED
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("status", [200, 404, 429])
 def test_an_answer_without_an_error_of_the_endpoint_counts_as_complete(status):
     def scenario():
