Explain a request in one round that holds what its steps share

Cause: each step of an explanation took the scheduler, the locality, the backlogs and the time; the options of a choice were put together twice, usable endpoints listed twice for each request that is planned, and the rule on waiting for an endpoint stood here and in the scheduler. Ruled out: a copy of the scheduler's own round, which records. Change: a class for the round, choose_from beside choose, rejections.may_wait_until.

--- a/carawayfold/coordination/scheduling/explanation.py
+++ b/carawayfold/coordination/scheduling/explanation.py
@@ -24,7 +24,6 @@
 if TYPE_CHECKING:
     from carawayfold.coordination.scheduling.backlog import Backlog
     from carawayfold.coordination.scheduling.evaluations import Evaluation
-    from carawayfold.coordination.scheduling.locality import LocalityPolicy
     from carawayfold.coordination.scheduling.offers import Offer
     from carawayfold.coordination.scheduling.placement import Candidate
     from carawayfold.coordination.scheduling.scheduler import Scheduler
@@ -49,186 +48,174 @@
     now : float
         Monotonic seconds.
     """
-    backlogs = scheduler.backlogs(now)
-    # A round of decisions updates its means, which would change the next one.
-    locality = copy.deepcopy(scheduler.locality)
-    locality.record_offer(offer)
-    locality.refresh(backlogs, scheduler.plan.share, now)
     offer.value_density = scheduler.value_density(offer)
-    queue = _queue_with(scheduler, offer, now)
-    position = next(at for at, entry in enumerate(queue) if entry.offer is offer)
-    head, tail = (
-        [entry.offer for entry in part]
-        for part in locality.split(queue, QUEUE_HEAD_LENGTH)
-    )
-    is_in_head = offer in head
-    for other in head[: head.index(offer)] if is_in_head else head:
-        # The first prediction of a request is kept with it.
-        _plan(scheduler, locality, copy.copy(other), backlogs, now)
-    evaluation = _evaluate(scheduler, locality, offer, backlogs, now)
-    chosen = _pick(scheduler, offer, evaluation, now)
-    answer = _decide(scheduler, offer, chosen, backlogs, now)
-    if chosen is not None and not is_in_head:
-        until_it = tail[: tail.index(offer) + 1]
-        waits = locality.predict_tail(until_it, backlogs, scheduler.speed)
-        answer = _decide_behind_head(scheduler, offer, list(waits), now)
-    answer.waiting = len(scheduler.waiting)
-    answer.position = position
-    answer.within_share = scheduler.is_within_share(offer)
-    answer.endpoints = _explain_endpoints(scheduler, offer, backlogs, evaluation, now)
-    return answer
-
-
-def _queue_with(scheduler: Scheduler, offer: Offer, now: float) -> list[QueueEntry]:
-    """Return the queue in order, with a further request behind its equals."""
-    overall = scheduler.overall_granted_ratio(now)
-    return sorted(
-        QueueEntry(scheduler.rank(other, overall, now), other)
-        for other in [*scheduler.waiting.values(), offer]
-    )
-
-
-def _evaluate(
-    scheduler: Scheduler,
-    locality: LocalityPolicy,
-    offer: Offer,
-    backlogs: list[Backlog],
-    now: float,
-) -> Evaluation:
-    usable = scheduler.usable_backlogs(offer, backlogs, now)
-    source = find_copy_source(offer, backlogs)
-    share = scheduler.fillable_share(offer)
-    return locality.evaluate_all(offer, usable, source, share, now)
-
-
-def _pick(
-    scheduler: Scheduler, offer: Offer, evaluation: Evaluation, now: float
-) -> Candidate | None:
-    return pick(evaluation, lambda place: scheduler.is_wait_too_long(offer, place, now))
-
-
-def _plan(
-    scheduler: Scheduler,
-    locality: LocalityPolicy,
-    offer: Offer,
-    backlogs: list[Backlog],
-    now: float,
-) -> None:
-    """Add a request that is served before to the endpoint that it would get."""
-    usable = scheduler.usable_backlogs(offer, backlogs, now)
-    source = find_copy_source(offer, backlogs)
-    share = scheduler.fillable_share(offer)
-    too_long = scheduler.is_wait_too_long
-    chosen = locality.choose(offer, usable, source, share, now, too_long)
-    if chosen is None:
-        return
-    if chosen.starts_in <= 0 or not _is_too_late(
-        scheduler, offer, chosen, backlogs, now
-    ):
-        chosen.backlog.add(chosen.prefill_tokens, chosen.memory)
-
-
-def _is_too_late(
-    scheduler: Scheduler,
-    offer: Offer,
-    chosen: Candidate,
-    backlogs: list[Backlog],
-    now: float,
-) -> bool:
-    usable = scheduler.usable_backlogs(offer, backlogs, now)
-    wait = scheduler.first_token_in(offer, chosen, usable, now)
-    return scheduler.is_too_late(offer, wait, now)
-
-
-def _decide(
-    scheduler: Scheduler,
-    offer: Offer,
-    chosen: Candidate | None,
-    backlogs: list[Backlog],
-    now: float,
-) -> PoolAnswer:
-    """Return the verdict on a request at the head of the queue."""
-    if chosen is None:
-        usable_at = rejections.earliest_usable_at(
-            offer, backlogs, scheduler.unreachable
-        )
-        if now < offer.expires and usable_at < offer.due:
-            return PoolAnswer(Verdict.WAIT, UNUSABLE_FOR_NOW, wait=usable_at - now)
-        return PoolAnswer(Verdict.REJECT, NO_ENDPOINT)
-    place = (chosen.backlog.id, chosen.starts_in, chosen.first_token_in)
-    if chosen.starts_in <= 0:
-        return PoolAnswer(Verdict.GRANT, AT_ONCE, *place)
-    if _is_too_late(scheduler, offer, chosen, backlogs, now):
-        return PoolAnswer(Verdict.REJECT, TOO_LATE, *place)
-    return PoolAnswer(Verdict.WAIT, IN_TIME, *place)
+    return ExplainedRound(scheduler, offer, now).explain()
 
 
-def _decide_behind_head(
-    scheduler: Scheduler, offer: Offer, waits: list[tuple[Offer, float]], now: float
-) -> PoolAnswer:
-    """Return the verdict on a request for which endpoints aren't evaluated yet.
+class ExplainedRound:
+    """A round of decisions in which one request is explained.
 
-    `waits` are the predictions for the requests behind the head, its own the last.
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The scheduler of a pool.
+    offer : Offer
+        The request.
+    now : float
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    backlogs : list of Backlog
+        Loads of the endpoints, with the requests that are planned so far.
+    locality : LocalityPolicy
+        Copy of the scheduler's: a round updates its means, which would change the next.
     """
-    if not waits:
-        return PoolAnswer(Verdict.WAIT, IN_TIME)
-    wait = scheduler.predictions.predict(offer, waits[-1][1], now)
-    if scheduler.is_too_late(offer, wait, now):
-        return PoolAnswer(Verdict.REJECT, TOO_LATE, wait=wait)
-    return PoolAnswer(Verdict.WAIT, IN_TIME, wait=wait)
-
-
-def _explain_endpoints(
-    scheduler: Scheduler,
-    offer: Offer,
-    backlogs: list[Backlog],
-    evaluation: Evaluation,
-    now: float,
-) -> list[ExplainedEndpoint]:
-    """Return all endpoints of a pool, those of the lowest cost first."""
-    evaluated = {item.backlog.id: item for item in evaluation.candidates}
-    found = []
-    for backlog in backlogs:
-        item = ExplainedEndpoint(
-            backlog.id,
-            backlog.data_centre,
-            _status(scheduler, offer, backlog, evaluation, now),
-            backlog.running,
-            backlog.slots,
+
+    def __init__(self, scheduler: Scheduler, offer: Offer, now: float) -> None:
+        self.scheduler = scheduler
+        self.offer = offer
+        self.now = now
+        self.backlogs = scheduler.backlogs(now)
+        self.locality = copy.deepcopy(scheduler.locality)
+        self.locality.record_offer(offer)
+        self.locality.refresh(self.backlogs, scheduler.plan.share, now)
+
+    def explain(self) -> PoolAnswer:
+        """Return the decision on the request, after those that are served before it."""
+        offer, queue = self.offer, self._queue()
+        head, tail = (
+            [entry.offer for entry in part]
+            for part in self.locality.split(queue, QUEUE_HEAD_LENGTH)
+        )
+        is_in_head = offer in head
+        for other in head[: head.index(offer)] if is_in_head else head:
+            # The first prediction of a request is kept with it.
+            self._plan(copy.copy(other))
+        evaluation = self._evaluate(offer)
+        answer = self._decide(evaluation, None if is_in_head else tail)
+        answer.waiting = len(self.scheduler.waiting)
+        answer.position = [entry.offer for entry in queue].index(offer)
+        answer.within_share = self.scheduler.is_within_share(offer)
+        answer.endpoints = self._explain_endpoints(evaluation)
+        return answer
+
+    def _queue(self) -> list[QueueEntry]:
+        """Return the queue in order, with the request behind its equals."""
+        overall = self.scheduler.overall_granted_ratio(self.now)
+        return sorted(
+            QueueEntry(self.scheduler.rank(other, overall, self.now), other)
+            for other in [*self.scheduler.waiting.values(), self.offer]
+        )
+
+    def _evaluate(self, offer: Offer) -> Evaluation:
+        scheduler, backlogs, now = self.scheduler, self.backlogs, self.now
+        usable = scheduler.usable_backlogs(offer, backlogs, now)
+        source = find_copy_source(offer, backlogs)
+        share = scheduler.fillable_share(offer)
+        return self.locality.evaluate_all(offer, usable, source, share, now)
+
+    def _plan(self, offer: Offer) -> None:
+        """Add a request that is served before to the endpoint that it would get."""
+        evaluation = self._evaluate(offer)
+        too_long = self.scheduler.is_wait_too_long
+        chosen = self.locality.choose_from(offer, evaluation, self.now, too_long)
+        if chosen is not None and not self._is_rejected(offer, chosen, evaluation):
+            chosen.backlog.add(chosen.prefill_tokens, chosen.memory)
+
+    def _is_rejected(
+        self, offer: Offer, chosen: Candidate, evaluation: Evaluation
+    ) -> bool:
+        """Return whether a request is rejected as too late for its endpoint."""
+        if chosen.starts_in <= 0:
+            return False
+        usable = [item.backlog for item in evaluation.candidates]
+        wait = self.scheduler.first_token_in(offer, chosen, usable, self.now)
+        return self.scheduler.is_too_late(offer, wait, self.now)
+
+    def _decide(self, evaluation: Evaluation, tail: list[Offer] | None) -> PoolAnswer:
+        """Return the decision on the request.
+
+        `tail` are the requests behind the head of the queue, if it is one of them.
+        """
+        offer, now = self.offer, self.now
+        chosen = pick(
+            evaluation, lambda place: self.scheduler.is_wait_too_long(offer, place, now)
         )
-        candidate = evaluated.get(backlog.id)
-        if candidate is not None:
-            item.starts_in = candidate.starts_in
-            item.first_byte_in = candidate.first_token_in
-            item.cost = candidate.cost
-            item.cached_tokens = backlog.load.prefixes.kept(offer.prompt)
-            item.copied_tokens = candidate.copied_tokens
-            item.prefill_tokens = candidate.prefill_tokens
-        found.append(item)
-    return sorted(found, key=lambda item: (item.cost is None, item.cost or 0.0))
-
-
-def _status(
-    scheduler: Scheduler,
-    offer: Offer,
-    backlog: Backlog,
-    evaluation: Evaluation,
-    now: float,
-) -> EndpointStatus:
-    """Return whether a request may use an endpoint, or the first reason why not."""
-    endpoint = backlog.load.endpoint
-    if not offer.may_run_in(backlog.data_centre):
-        return EndpointStatus.NOT_ALLOWED
-    if not offer.may_run_at(endpoint):
-        return EndpointStatus.OTHER_SOFTWARE
-    if backlog.suspended:
-        return EndpointStatus.SUSPENDED
-    if backlog.id in offer.avoid:
-        return EndpointStatus.TRIED
-    if (offer.router, backlog.id) in scheduler.unreachable:
-        return EndpointStatus.UNREACHABLE
-    if offer.rests.get(backlog.id, 0.0) > now:
-        return EndpointStatus.BACKING_OFF
-    if any(item.backlog.id == backlog.id for item in evaluation.blocked):
-        return EndpointStatus.OWED
-    return EndpointStatus.USABLE
+        if chosen is None:
+            return self._decide_without_endpoint()
+        if tail is not None:
+            return self._decide_behind_head(tail)
+        place = (chosen.backlog.id, chosen.starts_in, chosen.first_token_in)
+        if chosen.starts_in <= 0:
+            return PoolAnswer(Verdict.GRANT, AT_ONCE, *place)
+        if self._is_rejected(offer, chosen, evaluation):
+            return PoolAnswer(Verdict.REJECT, TOO_LATE, *place)
+        return PoolAnswer(Verdict.WAIT, IN_TIME, *place)
+
+    def _decide_without_endpoint(self) -> PoolAnswer:
+        offer, now = self.offer, self.now
+        unreachable = self.scheduler.unreachable
+        usable_at = rejections.earliest_usable_at(offer, self.backlogs, unreachable)
+        if rejections.may_wait_until(offer, usable_at, now):
+            return PoolAnswer(Verdict.WAIT, UNUSABLE_FOR_NOW, wait=usable_at - now)
+        return PoolAnswer(Verdict.REJECT, NO_ENDPOINT)
+
+    def _decide_behind_head(self, tail: list[Offer]) -> PoolAnswer:
+        """Return the decision where the endpoints aren't evaluated yet."""
+        scheduler, offer, now = self.scheduler, self.offer, self.now
+        until_it = tail[: tail.index(offer) + 1]
+        waits = [
+            wait
+            for _, wait in self.locality.predict_tail(
+                until_it, self.backlogs, scheduler.speed
+            )
+        ]
+        if not waits:
+            return PoolAnswer(Verdict.WAIT, IN_TIME)
+        wait = scheduler.predictions.predict(offer, waits[-1], now)
+        if scheduler.is_too_late(offer, wait, now):
+            return PoolAnswer(Verdict.REJECT, TOO_LATE, wait=wait)
+        return PoolAnswer(Verdict.WAIT, IN_TIME, wait=wait)
+
+    def _explain_endpoints(self, evaluation: Evaluation) -> list[ExplainedEndpoint]:
+        """Return all endpoints of the pool, those of the lowest cost first."""
+        evaluated = {item.backlog.id: item for item in evaluation.candidates}
+        found = []
+        for backlog in self.backlogs:
+            item = ExplainedEndpoint(
+                backlog.id,
+                backlog.data_centre,
+                self._status(backlog, evaluation),
+                backlog.running,
+                backlog.slots,
+            )
+            candidate = evaluated.get(backlog.id)
+            if candidate is not None:
+                item.starts_in = candidate.starts_in
+                item.first_byte_in = candidate.first_token_in
+                item.cost = candidate.cost
+                item.cached_tokens = backlog.load.prefixes.kept(self.offer.prompt)
+                item.copied_tokens = candidate.copied_tokens
+                item.prefill_tokens = candidate.prefill_tokens
+            found.append(item)
+        return sorted(found, key=lambda item: (item.cost is None, item.cost or 0.0))
+
+    def _status(self, backlog: Backlog, evaluation: Evaluation) -> EndpointStatus:
+        """Return whether the request may use an endpoint, or why not."""
+        offer = self.offer
+        if not offer.may_run_in(backlog.data_centre):
+            return EndpointStatus.NOT_ALLOWED
+        if not offer.may_run_at(backlog.load.endpoint):
+            return EndpointStatus.OTHER_SOFTWARE
+        if backlog.suspended:
+            return EndpointStatus.SUSPENDED
+        if backlog.id in offer.avoid:
+            return EndpointStatus.TRIED
+        if (offer.router, backlog.id) in self.scheduler.unreachable:
+            return EndpointStatus.UNREACHABLE
+        if offer.rests.get(backlog.id, 0.0) > self.now:
+            return EndpointStatus.BACKING_OFF
+        if any(item.backlog.id == backlog.id for item in evaluation.blocked):
+            return EndpointStatus.OWED
+        return EndpointStatus.USABLE
--- a/carawayfold/coordination/scheduling/locality.py
+++ b/carawayfold/coordination/scheduling/locality.py
@@ -462,8 +462,18 @@
         if not self.remote_cost or not offer.data_centre:
             return choose_endpoint(offer, usable, copy_source, share, now)
         evaluation = self.evaluate_all(offer, usable, copy_source, share, now)
+        return self.choose_from(offer, evaluation, now, is_too_late)
+
+    def choose_from(
+        self,
+        offer: Offer,
+        evaluation: Evaluation,
+        now: float,
+        is_too_late: Callable[[Offer, Candidate, float], bool],
+    ) -> Candidate | None:
+        """Return the endpoint of a request among those evaluated, see `choose`."""
         best = pick(evaluation, lambda place: is_too_late(offer, place, now))
-        if best is not None and best.starts_in <= 0:
+        if evaluation.by_policy and best is not None and best.starts_in <= 0:
             local = cheapest(evaluation.here)
             self._record_choice(offer, best, local, evaluation.costs, now)
         return best
--- a/carawayfold/coordination/scheduling/rejections.py
+++ b/carawayfold/coordination/scheduling/rejections.py
@@ -169,6 +169,11 @@
     )
 
 
+def may_wait_until(offer: Offer, usable_at: float, now: float) -> bool:
+    """Return whether a request waits for an endpoint that is usable at `usable_at`."""
+    return now < offer.expires and usable_at < offer.due
+
+
 def find_prefix_holder(
     offer: Offer,
     loads: dict[EndpointId, EndpointLoad],
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -565,7 +565,7 @@
         for a retry.
         """
         usable_at = rejections.earliest_usable_at(offer, backlogs, self.unreachable)
-        if now < offer.expires and usable_at < offer.due:
+        if rejections.may_wait_until(offer, usable_at, now):
             return None
         wait = max(0.0, usable_at - now) if usable_at < math.inf else 0.0
         return self._reject(offer, "no endpoint to be reached", wait, now)
