--- a/review/harness/routers.py
+++ b/review/harness/routers.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import socket
 import subprocess
@@ -19,6 +20,10 @@
 ROOT = Path(__file__).resolve().parents[2]
 #: Seconds within which a router has to become ready.
 START_TIMEOUT = 20.0
+#: Range of ports that are used.
+PORTS = (20_000, 32_000)
+#: Ports that `free_port` has returned.
+returned_ports: set[int] = set()
 
 
 class CannotRunError(Exception):
@@ -26,10 +31,19 @@
 
 
 def free_port() -> int:
-    """Return a free loopback port."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free loopback port that was not returned before.
+
+    It is below the ephemeral ports, of which an outgoing connection could take one
+    before the process that is to listen on it has started.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in returned_ports:
+            continue
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            returned_ports.add(port)
+            return port
 
 
 def run_command() -> list[str]:
