Log on what the origin of each resumed stream rests

What callers saw: streams that went on at another version. `request ended` tells the versions at which the rest ran, but not why: whether the origin came from a record, a report, a peer or a sole version, how old the registrations were, and which peers were queried and replied. The hypotheses of the incident can't be told apart without that.

`StreamOrigins.find` returns a `Finding` with its source; `stream resumed` logs it with the ages, `carawayfold_resumed_streams` counts it by evidence. What is decided is unchanged.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -62,6 +62,7 @@
         Route,
         RouteIndex,
     )
+    from carawayfold.state.stream_origins import Finding
     from carawayfold.transport.client import HttpClient
     from carawayfold.transport.edge import Incoming
 
@@ -427,7 +428,10 @@
         """
         if call.route.kind is not RouteKind.STREAMING:
             return
-        origin = await self.origins.find(call.stream, call.route)
+        asked_at = self.loop.time()
+        finding = await self.origins.find(call.stream, call.route)
+        self._log_origin(call, finding, asked_at)
+        origin = finding.origin
         if origin is None:
             detail = "it is not known at which software version the stream began"
             raise Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, Ran.NO)
@@ -948,6 +952,26 @@
             },
         )
 
+    def _log_origin(
+        self, call: ForwardedCall, finding: Finding, asked_at: float
+    ) -> None:
+        """Log and count on what the origin of a resumed stream rests."""
+        self.metrics.resumed_streams[finding.source.value] += 1
+        origin = finding.origin
+        extra = {
+            "request": call.parsed.id,
+            "stream": call.stream,
+            "resume_after": call.parsed.resume_after,
+            "route": call.route.id,
+            "origin_service": origin.service if origin is not None else "",
+            "origin_version": origin.software if origin is not None else "",
+            "evidence": finding.source.value,
+            "queried": finding.queried,
+            "replies": {name: item.value for name, item in finding.replies.items()},
+            "lasted_ms": round((self.loop.time() - asked_at) * 1000, 1),
+        }
+        logger.info("stream resumed", extra=extra | self.origins.describe(call.route))
+
     def _log_end(
         self,
         call: ForwardedCall,
--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -24,9 +24,17 @@
     StreamBegunMessage,
 )
 from carawayfold.state.ids import RouterId
+from carawayfold.state.positions import offset_of
 from carawayfold.state.routes import RouteKind
 from carawayfold.state.software_history import SERVING_WINDOW
-from carawayfold.state.stream_origins import Evidence, Origin, StreamRecord, StreamTable
+from carawayfold.state.stream_origins import (
+    Evidence,
+    Finding,
+    Origin,
+    OriginSource,
+    StreamRecord,
+    StreamTable,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -63,10 +71,13 @@
         Replies by peer.
     answered : asyncio.Future
         Resolved when a peer has a record, or all have replied.
+    queried : list of RouterId
+        All peers that are queried.
     """
 
     waiting: set[RouterId]
     answered: asyncio.Future[None]
+    queried: list[RouterId]
     replies: dict[RouterId, OriginReplyMessage] = msgspec.field(default_factory=dict)
 
 
@@ -257,8 +268,8 @@
 
     # Streams that callers resume
 
-    async def find(self, stream: StreamId, route: Route) -> Origin | None:
-        """Return where a stream began, None if that is not certain.
+    async def find(self, stream: StreamId, route: Route) -> Finding:
+        """Return where a stream began, if that is certain, and how that is known.
 
         Parameters
         ----------
@@ -267,11 +278,24 @@
         route : Route
             Route on which its caller has returned.
         """
-        for table in (self.own, self.reported):
+        for table, source in (
+            (self.own, OriginSource.OWN_RECORD),
+            (self.reported, OriginSource.REPORTED_RECORD),
+        ):
             record = table.find(stream)
             if record is not None:
-                return record.origin
-        replies = await self._query(stream, route.id)
+                return Finding(record.origin, source)
+        query = await self._query(stream, route.id)
+        finding = self._judge(list(query.replies.values()), route)
+        finding.queried = sorted(query.queried)
+        finding.replies = {
+            router: Evidence.parse(reply.evidence)
+            for router, reply in sorted(query.replies.items())
+        }
+        return finding
+
+    def _judge(self, replies: list[OriginReplyMessage], route: Route) -> Finding:
+        """Return what the replies of the peers and the sole origin tell."""
         recorded = {
             self._origin(item)
             for item in replies
@@ -279,10 +303,34 @@
         }
         conflicting = Evidence.CONFLICTING.value in {item.evidence for item in replies}
         if conflicting or len(recorded) > 1:
-            return None
+            return Finding(None, OriginSource.PEER_RECORD)
         if recorded:
-            return recorded.pop()
-        return self.sole.get(route.id) or self._sole_by_peers(route, replies)
+            return Finding(recorded.pop(), OriginSource.PEER_RECORD)
+        sole = self.sole.get(route.id)
+        if sole is not None:
+            return Finding(sole, OriginSource.SOLE)
+        sole = self._sole_by_peers(route, replies)
+        return Finding(sole, OriginSource.PEER_SOLE) if sole else Finding()
+
+    def describe(self, route: Route) -> dict[str, object]:
+        """Return fields of a log line: how old the facts about a route's origin are."""
+        now = self.loop.time()
+        endpoints = self.knowledge.endpoints
+        changed_at = self.services_changed_at.get(route.id)
+        history = max(0.0, now - endpoints.software.complete_since)
+        return {
+            "versions": {
+                item.service: sorted(endpoints.software_of(item.service, now))
+                for item in route.services
+            },
+            "registrations_age_ms": round(self.registrations_age() * 1000, 1),
+            "registrations_offset": offset_of(endpoints.offset),
+            "operators_age_ms": round(self.knowledge.operators_age() * 1000, 1),
+            "history_s": round(history, 1),
+            "services_unchanged_s": (
+                round(now - changed_at, 1) if changed_at is not None else None
+            ),
+        }
 
     def _origin(self, reply: OriginReplyMessage) -> Origin:
         return Origin(reply.service, reply.software)
@@ -309,16 +357,14 @@
         possible = {Origin(service, software) for software in versions}
         return origin if possible <= {origin} else None
 
-    async def _query(
-        self, stream: StreamId, route: RouteId
-    ) -> list[OriginReplyMessage]:
-        """Return the replies of the routers that may have a record of a stream."""
+    async def _query(self, stream: StreamId, route: RouteId) -> Query:
+        """Query the routers that may have a record of a stream."""
         query = self.queries.get(stream)
         if query is None:
-            waiting = set(self._candidates(stream))
-            if not waiting:
-                return []
-            query = Query(waiting, self.loop.create_future())
+            candidates = self._candidates(stream)
+            query = Query(set(candidates), self.loop.create_future(), candidates)
+            if not candidates:
+                return query
             self.queries[stream] = query
         message = OriginQueryMessage(stream, route)
         end = self.loop.time() + QUERY_TIMEOUT
@@ -330,7 +376,7 @@
         finally:
             if self.queries.get(stream) is query:
                 del self.queries[stream]
-        return list(query.replies.values())
+        return query
 
     # Messages of peers
 
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -85,6 +85,7 @@
             moves.add_metric((moment,), count)
         yield moves
         yield from self._repeats()
+        yield self._resumed_streams()
         yield self._prediction_errors()
         yield from self._predicted_waits()
         yield from self._gauges()
@@ -144,6 +145,17 @@
                 family.add_metric((service,), count)
             yield family
 
+    def _resumed_streams(self) -> Metric:
+        """Return the streams that callers resumed, by what their origin rests on."""
+        family = CounterMetricFamily(
+            "carawayfold_resumed_streams",
+            "Streams that callers resumed, by the evidence of where they began",
+            labels=("evidence",),
+        )
+        for source, count in self.gateway.metrics.resumed_streams.items():
+            family.add_metric((source,), count)
+        return family
+
     def _prediction_errors(self) -> Metric:
         """Return errors of predicted first-token waits for pools decided here."""
         errors = GaugeMetricFamily(
--- a/carawayfold/state/forwarded.py
+++ b/carawayfold/state/forwarded.py
@@ -25,6 +25,8 @@
         Grants returned unused, by the reason for which the endpoint could not be used.
     repeats, repeats_refused : Counter
         Retries by service, and those that the retry budget did not allow.
+    resumed_streams : Counter
+        Streams that callers resume, by the value of the `OriginSource` relied on.
     """
 
     def __init__(self) -> None:
@@ -33,6 +35,7 @@
         self.barred_grants: Counter[str] = Counter()
         self.repeats: Counter[ServiceId] = Counter()
         self.repeats_refused: Counter[ServiceId] = Counter()
+        self.resumed_streams: Counter[str] = Counter()
 
     def refused(self, kind: ErrorKind) -> None:
         """Count a refused request."""
--- a/carawayfold/state/stream_origins.py
+++ b/carawayfold/state/stream_origins.py
@@ -13,7 +13,13 @@
 import msgspec
 
 from carawayfold.state.digests import hex_digest
-from carawayfold.state.ids import RouteId, ServiceId, SoftwareVersion, StreamId
+from carawayfold.state.ids import (
+    RouteId,
+    RouterId,
+    ServiceId,
+    SoftwareVersion,
+    StreamId,
+)
 
 if TYPE_CHECKING:
     from carawayfold.state.ids import OrganisationId, RequestId
@@ -49,6 +55,43 @@
     SOLE = "sole"
     NONE = "none"
 
+    @classmethod
+    def parse(cls, text: str) -> Evidence:
+        """Return what a peer states; `NONE` for what this version does not know."""
+        return cls(text) if text in cls._value2member_map_ else cls.NONE
+
+
+class OriginSource(Enum):
+    """On what a router relies for the origin of a stream."""
+
+    OWN_RECORD = "own record"
+    REPORTED_RECORD = "reported record"
+    PEER_RECORD = "record of a peer"
+    SOLE = "sole origin"
+    PEER_SOLE = "sole origin by a peer"
+    NONE = "none"
+
+
+class Finding(msgspec.Struct):
+    """What a router found of the origin of a stream that its caller resumes.
+
+    Attributes
+    ----------
+    origin : Origin or None
+        Where the stream began; None if that is not certain.
+    source : OriginSource
+        On what that rests.
+    queried : list of RouterId
+        Peers that were asked.
+    replies : dict
+        What each peer that replied knows.
+    """
+
+    origin: Origin | None = None
+    source: OriginSource = OriginSource.NONE
+    queried: list[RouterId] = []
+    replies: dict[RouterId, Evidence] = {}
+
 
 class StreamRecord(msgspec.Struct):
     """Record of one stream.
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 
 import logbook
@@ -14,7 +15,7 @@
 from carawayfold.coordination.scheduling.offers import Rejected
 from carawayfold.platform.headers import PlatformDialect
 from carawayfold.state.routes import CallerLimits, RouteIndex, RouteTable
-from carawayfold.state.stream_origins import Origin
+from carawayfold.state.stream_origins import Finding, Origin, OriginSource
 from carawayfold.transport.messages import MessageError
 from tests.schedule_builders import route
 
@@ -45,7 +46,7 @@
 
 
 async def find_origin(stream, route):
-    return Origin("model", "v1")
+    return Finding(Origin("model", "v1"), OriginSource.OWN_RECORD)
 
 
 def make_forwarder(coordinator):
@@ -61,8 +62,8 @@
         None,
         containment,
         None,
-        SimpleNamespace(find=find_origin),
-        SimpleNamespace(ended=ignore, refused=ignore),
+        SimpleNamespace(find=find_origin, describe=lambda route: {}),
+        SimpleNamespace(ended=ignore, refused=ignore, resumed_streams=Counter()),
         lambda: 0.0,
         {},
     )
--- a/tests/simulated_streams.py
+++ b/tests/simulated_streams.py
@@ -123,7 +123,8 @@
     async def resume(self, name, router):
         """Return what a router tells of the origin of a stream."""
         stream = stream_id("alder", name)
-        return await self.routers[router].origins.find(stream, ROUTE)
+        finding = await self.routers[router].origins.find(stream, ROUTE)
+        return finding.origin
 
 
 async def play_round(count, places, trouble, seed):
