Add failing tests of streams resumed without proof of their origin

What callers saw: streams that went on at another software version, answered 200, after a router was out of step during a release, and after all routers were killed. Each test shows one way to it on, on a simulated fleet:

- a router that for 0.3 s is reached by neither store nor peers names the only version it knows; so does one that only the store doesn't reach, while the router that began the stream has ended, and a peer in its reply
- a history of 15 s counts as complete on a route of 30 s (16, 25 and 39 s after the start)
- a router that has just started takes the services of a route for unchanged, and one without news of the operators names the old service
- the version of an entry of an earlier incarnation isn't noted

--- a/tests/simulated_streams.py
+++ b/tests/simulated_streams.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass, field
 
 import logbook
+import msgspec
 
 from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.coordination.requests.stream_origins import StreamOrigins
-from carawayfold.state.routes import CallerLimits, RouteTable
+from carawayfold.state.routes import CallerLimits, RouteTable, WeightedService
 from carawayfold.state.stream_origins import Origin, stream_id
 from tests.schedule_builders import endpoint, route
 from tests.simulated_fleet import simulate, started
@@ -64,24 +65,29 @@
 }
 
 
-def route_table():
-    """Return a configuration with the one route of the simulation."""
-    return RouteTable(1, (ROUTE,), {}, {}, {}, CallerLimits(), 0.0)
+def route_table(routed=ROUTE, services=None):
+    """Return a configuration with one route, version 2 if it has other services."""
+    if services is None:
+        return RouteTable(1, (routed,), {}, {}, {}, CallerLimits(), 0.0)
+    weighted = tuple(WeightedService(name, 1.0) for name in services)
+    routed = msgspec.structs.replace(routed, services=weighted)
+    return RouteTable(2, (routed,), {}, {}, {}, CallerLimits(), 0.0)
 
 
 class RouterStreams:
     """One router's knowledge of endpoints, and of the streams that it began."""
 
-    def __init__(self, fleet, versions=VERSIONS, complete_for=0.0):
+    def __init__(self, fleet, versions=VERSIONS, complete_for=0.0, routed=ROUTE):
         self.knowledge = Knowledge(lambda table: None, lambda: None)
-        self.knowledge.routes = route_table()
+        self.knowledge.routes = route_table(routed)
         now = fleet.loop.time()
         endpoints = self.knowledge.endpoints
         for version in versions:
             endpoints.put(endpoint(f"e-{version}", software=version), now)
         endpoints.software.complete_since = now - complete_for
         self.age = 0.0
-        self.origins = StreamOrigins(fleet, self.knowledge, lambda: self.age)
+        self.parts = (fleet, self.knowledge, lambda: self.age)
+        self.origins = StreamOrigins(*self.parts)
 
     def take(self, datagram):
         self.origins.take(datagram)
@@ -100,15 +106,18 @@
     fleet: object
     versions: tuple = VERSIONS
     complete_for: float = 0.0
+    routed: object = ROUTE
     routers: dict = field(default_factory=dict)
     begun: dict = field(default_factory=dict)
+    without_store: set = field(default_factory=set)
+    without_operators: set = field(default_factory=set)
 
     def __post_init__(self):
         self.fleet.attach = self.attach
         self.fleet.fill_beat = lambda name, beat: beat
 
     def attach(self, name, router):
-        made = RouterStreams(router, self.versions, self.complete_for)
+        made = RouterStreams(router, self.versions, self.complete_for, self.routed)
         self.routers[name] = made
         return made
 
@@ -120,10 +129,29 @@
         self.routers[router].origins.begun(stream, ROUTE.id, origin, expires_at)
         self.begun[name] = (router, origin)
 
+    def register(self, router, added):
+        """Let a router read the registration of an endpoint."""
+        made = self.routers[router]
+        made.knowledge.endpoints.put(added, self.fleet.loop.time())
+        made.origins.refresh()
+
+    def cut_off(self, router):
+        """Cut a router off from its peers and the store."""
+        self.fleet.dead.add(router)
+        self.cut_off_store(router)
+
+    def cut_off_store(self, router):
+        """Cut a router off from the store."""
+        self.without_store.add(router)
+
+    def cut_off_operators(self, router):
+        """Let a router read no operators' records."""
+        self.without_operators.add(router)
+
     async def resume(self, name, router):
         """Return what a router tells of the origin of a stream."""
         stream = stream_id("alder", name)
-        finding = await self.routers[router].origins.find(stream, ROUTE)
+        finding = await self.routers[router].origins.find(stream, self.routed)
         return finding.origin
 
 
