Count records as complete only once a read reaches the end of the log

A read of the store returns 1 MB at most. After a long outage a router that read the first page counted its registrations as complete, as old as zero seconds, though later pages told of endpoints that had left or joined.

Evidence: the two new tests fail before (the page had no word of its end, and each answer renewed the age). Ruled out: the follower reads on at once, so that the gap lasts some reads only; but the age is sent to peers meanwhile.

`Page.complete` tells whether the end offset of the answer was reached; only then the records count as complete. An answer that ends early still shows that the store is reachable.

--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -178,14 +178,21 @@
             self.on_newest(page)
         else:
             page = await self._read(start)
-            self.on_answer()
-            self.on_read(page)
+            self._apply_read(page)
             self.synchronized = bool(page.items) or self.failures > 0
         self.history_lost = False
         self.next = page.next
         if self.pause:
             await asyncio.sleep(self.pause)
 
+    def _apply_read(self, page: Page) -> None:
+        """Apply a page of later records; a page that ends early is no whole answer."""
+        if page.complete:
+            self.on_answer()
+        else:
+            self.knowledge.record_answer()
+        self.on_read(page)
+
     async def _read(self, start: Position) -> Page:
         if not self.failures:
             return await self.source.read(start, self._next_wait())
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -63,7 +63,7 @@
 READ_TIMEOUT_MARGIN = 0.6
 #: Form of an era. Positions, which contain it, are sent in signed numbers of 64 bits.
 ERA = re.compile(r"[0-9]{1,6}", re.ASCII)
-#: Header of a read response: its end offset and the first retained offset.
+#: Header of a read response: the end offset of the log and the first retained offset.
 READ_HEADER = struct.Struct(">QQ")
 #: Header of a record: its size in bytes.
 RECORD_HEADER = struct.Struct(">I")
@@ -259,7 +259,8 @@
 
     def _decoded(self, page: Page[Record]) -> Page[T]:
         items = [self._decode_one(record) for record in page.items]
-        return Page([item for item in items if item is not None], page.next)
+        known = [item for item in items if item is not None]
+        return Page(known, page.next, page.complete)
 
     def _decode_one(self, record: Record) -> T | None:
         try:
@@ -389,7 +390,9 @@
             raise SourceError("a read that ends within a record")
         found.append(_decode_record(data[offset : offset + size]))
         offset += size
-    return Page(found, Position(start + len(found)))
+    after = Position(start + len(found))
+    end = READ_HEADER.unpack_from(data)[0]
+    return Page(found, after, offset_of(after) >= end)
 
 
 def _decode_record(data: bytes) -> Record:
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -107,10 +107,13 @@
         Records in the order in which they were written.
     next : Position
         Position from which to continue reading.
+    complete : bool
+        Whether these are all records that the source had.
     """
 
     items: list[T]
     next: Position
+    complete: bool = True
 
 
 class Source(Protocol[T]):
--- a/tests/coordination/knowledge/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -169,3 +169,32 @@
 
     assert run_in_loop(run) == []
     assert calls == [10]
+
+
+def test_a_page_that_ends_before_the_log_does_not_make_the_records_complete():
+    """A store returns so many bytes at most, and more records after a long outage."""
+
+    class Source:
+        def __init__(self):
+            self.pages = [Page([], 1, complete=False), Page([], 2)]
+
+        async def newest(self):
+            return Page([], 0)
+
+        async def read(self, start, wait):
+            return self.pages.pop(0)
+
+    async def run():
+        known, _ = knowledge()
+        known.store.registrations = 0.0
+        follower = followers.follow_endpoints(
+            Source(), known, at_once, reads_for_itself
+        )
+        follower.next = 0
+        ages = []
+        for _ in range(2):
+            await follower.step()
+            ages.append(known.store.registrations > 0.0)
+        return ages
+
+    assert run_in_loop(run) == [False, True]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -118,3 +118,17 @@
     with pytest.raises(SourceError):
         asyncio.run(StoreClient(http, None).newest("t"))
     assert http.calls * len(make_body(1)) < 2 * MAX_LISTED_BYTES
+
+
+@pytest.mark.parametrize(("end", "complete"), [(1, True), (5, False)])
+def test_a_read_tells_whether_it_reached_the_end_of_the_log(end, complete):
+    record = bytes([1]) + b"k" + b"{}"
+    body = struct.pack(">QQ", end, 0) + struct.pack(">I", len(record)) + record
+
+    class OneRead:
+        async def fetch(self, address, method, path, body, timeout):
+            return Answer(Head(200, {}), answer)
+
+    answer = body
+    page = asyncio.run(StoreClient(OneRead(), None).read("keyed.servers", 0, 0.0))
+    assert page.complete is complete
