Note the version of entries that are not accepted yet

An entry of an earlier incarnation waits for five seconds before it is accepted. Its software version was not noted until then, so that this router took the other version for the only one, while a router that had accepted the entry, or did not know the later incarnation, began streams at it.

Nothing is sent to such an endpoint sooner than before: only the history of versions knows more.

--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -152,6 +152,8 @@
             still applies.
         """
         if endpoint.incarnation < self.incarnations.get(endpoint.name, 0):
+            # Another router may have accepted it.
+            self.software.note(endpoint.service, endpoint.software, now)
             self.older.add(endpoint, now)
             return False
         self.older.discard(endpoint.name)
