Prove the origin of a resumed stream instead of assuming it

What callers saw: a stream that was taken up again was answered 200 and ran to the end, but its rest came from another software version.

Cause: a router without a record of a stream named the only version that it knew. What it knew could be 2.8 s old, its peers' silence counted as nine replies that there is no record, its history counted as complete after 15 s though callers wait for longer, the services of a route counted as unchanged before its start, and the age of the operators' records was not looked at. Absence counted as a fact.

Change: a sole origin is a claim that needs two proofs. The past must be known for as long as callers of the route wait, by its timeout and by what they state, and ten seconds more, for versions and for services. And the store must confirm, in a read that begins after the caller has returned, that nothing was registered or configured since: its answers are linearizable, and streams begin only at endpoints that were registered before. One read of both topics serves all who ask before it begins. A router that can't prove it asks its peers, which prove it themselves; a reply that was not asked for, silence, and the "sole" of a router of an earlier version prove nothing. What can't be proved is refused at once, with a Retry-After of a second if only the store's answer was missing.

Ruled out: a lease on certainty with a delay for the first streams of a new version. It needs a bound on how late messages arrive, holds for a process that stands still only with a clock that counts suspension, and keeps the endpoints of a new version idle for the time of the lease, just when the old ones leave.

Tests that changed: a route that moved is now configured, not assigned; the router with old registrations is cut off from the store too, since a store that answers proves what age alone had to stand for.

--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -193,6 +193,31 @@
             self.knowledge.record_answer()
         self.on_read(page)
 
+    @property
+    def has_position(self) -> bool:
+        """Return whether it knows from where on to read what is new."""
+        return not self.history_lost and self._start_position() is not None
+
+    async def read_at_once(self) -> bool:
+        """Read what the store has beyond the known records, beside the usual reads.
+
+        Returns
+        -------
+        bool
+            Whether all records that were written before this call are known now. False
+            also for a router that has no position to read from.
+
+        Raises
+        ------
+        SourceError
+            If the store did not answer.
+        """
+        if not self.has_position:
+            return False
+        page = await self.source.read(self._start_position(), 0.0)
+        self._apply_read(page)
+        return page.complete
+
     async def _read(self, start: Position) -> Page:
         if not self.failures:
             return await self.source.read(start, self._next_wait())
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -16,6 +16,7 @@
 from carawayfold.state.evacuations import EvacuationSnapshot, EvacuationTable
 from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of
+from carawayfold.state.route_history import RouteHistory
 from carawayfold.state.routes import ActiveConfiguration
 from carawayfold.state.software_history import SoftwareAge
 
@@ -119,6 +120,7 @@
         self.age = age or self._own_age
         self.loop = asyncio.get_running_loop()
         self.routes: RouteTable | None = None
+        self.route_history = RouteHistory()
         self.endpoints = EndpointTable()
         self.evacuations = EvacuationTable()
         self.listed = False
@@ -193,6 +195,7 @@
         """Put a configuration in force if it is newer than the one in force."""
         if table.version <= self.version:
             return
+        self.route_history.note_table(table, self.loop.time())
         extra = {
             "version": table.version,
             "before": self.version,
@@ -212,8 +215,14 @@
         for item in page.items:
             if isinstance(item, Evacuation):
                 states[item.data_centre] = item.active
-            else:
-                self.apply_routes(item, "store")
+                continue
+            if item.version <= self.version:
+                # A peer was faster; in between there may have been others.
+                self.route_history.note_table(item, self.loop.time())
+            self.apply_routes(item, "store")
+        if listed:
+            # A list does not show the configurations before the newest one.
+            self.route_history.note_gap(self.loop.time())
         before = self.evacuations.active
         if listed:
             active = [name for name, evacuated in states.items() if evacuated]
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -29,7 +29,7 @@
 from carawayfold.state.contents import content_id, part_content_id
 from carawayfold.state.positions import offset_of
 from carawayfold.state.routes import RouteKind
-from carawayfold.state.stream_origins import Origin, stream_id
+from carawayfold.state.stream_origins import Origin, ProofFailure, stream_id
 from carawayfold.state.wait_estimator import WaitEstimator
 
 if TYPE_CHECKING:
@@ -76,6 +76,10 @@
 #: Seconds after a caller's timeout at which it no longer resumes its stream.
 RETURN_MARGIN = 1.0
 
+#: Seconds after which a caller may return to a stream whose origin could not be proved
+#: because the store did not answer.
+UNCONFIRMED_RETRY_AFTER = 1.0
+
 #: Outcome reported to the scheduler for each end of an attempt.
 ATTEMPT_OUTCOMES = {
     AttemptEnd.COMPLETE: Outcome.COMPLETE,
@@ -434,7 +438,10 @@
         origin = finding.origin
         if origin is None:
             detail = "it is not known at which software version the stream began"
-            raise Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, Ran.NO)
+            # Only the store's silence may pass while the caller waits.
+            unconfirmed = finding.failure is ProofFailure.STORE
+            wait = UNCONFIRMED_RETRY_AFTER if unconfirmed else None
+            raise Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, Ran.NO, wait)
         if origin.service not in {item.service for item in call.route.services}:
             detail = "the route no longer uses the service that began the stream"
             raise Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, Ran.NO)
@@ -968,6 +975,7 @@
             "evidence": finding.source.value,
             "queried": finding.queried,
             "replies": {name: item.value for name, item in finding.replies.items()},
+            "proof": finding.failure.value if finding.failure is not None else "",
             "lasted_ms": round((self.loop.time() - asked_at) * 1000, 1),
         }
         logger.info("stream resumed", extra=extra | self.origins.describe(call.route))
--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -1,11 +1,12 @@
-"""Keeps streams at the software version that began them.
+"""Where streams began, so that a resumed stream goes on at the same software version.
 
 A caller may resume a stream at any router, also after the one that began it has ended.
 While endpoints of several versions serve, each router therefore reports the streams
 that it begins to two others before their first event leaves, and the router to which
 the caller returns queries them. A report is not needed where a single version has
-served for a while; that alone shows where a stream began. A router that can't tell
-says so, and the request is refused.
+served for a while: that alone shows where a stream began, as long as the router, or a
+peer, proves that nothing has changed since; see `sole_origins`. A router that has
+neither a record nor a proof says so, and the request is refused.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from carawayfold.coordination.fleet.membership import rank
 from carawayfold.coordination.knowledge.knowledge import MIN_OUTAGE_AGE
+from carawayfold.coordination.requests.sole_origins import SoleOrigins
 from carawayfold.protocol.datagrams import (
     OriginQueryMessage,
     OriginReplyMessage,
@@ -26,25 +28,26 @@
 from carawayfold.state.ids import RouterId
 from carawayfold.state.positions import offset_of
 from carawayfold.state.routes import RouteKind
-from carawayfold.state.software_history import SERVING_WINDOW
 from carawayfold.state.stream_origins import (
     Evidence,
     Finding,
     Origin,
     OriginSource,
+    Proof,
+    ProofFailure,
     StreamRecord,
     StreamTable,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from carawayfold.coordination.fleet.fleet import Fleet
     from carawayfold.coordination.fleet.membership import Member
     from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.protocol.datagrams import Datagram, Message
-    from carawayfold.state.ids import RouteId, ServiceId, StreamId
-    from carawayfold.state.routes import Route, RouteTable
+    from carawayfold.state.ids import RouteId, StreamId
+    from carawayfold.state.routes import Route
 
 #: Seconds between two checks whether a single origin is still certain.
 REFRESH_INTERVAL = 0.5
@@ -53,11 +56,21 @@
 QUERY_TIMEOUT = 0.06
 #: Seconds after which an unanswered query is sent again.
 QUERY_RETRY_INTERVAL = 0.02
+#: The same for queries before whose reply peers read the store.
+PROOF_TIMEOUT = 0.3
+PROOF_RETRY_INTERVAL = 0.1
 #: Peers that are queried: the first ones in rank, and the first ones of the own data
 #: centre. A stream is reported to the first ones only, but routers that have failed or
 #: started again since then change the ranks.
 MAX_CANDIDATES = 6
 MAX_LOCAL_CANDIDATES = 2
+#: Evidence that makes the replies of further peers unnecessary.
+SUFFICIENT_EVIDENCE = frozenset({Evidence.RECORDED, Evidence.PROVED})
+#: Evidence that does not answer a query, by whether that asks for proofs.
+UNRELATED_EVIDENCE = {
+    False: frozenset({Evidence.PROVED, Evidence.UNPROVED}),
+    True: frozenset({Evidence.NONE}),
+}
 
 
 class Query(msgspec.Struct, eq=False):
@@ -67,12 +80,12 @@
     ----------
     waiting : set of RouterId
         Peers whose reply is missing.
-    replies : dict
-        Replies by peer.
     answered : asyncio.Future
-        Resolved when a peer has a record, or all have replied.
+        Resolved when a reply suffices, or all peers have replied.
     queried : list of RouterId
         All peers that are queried.
+    replies : dict
+        Replies by peer.
     """
 
     waiting: set[RouterId]
@@ -80,6 +93,24 @@
     queried: list[RouterId]
     replies: dict[RouterId, OriginReplyMessage] = msgspec.field(default_factory=dict)
 
+    def take(self, sender: RouterId, reply: OriginReplyMessage) -> None:
+        """Add a reply."""
+        if sender not in self.waiting:
+            return
+        self.waiting.discard(sender)
+        self.replies[sender] = reply
+        suffices = Evidence.parse(reply.evidence) in SUFFICIENT_EVIDENCE
+        if (suffices or not self.waiting) and not self.answered.done():
+            self.answered.set_result(None)
+
+    def origins(self, evidence: Evidence) -> set[Origin]:
+        """Return the origins that were replied with some evidence."""
+        return {
+            Origin(reply.service, reply.software)
+            for reply in self.replies.values()
+            if Evidence.parse(reply.evidence) is evidence
+        }
+
 
 class StreamOrigins:
     """Where the streams of this router and those reported to it began.
@@ -92,6 +123,10 @@
         Registered endpoints and routes, and the versions that served lately.
     registrations_age : callable
         Returns the age in seconds of the registrations.
+    confirm : callable
+        Returns whether all records that were in the store before the call are known.
+    spawn : callable
+        Runs a coroutine as a task of the router.
 
     Attributes
     ----------
@@ -100,8 +135,8 @@
     reported : StreamTable
         Streams that other routers have reported.
     sole : dict
-        The single origin at which streams of a route can have begun, for those routes
-        for which it is certain.
+        The single origin of the streams of a route, for those routes that seem to have
+        only one. Their streams are not reported.
     """
 
     def __init__(
@@ -109,19 +144,22 @@
         fleet: Fleet,
         knowledge: Knowledge,
         registrations_age: Callable[[], float],
+        confirm: Callable[[], Awaitable[bool]],
+        spawn: Callable[[Coroutine[None, None, None]], object],
     ) -> None:
         self.fleet = fleet
         self.knowledge = knowledge
         self.registrations_age = registrations_age
+        self.spawn = spawn
+        self.sole_origins = SoleOrigins(knowledge, confirm)
         self.loop = asyncio.get_running_loop()
         self.own = StreamTable()
         self.reported = StreamTable()
         self.sole: dict[RouteId, Origin] = {}
-        #: Loop time at which the services of a route were last seen to change.
-        self.services_changed_at: dict[RouteId, float] = {}
-        #: Services of each route at the last refresh.
-        self.services: dict[RouteId, frozenset[ServiceId]] = {}
-        self.queries: dict[StreamId, Query] = {}
+        #: Queries in flight, by stream and whether they ask for proofs.
+        self.queries: dict[tuple[StreamId, bool], Query] = {}
+        #: Streams of whose route an origin is being proved for a peer.
+        self.proving: set[tuple[RouterId, StreamId]] = set()
         #: Incarnation of each router to which streams were reported.
         self.incarnations: dict[RouterId, int] = {}
 
@@ -131,6 +169,8 @@
         self, stream: StreamId, route: RouteId, origin: Origin, expires_at: float
     ) -> None:
         """Record where a stream began, before its first event is forwarded."""
+        wait = expires_at - self.loop.time()
+        self.knowledge.route_history.note_wait(route, wait)
         self.own.put(stream, route, origin, expires_at)
         if self.sole.get(route) != origin:
             self._report(stream, StreamRecord(route, origin, expires_at))
@@ -152,10 +192,10 @@
         # Sent at once: in a batch, it would delay offers to the same router.
         self.fleet.send_at_once(self._holders(stream), message)
 
-    # Certainty of a single origin
+    # Routes with a single origin
 
     async def refresh_periodically(self) -> None:
-        """Refresh certainty and drop expired records, until cancelled."""
+        """Refresh which streams are reported, drop expired records, until cancelled."""
         while True:
             await asyncio.sleep(REFRESH_INTERVAL)
             now = self.loop.time()
@@ -165,61 +205,28 @@
             self.refresh()
 
     def refresh(self) -> None:
-        """Determine for which routes a single origin is certain.
+        """Determine which routes seem to have a single origin.
 
-        Where it no longer is, the streams in flight are reported.
+        Where one no longer does, the streams in flight are reported.
         """
-        table = self.knowledge.routes
-        if table is None:
-            return
-        self._note_services(table)
         before = self.sole
-        self.sole = self._find_sole(table)
+        self.sole = self._find_sole()
         lost = {route for route in before if self.sole.get(route) != before[route]}
         if lost:
             for stream, record in list(self.own.records.items()):
                 if record.route in lost:
                     self._report(stream, record)
 
-    def _note_services(self, table: RouteTable) -> None:
-        now = self.loop.time()
-        known = self.services
-        self.services = {
-            route.id: frozenset(item.service for item in route.services)
+    def _find_sole(self) -> dict[RouteId, Origin]:
+        table = self.knowledge.routes
+        if table is None or self.registrations_age() > MIN_OUTAGE_AGE:
+            return {}
+        expected = {
+            route.id: self.sole_origins.expected(route).origin
             for route in table.routes
+            if route.kind is RouteKind.STREAMING
         }
-        if not known:
-            return
-        for route, services in self.services.items():
-            if known.get(route) != services:
-                self.services_changed_at[route] = now
-        for route in self.services_changed_at.keys() - self.services.keys():
-            del self.services_changed_at[route]
-
-    def _find_sole(self, table: RouteTable) -> dict[RouteId, Origin]:
-        now = self.loop.time()
-        endpoints = self.knowledge.endpoints
-        if not endpoints.software.is_complete(now):
-            return {}
-        if self.registrations_age() > MIN_OUTAGE_AGE:
-            return {}
-        software: dict[ServiceId, Origin | None] = {}
-        sole = {}
-        for route in table.routes:
-            if route.kind is not RouteKind.STREAMING or len(route.services) != 1:
-                continue
-            changed_at = self.services_changed_at.get(route.id)
-            if changed_at is not None and now - changed_at < SERVING_WINDOW:
-                continue
-            service = route.services[0].service
-            if service not in software:
-                versions = endpoints.software_of(service, now)
-                only = len(versions) == 1
-                software[service] = Origin(service, *versions) if only else None
-            origin = software[service]
-            if origin is not None:
-                sole[route.id] = origin
-        return sole
+        return {name: origin for name, origin in expected.items() if origin is not None}
 
     def fleet_changed(self) -> None:
         """Report this router's streams again to routers that have started again."""
@@ -278,6 +285,31 @@
         route : Route
             Route on which its caller has returned.
         """
+        known = self._find_here(stream)
+        if known is not None:
+            return known
+        proving = self.loop.create_task(self.sole_origins.prove(route))
+        try:
+            query = await self._query(stream, route.id, proved_here=proving)
+            finding = self._judge(query, route)
+            if finding.source is not OriginSource.NONE:
+                return finding
+            proof = await proving
+        finally:
+            proving.cancel()
+        if proof.origin is not None:
+            finding.origin, finding.source = proof.origin, OriginSource.SOLE
+            return finding
+        if proof.failure is not ProofFailure.SEVERAL:
+            # A peer may know more of the past, or be answered by the store.
+            query = await self._query(stream, route.id, prove=True)
+            finding = self._judge(query, route)
+        finding.failure = proof.failure
+        # A peer may have reported the stream meanwhile.
+        return self._find_here(stream) or finding
+
+    def _find_here(self, stream: StreamId) -> Finding | None:
+        """Return what the records of this router tell, None without one."""
         for table, source in (
             (self.own, OriginSource.OWN_RECORD),
             (self.reported, OriginSource.REPORTED_RECORD),
@@ -285,97 +317,89 @@
             record = table.find(stream)
             if record is not None:
                 return Finding(record.origin, source)
-        query = await self._query(stream, route.id)
-        finding = self._judge(list(query.replies.values()), route)
-        finding.queried = sorted(query.queried)
-        finding.replies = {
+        return None
+
+    def _judge(self, query: Query, route: Route) -> Finding:
+        """Return what the replies of the peers tell."""
+        replies = {
             router: Evidence.parse(reply.evidence)
             for router, reply in sorted(query.replies.items())
         }
+        finding = Finding(queried=sorted(query.queried), replies=replies)
+        conflicting = Evidence.CONFLICTING in replies.values()
+        recorded = query.origins(Evidence.RECORDED)
+        proved = query.origins(Evidence.PROVED)
+        if conflicting or recorded:
+            finding.source = OriginSource.PEER_RECORD
+            if not conflicting and len(recorded) == 1:
+                finding.origin = recorded.pop()
+        elif len(proved) == 1 and self.sole_origins.allows(route, *proved):
+            finding.source = OriginSource.PEER_SOLE
+            finding.origin = proved.pop()
         return finding
 
-    def _judge(self, replies: list[OriginReplyMessage], route: Route) -> Finding:
-        """Return what the replies of the peers and the sole origin tell."""
-        recorded = {
-            self._origin(item)
-            for item in replies
-            if item.evidence == Evidence.RECORDED.value
-        }
-        conflicting = Evidence.CONFLICTING.value in {item.evidence for item in replies}
-        if conflicting or len(recorded) > 1:
-            return Finding(None, OriginSource.PEER_RECORD)
-        if recorded:
-            return Finding(recorded.pop(), OriginSource.PEER_RECORD)
-        sole = self.sole.get(route.id)
-        if sole is not None:
-            return Finding(sole, OriginSource.SOLE)
-        sole = self._sole_by_peers(route, replies)
-        return Finding(sole, OriginSource.PEER_SOLE) if sole else Finding()
-
     def describe(self, route: Route) -> dict[str, object]:
         """Return fields of a log line: how old the facts about a route's origin are."""
         now = self.loop.time()
-        endpoints = self.knowledge.endpoints
-        changed_at = self.services_changed_at.get(route.id)
-        history = max(0.0, now - endpoints.software.complete_since)
+        endpoints, history = self.knowledge.endpoints, self.knowledge.route_history
+        changed_at = history.changed_at.get(route.id)
         return {
             "versions": {
-                item.service: sorted(endpoints.software_of(item.service, now))
+                item.service: sorted(self.sole_origins.versions(route, item.service))
                 for item in route.services
             },
             "registrations_age_ms": round(self.registrations_age() * 1000, 1),
             "registrations_offset": offset_of(endpoints.offset),
             "operators_age_ms": round(self.knowledge.operators_age() * 1000, 1),
-            "history_s": round(history, 1),
+            "window_s": round(history.window(route), 1),
+            "history_s": round(max(0.0, now - endpoints.software.complete_since), 1),
+            "routes_history_s": round(max(0.0, now - history.complete_since), 1),
             "services_unchanged_s": (
                 round(now - changed_at, 1) if changed_at is not None else None
             ),
         }
 
-    def _origin(self, reply: OriginReplyMessage) -> Origin:
-        return Origin(reply.service, reply.software)
-
-    def _sole_by_peers(
-        self, route: Route, replies: Iterable[OriginReplyMessage]
-    ) -> Origin | None:
-        """Return the single origin that peers are certain of.
+    async def _query(
+        self,
+        stream: StreamId,
+        route: RouteId,
+        prove: bool = False,
+        proved_here: asyncio.Future[Proof] | None = None,
+    ) -> Query:
+        """Query the routers that may have a record of a stream.
 
-        This router may know less than they do, for example after its start, but must
-        not know of another version or service.
+        Parameters
+        ----------
+        stream : StreamId
+            The stream.
+        route : RouteId
+            Its route.
+        prove : bool
+            Whether peers without a record should prove a sole origin.
+        proved_here : asyncio.Future or None
+            Proof by this router; once it succeeds, no more replies are needed.
         """
-        sole = {
-            self._origin(item)
-            for item in replies
-            if item.evidence == Evidence.SOLE.value
-        }
-        if len(sole) != 1 or len(route.services) != 1:
-            return None
-        origin = sole.pop()
-        now = self.loop.time()
-        service = route.services[0].service
-        versions = self.knowledge.endpoints.software_of(service, now)
-        possible = {Origin(service, software) for software in versions}
-        return origin if possible <= {origin} else None
-
-    async def _query(self, stream: StreamId, route: RouteId) -> Query:
-        """Query the routers that may have a record of a stream."""
-        query = self.queries.get(stream)
+        key = (stream, prove)
+        query = self.queries.get(key)
         if query is None:
             candidates = self._candidates(stream)
             query = Query(set(candidates), self.loop.create_future(), candidates)
             if not candidates:
                 return query
-            self.queries[stream] = query
-        message = OriginQueryMessage(stream, route)
-        end = self.loop.time() + QUERY_TIMEOUT
+            self.queries[key] = query
+        message = OriginQueryMessage(stream, route, prove)
+        end = self.loop.time() + (PROOF_TIMEOUT if prove else QUERY_TIMEOUT)
+        interval = PROOF_RETRY_INTERVAL if prove else QUERY_RETRY_INTERVAL
         try:
             while not query.answered.done() and self.loop.time() < end:
+                if proved_here is not None and _has_succeeded(proved_here):
+                    break
                 for router in sorted(query.waiting):
                     self.fleet.send(router, message)
-                await asyncio.wait({query.answered}, timeout=QUERY_RETRY_INTERVAL)
+                await _wait_for_any([query.answered, proved_here], interval)
         finally:
-            if self.queries.get(stream) is query:
-                del self.queries[stream]
+            if self.queries.get(key) is query:
+                del self.queries[key]
         return query
 
     # Messages of peers
@@ -392,30 +416,64 @@
     @_process.register
     def _(self, message: StreamBegunMessage, sender: RouterId) -> None:
         origin = Origin(message.service, message.software)
-        expires_at = self.loop.time() + message.expires / 1000
+        wait = message.expires / 1000
+        self.knowledge.route_history.note_wait(message.route, wait)
+        expires_at = self.loop.time() + wait
         self.reported.put(message.stream, message.route, origin, expires_at)
 
     @_process.register
     def _(self, message: OriginQueryMessage, sender: RouterId) -> None:
-        evidence, origin = Evidence.NONE, self.sole.get(message.route)
-        if origin is not None:
-            evidence = Evidence.SOLE
-        for table in (self.reported, self.own):
+        for table in (self.own, self.reported):
             record = table.find(message.stream)
             if record is not None:
-                evidence, origin = record.evidence, record.origin
+                self._reply(sender, message.stream, record.evidence, record.origin)
+                return
+        if not message.prove:
+            self._reply(sender, message.stream, Evidence.NONE, None)
+        elif (sender, message.stream) not in self.proving:
+            self.proving.add((sender, message.stream))
+            self.spawn(self._prove_for_peer(message, sender))
+
+    async def _prove_for_peer(
+        self, message: OriginQueryMessage, sender: RouterId
+    ) -> None:
+        """Try to prove the origin of a stream that a peer queries, and reply."""
+        try:
+            route = self.sole_origins.route(message.route)
+            proof = await self.sole_origins.prove(route) if route else Proof(None)
+        finally:
+            self.proving.discard((sender, message.stream))
+        proved = proof.origin is not None
+        evidence = Evidence.PROVED if proved else Evidence.UNPROVED
+        self._reply(sender, message.stream, evidence, proof.origin)
+
+    def _reply(
+        self,
+        router: RouterId,
+        stream: StreamId,
+        evidence: Evidence,
+        origin: Origin | None,
+    ) -> None:
         service = origin.service if origin is not None else None
         software = origin.software if origin is not None else None
-        reply = OriginReplyMessage(message.stream, evidence.value, service, software)
-        self.fleet.send(sender, reply)
+        reply = OriginReplyMessage(stream, evidence.value, service, software)
+        self.fleet.send(router, reply)
 
     @_process.register
     def _(self, message: OriginReplyMessage, sender: RouterId) -> None:
-        query = self.queries.get(message.stream)
-        if query is None or sender not in query.waiting:
-            return
-        query.waiting.discard(sender)
-        query.replies[sender] = message
-        recorded = message.evidence == Evidence.RECORDED.value
-        if (recorded or not query.waiting) and not query.answered.done():
-            query.answered.set_result(None)
+        evidence = Evidence.parse(message.evidence)
+        for prove in (False, True):
+            query = self.queries.get((message.stream, prove))
+            # A reply to the other query of the same stream may be on its way.
+            if query is not None and evidence not in UNRELATED_EVIDENCE[prove]:
+                query.take(sender, message)
+
+
+async def _wait_for_any(futures: list[asyncio.Future | None], most: float) -> None:
+    """Wait until one more of some futures is done, for so many seconds at most."""
+    left = {item for item in futures if item is not None and not item.done()}
+    await asyncio.wait(left, timeout=most, return_when=asyncio.FIRST_COMPLETED)
+
+
+def _has_succeeded(proving: asyncio.Future[Proof]) -> bool:
+    return proving.done() and proving.result().origin is not None
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -19,6 +19,7 @@
 from carawayfold.coordination.fleet.readers import can_relay_updates
 from carawayfold.coordination.knowledge import anti_entropy, followers
 from carawayfold.coordination.knowledge.anti_entropy import AntiEntropy
+from carawayfold.coordination.knowledge.confirmation import StoreConfirmation
 from carawayfold.coordination.knowledge.endpoint_notices import EndpointNotices
 from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.coordination.requests.forwarding import Forwarder
@@ -54,6 +55,7 @@
 
     from expression import Result
 
+    from carawayfold.coordination.knowledge.followers import Follower
     from carawayfold.gateway_settings import GatewaySettings
     from carawayfold.protocol.datagrams import Datagram
     from carawayfold.settings import Address
@@ -145,8 +147,15 @@
         self.notices = EndpointNotices(
             self.fleet, self.knowledge, self.coordinator.rests
         )
+        #: Followers of the store's topics, once they have begun.
+        self.followers: list[Follower] = []
+        self.confirmation = StoreConfirmation(self.followers, lambda: self.fleet.size)
         self.origins = StreamOrigins(
-            self.fleet, self.knowledge, self.anti_entropy.registrations_age
+            self.fleet,
+            self.knowledge,
+            self.anti_entropy.registrations_age,
+            self.confirmation.confirm,
+            self._spawn,
         )
         self.metrics = ForwardMetrics()
         endpoint_activity = EndpointActivity()
@@ -248,8 +257,9 @@
             peers.reads_for_others,
             peers.no_answer_delay,
         )
-        self._spawn(follow_operators.follow())
-        self._spawn(follow_endpoints.follow())
+        for follower in (follow_operators, follow_endpoints):
+            self.followers.append(follower)
+            self._spawn(follower.follow())
 
     async def _close_idle_periodically(self) -> None:
         while True:
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -412,10 +412,18 @@
 
 
 class OriginQueryMessage(msgspec.Struct, array_like=True, tag=18, frozen=True):
-    """Query where a stream began whose caller has returned on a route."""
+    """Query where a stream began whose caller has returned on a route.
+
+    Attributes
+    ----------
+    prove : bool
+        Whether a router without a record should prove that streams of the route have
+        one origin only, which takes a read of the store.
+    """
 
     stream: StreamId
     route: RouteId
+    prove: bool = False
 
 
 class OriginReplyMessage(msgspec.Struct, array_like=True, tag=19, frozen=True):
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -358,14 +358,26 @@
         ]
         return with_plausible_slots(usable)
 
-    def software_of(self, service: ServiceId, now: float) -> set[SoftwareVersion]:
-        """Return the software versions that may have served `service` lately."""
+    def software_of(
+        self, service: ServiceId, now: float, window: float
+    ) -> set[SoftwareVersion]:
+        """Return the software versions that served `service` in the last seconds.
+
+        Parameters
+        ----------
+        service : ServiceId
+            The service.
+        now : float
+            Monotonic seconds.
+        window : float
+            Seconds before `now` that matter.
+        """
         registered = {
             endpoint.software
             for endpoint in self.entries.values()
             if endpoint.service == service
         }
-        return registered | self.software.serving(service, now)
+        return registered | self.software.serving(service, now, window)
 
     def _drop(self, name: EndpointName, now: float) -> None:
         entry = self.entries.pop(name, None)
--- a/carawayfold/state/software_history.py
+++ b/carawayfold/state/software_history.py
@@ -8,10 +8,11 @@
 
 from carawayfold.state.ids import ServiceId, SoftwareVersion
 
-#: Seconds for which a version counts as serving after its last endpoint was removed.
-#: An endpoint may serve for ten seconds after its entry is removed, and a caller
-#: returns within five after its stream has broken off.
-SERVING_WINDOW = 15.0
+#: Seconds for which an endpoint may serve after its entry is removed.
+SERVING_DURATION = 10.0
+#: Seconds for which a version is remembered after its last endpoint was removed. The
+#: history is not complete for a longer time.
+HISTORY_RETENTION = 120.0
 
 
 class SoftwareHistory(msgspec.Struct):
@@ -38,22 +39,34 @@
         key = (service, software)
         self.last_registered[key] = max(now, self.last_registered.get(key, now))
 
-    def serving(self, service: ServiceId, now: float) -> set[SoftwareVersion]:
-        """Return the versions of removed endpoints that may have served lately."""
-        oldest = now - SERVING_WINDOW
+    def serving(
+        self, service: ServiceId, now: float, window: float
+    ) -> set[SoftwareVersion]:
+        """Return the versions of endpoints that were registered in the last seconds.
+
+        Parameters
+        ----------
+        service : ServiceId
+            The service.
+        now : float
+            Monotonic seconds.
+        window : float
+            Seconds before `now` that matter.
+        """
+        oldest = now - window
         return {
             software
             for (name, software), at in self.last_registered.items()
             if name == service and at >= oldest
         }
 
-    def is_complete(self, now: float) -> bool:
-        """Return whether all versions that may have served lately are known."""
-        return self.complete_since <= now - SERVING_WINDOW
+    def is_complete(self, now: float, window: float) -> bool:
+        """Return whether all versions of the last `window` seconds are known."""
+        return window <= HISTORY_RETENTION and self.complete_since <= now - window
 
     def expire(self, now: float) -> None:
         """Drop versions whose last endpoint was removed long ago."""
-        oldest = now - SERVING_WINDOW
+        oldest = now - HISTORY_RETENTION
         for key, at in list(self.last_registered.items()):
             if at < oldest:
                 del self.last_registered[key]
--- a/carawayfold/state/stream_origins.py
+++ b/carawayfold/state/stream_origins.py
@@ -44,15 +44,19 @@
         It has a record of the stream.
     CONFLICTING
         It has records of two streams under the same identifier.
-    SOLE
-        It has no record, but the stream can have begun at one origin only.
+    PROVED
+        It has no record, but has proof that the stream can have begun at one origin
+        only.
+    UNPROVED
+        It has no record, and could not prove that.
     NONE
-        It knows nothing of the origin.
+        It has no record.
     """
 
     RECORDED = "recorded"
     CONFLICTING = "conflicting"
-    SOLE = "sole"
+    PROVED = "proved"
+    UNPROVED = "unproved"
     NONE = "none"
 
     @classmethod
@@ -72,6 +76,39 @@
     NONE = "none"
 
 
+class ProofFailure(Enum):
+    """Why a router can't prove that streams of a route have one origin only.
+
+    Attributes
+    ----------
+    HISTORY
+        It does not know enough of the past.
+    SEVERAL
+        There may have been several versions or services.
+    STORE
+        The store did not confirm its records.
+    """
+
+    HISTORY = "history incomplete"
+    SEVERAL = "several origins"
+    STORE = "records not confirmed"
+
+
+class Proof(msgspec.Struct, frozen=True):
+    """Result of an attempt to prove that streams of a route have one origin only.
+
+    Attributes
+    ----------
+    origin : Origin or None
+        The sole origin, if that is proved.
+    failure : ProofFailure or None
+        Why it is not.
+    """
+
+    origin: Origin | None
+    failure: ProofFailure | None = None
+
+
 class Finding(msgspec.Struct):
     """What a router found of the origin of a stream that its caller resumes.
 
@@ -85,12 +122,15 @@
         Peers that were asked.
     replies : dict
         What each peer that replied knows.
+    failure : ProofFailure or None
+        Why this router could not prove a sole origin, if it tried.
     """
 
     origin: Origin | None = None
     source: OriginSource = OriginSource.NONE
     queried: list[RouterId] = []
     replies: dict[RouterId, Evidence] = {}
+    failure: ProofFailure | None = None
 
 
 class StreamRecord(msgspec.Struct):
--- a/tests/coordination/requests/test_stream_origins.py
+++ b/tests/coordination/requests/test_stream_origins.py
@@ -12,7 +12,7 @@
 import pytest
 
 from carawayfold.state.routes import WeightedService
-from carawayfold.state.software_history import SERVING_WINDOW
+from carawayfold.state.software_history import SERVING_DURATION
 from carawayfold.state.stream_origins import Origin, stream_id
 from tests.schedule_builders import endpoint
 from tests.simulated_fleet import simulate, started
@@ -26,6 +26,8 @@
     tally_of,
 )
 
+#: Seconds for which the past matters to streams of the simulation.
+WINDOW = SERVING_DURATION + PATIENCE
 SIZES = [(6, 3), (9, 4), (67, 3)]
 
 
@@ -76,7 +78,7 @@
         reports = fleet.sent.total() - before
         return reports, await world.resume("another", "r-2")
 
-    versions = {"versions": ("v1",), "complete_for": SERVING_WINDOW + 1}
+    versions = {"versions": ("v1",), "complete_for": WINDOW + 1}
     assert run_fleet(work, **versions) == (0, Origin("model", "v1"))
 
 
@@ -91,7 +93,7 @@
         fleet.kill("r-0")
         return [await world.resume("s", name) for name in fleet.routers]
 
-    versions = {"versions": ("v1",), "complete_for": SERVING_WINDOW + 1}
+    versions = {"versions": ("v1",), "complete_for": WINDOW + 1}
     assert set(run_fleet(work, **versions)) == {Origin("model", "v1")}
 
 
@@ -101,22 +103,23 @@
             made.knowledge.endpoints.remove("e-v1", fleet.loop.time())
             made.origins.refresh()
         unknown = await world.resume("s", "r-0")
-        await asyncio.sleep(SERVING_WINDOW + 1)
+        await asyncio.sleep(WINDOW + 1)
         return unknown, await world.resume("s", "r-0")
 
-    known = {"complete_for": SERVING_WINDOW}
+    known = {"complete_for": WINDOW}
     assert run_fleet(work, **known) == (None, Origin("model", "v2"))
 
 
 def test_a_router_whose_registrations_are_old_does_not_rely_on_them():
     async def work(fleet, world):
         fleet.kill(*[name for name in fleet.routers if name != "r-0"])
+        world.cut_off_store("r-0")
         for made in world.routers.values():
             made.age = 3.0
             made.origins.refresh()
         return await world.resume("s", "r-0")
 
-    versions = {"versions": ("v1",), "complete_for": SERVING_WINDOW + 1}
+    versions = {"versions": ("v1",), "complete_for": WINDOW + 1}
     assert run_fleet(work, **versions) is None
 
 
@@ -131,7 +134,7 @@
         made.origins.refresh()
         return sole, await world.resume("s", "r-0")
 
-    versions = {"versions": ("v1",), "complete_for": SERVING_WINDOW + 1}
+    versions = {"versions": ("v1",), "complete_for": WINDOW + 1}
     assert run_fleet(work, **versions) == (Origin("model", "v1"), None)
 
 
@@ -141,16 +144,17 @@
 
     async def work(fleet, world):
         for made in world.routers.values():
-            table = msgspec.structs.replace(route_table(), routes=(moved,))
-            made.knowledge.routes = table
-            made.origins.refresh()
-            made.knowledge.routes = route_table()
-            made.origins.refresh()
+            for version, route in ((2, moved), (3, ROUTE)):
+                table = msgspec.structs.replace(
+                    route_table(), version=version, routes=(route,)
+                )
+                made.knowledge.apply_routes(table, "store")
+                made.origins.refresh()
         moved_lately = await world.resume("s", "r-0")
-        await asyncio.sleep(SERVING_WINDOW + 1)
+        await asyncio.sleep(WINDOW + 1)
         return moved_lately, await world.resume("s", "r-0")
 
-    versions = {"versions": ("v1",), "complete_for": SERVING_WINDOW + 1}
+    versions = {"versions": ("v1",), "complete_for": WINDOW + 1}
     assert run_fleet(work, **versions) == (None, Origin("model", "v1"))
 
 
--- a/tests/coordination/requests/test_unproved_origins.py
+++ b/tests/coordination/requests/test_unproved_origins.py
@@ -11,8 +11,8 @@
 import msgspec
 import pytest
 
-from carawayfold.coordination.requests import stream_origins
 from carawayfold.state.endpoints import EndpointTable
+from carawayfold.state.route_history import RouteHistory
 from carawayfold.state.stream_origins import Origin
 from tests.schedule_builders import endpoint
 from tests.simulated_fleet import simulate, started
@@ -103,7 +103,9 @@
         for name in ("r-1", "r-2", "r-3"):
             fleet.kill(name)
         made = world.routers["r-0"]
-        made.origins = stream_origins.StreamOrigins(*made.parts)
+        made.knowledge.route_history = RouteHistory()
+        made.knowledge.route_history.note_table(route_table(), fleet.loop.time())
+        made.restart_origins()
         made.origins.refresh()
         await asyncio.sleep(1.0)
         return await world.resume("s", "r-0")
@@ -128,4 +130,4 @@
     table = EndpointTable()
     table.put(endpoint("e-1", incarnation=5, software="v2"), 100.0)
     table.put(endpoint("e-1", incarnation=4, software="v1"), 101.0)
-    assert table.software_of("model", 101.0) == {"v1", "v2"}
+    assert table.software_of("model", 101.0, 10.0) == {"v1", "v2"}
--- a/tests/simulated_requests.py
+++ b/tests/simulated_requests.py
@@ -236,6 +236,11 @@
         return 0.0
 
 
+async def confirmed():
+    """Return that the store confirms all records."""
+    return True
+
+
 class Router:
     """One router without sockets."""
 
@@ -246,7 +251,9 @@
         self.coordinator = SchedulingCoordinator(fleet, 4.0, self._basis)
         self.knowledge = Knowledge(self._on_routes, self._on_endpoints)
         self.notices = EndpointNotices(fleet, self.knowledge, self.coordinator.rests)
-        self.origins = StreamOrigins(fleet, self.knowledge, lambda: 0.0)
+        self.origins = StreamOrigins(
+            fleet, self.knowledge, lambda: 0.0, confirmed, fleet.loop.create_task
+        )
         self.client = SimulatedClient(world, name)
         # Containment is not part of the simulation.
         containment = SimpleNamespace(
--- a/tests/simulated_streams.py
+++ b/tests/simulated_streams.py
@@ -23,6 +23,8 @@
 
 #: Seconds in which a fleet has surely settled.
 SETTLED = 6.0
+#: Seconds until the store answers.
+STORE_DELAY = 0.004
 #: Seconds between two streams that begin.
 BEGIN_INTERVAL = 0.01
 #: Seconds for which the caller of a stream waits.
@@ -77,17 +79,38 @@
 class RouterStreams:
     """One router's knowledge of endpoints, and of the streams that it began."""
 
-    def __init__(self, fleet, versions=VERSIONS, complete_for=0.0, routed=ROUTE):
+    def __init__(self, world, name, fleet):
+        self.world, self.name, self.fleet = world, name, fleet
         self.knowledge = Knowledge(lambda table: None, lambda: None)
-        self.knowledge.routes = route_table(routed)
+        self.knowledge.apply_routes(route_table(world.routed), "store")
         now = fleet.loop.time()
         endpoints = self.knowledge.endpoints
-        for version in versions:
+        for version in world.versions:
             endpoints.put(endpoint(f"e-{version}", software=version), now)
-        endpoints.software.complete_since = now - complete_for
+        endpoints.software.complete_since = now - world.complete_for
+        self.knowledge.route_history.complete_since = now - world.complete_for
         self.age = 0.0
-        self.parts = (fleet, self.knowledge, lambda: self.age)
-        self.origins = StreamOrigins(*self.parts)
+        self.restart_origins()
+
+    def restart_origins(self):
+        """Forget all streams."""
+        self.origins = StreamOrigins(
+            self.fleet,
+            self.knowledge,
+            lambda: self.age,
+            self.confirm,
+            self.fleet.loop.create_task,
+        )
+
+    async def confirm(self):
+        """Read the store, unless it doesn't answer."""
+        await asyncio.sleep(STORE_DELAY)
+        if self.name in self.world.without_store | self.world.without_operators:
+            return False
+        now = self.fleet.loop.time()
+        for registered in self.world.registered:
+            self.knowledge.endpoints.put(registered, now)
+        return True
 
     def take(self, datagram):
         self.origins.take(datagram)
@@ -109,6 +132,7 @@
     routed: object = ROUTE
     routers: dict = field(default_factory=dict)
     begun: dict = field(default_factory=dict)
+    registered: list = field(default_factory=list)
     without_store: set = field(default_factory=set)
     without_operators: set = field(default_factory=set)
 
@@ -117,7 +141,7 @@
         self.fleet.fill_beat = lambda name, beat: beat
 
     def attach(self, name, router):
-        made = RouterStreams(router, self.versions, self.complete_for, self.routed)
+        made = RouterStreams(self, name, router)
         self.routers[name] = made
         return made
 
@@ -130,7 +154,8 @@
         self.begun[name] = (router, origin)
 
     def register(self, router, added):
-        """Let a router read the registration of an endpoint."""
+        """Register an endpoint; one router reads that at once."""
+        self.registered.append(added)
         made = self.routers[router]
         made.knowledge.endpoints.put(added, self.fleet.loop.time())
         made.origins.refresh()
