--- a/tests/simulated_requests.py
+++ b/tests/simulated_requests.py
@@ -357,10 +357,12 @@
         items = [EndpointChange(n, item) for n, item in self.endpoints.items()]
         knowledge.apply_listing(Page(items, len(items) + 1))
         # The endpoints have served for long, so that streams may be resumed.
-        knowledge.endpoints.software.complete_since = self.loop.time() - SERVED_FOR
+        known_since = self.loop.time() - SERVED_FOR
+        knowledge.endpoints.software.complete_since = known_since
         knowledge.evacuations.apply_snapshot(EvacuationSnapshot(1, {}), 0.0)
         if self.table is not None:
             knowledge.apply_routes(self.table, "store")
+            knowledge.route_history.complete_since = known_since
 
     @property
     def routers(self):
