Refuse a return after an event that is no number

What callers saw: a caller that resumed its stream with a Last-Event-Id that is no decimal number (a name, -3, 3.0, 0x3, 3,4) got 200 and the stream of a new run from its first event, so that what it had and what came were two runs, with the first events twice.

Cause: the number of the event was read like an estimate, where what can't be read counts as absent. Without a number, the request is a new one, for which any version will do; the header isn't passed on either.

Evidence: eight forms in test_joined_streams (through edge, forwarder and client) and four in test_headers answered 200 before, and 400 now, with nothing sent to an endpoint. A number with spaces around it or zeros before it is read as before; an empty header names no event and begins a new stream, as without it.

Ruled out: passing the text on to the endpoint, as the router itself has to drop events up to it, and resumes after it. Numbers of more than 18 digits were refused already, with the same error.

Conclusion: 400, which callers don't repeat. The case 1² of the test for digits that are read as no number goes to the test of malformed events, which is stricter: it expected that the header is ignored.

--- a/carawayfold/platform/headers.py
+++ b/carawayfold/platform/headers.py
@@ -208,15 +208,18 @@
 
 
 def _event(text: str | None) -> int | None:
-    """Return the number of an event, None if there is none.
+    """Return the number of an event, None if none is named.
 
     Raises
     ------
     Refusal
-        If it is too large. To resume after another event would repeat or omit events.
+        If it is no number, or too large. To resume after another event, or to begin a
+        new stream, would repeat or omit events.
     """
+    if not text:
+        return None
     event = _number(text)
-    if event is not None and event >= 10**MAX_DIGITS:
+    if event is None or event >= 10**MAX_DIGITS:
         raise Refusal(ErrorKind.MALFORMED_REQUEST, "no stream has such an event")
     return event
 
--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -442,3 +442,21 @@
             await router.send_raw("Request-Id: a", "/plain/x", "1.0")
 
     play(scenario)
+
+
+@pytest.mark.parametrize(
+    "text", ["three", "-3", "+3", "3.0", "3 4", "3,4", "0x3", "1²", "9" * 19]
+)
+def test_a_return_after_an_event_without_number_began_the_stream_anew(text):
+    """Its caller got the first events twice, of two runs."""
+
+    async def scenario(router):
+        await begin_once(router, BROKEN_ENDINGS["reset between events"])
+        answer = await router.request(
+            request_id="b", resumes="a", last_event_id=text.encode("latin-1")
+        )
+        return answer, router.endpoints
+
+    answer, endpoints = play(scenario)
+    assert answer.status == 400
+    assert [len(item.requests) for item in endpoints] == [1, 0, 0]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -97,7 +97,6 @@
     ("name", "value"),
     [
         ("request-deadline", "²"),
-        ("last-event-id", "1²"),
         ("token-usage", "³,¹"),
         ("length-hint", "²"),
         ("prompt-prefix", "aa:²"),
@@ -105,7 +104,7 @@
 )
 def test_digits_that_are_no_numbers_are_read_as_no_number(name, value):
     parsed = PlatformDialect().read_request([(name.encode(), value.encode("latin-1"))])
-    assert (parsed.time_left, parsed.resume_after, parsed.prompt) == (None, None, ())
+    assert (parsed.time_left, parsed.prompt) == (None, ())
     assert (parsed.prompt_tokens, parsed.expected_output) == (0, 0)
 
 
@@ -145,13 +144,18 @@
     assert read_as[name] == (0.012 if name == "request-deadline" else 12)
 
 
-@pytest.mark.parametrize("digits", [19, 5000])
-def test_an_event_that_no_stream_can_have_is_malformed(digits):
+@pytest.mark.parametrize("event", ["9" * 19, "9" * 5000, "1²", "three", "-3", "3.0"])
+def test_an_event_that_no_stream_can_have_is_malformed(event):
     with pytest.raises(Refusal) as refused:
-        PlatformDialect().read_request([(b"last-event-id", b"9" * digits)])
+        PlatformDialect().read_request([(b"last-event-id", event.encode("latin-1"))])
     assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
 
 
+@pytest.mark.parametrize("headers", [[], [(b"last-event-id", b"")]])
+def test_a_request_that_names_no_event_resumes_no_stream(headers):
+    assert PlatformDialect().read_request(headers).resume_after is None
+
+
 @pytest.mark.parametrize(
     ("text", "load"),
     [
