Forward no stream whose endpoint states that it did not run

What callers saw: on a route that allows one run, a stream joined from two runs. An endpoint answered 200 with events and the statement that it had not run the request, and broke off after three events; the router took the statement for leave to send the request once more, although the caller had the events.

Cause: for a stream the status alone decided whether events are forwarded, and the statement alone whether the request may run again. Other answers were right already: what states that it did not run is never forwarded.

Evidence: the test fails before (events 1 to 3 of m-1, 4 and 5 of another run, ended as complete) and passes now.

Ruled out: to take such an answer for a run.

Conclusion: what isn't a run is no stream; the request is sent to the next endpoint before anything of it is forwarded.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -321,12 +321,18 @@
                 self._displace_replacement()
             else:
                 self._replace()
-        streaming = self.call.route.kind is RouteKind.STREAMING
-        if streaming and self.answer_head.status in SUCCESS_STATUSES:
+        if self._is_stream():
             self.events = NumberedEvents(self.call.resume_after)
             if not self.answer_head.signed:
                 self._fail("an unsigned stream")
 
+    def _is_stream(self) -> bool:
+        """Return whether the answer is a stream of a request that runs."""
+        answer_head = self.answer_head
+        if answer_head.not_run or self.call.route.kind is not RouteKind.STREAMING:
+            return False
+        return answer_head.status in SUCCESS_STATUSES
+
     def _fail(self, reason: str) -> None:
         """End the exchange because of an answer that cannot be used."""
         self.unusable = True
--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -460,3 +460,20 @@
     answer, endpoints = play(scenario)
     assert answer.status == 400
     assert [len(item.requests) for item in endpoints] == [1, 0, 0]
+
+
+def test_a_stream_that_states_that_it_did_not_run_was_joined_to_a_second_run():
+    """The route allows one run, and the statement allowed another one."""
+
+    async def script(answer):
+        answer.begin(not_run=True)
+        answer.events(1, 2, 3)
+        await answer.end(Ending.RESET)
+
+    async def scenario(router):
+        router.endpoints[0].scripts.append(script)
+        return await router.request("/plain/x", request_id="a")
+
+    answer = play(scenario, "v1", "v1")
+    check_whole(answer)
+    assert b"m-1/" not in answer.body
