Join no run that begins anew to the events before it

What callers saw: an endpoint that was asked to resume a stream after event 3 sent it from event 1. The router dropped events 1 to 3 and forwarded 4 and 5, so that the caller got two runs as one, ended as complete. The same if the numbers of one answer went back.

Cause: an event with a number that the caller has was dropped, whatever that tells. A run that sends an earlier event does not go on at Last-Event-Id: its event 4 follows upon its own events 1 to 3, not upon those that the caller has.

Ruled out: numbers that skip.

Conclusion: a number below the last one ends the attempt, and the stream is resumed at a further endpoint or is cut. A repeat of the last event itself is dropped as before.

--- a/carawayfold/protocol/events.py
+++ b/carawayfold/protocol/events.py
@@ -16,7 +16,10 @@
 
 
 class NumberedEvents:
-    """Splits a stream into complete events and drops those the caller already has.
+    """Splits a stream into complete events and drops one the caller already has.
+
+    The numbers of a run never decrease: a lower one shows that the endpoint has begun
+    anew, so that what follows does not belong to the events before.
 
     Comments and events without a number are no progress. Those before the first new
     event are withheld, so that a stream that never begins can be refused.
@@ -48,7 +51,7 @@
         Raises
         ------
         ValueError
-            If `EVENT_LIMIT` bytes bring no new event.
+            If `EVENT_LIMIT` bytes bring no new event, or the numbers go back.
         """
         received: bytes | bytearray = data
         searched = 0
@@ -79,6 +82,8 @@
     def _handle_event(self, event: bytes, passed: list[bytes]) -> None:
         found = EVENT_NUMBER.search(event)
         number = int(found.group(1)) if found is not None else None
+        if None not in (number, self.last) and number < self.last:
+            raise ValueError(f"the numbers of events go back to {number}")
         if number is not None and (self.last is None or number > self.last):
             self.last = number
             self.begun = True
--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -477,3 +477,40 @@
     answer = play(scenario, "v1", "v1")
     check_whole(answer)
     assert b"m-1/" not in answer.body
+
+
+def test_a_stream_that_was_begun_anew_was_joined_to_the_first_run():
+    """Its first events, of another run than those sent, were dropped."""
+    answer = resume_at(sending(1, 2, 3, 4, 5), whole)
+    check_whole(answer)
+    assert b"m-2/" not in answer.body
+
+
+def test_a_return_for_which_an_endpoint_begins_anew_goes_to_another_one():
+    async def scenario(router):
+        begun = await begin_once(router, BROKEN_ENDINGS["reset between events"])
+        router.endpoints[0].scripts.append(sending(1, 2, 3, 4, 5))
+        resumed = await router.request(request_id="b", resumes="a", last_event_id="3")
+        return begun, resumed, router.endpoints
+
+    begun, resumed, endpoints = play(scenario)
+    check_whole(begun, resumed)
+    assert endpoints[2].requests[0]["last-event-id"] == "3"
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_a_stream_whose_numbers_went_back_was_joined_of_two_runs(number):
+    async def scenario(router):
+        async def go_back(answer):
+            answer.begin()
+            answer.events(1, 2, 3)
+            await asyncio.sleep(0.02)
+            answer.events(*range(number, LAST + 1))
+            await answer.end()
+
+        router.endpoints[0].scripts.append(go_back)
+        return await router.request(request_id="a"), router.endpoints[1].requests
+
+    answer, resumed = play(scenario, "v1", "v1", "v1")
+    check_whole(answer)
+    assert [headers["last-event-id"] for headers in resumed] == ["3"]
