Test a closing event without number after a resumption

An event without number at the place of the next one is forwarded as its endpoint sent it. Refusing it was tried and given up: streams may close with such an event, and a stream that broke off just before it could then never end.

--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -514,3 +514,10 @@
     answer, resumed = play(scenario, "v1", "v1", "v1")
     check_whole(answer)
     assert [headers["last-event-id"] for headers in resumed] == ["3"]
+
+
+def test_a_closing_event_without_number_ends_a_resumed_stream():
+    """It can't be told from any other event without number."""
+    answer = resume_at(sending(4, 5, how=Ending.RESET), sending(b"data: [DONE]\n\n"))
+    check_whole(answer)
+    assert answer.body.endswith(b"data: [DONE]\n\n")
