Copy cached prompts within a software version only

What callers saw: nothing that a caller can see; a request, or the rest of a stream, ran on the cached prompt of an engine of another software version.

Cause: the check of a copy source looked at leaving, evacuation and regions, not at the version.

Evidence: two tests fail before (Kv-Fetch names an engine of v2 for a run at v1, also for a stream resumed at its version) and pass now.

What two versions make does not fit together, and no engine says whether it can use the memory of another version.

Conclusion: the copy is left out, and the prompt is prefilled. The scheduler still plans with the copy, so that its estimate is too low for such a request while two versions serve (find_copy_source knows no versions): not changed here.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -635,7 +635,10 @@
     def _check_copy_source(
         self, call: ForwardedCall, granted: Granted
     ) -> Endpoint | None:
-        """Return the endpoint to copy the cached prompt from, None if unusable."""
+        """Return the endpoint to copy the cached prompt from, None if unusable.
+
+        It must have the software version of the granted one.
+        """
         copy_source = (
             self.coordinator.endpoints.get(granted.copy_source)
             if granted.copy_source
@@ -643,6 +646,9 @@
         )
         if copy_source is None or self.coordinator.is_excluded(copy_source):
             return None
+        granted_endpoint = self.coordinator.endpoints[granted.endpoint]
+        if copy_source.software != granted_endpoint.software:
+            return None
         return copy_source if self._is_allowed(call, copy_source) else None
 
     def withdraw_unusable(self) -> None:
--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -521,3 +521,33 @@
     answer = resume_at(sending(4, 5, how=Ending.RESET), sending(b"data: [DONE]\n\n"))
     check_whole(answer)
     assert answer.body.endswith(b"data: [DONE]\n\n")
+
+
+# Copies of cached prompts
+
+
+@pytest.mark.parametrize(("software", "copied"), [("v1", True), ("v2", False)])
+def test_a_prompt_was_copied_from_an_engine_of_another_version(software, copied):
+    """What two versions make does not fit together, and no endpoint checks it."""
+
+    async def scenario(router):
+        router.coordinator.copy_source = "m-2"
+        await router.request(request_id="a")
+        first, second = router.endpoints
+        return first.requests[0].get("kv-fetch"), str(second.address)
+
+    source, address = play(scenario, "v1", software)
+    assert source == (address if copied else None)
+
+
+def test_a_prompt_of_a_resumed_stream_is_copied_within_its_version():
+    async def scenario(router):
+        router.coordinator.copy_source = "m-2"
+        broken = BROKEN_ENDINGS["reset between events"]
+        router.endpoints[0].scripts.append(ending_as(broken))
+        await router.request(request_id="a")
+        return router.endpoints[2].requests
+
+    [resumed] = play(scenario)
+    assert resumed["last-event-id"] == "3"
+    assert "kv-fetch" not in resumed
