--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -551,3 +551,67 @@
     [resumed] = play(scenario)
     assert resumed["last-event-id"] == "3"
     assert "kv-fetch" not in resumed
+
+
+def test_a_return_whose_twin_has_ended_is_still_found():
+    async def scenario(router):
+        begun = await begin_once(router, BROKEN_ENDINGS["reset between events"])
+        fields = {"resumes": "a", "last_event_id": "3"}
+        router.endpoints[0].scripts.append(
+            ending_as((Framing.CHUNKED, 4, b"", Ending.RESET))
+        )
+        broken = await router.request("/once/x", request_id="b", **fields)
+        twin = await router.request("/once/x", request_id="c", **fields)
+        fields["last_event_id"] = "4"
+        return begun, broken, twin, await router.request(request_id="d", **fields)
+
+    begun, broken, twin, last = play(scenario)
+    check_whole(begun, twin)
+    check_whole(begun, broken, last)
+
+
+@pytest.mark.parametrize("brought", [1, 0])
+def test_a_chain_of_returns_that_names_the_one_before_was_refused(brought):
+    """Each return may name the request before it, not the one that began the stream."""
+
+    async def scenario(router):
+        begun = await begin_once(router, (Framing.CHUNKED, 2, b"", Ending.RESET))
+        last = 2 + brought
+        router.endpoints[0].scripts.append(
+            ending_as((Framing.CHUNKED, last, b"id: 9\nd", Ending.RESET))
+        )
+        second = await router.request(
+            "/once/x", request_id="b", resumes="a", last_event_id="2"
+        )
+        third = await router.request(
+            request_id="c", resumes="b", last_event_id=str(last)
+        )
+        return begun, second, third
+
+    check_whole(*play(scenario))
+
+
+def test_a_completed_stream_and_one_of_its_request_id_were_joined():
+    """The answer was whole for its router, but its caller may have lost the end."""
+
+    async def scenario(router):
+        await router.request("/once/x", request_id="a")
+        router.endpoints.reverse()
+        router.coordinator.endpoints = dict(
+            reversed(router.coordinator.endpoints.items())
+        )
+        await begin_once(router, BROKEN_ENDINGS["reset between events"])
+        return await router.request(request_id="b", resumes="a", last_event_id="3")
+
+    assert play(scenario, "v1", "v2").status == 503
+
+
+def test_a_caller_that_lost_the_end_of_a_completed_stream_was_refused():
+    """What its router has sent may be lost with the connection."""
+
+    async def scenario(router):
+        await router.request("/once/x", request_id="a")
+        return await router.request(request_id="b", resumes="a", last_event_id="3")
+
+    answer = play(scenario)
+    assert (numbers(answer), versions(answer)) == (WHOLE[3:], ["v1"])
