Find the origin of a stream by each request that resumed it

What callers saw: a caller whose stream broke off twice, and which named its second request when it came back a third time, was refused as stream-not-resumable though endpoints of the version served.

Cause: the origin was recorded under the request that began the stream only, and for a resumed one not before its first event. Now it is recorded under both identifiers, as soon as it is found.

--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -217,6 +217,14 @@
         request = self.parsed.resumes if resuming else self.parsed.id
         return stream_id(self.organisation, request)
 
+    @property
+    def streams(self) -> set[StreamId]:
+        """Return the identifiers under which its caller may resume the stream.
+
+        A caller may name the request that began it, or the last one that resumed it.
+        """
+        return {self.stream, stream_id(self.organisation, self.parsed.id)}
+
     @property
     def software(self) -> SoftwareVersion | None:
         """Return the software version that its endpoint must have; None for any."""
@@ -447,16 +455,22 @@
             raise Refusal(ErrorKind.STREAM_NOT_RESUMABLE, detail, Ran.NO)
         call.origin = origin
         call.service = origin.service
+        self._record_origin(call)
 
     def record_begun(self, call: ForwardedCall, endpoint: Endpoint) -> None:
         """Record where a stream began, before an event of an attempt is forwarded."""
         self.containment.record_begun(call)
         if call.origin is None:
             call.origin = Origin(call.service, endpoint.software)
+        self._record_origin(call)
+
+    def _record_origin(self, call: ForwardedCall) -> None:
+        """Record the origin of a stream for further returns of its caller."""
         left = call.parsed.time_left
         timeout = DEFAULT_REQUEST_TIMEOUT if left is None else left
         expires_at = call.incoming.received + timeout + RETURN_MARGIN
-        self.origins.begun(call.stream, call.route.id, call.origin, expires_at)
+        for stream in call.streams:
+            self.origins.begun(stream, call.route.id, call.origin, expires_at)
 
     async def _try_endpoints(self, call: ForwardedCall) -> None:
         try:
@@ -491,7 +505,8 @@
         if end is AttemptEnd.COMPLETE:
             self.containment.record_success(call, call.incoming.body)
             if call.origin is not None:
-                self.origins.completed(call.stream)
+                for stream in call.streams:
+                    self.origins.completed(stream)
             self._log_end(call, "whole")
             return True
         call.attempts.add(end)
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -62,7 +62,9 @@
         None,
         containment,
         None,
-        SimpleNamespace(find=find_origin, describe=lambda route: {}),
+        SimpleNamespace(
+            find=find_origin, describe=lambda route: {}, begun=lambda *args: None
+        ),
         SimpleNamespace(ended=ignore, refused=ignore, resumed_streams=Counter()),
         lambda: 0.0,
         {},
