End with a clear exit code when a task has failed

What callers saw: a router whose task failed logged an error, finished its requests and ended with exit code 0, like one that was told to stop. Who looks at exit codes, a supervisor or an operator, could not tell the two.

Cause: the failure began an ordinary stop, and nothing kept that it was a failure.

Evidence: with the previous gateway.py and forwarding.py, both cases of test_a_router_whose_task_failed_ends_with_a_clear_exit_code fail, with exit code 0; the failure may also come while an ordered stop is under way.

Ruled out: a traceback out of the event loop, which ends with 1; it would cut the requests in flight.

Why it works: the gateway keeps that a task failed, and the command returns INTERNAL_FAILURE (70, as EX_SOFTWARE of sysexits.h) after the same graceful stop.

Conclusion: an exit code of 0 now means that the router was told to stop.

--- a/carawayfold/commands/forwarding.py
+++ b/carawayfold/commands/forwarding.py
@@ -14,7 +14,7 @@
 
 from carawayfold import gateway, gateway_settings
 from carawayfold.commands import logs
-from carawayfold.commands.exits import BAD_SETTINGS, BAD_USAGE
+from carawayfold.commands.exits import BAD_SETTINGS, BAD_USAGE, INTERNAL_FAILURE
 
 
 def start(path: Path) -> int:
@@ -37,8 +37,8 @@
         return BAD_SETTINGS
     output = logs.set_up_bounded(checked.ok.log_level)
     load_settings = partial(gateway_settings.load, path)
-    asyncio.run(gateway.run(checked.ok, load_settings, lambda: output.dropped))
-    return 0
+    failed = asyncio.run(gateway.run(checked.ok, load_settings, lambda: output.dropped))
+    return INTERNAL_FAILURE if failed else 0
 
 
 def main(arguments: list[str]) -> int:
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -186,6 +186,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Set when the router is to close, whatever is in flight.
         self.stopped = asyncio.Event()
+        #: Whether a task has failed, which stops the router.
+        self.failed = False
         #: Whether an interrupt (SIGINT) has begun to stop it.
         self.interrupted = False
 
@@ -291,6 +293,7 @@
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error("a task failed", extra={"reason": repr(task.exception())})
+            self.failed = True
             self.begin_stop()
 
     async def _close(self) -> None:
@@ -513,11 +516,12 @@
     settings: GatewaySettings,
     load_settings: Callable[[], Result[GatewaySettings, list[str]]],
     dropped_log_lines: Callable[[], int],
-) -> None:
-    """Run one forwarding router until it is stopped.
+) -> bool:
+    """Run one forwarding router until it is stopped; return whether a task failed.
 
     The parameters are those of `Gateway`.
     """
     gateway = Gateway(settings, load_settings, dropped_log_lines)
     with contextlib.suppress(asyncio.CancelledError):
         await gateway.run()
+    return gateway.failed
--- a/tests/commands/test_forwarding.py
+++ b/tests/commands/test_forwarding.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
 
+import pytest
+
+from carawayfold.commands import forwarding
+from carawayfold.commands.exits import INTERNAL_FAILURE
+from carawayfold.gateway import Gateway
+
 #: Modules needed only by other commands or for rare requests.
 NOT_IMPORTED = (
     "circuits.web",
@@ -40,3 +47,37 @@
     completed = run_python("-m", "carawayfold.commands.forwarding")
     assert completed.returncode == 2
     assert completed.stderr.startswith("usage:")
+
+
+@pytest.mark.parametrize("stop_first", [False, True])
+def test_a_router_whose_task_failed_ends_with_a_clear_exit_code(
+    tmp_path, monkeypatch, stop_first
+):
+    """The platform and the operators took such an end for an ordered stop."""
+
+    async def fail(gateway):
+        if stop_first:
+            gateway.begin_stop()
+        raise ValueError("no such thing")
+
+    path = settings_file(tmp_path)
+    monkeypatch.setattr(Gateway, "_follow_store", fail)
+    assert forwarding.start(path) == INTERNAL_FAILURE
+
+
+def test_a_router_that_was_stopped_ends_with_exit_code_0(tmp_path, monkeypatch):
+    async def stop(gateway):
+        gateway.begin_stop()
+
+    path = settings_file(tmp_path)
+    monkeypatch.setattr(Gateway, "_follow_store", stop)
+    assert forwarding.start(path) == 0
+
+
+def settings_file(folder):
+    """Return the settings file of a router without a store or time to stop."""
+    path = folder / "router.json"
+    listening = dict.fromkeys(("listen", "ready_listen", "peer_listen"), "127.0.0.1:0")
+    names = {"router": "router-0", "data_centre": "north", "store": "127.0.0.1:1"}
+    path.write_text(json.dumps({**names, **listening, "stop_grace": 0.0}))
+    return path
