Keep records with any key in the stand-in of the store

What was seen: the stand-in dropped the connection of a caller that appended a record whose key is no UTF-8, so that tests could not write what other writers may write. It did the same for an empty record, and took a record cut short.

Cause: keys were decoded, and the sizes of records weren't checked.

An append with a broken record is refused with 400 as a whole.

Conclusion: HostedFleet.put_bytes writes any record.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -118,7 +118,11 @@
     def put(self, topic: str, key: str, value: object) -> None:
         """Write a record; None removes the key."""
         data = b"" if value is None else json.dumps(value).encode()
-        record = bytes([len(key)]) + key.encode() + data
+        self.put_bytes(topic, key.encode(), data)
+
+    def put_bytes(self, topic: str, key: bytes, value: bytes) -> None:
+        """Write a record with any key and value."""
+        record = bytes([len(key)]) + key + value
         body = struct.pack(">I", len(record)) + record
         self.call_store("POST", f"/log-append?topic={topic}&part=0", body)
 
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -53,18 +53,18 @@
 
 @dataclass(slots=True)
 class Topic:
-    """Records of one topic, with keys."""
+    """Records of one topic, with keys, which may be any bytes."""
 
     first: int = 0
-    records: list[tuple[str, bytes]] = field(default_factory=list)
-    newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    records: list[tuple[bytes, bytes]] = field(default_factory=list)
+    newest: dict[bytes, tuple[bytes, int]] = field(default_factory=dict)
 
     @property
     def end(self) -> int:
         """Return the offset of the next record."""
         return self.first + len(self.records)
 
-    def append(self, key: str, value: bytes) -> None:
+    def append(self, key: bytes, value: bytes) -> None:
         """Append a record; an empty value removes the key."""
         if value:
             self.newest[key] = (value, self.end)
@@ -163,12 +163,11 @@
         self, topic: Topic, request: WebRequest, connection: WebConnection
     ) -> WebAnswer | None:
         offset = topic.end
-        place = 0
-        while place < len(request.body):
-            size = struct.unpack_from(">I", request.body, place)[0]
-            record = request.body[place + 4 : place + 4 + size]
-            topic.append(record[1 : 1 + record[0]].decode(), record[1 + record[0] :])
-            place += 4 + size
+        records = _keyed_records(request.body)
+        if records is None:
+            return WebAnswer.json({}, 400)
+        for key, value in records:
+            topic.append(key, value)
         if self.faults.lose:
             connection.disconnect()
             return None
@@ -192,14 +191,35 @@
             await asyncio.sleep(POLL_INTERVAL)
         body = [struct.pack(">QQ", topic.end, topic.first)]
         for key, value in topic.records[start - topic.first :]:
-            record = bytes([len(key.encode())]) + key.encode() + value
+            record = bytes([len(key)]) + key + value
             body.append(struct.pack(">I", len(record)) + record)
         return WebAnswer(200, b"".join(body))
 
 
+def _keyed_records(body: bytes) -> list[tuple[bytes, bytes]] | None:
+    """Return the keys and values in the body of an append, None if it is invalid."""
+    records = []
+    place = 0
+    while place < len(body):
+        if place + 4 > len(body):
+            return None
+        end = place + 4 + struct.unpack_from(">I", body, place)[0]
+        record = body[place + 4 : end]
+        if end > len(body) or not record or len(record) < 1 + record[0]:
+            return None
+        records.append((record[1 : 1 + record[0]], record[1 + record[0] :]))
+        place = end
+    return records
+
+
 def _newest(topic: Topic) -> WebAnswer:
+    # Text, as JSON has no other keys.
     entries = [
-        {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+        {
+            "key": key.decode(errors="replace"),
+            "value": base64.b64encode(value).decode(),
+            "offset": offset,
+        }
         for key, (value, offset) in topic.newest.items()
     ]
     return WebAnswer.json({"entries": entries, "more_pages": False, "end": topic.end})
