Check the records that routers share when they are decoded

What callers saw: nobody was served. One entry of another writer among those of the routers, with the port 70000 or the host a\u0000b, ended each router that started and, as they read the entries again, all that ran.

Cause: an entry was decoded into types that hold any number and text. sendto raises OverflowError for a port out of range and TypeError for a host with a null character or one that can't be encoded; only OSError was handled, the task of the heartbeats failed, and a failed task stops the process. A host that is a name was resolved by the event loop. The same for verdicts on contents in the same topic: a content of no digest raises ValueError in partition_of, a stamp of more than 64 bits OverflowError when it is sent, and a time of 1e308 OverflowError in round().

Ruled out: handling more exceptions where datagrams are sent; each further user of an address or a number would need the same. Entries among those of endpoints: their fields were checked already.

Why it works: the fields of PeerEntry, QuarantineRecord and Address state what they may hold (carawayfold/checked.py), and msgspec checks it once, as they are decoded. An entry must also be under the key of its router, so that nobody writes it for another. The check of an address is the one that endpoints' records had, now part of Address: first bytes from 224 are refused as a whole. Simulated fleets give their routers numeric hosts.

Conclusion: what was read can be sent, logged and connected to.

--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -4,11 +4,11 @@
 
 import re
 from enum import Enum
-from ipaddress import IPv4Address
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from carawayfold.checked import TEXT
 from carawayfold.protocol.sources import SourceError
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
@@ -30,21 +30,15 @@
     WeightedService,
 )
 
+T = TypeVar("T", bound=msgspec.Struct)
+
 #: Priority of a route or organisation whose record has none.
 DEFAULT_PRIORITY = 1
-#: Valid ports of an address.
-VALID_PORTS = range(1, 65536)
 #: Form of an address. Python reads further numerals and separators as numbers.
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
-#: Address of all hosts of a network.
-BROADCAST = IPv4Address("255.255.255.255")
 #: Names of endpoints that can be sent in a header. A backslash is an escape of what is
 #: no text; see `store.Record`.
 ENDPOINT_NAME = re.compile(r"[!-\[\]-~]{1,255}", re.ASCII)
-#: Most characters of a name within a registration. It is sent in datagrams.
-MAX_NAME_LENGTH = 255
-#: Names without control characters and line ends.
-PLAIN_TEXT = r"^[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
 #: Greatest values of a registration; greater ones are no slots, warm-up of at most a
 #: day, or start time in milliseconds, and don't fit messages between routers.
 MAX_SLOTS = 1_000_000
@@ -141,9 +135,6 @@
     DRAINING = "draining"
 
 
-WireName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=PLAIN_TEXT)]
-
-
 class WireEntry(msgspec.Struct):
     """Registration of an endpoint.
 
@@ -152,10 +143,10 @@
     deployments that omit it.
     """
 
-    service: WireName
+    service: Annotated[str, TEXT]
     address: str
-    zone: WireName
-    version: WireName
+    zone: Annotated[str, TEXT]
+    version: Annotated[str, TEXT]
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: WireState
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARM_UP_MS)]
@@ -163,6 +154,20 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
 
 
+def decode(data: bytes, kind: type[T]) -> T:
+    """Return the value of a record as the struct `kind`.
+
+    Raises
+    ------
+    SourceError
+        If the record is not valid for that type.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise SourceError(str(error)) from None
+
+
 def decode_routes(data: bytes) -> RouteTable:
     """Return the configuration decoded from a record.
 
@@ -171,7 +176,7 @@
     SourceError
         If the record is not a valid configuration.
     """
-    wire = _decode(data, WireConfig)
+    wire = decode(data, WireConfig)
     return RouteTable(
         version=wire.version,
         routes=tuple(_route(item) for item in wire.routes),
@@ -206,7 +211,7 @@
     """
     if not ENDPOINT_NAME.fullmatch(name):
         raise SourceError("no name of an endpoint")
-    wire = _decode(data, WireEntry)
+    wire = decode(data, WireEntry)
     return Endpoint(
         name=EndpointName(name),
         service=ServiceId(wire.service),
@@ -224,16 +229,11 @@
 def _address(text: str) -> Address:
     if not ADDRESS.fullmatch(text):
         raise SourceError("no address")
+    host, _, port = text.rpartition(":")
     try:
-        address = Address.parse(text)
-        host = IPv4Address(address.host)
-    except ValueError as error:
+        return msgspec.convert({"host": host, "port": int(port)}, Address)
+    except msgspec.ValidationError as error:
         raise SourceError(str(error)) from None
-    if host.is_unspecified or host.is_multicast or host == BROADCAST:
-        raise SourceError("no address of a host")
-    if address.port not in VALID_PORTS:
-        raise SourceError(f"no port: {address.port}")
-    return address
 
 
 def _route(wire: WireRoute) -> Route:
@@ -278,10 +278,3 @@
         head_timeout=wire.header_timeout_ms / 1000,
         idle_timeout=wire.idle_timeout_ms / 1000,
     )
-
-
-def _decode(data: bytes, kind: type) -> msgspec.Struct:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise SourceError(str(error)) from None
--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -51,6 +51,8 @@
 #: Prefix of the keys of quarantined contents; router names contain no slash, so that
 #: the two can't collide.
 CONTENT_KEY_PREFIX = "content/"
+#: Begins an escape of what is no text in a key; see `Record`.
+KEY_ESCAPE = "\\"
 #: The single partition of these topics.
 PARTITION = 0
 #: Response header with the era: how often the store has been restored from a copy.
@@ -342,11 +344,15 @@
 def _decode_directory_record(record: Record) -> PeerEntry | QuarantineRecord | None:
     if not record.value:
         return None
-    kind = QuarantineRecord if record.key.startswith(CONTENT_KEY_PREFIX) else PeerEntry
-    try:
-        return msgspec.json.decode(record.value, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise SourceError(str(error)) from None
+    if not record.key.startswith(CONTENT_KEY_PREFIX):
+        entry = records.decode(record.value, PeerEntry)
+        if entry.router != record.key or KEY_ESCAPE in record.key:
+            raise SourceError("the entry of another router")
+        return entry
+    verdict = records.decode(record.value, QuarantineRecord)
+    if CONTENT_KEY_PREFIX + verdict.content != record.key:
+        raise SourceError("the verdict on another content")
+    return verdict
 
 
 def _decode_newest(data: bytes) -> WireNewest:
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -5,10 +5,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Annotated, Generic, Protocol, TypeVar
 
 import msgspec
-
+from msgspec import Meta
+
+from carawayfold.checked import (
+    HOST,
+    NAME,
+    PORT,
+    PROCESSOR,
+    TEXT,
+    UNIX_MILLISECONDS,
+    UNIX_SECONDS,
+)
+from carawayfold.state.contents import CONTENT
 from carawayfold.state.ids import (
     ContentId,
     DataCentreId,
@@ -25,6 +36,9 @@
 
 T = TypeVar("T")
 
+#: Most endpoints that a verdict names: more than routers write.
+MAX_ENDPOINTS = Meta(max_length=20)
+
 
 class SourceError(Exception):
     """A source did not respond, or its response was invalid."""
@@ -68,11 +82,11 @@
         Processor capacity, in hundredths of a standard core.
     """
 
-    router: RouterId
-    data_centre: DataCentreId
-    host: str
-    port: int
-    processor: int = 100
+    router: Annotated[RouterId, NAME]
+    data_centre: Annotated[DataCentreId, NAME]
+    host: Annotated[str, HOST]
+    port: Annotated[int, PORT]
+    processor: Annotated[int, PROCESSOR] = 100
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
@@ -90,12 +104,12 @@
         Endpoints that failed while they processed it.
     """
 
-    content: ContentId
-    organisation: OrganisationId
-    stamp: int
-    since: float
-    held_until: float
-    endpoints: tuple[EndpointId, ...]
+    content: Annotated[ContentId, CONTENT]
+    organisation: Annotated[OrganisationId, TEXT]
+    stamp: Annotated[int, UNIX_MILLISECONDS]
+    since: Annotated[float, UNIX_SECONDS]
+    held_until: Annotated[float, UNIX_SECONDS]
+    endpoints: Annotated[tuple[Annotated[EndpointId, NAME], ...], MAX_ENDPOINTS]
 
 
 class Page(msgspec.Struct, Generic[T], frozen=True):
--- a/carawayfold/settings.py
+++ b/carawayfold/settings.py
@@ -4,12 +4,14 @@
 
 import ipaddress
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import json5
 import msgspec
 from expression import Error, Ok, Result
 
+from carawayfold.checked import HOST, PORT
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -324,7 +326,7 @@
 
 
 class Address(msgspec.Struct, frozen=True):
-    """An IP address and a port.
+    """An IP address and a port; one that is decoded is that of a host.
 
     Attributes
     ----------
@@ -334,8 +336,8 @@
         Port.
     """
 
-    host: str
-    port: int
+    host: Annotated[str, HOST]
+    port: Annotated[int, PORT]
 
     @classmethod
     def parse(cls, text: str) -> Address:
--- a/carawayfold/state/contents.py
+++ b/carawayfold/state/contents.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from carawayfold.state.digests import hex_digest
+from msgspec import Meta
+
+from carawayfold.state.digests import DIGEST_SIZE, hex_digest
 from carawayfold.state.ids import ContentId
 
 if TYPE_CHECKING:
@@ -13,6 +16,10 @@
 
 #: End of the identity of a part.
 PART_SUFFIX = ".part"
+#: Form of an identity: a digest, with the suffix for a part.
+CONTENT = Meta(
+    pattern=rf"^[0-9a-f]{{{2 * DIGEST_SIZE}}}(?:{re.escape(PART_SUFFIX)})?\Z"
+)
 #: Digests of parts that are kept, since most prompts begin with the same few parts.
 MAX_CACHED_PARTS = 4096
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import json
-import struct
 
 import logbook
 import msgspec
@@ -18,7 +17,7 @@
 from carawayfold.platform import records, store
 from carawayfold.platform.store import MAX_REMEMBERED_KEYS, Record, StoreClient
 from carawayfold.protocol.sources import Page, SourceError
-from carawayfold.transport.client import Answer, Head
+from tests.platform.http_builders import OneAnswer, read_answer
 from tests.platform.record_builders import ENTRY, entry
 
 #: Nesting that exceeds the recursion limit of the decoder.
@@ -46,27 +45,6 @@
 ODD_KEYS = st.binary(min_size=1, max_size=20) | st.just(b"i-2")
 
 
-class OneAnswer:
-    """HTTP client that returns the given bodies in order and keeps the paths."""
-
-    def __init__(self, *bodies):
-        self.bodies = list(bodies)
-        self.paths = []
-
-    async def fetch(self, address, method, path, body, timeout):
-        self.paths.append(path)
-        return Answer(Head(200, {}), self.bodies.pop(0))
-
-
-def read_answer(*rows):
-    """Return the body of a read of the given keys and values, in bytes."""
-    body = struct.pack(">QQ", 0, 0)
-    for key, value in rows:
-        record = bytes([len(key)]) + key + value
-        body += struct.pack(">I", len(record)) + record
-    return body
-
-
 def apply_reads(*bodies):
     """Return what a router knows after reads of registrations, one after another."""
 
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -96,6 +96,8 @@
         Data centres that exchange no datagrams with others.
     reads_at : dict of float
         Loop time until which a router that is late reads no datagrams.
+    hosts, names : dict
+        Host of each router, and the router at each host.
     sent, sent_bytes : Counter
         Number of datagrams, and of their bytes, by sender.
     attach : callable or None
@@ -122,14 +124,28 @@
     fill_beat: Callable[[str, Heartbeat], Heartbeat] | None = None
     attached: dict[str, object] = field(default_factory=dict)
     looks: dict[str, asyncio.Task] = field(default_factory=dict)
+    hosts: dict[str, str] = field(default_factory=dict)
+    names: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self):
         self.draw = random.Random(self.seed)
         random.seed(self.seed)
         self.loop = asyncio.get_running_loop()
 
+    def address_of(self, name):
+        """Return the address of a router."""
+        if name not in self.hosts:
+            number = len(self.hosts) + 1
+            self.hosts[name] = f"10.0.{number >> 8}.{number & 255}"
+            self.names[self.hosts[name]] = name
+        return Address(self.hosts[name], 1)
+
+    def name_at(self, address):
+        """Return the router with an address, or its host if there is none."""
+        return self.names.get(address.host, address.host)
+
     def carry(self, socket, address, data):
-        sender, receiver = socket.router, address.host
+        sender, receiver = socket.router, self.name_at(address)
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(data)
         separated = {self.places[sender], self.places.get(receiver)} & self.apart
@@ -137,7 +153,7 @@
             return
         if sender in self.dead or self.draw.random() < self.loss:
             return
-        source = Address(sender, 1)
+        source = self.address_of(sender)
         self.loop.call_later(DELAY, self.deliver, receiver, data, source)
 
     def deliver(self, receiver, data, source):
@@ -163,7 +179,7 @@
         incarnation = self.draw.getrandbits(62)
         place = self.places[name]
         own = Member(name, place, incarnation, self.loop.time(), processor=processor)
-        socket = SimulatedSocket(self, name, incarnation, Address(name, 1))
+        socket = SimulatedSocket(self, name, incarnation, self.address_of(name))
 
         def make_heartbeat():
             stopping = own.state is PeerState.STOPPING
@@ -181,7 +197,7 @@
         if self.attach is not None:
             component = self.attached[name] = self.attach(name, fleet)
             self.looks[name] = self.loop.create_task(component.run_periodically())
-        self.entries[name] = PeerEntry(name, place, name, 1, processor)
+        self.entries[name] = PeerEntry(name, place, socket.address.host, 1, processor)
         heartbeat_task = self.loop.create_task(fleet.send_heartbeats())
         await asyncio.sleep(LISTING_DELAY)
         fleet.add_entries(list(self.entries.values()))
--- a/tests/simulated_holds.py
+++ b/tests/simulated_holds.py
@@ -62,7 +62,7 @@
             self.loop.call_later(number * SPACING, work, *arguments)
 
     def carry(self, socket, address, data):
-        if {socket.router, address.host} & self.cut_off:
+        if {socket.router, self.name_at(address)} & self.cut_off:
             return
         if socket.router in self.still:
             self.still[socket.router].append((super().carry, socket, address, data))
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -45,7 +45,7 @@
 
     async def fetch(self, address, method, path, body=b"", timeout=1.0):
         fleet = self.world.fleet
-        there = address.host
+        there = self.world.fleet.name_at(address)
         lost = {self.router, there} & fleet.dead
         places = {fleet.places[self.router], fleet.places.get(there)}
         if lost or (len(places) > 1 and places & fleet.apart):
