Refuse settings of a router that its peers would not accept

What was seen: a router name of more than 255 bytes, or one that can't be encoded, failed only when the entry was written; one with a slash could be taken for a verdict; peers can't reach an address like 0.0.0.0.

--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 from expression import Ok, Result
 
+from carawayfold.checked import HOST, MAX_NAME_LENGTH, NAME
 from carawayfold.coordination.scheduling.features import SchedulingFeatures
 from carawayfold.settings import (
     LOG_LEVELS,
@@ -43,11 +44,45 @@
     return ""
 
 
+def valid_name(value: str) -> str:
+    """Check for a name that peers accept."""
+    message = not_empty(value)
+    if message or _is_valid(value, NAME):
+        return message
+    return f"must be text of at most {MAX_NAME_LENGTH} characters"
+
+
+def valid_router(value: str) -> str:
+    """Check for a name under which a router can write its entry to the store."""
+    message = valid_name(value)
+    if message:
+        return message
+    if len(value.encode()) > MAX_NAME_LENGTH:
+        return f"must have at most {MAX_NAME_LENGTH} bytes"
+    return "must contain no slash or backslash" if set(value) & set("/\\") else ""
+
+
+def valid_peer_address(value: str) -> str:
+    """Check for an address on which the peers reach this router."""
+    message = valid_address(value)
+    if message or _is_valid(value.rpartition(":")[0], HOST):
+        return message
+    return "must have the numeric IPv4 address of this instance"
+
+
+def _is_valid(value: str, check: msgspec.Meta) -> bool:
+    try:
+        msgspec.convert(value, Annotated[str, check])
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
 #: All settings of a forwarding router.
 TABLE: tuple[Setting, ...] = (
-    Setting("router", str, REQUIRED, "", not_empty, "Name of this instance."),
+    Setting("router", str, REQUIRED, "", valid_router, "Name of this instance."),
     Setting(
-        "data_centre", str, REQUIRED, "", not_empty, "Data centre of this instance."
+        "data_centre", str, REQUIRED, "", valid_name, "Data centre of this instance."
     ),
     Setting(
         "listen",
@@ -70,7 +105,7 @@
         str,
         REQUIRED,
         "",
-        valid_address,
+        valid_peer_address,
         "Address for peers (UDP and HTTP) and metrics.",
     ),
     Setting(
