Check the numbers and names of configurations when they are decoded

What callers saw: nothing yet; the platform accepts valid configurations only.

Cause: a configuration was decoded with numbers of any size and names with any characters. A version or priority of more than 64 bits raises OverflowError when a heartbeat or an offer is encoded, and a failed heartbeat ends the process; a time of 1e308 s does so in round(); a line end in the name of an organisation would be sent in a header.

Ruled out: tight bounds. A configuration that is refused leaves the older one active, so only what can't be sent or computed is refused.

Why it works: the fields state their range, and such a record is logged once and skipped like any other that can't be read.

--- a/carawayfold/checked.py
+++ b/carawayfold/checked.py
@@ -31,3 +31,13 @@
 #: Unix time in milliseconds and in seconds, until the year 5138.
 UNIX_MILLISECONDS = Meta(ge=0, le=10**14)
 UNIX_SECONDS = Meta(ge=0.0, le=10.0**11)
+#: Number of tokens, bytes or requests; sums of many fit messages between routers.
+COUNT = Meta(ge=0, le=10**12)
+#: Rank of a route or an organisation.
+PRIORITY = Meta(ge=-(10**9), le=10**9)
+#: Duration in milliseconds, up to some three years.
+MILLISECONDS = Meta(ge=0, le=10**11)
+#: Number per second, or relative weight.
+RATE = Meta(ge=0.0, le=10.0**15)
+#: Number whose order matters: a version, a position or an incarnation.
+ORDINAL = Meta(ge=0, le=MAX_INTEGER)
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from carawayfold.checked import TEXT
+from carawayfold.checked import COUNT, MILLISECONDS, ORDINAL, PRIORITY, RATE, TEXT
 from carawayfold.protocol.sources import SourceError
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
@@ -53,36 +53,42 @@
 }
 
 
+Count = Annotated[int, COUNT]
+Milliseconds = Annotated[float, MILLISECONDS]
+Priority = Annotated[int, PRIORITY]
+Rate = Annotated[float, RATE]
+
+
 class WireBackend(msgspec.Struct):
     """A service of a route and its weight."""
 
-    service: str
-    weight: float = 1.0
+    service: Annotated[str, TEXT]
+    weight: Rate = 1.0
 
 
 class WireRoute(msgspec.Struct):
     """A route to one service, or to several with weights."""
 
-    name: str
+    name: Annotated[str, TEXT]
     host: str
     path_prefix: str
     route_kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = DEFAULT_PRIORITY
-    service: str = ""
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    priority: Priority = DEFAULT_PRIORITY
+    service: Annotated[str, TEXT] = ""
     backends: list[WireBackend] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     anonymous: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Milliseconds = 0.0
     allowed_regions: list[str] = []
 
 
 class WireEngine(msgspec.Struct):
     """Additional fields of a service of model engines."""
 
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Count = 0
 
 
 class WireService(msgspec.Struct):
@@ -92,36 +98,36 @@
     up; 0 if its endpoints need no warm-up.
     """
 
-    name: str
+    name: Annotated[str, TEXT]
     health_path: str = "/"
-    max_connections: int = 0
+    max_connections: Count = 0
     engine: WireEngine | None = None
-    cold_per_s: float = 0.0
+    cold_per_s: Rate = 0.0
 
 
 class WireLimits(msgspec.Struct):
     """Limits on callers, and the total throughput of the engines in tokens/s."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
-    tokens_per_s: float = 0.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4 << 20
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15000.0
+    tokens_per_s: Rate = 0.0
 
 
 class WireTenant(msgspec.Struct):
     """An organisation and its API keys."""
 
-    name: str
+    name: Annotated[str, TEXT]
     api_keys: list[str] = []
-    priority: int = DEFAULT_PRIORITY
+    priority: Priority = DEFAULT_PRIORITY
     allowed_regions: list[str] = []
 
 
 class WireConfig(msgspec.Struct):
     """A complete configuration."""
 
-    version: int
+    version: Annotated[int, ORDINAL]
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
--- a/tests/platform/record_builders.py
+++ b/tests/platform/record_builders.py
@@ -22,6 +22,23 @@
     return json.dumps({**ENTRY, **fields}).encode()
 
 
+#: Configuration with one item of each kind.
+CONFIGURATION = {
+    "version": 5,
+    "routes": [
+        {
+            "name": "r",
+            "host": "caller.example",
+            "path_prefix": "/r/",
+            "route_kind": "idempotent",
+            "timeout_ms": 1000,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s"}],
+    "limits": {},
+    "tenants": [{"name": "alder", "api_keys": ["key-of-alder"]}],
+}
 #: Directory entry of a router.
 PEER = {
     "router": "router-1",
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -18,7 +18,7 @@
 from carawayfold.platform.store import MAX_REMEMBERED_KEYS, Record, StoreClient
 from carawayfold.protocol.sources import Page, SourceError
 from tests.platform.http_builders import OneAnswer, read_answer
-from tests.platform.record_builders import ENTRY, entry
+from tests.platform.record_builders import CONFIGURATION, ENTRY, entry
 
 #: Nesting that exceeds the recursion limit of the decoder.
 NESTED = b"[" * 5000 + b"]" * 5000
@@ -226,6 +226,39 @@
         asyncio.run(StoreClient(OneAnswer(body), None).read("t", 0, 0.0))
 
 
+@pytest.mark.parametrize(
+    ("part", "field", "value"),
+    [
+        ("", "version", 10**30),
+        ("", "version", -1),
+        ("routes", "timeout_ms", 1e308),
+        ("routes", "target_latency_ms", -1),
+        ("routes", "priority", 10**30),
+        ("routes", "max_attempts", 10**30),
+        ("routes", "name", "r\n"),
+        ("routes", "backends", [{"service": "s", "weight": 1e308}]),
+        ("services", "name", "s" * 300),
+        ("services", "max_connections", 10**30),
+        ("services", "cold_per_s", 1e308),
+        ("services", "engine", {"kv_capacity_tokens": 10**30}),
+        ("limits", "tokens_per_s", 1e308),
+        ("limits", "idle_timeout_ms", 1e308),
+        ("limits", "max_body_bytes", 10**30),
+        ("tenants", "name", "alder\r\nX-Other: 1"),
+        ("tenants", "priority", 10**30),
+    ],
+)
+def test_a_configuration_that_can_not_be_applied_is_unreadable(part, field, value):
+    """Its numbers are sent to peers, and its names to endpoints."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    assert records.decode_routes(json.dumps(document).encode()).version == 5
+    changed = document[part] if part else document
+    changed = changed[0] if isinstance(changed, list) else changed
+    changed[field] = value
+    with pytest.raises(SourceError):
+        records.decode_routes(json.dumps(document).encode())
+
+
 def test_an_answer_nested_too_deeply_is_a_failed_read():
     body = b'{"entries": [], "end": 3, "x": ' + NESTED + b"}"
     with pytest.raises(SourceError):
