Refuse lists of cached parts that are nested too deeply

What callers saw: a router that decides for an engine ended when that engine's list of cached parts was nested too deeply.

Cause: msgspec raises RecursionError for it, which is no MsgspecError; it left the query's task, and a failed task stops the process. Negative and endless numbers of tokens and endless names were accepted.

Evidence: before, four cases of tests/platform/test_engines.py failed, one of them with RecursionError.

Why it works: the list is decoded by the function that decodes records, which turns all errors of decoding into SourceError, and its fields state their range. The query then counts as failed, as for an engine that doesn't answer.

--- a/carawayfold/platform/engines.py
+++ b/carawayfold/platform/engines.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
+from carawayfold.checked import COUNT, TEXT
+from carawayfold.platform.records import decode
 from carawayfold.protocol.exchanges import Part
 from carawayfold.protocol.sources import SourceError
 from carawayfold.state.ids import PartId
@@ -34,7 +36,7 @@
         the engine does not report it.
     """
 
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, Annotated[str, TEXT], Annotated[int, COUNT], str]]
     born: int = 0
 
 
@@ -65,11 +67,11 @@
             answer = await self.http.fetch(
                 endpoint.address, "GET", CACHE_LIST_PATH, timeout=TIMEOUT
             )
-            if answer.head.status != 200:
-                raise SourceError(f"status {answer.head.status}")
-            listed = msgspec.json.decode(answer.body, type=WireCacheList)
-        except (ExchangeError, msgspec.MsgspecError) as error:
+        except ExchangeError as error:
             raise SourceError(str(error)) from error
+        if answer.head.status != 200:
+            raise SourceError(f"status {answer.head.status}")
+        listed = decode(answer.body, WireCacheList)
         if listed.born and listed.born != endpoint.incarnation:
             raise SourceError("another incarnation of the endpoint answers")
         return [Part(PartId(part), tokens) for _, part, tokens, _ in listed.held]
--- a/tests/platform/http_builders.py
+++ b/tests/platform/http_builders.py
@@ -14,7 +14,7 @@
         self.bodies = list(bodies)
         self.paths = []
 
-    async def fetch(self, address, method, path, body, timeout):
+    async def fetch(self, address, method, path, body=b"", timeout=0.0):
         self.paths.append(path)
         return Answer(Head(200, {}), self.bodies.pop(0))
 
