Read the sound rows of a list of which others can't be read

What callers saw: a router that lists a topic would have got nothing of it, again and again, as long as one row of the list had another form. No case of it is known; the store writes the rows, other writers only their keys and values.

Cause: a page was decoded as a whole, and one invalid row made it a failed read.

Why it works: the page is decoded with rows of any form, and each row by itself. One without a valid key or value becomes a record with its fault, which StoreSource logs once and treats like any other that can't be decoded. The list goes on behind the last key of a page; a page without any is a failed read, since the same page would come again. The offset of a row was never used and is no longer read.

Conclusion: only the frame of a page, its end and that there are more, can fail it.

--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -8,7 +8,7 @@
 import re
 import struct
 import urllib.parse
-from typing import TYPE_CHECKING, Annotated, Generic, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, Generic, TypeVar
 
 import logbook
 import msgspec
@@ -85,10 +85,16 @@
 
     Parts of a key that are no text, bytes that are not valid UTF-8 or surrogates, are
     replaced by backslash escapes, so that the key matches no valid one.
+
+    Attributes
+    ----------
+    fault : str
+        Why the record can't be read; empty if it can.
     """
 
     key: str
     value: bytes | None
+    fault: str = ""
 
 
 class StoreAnswer(msgspec.Struct, frozen=True):
@@ -98,18 +104,23 @@
     body: bytes
 
 
-class WireEntry(msgspec.Struct):
+class WireKey(msgspec.Struct):
+    """The key of a row of a list of newest records."""
+
+    key: str
+
+
+class WireRow(msgspec.Struct):
     """One row of a list of newest records; its value is base64-encoded."""
 
     key: str
     value: str
-    offset: int
 
 
 class WireNewest(msgspec.Struct):
     """Response with the newest record of each key; reads continue from `end`."""
 
-    entries: list[WireEntry]
+    entries: list[Any]
     end: Annotated[int, msgspec.Meta(ge=0, lt=1 << OFFSET_BITS)]
     more_pages: bool = False
 
@@ -161,11 +172,11 @@
                 first_end = position(answer.era, page.end)
             elif era_of(first_end) != answer.era:
                 raise RecordsNotRetained("the store came back from a copy")
-            found.extend(_listed_record(item) for item in page.entries)
+            found.extend(_listed_record(row) for row in page.entries)
             if not page.more_pages or not page.entries:
                 return Page(found, first_end)
             size += len(answer.body)
-            last_key = page.entries[-1].key
+            last_key = _last_key(page.entries)
             if size > MAX_LISTED_BYTES or last_key in last_keys:
                 raise SourceError("a list without end")
             last_keys.add(last_key)
@@ -265,6 +276,8 @@
 
     def _decode_one(self, record: Record) -> T | None:
         try:
+            if record.fault:
+                raise SourceError(record.fault)
             return self.decode(record)
         except SourceError as error:
             self._log_unreadable(record, error)
@@ -360,20 +373,28 @@
     text = data.decode(errors="replace")
     try:
         return msgspec.json.decode(text, type=WireNewest)
-    except (msgspec.ValidationError, RecursionError) as error:
-        raise SourceError(str(error)) from None
-    except msgspec.DecodeError:
-        return _decode_with_surrogates(text)
+    except (msgspec.DecodeError, RecursionError):
+        return _decode_leniently(text)
 
 
-def _decode_with_surrogates(text: str) -> WireNewest:
-    """Return a list of which some keys have escapes of surrogates."""
+def _decode_leniently(text: str) -> WireNewest:
+    """Return a list of which some rows have escapes of surrogates or odd numbers."""
     try:
         return msgspec.convert(json.loads(text), WireNewest)
     except (ValueError, RecursionError) as error:
         raise SourceError(str(error)) from None
 
 
+def _last_key(rows: list[Any]) -> str:
+    """Return the key after which a list goes on, of its last row that has one."""
+    for row in reversed(rows):
+        try:
+            return msgspec.convert(row, WireKey).key
+        except msgspec.ValidationError:
+            continue
+    raise SourceError("a list without a key")
+
+
 def _era(head: Head) -> int:
     text = head.headers.get(ERA_HEADER, "0")
     if not ERA.fullmatch(text):
@@ -405,14 +426,16 @@
     return Record(key, value or None)
 
 
-def _listed_record(entry: WireEntry) -> Record:
-    key = _escaped(entry.key).decode()
+def _listed_record(row: object) -> Record:
+    try:
+        key = _escaped(msgspec.convert(row, WireKey).key)
+    except msgspec.ValidationError as error:
+        return Record("", None, str(error))
     try:
-        return Record(key, base64.b64decode(entry.value))
-    except ValueError:
-        # The raw text fails to decode as a record of the topic, which logs it.
-        return Record(key, _escaped(entry.value))
+        return Record(key, base64.b64decode(msgspec.convert(row, WireRow).value))
+    except ValueError as error:
+        return Record(key, None, str(error))
 
 
-def _escaped(text: str) -> bytes:
-    return text.encode(errors="backslashreplace")
+def _escaped(text: str) -> str:
+    return text.encode(errors="backslashreplace").decode()
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -148,6 +148,60 @@
     assert http.paths[1].isascii()
 
 
+#: A row of a list that can be read.
+SOUND_ROW = b'{"key": "i-1", "value": "%b", "offset": 1}' % base64.b64encode(entry())
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"5",
+        b"null",
+        b"[]",
+        b"{}",
+        b'{"key": 5, "value": "e30=", "offset": 1}',
+        b'{"value": "e30=", "offset": 1}',
+        b'{"key": "i-2"}',
+        b'{"key": "i-2", "value": 5, "offset": 1}',
+        b'{"key": "i-2", "value": null, "offset": 1}',
+        b'{"key": "i-2", "value": "e30=", "offset": -1}',
+        b'{"key": "i-2", "value": "e30=", "offset": "1"}',
+        b'{"key": "i-2", "value": {"slots": [1]}, "offset": 1}',
+        rb'{"key": ["\ud800"], "value": "e30=", "offset": 1}',
+        rb'{"key": "i-2", "value": "\ud800", "offset": 1}',
+        b'{"key": "i-2", "value": "e30=", "offset": 1, "further": 1e999}',
+    ],
+)
+def test_a_row_that_can_not_be_read_does_not_hide_the_rest_of_a_list(row):
+    """The whole list was refused, so that nobody followed the store any longer."""
+
+    async def follow(*rows):
+        body = b'{"entries": [%b], "end": 3}' % b",".join(rows)
+        source = store.endpoint_source(StoreClient(OneAnswer(body), None))
+        with logbook.TestHandler() as lines:
+            page = await source.newest()
+        known = Knowledge(lambda table: None, lambda: None)
+        known.apply_listing(page)
+        return list(known.endpoints.entries), [x.message for x in lines.records]
+
+    for rows in ([row, SOUND_ROW], [SOUND_ROW, row]):
+        assert asyncio.run(follow(*rows)) == (["i-1"], ["unreadable record"])
+
+
+def test_a_list_goes_on_behind_a_row_without_a_key():
+    rows = b'{"entries": [%b, {"key": 5}], "end": 3, "more_pages": true}' % SOUND_ROW
+    http = OneAnswer(rows, b'{"entries": [], "end": 3}')
+    page = asyncio.run(store.endpoint_source(StoreClient(http, None)).newest())
+    assert len(page.items) == 2
+    assert http.paths[1].endswith("&after=i-1")
+
+
+def test_a_page_of_which_no_key_can_be_read_is_a_failed_read():
+    http = OneAnswer(b'{"entries": [5, {}], "end": 3, "more_pages": true}')
+    with pytest.raises(SourceError):
+        asyncio.run(store.endpoint_source(StoreClient(http, None)).newest())
+
+
 #: Bytes of a key in a list, as JSON.
 JSON_KEYS = st.lists(
     st.sampled_from(["a", " ", "☃", r"\n", r"\u0000", r"\\", r"\"", "%"])
