Check the fields of datagrams when they are decoded

What callers saw: a router ended after a datagram of another program: after a list of hubs with a port out of range or a host that is no address, with the next heartbeat, and after reports of crashes under a content of no digest, with the next review.

Cause: as with the entries in the store, messages were decoded into types that hold any number and text. One nested too deeply raised RecursionError, which is no MsgspecError, out of the callback of the socket; that didn't end the process, but wrote a traceback for each.

Evidence: before, five of six tests of tests/test_foreign_datagrams.py failed, four of them since a task had failed; of the 42 odd datagrams in tests/protocol/test_datagrams.py none was refused as one that isn't understood.

Ruled out: knowing who sends. Datagrams have no secret, and whoever writes sound ones is taken for the router that they name (docs/design/foreign-records.md).

Why it works: the fields state what they may hold. An age below zero would have made registrations look current for ever; a fleet of 10**18 routers would have had them wait as long between calls of the store. Verdicts are decoded as their Enum. Ranges are far beyond what routers send, so that versions side by side go on understanding each other.

Conclusion: a datagram that isn't sound is logged and dropped as a whole.

--- a/carawayfold/checked.py
+++ b/carawayfold/checked.py
@@ -41,3 +41,11 @@
 RATE = Meta(ge=0.0, le=10.0**15)
 #: Number whose order matters: a version, a position or an incarnation.
 ORDINAL = Meta(ge=0, le=MAX_INTEGER)
+#: Number in messages between routers, up to sums of many.
+AMOUNT = Meta(ge=0, le=MAX_INTEGER)
+#: Milliseconds in messages between routers, until or since a moment.
+SPAN = Meta(ge=-(10**14), le=10**14)
+#: Routers of a fleet.
+FLEET_SIZE = Meta(ge=0, le=10_000)
+#: Duration of an endpoint's work, in percent of the usual one.
+PERCENT = Meta(ge=1, le=10**9)
--- a/carawayfold/coordination/containment/containment.py
+++ b/carawayfold/coordination/containment/containment.py
@@ -402,7 +402,7 @@
         entry = Entry(
             message.content,
             message.organisation,
-            Level(message.level),
+            message.level,
             message.stamp,
             now - message.since / 1000,
             now + message.held / 1000,
@@ -610,7 +610,7 @@
         return VerdictMessage(
             entry.content,
             entry.organisation,
-            entry.level.value,
+            entry.level,
             entry.stamp,
             round((now - entry.since) * 1000),
             max(0, round((entry.held_until - now) * 1000)),
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -5,8 +5,25 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from carawayfold.checked import (
+    AMOUNT,
+    FLEET_SIZE,
+    HOST,
+    MILLISECONDS,
+    NAME,
+    ORDINAL,
+    PERCENT,
+    PORT,
+    PRIORITY,
+    PROCESSOR,
+    SPAN,
+    UNIX_MILLISECONDS,
+)
+from carawayfold.state.contents import CONTENT
 from carawayfold.state.ids import (
     CallId,
     ContentId,
@@ -22,10 +39,15 @@
     SoftwareVersion,
     StreamId,
 )
+from carawayfold.state.quarantine import Level
 
 #: Maximum bytes of a datagram, so that it fits one packet of common networks.
 MAX_DATAGRAM_BYTES = 1400
 
+Age = Annotated[int, MILLISECONDS]
+Amount = Annotated[int, AMOUNT]
+Span = Annotated[int, SPAN]
+
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=1, frozen=True):
     """Heartbeat of a router.
@@ -67,19 +89,19 @@
         pools.
     """
 
-    data_centre: DataCentreId
+    data_centre: Annotated[DataCentreId, NAME]
     stopping: bool
-    version: int
-    endpoints_offset: Position
-    store_age: int
-    processor: int = 100
+    version: Annotated[int, ORDINAL]
+    endpoints_offset: Annotated[Position, ORDINAL]
+    store_age: Age
+    processor: Annotated[int, PROCESSOR] = 100
     hub: bool = True
-    size: int = 0
+    size: Annotated[int, FLEET_SIZE] = 0
     hub_list_checksum: int = 0
     verdicts: int = 0
     refused: bool = False
-    evacuations_changed: Position = Position(0)
-    operators_age: int = 0
+    evacuations_changed: Annotated[Position, ORDINAL] = Position(0)
+    operators_age: Age = 0
     lagging: bool = False
 
 
@@ -128,20 +150,20 @@
     call: CallId
     organisation: OrganisationId
     route: RouteId
-    priority: int
-    prompt: list[tuple[PartId, int]]
-    prompt_tokens: int
-    output_tokens: int
-    due: int
-    expires: int
+    priority: Annotated[int, PRIORITY]
+    prompt: list[tuple[PartId, Amount]]
+    prompt_tokens: Amount
+    output_tokens: Amount
+    due: Span
+    expires: Span
     avoid: list[EndpointId] = []
     cached_at: EndpointId | None = None
     data_centre: DataCentreId = DataCentreId("")
     allowed: list[DataCentreId] = []
-    rests: list[tuple[EndpointId, int]] = []
-    throttled_tokens: int = 0
+    rests: list[tuple[EndpointId, Span]] = []
+    throttled_tokens: Amount = 0
     software: SoftwareVersion | None = None
-    body_bytes: int = 0
+    body_bytes: Amount = 0
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -183,11 +205,11 @@
     call: CallId
     endpoint: EndpointId
     copy_source: EndpointId | None = None
-    offset: Position = Position(0)
-    age: int = 0
+    offset: Annotated[Position, ORDINAL] = Position(0)
+    age: Span = 0
     admitted_fraction: int = 1000
-    pool_wait: int = -1
-    pool_used: int = -1
+    pool_wait: Span = -1
+    pool_used: Span = -1
 
 
 class RejectMessage(msgspec.Struct, array_like=True, tag=6, frozen=True):
@@ -213,11 +235,11 @@
 
     call: CallId
     reason: str
-    retry_after: int
+    retry_after: Span
     cached_at: EndpointId | None = None
     admitted_fraction: int = 1000
-    pool_wait: int = -1
-    pool_used: int = -1
+    pool_wait: Span = -1
+    pool_used: Span = -1
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -233,11 +255,11 @@
         Milliseconds since the answer began.
     """
 
-    running: int
-    waiting: int
-    slots: int
-    duration: int = 100
-    age: int = 0
+    running: Amount
+    waiting: Amount
+    slots: Amount
+    duration: Annotated[int, PERCENT] = 100
+    age: Span = 0
 
 
 class FirstByteMessage(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -257,7 +279,7 @@
 
     pool: PoolId
     call: CallId
-    waited: int
+    waited: Span
     load: LoadReport | None = None
 
 
@@ -282,7 +304,7 @@
     pool: PoolId
     call: CallId
     outcome: str
-    kept: int = 0
+    kept: Span = 0
     load: LoadReport | None = None
 
 
@@ -320,18 +342,18 @@
 class HubEntry(msgspec.Struct, array_like=True, frozen=True):
     """State of one hub as known to the sender; see `Heartbeat`."""
 
-    router: RouterId
-    host: str
-    port: int
-    incarnation: int
-    processor: int
+    router: Annotated[RouterId, NAME]
+    host: Annotated[str, HOST]
+    port: Annotated[int, PORT]
+    incarnation: Annotated[int, ORDINAL]
+    processor: Annotated[int, PROCESSOR]
     lagging: bool = False
 
 
 class HubListMessage(msgspec.Struct, array_like=True, tag=10, frozen=True):
     """All hubs of one data centre that accept new work."""
 
-    data_centre: DataCentreId
+    data_centre: Annotated[DataCentreId, NAME]
     hubs: list[HubEntry]
 
 
@@ -359,22 +381,22 @@
         it, equal in all copies of a report; None if not stated.
     """
 
-    content: ContentId
+    content: Annotated[ContentId, CONTENT]
     organisation: OrganisationId
     endpoint: EndpointId
-    age: int
+    age: Span
     refused: bool
     begun: bool
-    lasted: int | None = None
-    observed: int | None = None
+    lasted: Span | None = None
+    observed: Span | None = None
 
 
 class SuccessMessage(msgspec.Struct, array_like=True, tag=12, frozen=True):
     """Completion of a suspected content without a crash, `age` milliseconds ago."""
 
-    content: ContentId
+    content: Annotated[ContentId, CONTENT]
     organisation: OrganisationId
-    age: int
+    age: Span
 
 
 class EndpointLostMessage(msgspec.Struct, array_like=True, tag=14, frozen=True):
@@ -408,7 +430,7 @@
     route: RouteId
     service: ServiceId
     software: SoftwareVersion
-    expires: int
+    expires: Span
 
 
 class OriginQueryMessage(msgspec.Struct, array_like=True, tag=18, frozen=True):
@@ -447,13 +469,13 @@
         verdict is kept.
     """
 
-    content: ContentId
+    content: Annotated[ContentId, CONTENT]
     organisation: OrganisationId
-    level: str
-    stamp: int
-    since: int
-    held: int
-    remembered: int
+    level: Level
+    stamp: Annotated[int, UNIX_MILLISECONDS]
+    since: Span
+    held: Span
+    remembered: Span
     endpoints: list[EndpointId]
 
 
@@ -493,8 +515,8 @@
         The messages.
     """
 
-    sender: RouterId
-    incarnation: int
+    sender: Annotated[RouterId, NAME]
+    incarnation: Annotated[int, ORDINAL]
     messages: list[Message]
 
 
@@ -515,4 +537,7 @@
     msgspec.MsgspecError
         If `data` is not a valid datagram.
     """
-    return decoder.decode(data)
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from None
--- a/tests/protocol/test_datagrams.py
+++ b/tests/protocol/test_datagrams.py
@@ -21,6 +21,9 @@
     decode,
     encode,
 )
+from carawayfold.state.quarantine import Level
+from tests.foreign_datagrams import ODD_DATAGRAMS, SOUND, datagram
+from tests.platform.record_builders import CONTENT
 
 MESSAGES = [
     Heartbeat("north", False, 3, 7, 120),
@@ -29,7 +32,7 @@
     AttemptEndedMessage("model/0", "r.0.1", "whole"),
     ActiveRequestsMessage("model/0", [ActiveRequestReport("r.0.1", "e-1", 3, 9, True)]),
     HubListMessage("north", [HubEntry("router-1", "127.0.0.1", 7400, 1, 100)]),
-    VerdictMessage("c", "alder", "rested", 5, 10, 20, 30, ["e-1"]),
+    VerdictMessage(CONTENT, "alder", Level.RESTED, 5, 10, 20, 30, ["e-1"]),
 ]
 VALID = [encode(Datagram("router-1", 1, [message])) for message in MESSAGES]
 
@@ -60,6 +63,18 @@
         decode(b"\x93\xa1\xff\x01\x90")
 
 
+@pytest.mark.parametrize("data", ODD_DATAGRAMS)
+def test_datagram_with_a_field_that_no_router_sends_is_rejected(data):
+    """Such a field could end the process, or one nested too deeply fill its log."""
+    with pytest.raises(msgspec.MsgspecError):
+        decode(data)
+
+
+@pytest.mark.parametrize("fields", SOUND.values(), ids=SOUND)
+def test_the_same_datagrams_with_sound_fields_are_decoded(fields):
+    assert len(decode(datagram(fields)).messages) == 1
+
+
 def test_all_messages_round_trip():
     for message, data in zip(MESSAGES, VALID, strict=True):
         assert decode(data) == Datagram("router-1", 1, [message])
