Check the answers of peers when they are decoded

What callers saw: a router that fetched from the address of a router that had ended ended itself, if what answered there was nested too deeply. A position of 2**63 would have hidden all later records from it; a NaN in a time left would never have expired.

Cause: as with datagrams, an answer was decoded into types that hold any value, and RecursionError isn't a MsgspecError. It left the task that polls the peers, and a failed task stops the process.

Why it works: the fields of the endpoints, evacuations and routes that peers hand on state what they may hold, with the same checks as the records that they come from (the name of an endpoint, slots, times of start). Such an answer counts as none, and another peer is asked.

--- a/carawayfold/checked.py
+++ b/carawayfold/checked.py
@@ -49,3 +49,15 @@
 FLEET_SIZE = Meta(ge=0, le=10_000)
 #: Duration of an endpoint's work, in percent of the usual one.
 PERCENT = Meta(ge=1, le=10**9)
+#: Seconds until or since a moment, and seconds that something lasts.
+SECONDS = Meta(ge=-(10.0**11), le=10.0**11)
+DURATION = Meta(ge=0.0, le=10.0**11)
+#: Name of an endpoint that can be sent in a header, without backslashes, which begin
+#: escapes of what is no text.
+ENDPOINT_NAME = Meta(pattern=r"^[!-\[\]-~]{1,255}\Z")
+#: Slots of an endpoint.
+SLOTS = Meta(ge=1, le=1_000_000)
+#: Number of endpoints to which a request may be sent.
+ATTEMPTS = Meta(ge=1, le=10**12)
+#: Unix milliseconds of the start of an endpoint.
+START_TIME = Meta(ge=0, le=10**15)
--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -309,7 +309,12 @@
             answer = await self.http.fetch(address, "GET", path, timeout=FETCH_TIMEOUT)
             if answer.head.status == 200:
                 self._apply_answer(router, path, answer.body)
-        except (ExchangeError, msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (
+            ExchangeError,
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             # Another program may answer at the address of a router that has ended.
             logger.info(
                 "fetching from a peer failed",
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import logbook
 import msgspec
 
+from carawayfold.checked import DURATION, ORDINAL, SECONDS
 from carawayfold.protocol.sources import Evacuation
 from carawayfold.state.endpoints import Endpoint, EndpointTable
 from carawayfold.state.evacuations import EvacuationSnapshot, EvacuationTable
@@ -56,12 +57,12 @@
         Seconds for which the sender has known all of them.
     """
 
-    offset: Position
+    offset: Annotated[Position, ORDINAL]
     endpoints: list[Endpoint]
-    lapsed: dict[EndpointName, float] = {}
-    warming: dict[EndpointName, float] = {}
+    lapsed: dict[EndpointName, Annotated[float, SECONDS]] = {}
+    warming: dict[EndpointName, Annotated[float, SECONDS]] = {}
     software: list[SoftwareAge] = []
-    complete_for: float = 0.0
+    complete_for: Annotated[float, DURATION] = 0.0
 
 
 class StoreHealth(msgspec.Struct):
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -8,7 +8,17 @@
 
 import msgspec
 
-from carawayfold.checked import COUNT, MILLISECONDS, ORDINAL, PRIORITY, RATE, TEXT
+from carawayfold.checked import (
+    COUNT,
+    ENDPOINT_NAME,
+    MILLISECONDS,
+    ORDINAL,
+    PRIORITY,
+    RATE,
+    SLOTS,
+    START_TIME,
+    TEXT,
+)
 from carawayfold.protocol.sources import SourceError
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
@@ -36,14 +46,8 @@
 DEFAULT_PRIORITY = 1
 #: Form of an address. Python reads further numerals and separators as numbers.
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
-#: Names of endpoints that can be sent in a header. A backslash is an escape of what is
-#: no text; see `store.Record`.
-ENDPOINT_NAME = re.compile(r"[!-\[\]-~]{1,255}", re.ASCII)
-#: Greatest values of a registration; greater ones are no slots, warm-up of at most a
-#: day, or start time in milliseconds, and don't fit messages between routers.
-MAX_SLOTS = 1_000_000
+#: Most milliseconds of warm-up, a day.
 MAX_WARM_UP_MS = 86_400_000
-MAX_BORN = 10**15
 
 #: Route kinds by their names in records.
 ROUTE_KINDS = {
@@ -53,6 +57,7 @@
 }
 
 
+EndpointKey = Annotated[str, ENDPOINT_NAME]
 Count = Annotated[int, COUNT]
 Milliseconds = Annotated[float, MILLISECONDS]
 Priority = Annotated[int, PRIORITY]
@@ -153,11 +158,11 @@
     address: str
     zone: Annotated[str, TEXT]
     version: Annotated[str, TEXT]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    slots: Annotated[int, SLOTS]
     state: WireState
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARM_UP_MS)]
     call_seq: int
-    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
+    born: Annotated[int, START_TIME] = 0
 
 
 def decode(data: bytes, kind: type[T]) -> T:
@@ -215,8 +220,10 @@
     SourceError
         If the record is not a valid registration.
     """
-    if not ENDPOINT_NAME.fullmatch(name):
-        raise SourceError("no name of an endpoint")
+    try:
+        msgspec.convert(name, EndpointKey)
+    except msgspec.ValidationError:
+        raise SourceError("no name of an endpoint") from None
     wire = decode(data, WireEntry)
     return Endpoint(
         name=EndpointName(name),
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -2,8 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from carawayfold.checked import (
+    DURATION,
+    ENDPOINT_NAME,
+    SECONDS,
+    SLOTS,
+    START_TIME,
+    TEXT,
+)
 from carawayfold.settings import Address
 from carawayfold.state.ids import (
     DataCentreId,
@@ -62,16 +72,16 @@
         Version of its software. What two versions write doesn't fit together.
     """
 
-    name: EndpointName
-    service: ServiceId
+    name: Annotated[EndpointName, ENDPOINT_NAME]
+    service: Annotated[ServiceId, TEXT]
     address: Address
-    data_centre: DataCentreId
-    slots: int
+    data_centre: Annotated[DataCentreId, TEXT]
+    slots: Annotated[int, SLOTS]
     leaving: bool = False
-    warm_up: float = 0.0
-    warm_at: float = 0.0
-    incarnation: int = 0
-    software: SoftwareVersion = SoftwareVersion("")
+    warm_up: Annotated[float, DURATION] = 0.0
+    warm_at: Annotated[float, SECONDS] = 0.0
+    incarnation: Annotated[int, START_TIME] = 0
+    software: Annotated[SoftwareVersion, TEXT] = SoftwareVersion("")
 
     def is_warming(self, now: float) -> bool:
         """Return whether it is warming up at `now`, in monotonic seconds."""
--- a/carawayfold/state/evacuations.py
+++ b/carawayfold/state/evacuations.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
+from carawayfold.checked import ORDINAL, SECONDS, TEXT
 from carawayfold.state.ids import DataCentreId, Position
 from carawayfold.state.positions import era_of
 
@@ -34,9 +35,9 @@
         does not list.
     """
 
-    changed_at: Position
-    active: list[DataCentreId]
-    unconfirmed: dict[DataCentreId, float] = {}
+    changed_at: Annotated[Position, ORDINAL]
+    active: list[Annotated[DataCentreId, TEXT]]
+    unconfirmed: dict[Annotated[DataCentreId, TEXT], Annotated[float, SECONDS]] = {}
 
 
 class EvacuationTable(msgspec.Struct):
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -3,9 +3,19 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+from carawayfold.checked import (
+    ATTEMPTS,
+    COUNT,
+    DURATION,
+    ORDINAL,
+    PRIORITY,
+    RATE,
+    TEXT,
+)
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.state.ids import OrganisationId, RegionId, RouteId, ServiceId
 
@@ -42,8 +52,8 @@
         Its share of the requests, relative to the other services.
     """
 
-    service: ServiceId
-    weight: float
+    service: Annotated[ServiceId, TEXT]
+    weight: Annotated[float, RATE]
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -80,18 +90,18 @@
         Regions in which its requests may run; empty for any.
     """
 
-    id: RouteId
+    id: Annotated[RouteId, TEXT]
     host: str
     prefix: bytes
     kind: RouteKind
     services: tuple[WeightedService, ...]
-    attempts: int
-    timeout: float
-    objective: float
-    priority: int
+    attempts: Annotated[int, ATTEMPTS]
+    timeout: Annotated[float, DURATION]
+    objective: Annotated[float, DURATION]
+    priority: Annotated[int, PRIORITY]
     anonymous: bool
     resumable: bool
-    pause: float
+    pause: Annotated[float, DURATION]
     regions: tuple[RegionId, ...] = ()
 
     @property
@@ -143,11 +153,11 @@
         endpoints need no warm-up.
     """
 
-    id: ServiceId
+    id: Annotated[ServiceId, TEXT]
     health_path: str
-    connections: int
-    memory_tokens: int = 0
-    warm_up_rate: float = 0.0
+    connections: Annotated[int, COUNT]
+    memory_tokens: Annotated[int, COUNT] = 0
+    warm_up_rate: Annotated[float, RATE] = 0.0
 
     @property
     def is_model(self) -> bool:
@@ -168,10 +178,10 @@
         Seconds after which an idle connection is closed.
     """
 
-    head_bytes: int = 16384
-    body_bytes: int = 4 << 20
-    head_timeout: float = 3.0
-    idle_timeout: float = 15.0
+    head_bytes: Annotated[int, COUNT] = 16384
+    body_bytes: Annotated[int, COUNT] = 4 << 20
+    head_timeout: Annotated[float, DURATION] = 3.0
+    idle_timeout: Annotated[float, DURATION] = 15.0
 
 
 class RouteTable(msgspec.Struct, frozen=True):
@@ -199,13 +209,13 @@
         organisations only.
     """
 
-    version: int
+    version: Annotated[int, ORDINAL]
     routes: tuple[Route, ...]
     services: dict[ServiceId, ServiceConfig]
-    organisations: dict[str, OrganisationId]
-    priorities: dict[OrganisationId, int]
+    organisations: dict[str, Annotated[OrganisationId, TEXT]]
+    priorities: dict[OrganisationId, Annotated[int, PRIORITY]]
     limits: CallerLimits
-    throughput: float
+    throughput: Annotated[float, RATE]
     regions: dict[OrganisationId, tuple[RegionId, ...]] = {}
 
 
