--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -4,11 +4,21 @@
 
 import re
 from enum import Enum
-from ipaddress import IPv4Address
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from carawayfold.checked import (
+    COUNT,
+    ENDPOINT_NAME,
+    MILLISECONDS,
+    ORDINAL,
+    PRIORITY,
+    RATE,
+    SLOTS,
+    START_TIME,
+    TEXT,
+)
 from carawayfold.protocol.sources import SourceError
 from carawayfold.settings import Address
 from carawayfold.state.endpoints import Endpoint
@@ -30,26 +40,14 @@
     WeightedService,
 )
 
+T = TypeVar("T", bound=msgspec.Struct)
+
 #: Priority of a route or organisation whose record has none.
 DEFAULT_PRIORITY = 1
-#: Valid ports of an address.
-VALID_PORTS = range(1, 65536)
 #: Form of an address. Python reads further numerals and separators as numbers.
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
-#: Address of all hosts of a network.
-BROADCAST = IPv4Address("255.255.255.255")
-#: Names of endpoints that can be sent in a header. A backslash is an escape of what is
-#: no text; see `store.Record`.
-ENDPOINT_NAME = re.compile(r"[!-\[\]-~]{1,255}", re.ASCII)
-#: Most characters of a name within a registration. It is sent in datagrams.
-MAX_NAME_LENGTH = 255
-#: Names without control characters and line ends.
-PLAIN_TEXT = r"^[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
-#: Greatest values of a registration; greater ones are no slots, warm-up of at most a
-#: day, or start time in milliseconds, and don't fit messages between routers.
-MAX_SLOTS = 1_000_000
+#: Most milliseconds of warm-up, a day.
 MAX_WARM_UP_MS = 86_400_000
-MAX_BORN = 10**15
 
 #: Route kinds by their names in records.
 ROUTE_KINDS = {
@@ -59,36 +57,43 @@
 }
 
 
+EndpointKey = Annotated[str, ENDPOINT_NAME]
+Count = Annotated[int, COUNT]
+Milliseconds = Annotated[float, MILLISECONDS]
+Priority = Annotated[int, PRIORITY]
+Rate = Annotated[float, RATE]
+
+
 class WireBackend(msgspec.Struct):
     """A service of a route and its weight."""
 
-    service: str
-    weight: float = 1.0
+    service: Annotated[str, TEXT]
+    weight: Rate = 1.0
 
 
 class WireRoute(msgspec.Struct):
     """A route to one service, or to several with weights."""
 
-    name: str
+    name: Annotated[str, TEXT]
     host: str
     path_prefix: str
     route_kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = DEFAULT_PRIORITY
-    service: str = ""
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    priority: Priority = DEFAULT_PRIORITY
+    service: Annotated[str, TEXT] = ""
     backends: list[WireBackend] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     anonymous: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Milliseconds = 0.0
     allowed_regions: list[str] = []
 
 
 class WireEngine(msgspec.Struct):
     """Additional fields of a service of model engines."""
 
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Count = 0
 
 
 class WireService(msgspec.Struct):
@@ -98,36 +103,36 @@
     up; 0 if its endpoints need no warm-up.
     """
 
-    name: str
+    name: Annotated[str, TEXT]
     health_path: str = "/"
-    max_connections: int = 0
+    max_connections: Count = 0
     engine: WireEngine | None = None
-    cold_per_s: float = 0.0
+    cold_per_s: Rate = 0.0
 
 
 class WireLimits(msgspec.Struct):
     """Limits on callers, and the total throughput of the engines in tokens/s."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 << 20
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
-    tokens_per_s: float = 0.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4 << 20
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15000.0
+    tokens_per_s: Rate = 0.0
 
 
 class WireTenant(msgspec.Struct):
     """An organisation and its API keys."""
 
-    name: str
+    name: Annotated[str, TEXT]
     api_keys: list[str] = []
-    priority: int = DEFAULT_PRIORITY
+    priority: Priority = DEFAULT_PRIORITY
     allowed_regions: list[str] = []
 
 
 class WireConfig(msgspec.Struct):
     """A complete configuration."""
 
-    version: int
+    version: Annotated[int, ORDINAL]
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -141,9 +146,6 @@
     DRAINING = "draining"
 
 
-WireName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=PLAIN_TEXT)]
-
-
 class WireEntry(msgspec.Struct):
     """Registration of an endpoint.
 
@@ -152,15 +154,29 @@
     deployments that omit it.
     """
 
-    service: WireName
+    service: Annotated[str, TEXT]
     address: str
-    zone: WireName
-    version: WireName
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    zone: Annotated[str, TEXT]
+    version: Annotated[str, TEXT]
+    slots: Annotated[int, SLOTS]
     state: WireState
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARM_UP_MS)]
     call_seq: int
-    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)] = 0
+    born: Annotated[int, START_TIME] = 0
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Return the value of a record as the struct `kind`.
+
+    Raises
+    ------
+    SourceError
+        If the record is not valid for that type.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise SourceError(str(error)) from None
 
 
 def decode_routes(data: bytes) -> RouteTable:
@@ -171,7 +187,7 @@
     SourceError
         If the record is not a valid configuration.
     """
-    wire = _decode(data, WireConfig)
+    wire = decode(data, WireConfig)
     return RouteTable(
         version=wire.version,
         routes=tuple(_route(item) for item in wire.routes),
@@ -204,9 +220,11 @@
     SourceError
         If the record is not a valid registration.
     """
-    if not ENDPOINT_NAME.fullmatch(name):
-        raise SourceError("no name of an endpoint")
-    wire = _decode(data, WireEntry)
+    try:
+        msgspec.convert(name, EndpointKey)
+    except msgspec.ValidationError:
+        raise SourceError("no name of an endpoint") from None
+    wire = decode(data, WireEntry)
     return Endpoint(
         name=EndpointName(name),
         service=ServiceId(wire.service),
@@ -224,16 +242,11 @@
 def _address(text: str) -> Address:
     if not ADDRESS.fullmatch(text):
         raise SourceError("no address")
+    host, _, port = text.rpartition(":")
     try:
-        address = Address.parse(text)
-        host = IPv4Address(address.host)
-    except ValueError as error:
+        return msgspec.convert({"host": host, "port": int(port)}, Address)
+    except msgspec.ValidationError as error:
         raise SourceError(str(error)) from None
-    if host.is_unspecified or host.is_multicast or host == BROADCAST:
-        raise SourceError("no address of a host")
-    if address.port not in VALID_PORTS:
-        raise SourceError(f"no port: {address.port}")
-    return address
 
 
 def _route(wire: WireRoute) -> Route:
@@ -278,10 +291,3 @@
         head_timeout=wire.header_timeout_ms / 1000,
         idle_timeout=wire.idle_timeout_ms / 1000,
     )
-
-
-def _decode(data: bytes, kind: type) -> msgspec.Struct:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise SourceError(str(error)) from None
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import json
-import struct
 
 import logbook
 import msgspec
@@ -18,8 +17,8 @@
 from carawayfold.platform import records, store
 from carawayfold.platform.store import MAX_REMEMBERED_KEYS, Record, StoreClient
 from carawayfold.protocol.sources import Page, SourceError
-from carawayfold.transport.client import Answer, Head
-from tests.platform.record_builders import ENTRY, entry
+from tests.platform.http_builders import OneAnswer, read_answer
+from tests.platform.record_builders import CONFIGURATION, ENTRY, entry
 
 #: Nesting that exceeds the recursion limit of the decoder.
 NESTED = b"[" * 5000 + b"]" * 5000
@@ -46,27 +45,6 @@
 ODD_KEYS = st.binary(min_size=1, max_size=20) | st.just(b"i-2")
 
 
-class OneAnswer:
-    """HTTP client that returns the given bodies in order and keeps the paths."""
-
-    def __init__(self, *bodies):
-        self.bodies = list(bodies)
-        self.paths = []
-
-    async def fetch(self, address, method, path, body, timeout):
-        self.paths.append(path)
-        return Answer(Head(200, {}), self.bodies.pop(0))
-
-
-def read_answer(*rows):
-    """Return the body of a read of the given keys and values, in bytes."""
-    body = struct.pack(">QQ", 0, 0)
-    for key, value in rows:
-        record = bytes([len(key)]) + key + value
-        body += struct.pack(">I", len(record)) + record
-    return body
-
-
 def apply_reads(*bodies):
     """Return what a router knows after reads of registrations, one after another."""
 
@@ -170,6 +148,60 @@
     assert http.paths[1].isascii()
 
 
+#: A row of a list that can be read.
+SOUND_ROW = b'{"key": "i-1", "value": "%b", "offset": 1}' % base64.b64encode(entry())
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"5",
+        b"null",
+        b"[]",
+        b"{}",
+        b'{"key": 5, "value": "e30=", "offset": 1}',
+        b'{"value": "e30=", "offset": 1}',
+        b'{"key": "i-2"}',
+        b'{"key": "i-2", "value": 5, "offset": 1}',
+        b'{"key": "i-2", "value": null, "offset": 1}',
+        b'{"key": "i-2", "value": "e30=", "offset": -1}',
+        b'{"key": "i-2", "value": "e30=", "offset": "1"}',
+        b'{"key": "i-2", "value": {"slots": [1]}, "offset": 1}',
+        rb'{"key": ["\ud800"], "value": "e30=", "offset": 1}',
+        rb'{"key": "i-2", "value": "\ud800", "offset": 1}',
+        b'{"key": "i-2", "value": "e30=", "offset": 1, "further": 1e999}',
+    ],
+)
+def test_a_row_that_can_not_be_read_does_not_hide_the_rest_of_a_list(row):
+    """The whole list was refused, so that nobody followed the store any longer."""
+
+    async def follow(*rows):
+        body = b'{"entries": [%b], "end": 3}' % b",".join(rows)
+        source = store.endpoint_source(StoreClient(OneAnswer(body), None))
+        with logbook.TestHandler() as lines:
+            page = await source.newest()
+        known = Knowledge(lambda table: None, lambda: None)
+        known.apply_listing(page)
+        return list(known.endpoints.entries), [x.message for x in lines.records]
+
+    for rows in ([row, SOUND_ROW], [SOUND_ROW, row]):
+        assert asyncio.run(follow(*rows)) == (["i-1"], ["unreadable record"])
+
+
+def test_a_list_goes_on_behind_a_row_without_a_key():
+    rows = b'{"entries": [%b, {"key": 5}], "end": 3, "more_pages": true}' % SOUND_ROW
+    http = OneAnswer(rows, b'{"entries": [], "end": 3}')
+    page = asyncio.run(store.endpoint_source(StoreClient(http, None)).newest())
+    assert len(page.items) == 2
+    assert http.paths[1].endswith("&after=i-1")
+
+
+def test_a_page_of_which_no_key_can_be_read_is_a_failed_read():
+    http = OneAnswer(b'{"entries": [5, {}], "end": 3, "more_pages": true}')
+    with pytest.raises(SourceError):
+        asyncio.run(store.endpoint_source(StoreClient(http, None)).newest())
+
+
 #: Bytes of a key in a list, as JSON.
 JSON_KEYS = st.lists(
     st.sampled_from(["a", " ", "☃", r"\n", r"\u0000", r"\\", r"\"", "%"])
@@ -248,6 +280,39 @@
         asyncio.run(StoreClient(OneAnswer(body), None).read("t", 0, 0.0))
 
 
+@pytest.mark.parametrize(
+    ("part", "field", "value"),
+    [
+        ("", "version", 10**30),
+        ("", "version", -1),
+        ("routes", "timeout_ms", 1e308),
+        ("routes", "target_latency_ms", -1),
+        ("routes", "priority", 10**30),
+        ("routes", "max_attempts", 10**30),
+        ("routes", "name", "r\n"),
+        ("routes", "backends", [{"service": "s", "weight": 1e308}]),
+        ("services", "name", "s" * 300),
+        ("services", "max_connections", 10**30),
+        ("services", "cold_per_s", 1e308),
+        ("services", "engine", {"kv_capacity_tokens": 10**30}),
+        ("limits", "tokens_per_s", 1e308),
+        ("limits", "idle_timeout_ms", 1e308),
+        ("limits", "max_body_bytes", 10**30),
+        ("tenants", "name", "alder\r\nX-Other: 1"),
+        ("tenants", "priority", 10**30),
+    ],
+)
+def test_a_configuration_that_can_not_be_applied_is_unreadable(part, field, value):
+    """Its numbers are sent to peers, and its names to endpoints."""
+    document = json.loads(json.dumps(CONFIGURATION))
+    assert records.decode_routes(json.dumps(document).encode()).version == 5
+    changed = document[part] if part else document
+    changed = changed[0] if isinstance(changed, list) else changed
+    changed[field] = value
+    with pytest.raises(SourceError):
+        records.decode_routes(json.dumps(document).encode())
+
+
 def test_an_answer_nested_too_deeply_is_a_failed_read():
     body = b'{"entries": [], "end": 3, "x": ' + NESTED + b"}"
     with pytest.raises(SourceError):
