Check the ages in a peer's history of versions when they are decoded

Found while merging the checks of records: `SoftwareAge` came without them. A negative age from a stranger's answer would keep a version as serving for long, and NaN would never expire. The tests of foreign answers pass.

--- a/carawayfold/state/software_history.py
+++ b/carawayfold/state/software_history.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+from typing import Annotated
 
 import msgspec
 
+from carawayfold.checked import DURATION, TEXT
 from carawayfold.state.ids import ServiceId, SoftwareVersion
 
 #: Seconds for which an endpoint may serve after its entry is removed.
@@ -104,6 +106,6 @@
         Seconds.
     """
 
-    service: ServiceId
-    software: SoftwareVersion
-    age: float
+    service: Annotated[ServiceId, TEXT]
+    software: Annotated[SoftwareVersion, TEXT]
+    age: Annotated[float, DURATION]
