Let resumed streams wait as long as their callers do

What callers saw: streams that an endpoint's crash broke off were cut by their router, and their callers were refused with 503 ("no answer in time") when they took them up again, up to three times, although endpoints of their version served others.

Its caller has the first events in time already and leaves only after a gap of 2 s, four objectives or eight declared pauses.

Before: test_resumed_streams, four of five cases failed (cut, 503), and with the new field, but the old rules, test_scheduler (outwaits) and test_pool_selection (stayed_in_a_full_pool).

Why this works: an offer of such a stream states when its caller leaves, and rejections, rank and search of pools go by that. It is refused at once if that can't be met, or if no endpoint is reachable within the objective. A stream at a silent endpoint, which may go on, waits as before.

--- a/carawayfold/coordination/requests/attempts.py
+++ b/carawayfold/coordination/requests/attempts.py
@@ -386,7 +386,8 @@
             self._note_activity()
         if not complete_events:
             return
-        waited = self.loop.time() - self.started
+        now = self.loop.time()
+        waited = now - self.started
         if self.first_event_delay is None:
             self.first_event_delay = waited
         self.forwarder.coordinator.begun(self.call_id, waited)
@@ -397,6 +398,7 @@
             self.forwarder.begin(self.call, self.answer_head)
         self._send(complete_events)
         self.call.resume_after = self.events.last
+        self.call.last_event_at = now
 
     def _is_final(self) -> bool:
         """Return whether the answer is sent to the caller and causes no retry."""
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -121,6 +121,9 @@
         of a stream.
     resume_after : int or None
         Last complete event that the caller has received.
+    last_event_at : float or None
+        Loop time at which it received that event, or began to resume the stream; None
+        before a stream's first event.
     origin : Origin or None
         Where the stream began that the caller receives; None before its first event.
     allowed : frozenset of DataCentreId or None
@@ -170,6 +173,7 @@
     deadline: float
     due: float
     resume_after: int | None
+    last_event_at: float | None = None
     origin: Origin | None = None
     allowed: frozenset[DataCentreId] | None = None
     attempts: AttemptHistory = msgspec.field(default_factory=AttemptHistory)
@@ -213,6 +217,16 @@
         request = self.parsed.resumes if resuming else self.parsed.id
         return stream_id(self.organisation, request)
 
+    @property
+    def abandoned_at(self) -> float | None:
+        """Return when its caller abandons a stream that no endpoint continues.
+
+        None before the stream's first event, and while an attempt is in flight.
+        """
+        if self.last_event_at is None or self.attempt is not None:
+            return None
+        return min(self.last_event_at + self.route.patience, self.deadline)
+
     @property
     def software(self) -> SoftwareVersion | None:
         """Return the software version that its endpoint must have; None for any."""
@@ -345,6 +359,7 @@
         estimator = self.wait_estimators.setdefault(route.id, WaitEstimator())
         resumes = parsed.resume_after is not None
         waited = 0.0 if resumes else estimator.waited(left)
+        resumes_stream = resumes and route.kind is RouteKind.STREAMING
         return ForwardedCall(
             incoming=incoming,
             parsed=parsed,
@@ -355,6 +370,7 @@
             deadline=now + min(left, route.timeout) - ANSWER_MARGIN,
             due=now + route.objective - waited,
             resume_after=parsed.resume_after,
+            last_event_at=now if resumes_stream else None,
             allowed=found.allowed,
         )
 
@@ -548,6 +564,7 @@
             allowed=call.allowed,
             software=call.software,
             body_bytes=len(call.incoming.body),
+            abandoned_at=call.abandoned_at,
         )
 
     def _rejection_refusal(self, call: ForwardedCall, decision: Rejected) -> Refusal:
--- a/carawayfold/coordination/scheduling/messages.py
+++ b/carawayfold/coordination/scheduling/messages.py
@@ -27,6 +27,9 @@
 
 def offer_message(offer: Offer, pool: PoolId, now: float) -> OfferMessage:
     """Return the message that offers a request to a pool at monotonic time `now`."""
+    abandoned_in = (
+        None if offer.abandoned_at is None else round((offer.abandoned_at - now) * 1000)
+    )
     return OfferMessage(
         pool=pool,
         call=offer.call,
@@ -46,11 +49,15 @@
         throttled_tokens=offer.throttled_tokens,
         software=offer.software,
         body_bytes=offer.body_bytes,
+        abandoned_in=abandoned_in,
     )
 
 
 def offer_from_message(message: OfferMessage, router: RouterId, now: float) -> Offer:
     """Return the request offered by a router, with times in local monotonic seconds."""
+    abandoned_at = (
+        None if message.abandoned_in is None else now + message.abandoned_in / 1000
+    )
     return Offer(
         call=message.call,
         router=router,
@@ -71,6 +78,7 @@
         throttled_tokens=message.throttled_tokens,
         software=message.software,
         body_bytes=message.body_bytes,
+        abandoned_at=abandoned_at,
     )
 
 
--- a/carawayfold/coordination/scheduling/offers.py
+++ b/carawayfold/coordination/scheduling/offers.py
@@ -122,6 +122,9 @@
         First prediction of its wait by its scheduler; None before.
     holder : Holder
         The process of its router, which holds its connections.
+    abandoned_at : float or None
+        Time at which its caller abandons the stream that it resumes; None if it resumes
+        none, or an endpoint may still continue it.
     """
 
     call: CallId
@@ -148,6 +151,7 @@
     standing: Standing = Standing.NEW
     prediction: WaitPrediction | None = None
     holder: Holder = field(init=False)
+    abandoned_at: float | None = None
 
     def __post_init__(self) -> None:
         self.holder = holder_of(self.call)
@@ -164,6 +168,15 @@
             return False
         return self.may_run_in(endpoint.data_centre)
 
+    @property
+    def latest(self) -> float:
+        """Return the time until which an answer to it is worth waiting for.
+
+        The caller of a resumed stream has a part of the answer already, and waits for
+        the rest beyond the objective.
+        """
+        return self.due if self.abandoned_at is None else self.abandoned_at
+
     @property
     def charged_tokens(self) -> int:
         """Return the tokens that count against its organisation's share."""
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -235,7 +235,7 @@
         if len(asked) <= MAX_FALLBACK_POOLS:
             return self.balance.choose_further(weights, asked, offer, now)
         found = self.balance.find_room(weights, asked, offer, now)
-        if found is None and now < offer.due:
+        if found is None and now < offer.latest:
             found = self.balance.find_unknown(weights, asked, offer, now)
         return found
 
@@ -354,7 +354,7 @@
         """Leave the queue if another pool serves the request sooner."""
         offer, balance = self.offer, self.selection.balance
         now = self.coordinator.loop.time()
-        if now >= offer.due:
+        if now >= offer.latest:
             return
         weights = self.selection.weights_for(
             self.service, offer.allowed, offer.software
--- a/carawayfold/coordination/scheduling/rejections.py
+++ b/carawayfold/coordination/scheduling/rejections.py
@@ -59,6 +59,8 @@
     now : float
         Monotonic seconds.
     """
+    if offer.abandoned_at is not None:
+        return now + first_token_in > offer.abandoned_at
     if now >= offer.due:
         max_wait = (offer.expires - offer.arrived) * LATE_WAIT_FRACTION
         return now - offer.arrived > max_wait
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -637,7 +637,7 @@
         return Rank(
             organisation_not_behind=not underserved,
             beyond_share=not self.is_within_share(offer),
-            late=now >= offer.due or early,
+            late=now >= offer.latest or early,
             priority=offer.priority,
             route_not_behind=route_not_behind,
             negated_density=-offer.value_density,
--- a/carawayfold/coordination/scheduling/wait_predictions.py
+++ b/carawayfold/coordination/scheduling/wait_predictions.py
@@ -255,4 +255,4 @@
 
 
 def _class_of(offer: Offer, now: float) -> WaitClass:
-    return WaitClass(offer.priority, now >= offer.due)
+    return WaitClass(offer.priority, now >= offer.latest)
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -32,6 +32,11 @@
 
 #: Priority of a route or organisation whose record has none.
 DEFAULT_PRIORITY = 1
+#: Callers abandon a stream after the longest of these seconds, this multiple of its
+#: objective, and this multiple of the declared pause between its events.
+MIN_PATIENCE = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
 #: Valid ports of an address.
 VALID_PORTS = range(1, 65536)
 #: Form of an address. Python reads further numerals and separators as numbers.
@@ -253,10 +258,19 @@
         anonymous=wire.anonymous,
         resumable=wire.resumable,
         pause=wire.gap_target_ms / 1000,
+        patience=_patience(wire),
         regions=_regions(wire.allowed_regions),
     )
 
 
+def _patience(wire: WireRoute) -> float:
+    return max(
+        MIN_PATIENCE,
+        PATIENCE_OBJECTIVES * wire.target_latency_ms / 1000,
+        PATIENCE_PAUSES * wire.gap_target_ms / 1000,
+    )
+
+
 def _regions(names: list[str]) -> tuple[RegionId, ...]:
     return tuple(RegionId(name) for name in names)
 
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -122,6 +122,9 @@
         Software version that its endpoint must have; None for any.
     body_bytes : int
         Size of its body in bytes.
+    abandoned_in : int or None
+        Milliseconds from now until its caller abandons the stream that it resumes; None
+        if it resumes none, or an endpoint may still continue it.
     """
 
     pool: PoolId
@@ -142,6 +145,7 @@
     throttled_tokens: int = 0
     software: SoftwareVersion | None = None
     body_bytes: int = 0
+    abandoned_in: int | None = None
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -76,6 +76,8 @@
         Whether a stream may be resumed at another endpoint.
     pause : float
         Objective for the longest pause between events of a stream, in seconds.
+    patience : float
+        Seconds without an event after which callers abandon a stream.
     regions : tuple of RegionId
         Regions in which its requests may run; empty for any.
     """
@@ -92,6 +94,7 @@
     anonymous: bool
     resumable: bool
     pause: float
+    patience: float
     regions: tuple[RegionId, ...] = ()
 
     @property
--- a/tests/coordination/requests/test_forwarding.py
+++ b/tests/coordination/requests/test_forwarding.py
@@ -132,6 +132,22 @@
     assert offer.software is None
 
 
+def test_a_resumed_stream_may_wait_as_long_as_its_caller_does():
+    [offer] = offers_of({"last-event-id": "3"})
+    expected = offer.arrived + ROUTE.patience
+    assert offer.abandoned_at == pytest.approx(expected, abs=0.1)
+
+
+def test_a_resumed_stream_does_not_wait_beyond_the_timeout_of_its_caller():
+    [offer] = offers_of({"request-deadline": "2000", "last-event-id": "3"})
+    assert offer.abandoned_at == offer.expires
+
+
+def test_a_new_stream_waits_for_its_objective_only():
+    [offer] = offers_of({})
+    assert offer.abandoned_at is None
+
+
 class Answers:
     """Request that keeps its answers; those with an unsendable status fail."""
 
--- a/tests/coordination/requests/test_replacements.py
+++ b/tests/coordination/requests/test_replacements.py
@@ -82,6 +82,30 @@
     assert coordinator.offers[0].due > 0
 
 
+def attempt_in_flight(forwarder):
+    """Return an attempt at an endpoint."""
+    return SimpleNamespace(
+        sent=True,
+        stopped=False,
+        started=0.0,
+        endpoint=forwarder.coordinator.endpoints["m-2"],
+        first_event_delay=None,
+    )
+
+
+def test_a_stream_that_its_endpoint_may_continue_waits_for_its_objective_only():
+    def silent(call, forwarder):
+        call.last_event_at = forwarder.loop.time()
+        call.attempt = attempt_in_flight(forwarder)
+        forwarder.endpoint_activity = EndpointActivity()
+        forwarder.containment.reports = SimpleNamespace(note=lambda loss: None)
+
+    _, coordinator, call, _ = search(silent, route(resumable=True))
+    assert coordinator.offers[0].abandoned_at is None
+    call.attempt = None
+    assert call.abandoned_at == call.last_event_at + call.route.patience
+
+
 def accept(prepare=lambda forwarder: None):
     """Return whether a grant is accepted, with the call and the coordinator."""
     found, coordinator, call, forwarder = search()
@@ -126,13 +150,7 @@
 
     def silent(call, forwarder):
         once_retried(call, forwarder)
-        call.attempt = SimpleNamespace(
-            sent=True,
-            stopped=False,
-            started=0.0,
-            endpoint=forwarder.coordinator.endpoints["m-2"],
-            first_event_delay=None,
-        )
+        call.attempt = attempt_in_flight(forwarder)
         forwarder.endpoint_activity = EndpointActivity()
         forwarder.containment.reports = SimpleNamespace(note=noted.append)
 
--- a/tests/coordination/scheduling/test_pool_selection.py
+++ b/tests/coordination/scheduling/test_pool_selection.py
@@ -24,7 +24,10 @@
     choose_pool,
 )
 from carawayfold.coordination.scheduling.pool_balance import FULL_USE
-from carawayfold.coordination.scheduling.pool_selection import LEFT_QUEUE
+from carawayfold.coordination.scheduling.pool_selection import (
+    LEFT_QUEUE,
+    LOOK_INTERVAL,
+)
 from carawayfold.protocol.datagrams import OfferMessage, WithdrawMessage
 from carawayfold.protocol.exchanges import Part
 from tests.coordination.scheduling.pool_builders import (
@@ -170,6 +173,24 @@
     assert simulate(work) == 1
 
 
+def test_a_resumed_stream_stayed_in_a_full_pool_after_its_objective():
+    async def work():
+        router = AskingRouter()
+        until = asyncio.get_running_loop().time() + 3 * OBJECTIVE
+        task, _ = router.ask(abandoned_at=until)
+        for _ in range(15):
+            for pool in router.order:
+                router.record(pool, FULL)
+            await asyncio.sleep(OBJECTIVE / 10)
+        router.record(router.order[1], IDLE)
+        await asyncio.sleep(2 * LOOK_INTERVAL)
+        offered = [pool for pool, _ in router.offered()]
+        await end(task)
+        return offered == router.order[:2]
+
+    assert simulate(work)
+
+
 def test_a_request_that_waits_leaves_for_an_unknown_pool_later():
     """The leader of the first pool may have failed, or state no load."""
 
--- a/tests/coordination/scheduling/test_scheduler.py
+++ b/tests/coordination/scheduling/test_scheduler.py
@@ -133,6 +133,39 @@
     assert 0.3 <= refused["r.0.2"].retry_after <= 3.4
 
 
+def resumed(abandoned_at, **other):
+    """Return the offer of a resumed stream whose objective is 0.3 s."""
+    fields = {"now": 1.05, "due": 1.35, "abandoned_at": abandoned_at, **other}
+    return offer("r.0.2", "b", 1, 10_000, **fields)
+
+
+def pool_with_a_long_prompt():
+    """Return a pool whose engine prefills for 0.6 s from 1.0 s on."""
+    pool = scheduler()
+    decide(pool, 1.0, offer("r.0.1", "a", 1, 60_000, now=1.0))
+    return pool
+
+
+def test_a_resumed_stream_was_refused_for_an_objective_that_its_caller_outwaits():
+    pool = pool_with_a_long_prompt()
+    assert decide(pool, 1.05, resumed(abandoned_at=3.0)) == []
+    # The objective has passed.
+    assert pool.decide(1.4) == []
+    pool.begun("r.0.1", 0.6)
+    assert granted(pool.decide(1.6)).keys() == {"r.0.2"}
+
+
+def test_a_resumed_stream_whose_caller_leaves_before_is_rejected_at_once():
+    pool = pool_with_a_long_prompt()
+    assert "r.0.2" in rejected(decide(pool, 1.05, resumed(abandoned_at=1.45)))
+
+
+def test_a_resumed_stream_without_a_reachable_endpoint_is_rejected_at_once():
+    pool = scheduler()
+    pool.suspend("e-0", 1.0)
+    assert "r.0.2" in rejected(decide(pool, 1.05, resumed(abandoned_at=9.0)))
+
+
 @pytest.mark.parametrize(("speed", "waits"), [(50_000, True), (400_000, False)])
 def test_the_allowed_delay_of_a_long_prompt_depends_on_the_observed_prefill_rate(
     speed, waits
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -32,6 +32,20 @@
     assert table.organisations == {KEY: "alder"}
 
 
+@pytest.mark.parametrize(
+    ("objective", "pause", "patience"),
+    [(100, 100, 2.0), (900, 100, 3.6), (400, 400, 3.2), (400, 0, 2.0)],
+)
+def test_callers_of_a_stream_wait_as_long_as_the_platform_states(
+    objective, pause, patience
+):
+    config = configuration(7)
+    limits = {"target_latency_ms": objective, "gap_target_ms": pause}
+    config["routes"][0] |= limits
+    table = records.decode_routes(json.dumps(config).encode())
+    assert table.routes[0].patience == pytest.approx(patience)
+
+
 def test_route_of_unknown_kind_is_never_retried():
     config = configuration()
     config["routes"][0]["route_kind"] = "some-new-kind"
--- a/tests/protocol/test_datagrams.py
+++ b/tests/protocol/test_datagrams.py
@@ -25,6 +25,7 @@
 MESSAGES = [
     Heartbeat("north", False, 3, 7, 120),
     OfferMessage("model/0", "r.0.1", "alder", "summary", 1, [("p", 9)], 9, 4, 80, 900),
+    OfferMessage("p", "r.0.1", "o", "s", 1, [], 9, 4, 80, 900, abandoned_in=700),
     GrantMessage("r.0.1", "e-1", None, 7, 12),
     AttemptEndedMessage("model/0", "r.0.1", "whole"),
     ActiveRequestsMessage("model/0", [ActiveRequestReport("r.0.1", "e-1", 3, 9, True)]),
--- a/tests/schedule_builders.py
+++ b/tests/schedule_builders.py
@@ -69,5 +69,6 @@
         "anonymous": False,
         "resumable": False,
         "pause": 0.4,
+        "patience": 4.0,
     }
     return Route(**{**fields, **other})
