Don't throttle resumed streams

Cause: while the leader of a pool is overloaded, its routers offer only a part of an organisation's requests, drawn by hash, resumed streams as well.

Evidence: test_admission failed before.

Why this works: a resumed stream is always offered, and the pool's scheduler decides on it within the shares as on any other.

--- a/carawayfold/coordination/scheduling/admission.py
+++ b/carawayfold/coordination/scheduling/admission.py
@@ -95,7 +95,13 @@
             limit.retry_after = decision.retry_after
 
     def reject(self, offer: Offer, pool: PoolId, now: float) -> Rejected | None:
-        """Return the rejection of a request that may not be offered, None if it may."""
+        """Return the rejection of a request that may not be offered, None if it may.
+
+        Resumed streams are always offered: they are few, and callers would lose the
+        part that they have.
+        """
+        if offer.abandoned_at is not None:
+            return None
         limit = self.limits.get(_key_of(offer, pool))
         if limit is None or limit.until < now:
             return None
--- a/tests/coordination/scheduling/test_admission.py
+++ b/tests/coordination/scheduling/test_admission.py
@@ -45,6 +45,13 @@
     assert [admission.reject(item, pool, 0.1) for item, pool in others] == [None] * 3
 
 
+def test_a_resumed_stream_was_throttled_with_the_new_requests_of_its_organisation():
+    admission = limited(0.0)
+    resumed = offer(abandoned_at=3.0)
+    assert admission.reject(resumed, POOL, 0.1) is None
+    assert admission.take_throttled_tokens(offer(), POOL) == 0
+
+
 def test_a_limit_expires_after_the_leader_stopped_answering():
     admission = limited(0.0)
     assert admission.reject(offer(), POOL, ADMISSION_DURATION) is not None
