Go on searching pools for a stream that returned past its objective

What callers would see: a resumed stream that its scheduler recognises as the return of a rejected one may stay in a full pool although another has room.

Cause: the scheduler of the same router sets the objective of a return to that of the rejected request, which may be the very time of the offer. The search then divided by zero, and its timer ended.

Evidence: the test failed before with ZeroDivisionError. Multiplying in place of dividing has no such case, and is the same comparison otherwise.

--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -360,8 +360,8 @@
             self.service, offer.allowed, offer.software
         )
         found = balance.find_room(weights, self.asked, offer, now)
-        waited = (now - self.since) / (offer.due - self.since)
-        if found is None and waited >= UNKNOWN_PATIENCE:
+        patience = UNKNOWN_PATIENCE * (offer.due - self.since)
+        if found is None and now - self.since >= patience:
             found = balance.find_unknown(weights, self.asked, offer, now)
         if found is None:
             self._look_in(LOOK_INTERVAL)
--- a/tests/coordination/scheduling/test_pool_selection.py
+++ b/tests/coordination/scheduling/test_pool_selection.py
@@ -34,8 +34,10 @@
     LEADER,
     OBJECTIVE,
     PREFIX,
+    SERVICE,
     AskingRouter,
 )
+from tests.schedule_builders import offer
 from tests.simulated_fleet import simulate
 
 IDLE, FULL = PoolLoad(0.0, 0.3), PoolLoad(0.5, 1.0)
@@ -191,6 +193,27 @@
     assert simulate(work)
 
 
+def test_a_stream_that_returned_as_its_objective_ended_stayed_in_a_full_pool():
+    async def work():
+        router = AskingRouter()
+        now = asyncio.get_running_loop().time()
+        resumed = offer("own.1.9", PREFIX, now=now, router="own", due=now + OBJECTIVE)
+        resumed.abandoned_at = now + 3 * OBJECTIVE
+        placing = router.coordinator.place_with_fallback(resumed, SERVICE)
+        task = asyncio.ensure_future(placing)
+        await asyncio.sleep(0)
+        # A scheduler of the same router does this to returns of rejected requests.
+        resumed.due = now
+        await asyncio.sleep(OBJECTIVE)
+        router.record(router.order[1], IDLE)
+        await asyncio.sleep(2 * LOOK_INTERVAL)
+        offered = [pool for pool, _ in router.offered()]
+        await end(task)
+        return offered[-1] != router.order[0]
+
+    assert simulate(work)
+
+
 def test_a_request_that_waits_leaves_for_an_unknown_pool_later():
     """The leader of the first pool may have failed, or state no load."""
 
