--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -32,6 +32,7 @@
     SoftwareVersion,
 )
 from carawayfold.state.routes import (
+    MIN_PATIENCE,
     CallerLimits,
     Route,
     RouteKind,
@@ -44,6 +45,10 @@
 
 #: Priority of a route or organisation whose record has none.
 DEFAULT_PRIORITY = 1
+#: Callers abandon a stream after the longest of `MIN_PATIENCE`, this multiple of its
+#: objective, and this multiple of the declared pause between its events.
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
 #: Form of an address. Python reads further numerals and separators as numbers.
 ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}", re.ASCII)
 #: Most milliseconds of warm-up, a day.
@@ -266,10 +271,19 @@
         anonymous=wire.anonymous,
         resumable=wire.resumable,
         pause=wire.gap_target_ms / 1000,
+        patience=_patience(wire),
         regions=_regions(wire.allowed_regions),
     )
 
 
+def _patience(wire: WireRoute) -> float:
+    return max(
+        MIN_PATIENCE,
+        PATIENCE_OBJECTIVES * wire.target_latency_ms / 1000,
+        PATIENCE_PAUSES * wire.gap_target_ms / 1000,
+    )
+
+
 def _regions(names: list[str]) -> tuple[RegionId, ...]:
     return tuple(RegionId(name) for name in names)
 
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -144,6 +144,9 @@
         Software version that its endpoint must have; None for any.
     body_bytes : int
         Size of its body in bytes.
+    abandoned_in : int or None
+        Milliseconds from now until its caller abandons the stream that it resumes; None
+        if it resumes none, or an endpoint may still continue it.
     """
 
     pool: PoolId
@@ -164,6 +167,7 @@
     throttled_tokens: Amount = 0
     software: SoftwareVersion | None = None
     body_bytes: Amount = 0
+    abandoned_in: Span | None = None
 
 
 class WithdrawMessage(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -21,6 +21,8 @@
 
 #: Organisation of requests on routes that need no key.
 ANONYMOUS = OrganisationId("")
+#: Least seconds without an event after which callers abandon a stream.
+MIN_PATIENCE = 2.0
 
 
 class RouteKind(Enum):
@@ -88,6 +90,9 @@
         Objective for the longest pause between events of a stream, in seconds.
     regions : tuple of RegionId
         Regions in which its requests may run; empty for any.
+    patience : float
+        Seconds without an event after which callers abandon a stream; by default the
+        least, as routers of earlier versions don't state it.
     """
 
     id: Annotated[RouteId, TEXT]
@@ -103,6 +108,7 @@
     resumable: bool
     pause: Annotated[float, DURATION]
     regions: tuple[RegionId, ...] = ()
+    patience: Annotated[float, DURATION] = MIN_PATIENCE
 
     @property
     def repeatable(self) -> bool:
