Test streams begun before the peers are known, and endpoints that start again

A router is ready before it knows its peers. A stream that it begins then is reported to nobody, also not once the peers are known, so that another router refuses the caller's return.

An endpoint that starts again at another version, under its name, and gets a request before its new entry is known, begins the stream at a version that isn't recorded.

--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -615,3 +615,26 @@
 
     answer = play(scenario)
     assert (numbers(answer), versions(answer)) == (WHOLE[3:], ["v1"])
+
+
+# Endpoints that start again at their address
+
+
+def test_a_stream_of_an_endpoint_that_changed_its_version_unnoticed_was_joined():
+    """Its entry was older than the process that took the request, under its name."""
+
+    async def scenario(router):
+        async def start_again(answer):
+            answer.software = "v2"
+            answer.begin()
+            answer.events(1, 2, 3)
+            await asyncio.sleep(0.02)
+            router.coordinator.superseded.add("m-1")
+            await answer.writer.wait_closed()
+
+        router.endpoints[0].scripts.append(start_again)
+        return await router.request(request_id="a")
+
+    answer = play(scenario)
+    assert len(versions(answer)) == 1
+    assert not answer.complete
--- a/tests/coordination/requests/test_returns_at_routers.py
+++ b/tests/coordination/requests/test_returns_at_routers.py
@@ -15,13 +15,16 @@
 LATE = 0.0001
 
 
-def run_fleet(work):
-    """Return the result of `work` on six routers that know two versions."""
+def run_fleet(work, settled=SETTLED):
+    """Return the result of `work` on six routers that know two versions.
+
+    It begins `settled` seconds after they were started.
+    """
 
     async def run():
         fleet = started(6, 3)
         streams = SimulatedStreams(fleet)
-        await asyncio.sleep(SETTLED)
+        await asyncio.sleep(settled)
         try:
             return await work(fleet, streams)
         finally:
@@ -79,3 +82,15 @@
         return await first, second
 
     assert run_fleet(work) == (None, Origin("model", "v1"))
+
+
+def test_a_stream_begun_before_its_router_knew_its_peers_was_never_reported():
+    async def work(fleet, world):
+        while "r-0" not in world.routers:
+            await asyncio.sleep(0.001)
+        world.begin("s", "r-0", "v1")
+        await asyncio.sleep(SETTLED)
+        fleet.kill("r-0")
+        return [await world.resume("s", name) for name in fleet.routers]
+
+    assert run_fleet(work, settled=0.0) == [Origin("model", "v1")] * 5
--- a/tests/integration/test_returned_streams.py
+++ b/tests/integration/test_returned_streams.py
@@ -20,6 +20,8 @@
 ROUTERS = ["router-0", "router-1", "router-2"]
 STREAMS = 8
 EVENTS = 5
+#: Seconds of the retry window: its first end shows that a router knows its peers.
+RETRY_WINDOW = 0.1
 
 
 @pytest.fixture
@@ -29,9 +31,9 @@
     for name, software in ENGINES.items():
         fleet.start_endpoint(name, "model", software=software)
     for router in ROUTERS:
-        fleet.start_router(router)
+        fleet.start_router(router, retry_window=RETRY_WINDOW)
     for router in ROUTERS:
-        asyncio.run(fleet.wait_ready(router))
+        asyncio.run(fleet.wait_retrying(router))
     return fleet
 
 
@@ -83,6 +85,7 @@
 
 
 def check_whole(*answers):
+    assert [answer.status for answer in answers] == [200] * len(answers)
     assert answers[-1].complete
     assert numbers(*answers) == list(range(1, EVENTS + 1))
     assert len(versions(*answers)) == 1
