--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -638,3 +638,14 @@
     answer = play(scenario)
     assert len(versions(answer)) == 1
     assert not answer.complete
+
+
+@pytest.mark.parametrize("name", ["kv_from", "kv_backup", "kv_fetch", "hold", "pin_ms"])
+def test_memory_that_a_caller_names_is_not_used(name):
+    """A stream would go on from the memory of another request."""
+
+    async def scenario(router):
+        await router.request(request_id="a", **{name: "127.0.0.1:1/x"})
+        return router.endpoints[0].requests[0]
+
+    assert name.replace("_", "-") not in play(scenario)
