--- a/tests/coordination/requests/test_joined_streams.py
+++ b/tests/coordination/requests/test_joined_streams.py
@@ -615,3 +615,37 @@
 
     answer = play(scenario)
     assert (numbers(answer), versions(answer)) == (WHOLE[3:], ["v1"])
+
+
+# Endpoints that start again at their address
+
+
+def test_a_stream_of_an_endpoint_that_changed_its_version_unnoticed_was_joined():
+    """Its entry was older than the process that took the request, under its name."""
+
+    async def scenario(router):
+        async def start_again(answer):
+            answer.software = "v2"
+            answer.begin()
+            answer.events(1, 2, 3)
+            await asyncio.sleep(0.02)
+            router.coordinator.superseded.add("m-1")
+            await answer.writer.wait_closed()
+
+        router.endpoints[0].scripts.append(start_again)
+        return await router.request(request_id="a")
+
+    answer = play(scenario)
+    assert len(versions(answer)) == 1
+    assert not answer.complete
+
+
+@pytest.mark.parametrize("name", ["kv_from", "kv_backup", "kv_fetch", "hold", "pin_ms"])
+def test_memory_that_a_caller_names_is_not_used(name):
+    """A stream would go on from the memory of another request."""
+
+    async def scenario(router):
+        await router.request(request_id="a", **{name: "127.0.0.1:1/x"})
+        return router.endpoints[0].requests[0]
+
+    assert name.replace("_", "-") not in play(scenario)
