Report streams to routers that a router did not know before

What callers saw: streams refused as stream-not-resumable at other routers though the one that began them was alive.

Cause: a router that was ready before it knew any peer reported its first streams to nobody, and `fleet_changed` reported them again only to routers that it had known in another incarnation. New routers count now, too.

--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -166,7 +166,7 @@
         self.queries: dict[StreamId, list[Query]] = {}
         #: Streams of whose route an origin is being proved for a peer.
         self.proving: set[tuple[RouterId, StreamId]] = set()
-        #: Incarnation of each router to which streams were reported.
+        #: Incarnation of each router that may have received reports.
         self.incarnations: dict[RouterId, int] = {}
 
     # Streams of this router
@@ -237,20 +237,20 @@
         return {name: origin for name, origin in expected.items() if origin is not None}
 
     def fleet_changed(self) -> None:
-        """Report this router's streams again to routers that have started again."""
+        """Report this router's streams to routers that are new or have restarted."""
         members = self.fleet.membership.members.values()
         incarnations = {item.router: item.incarnation for item in members}
-        restarted = {
+        started = {
             router
             for router, incarnation in incarnations.items()
-            if self.incarnations.get(router) not in (None, incarnation)
+            if self.incarnations.get(router) != incarnation
         }
         self.incarnations |= incarnations
-        if not restarted:
+        if not started:
             return
         for stream, record in list(self.own.records.items()):
             certain = self.sole.get(record.route) == record.origin
-            if not certain and restarted & set(self._holders(stream)):
+            if not certain and started & set(self._holders(stream)):
                 self._report(stream, record)
 
     # Routers that hold the records
