Add a relay between the routers of the stand-ins

What callers saw: streams that go on at another version at a router that neither the store nor its peers reach. No test could have shown that: proxies stand in front of the store and of endpoints, but datagrams and fetches between routers went straight from one to the other.

The relay has a port for each ordered pair of routers. The store tells each reader, which it knows by the address of its proxy, the ports at which it reaches the others; a datagram goes on from the port of the opposite pair, so that the receiver replies to the relay. It drops the datagrams of blocked pairs, or a fraction of all, and stalls the data of connections, as retransmission would. `HostedFleet.isolate` blocks a router both ways and its way to the store.

Ruled out: one port for each router. Connections come from ephemeral ports, so that the relay could not tell who opens them.

`read_log` takes fleet and router by position only, since log lines have a field `router`.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -19,6 +19,7 @@
 from standins.hosted import CRASH_EXIT_CODE
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from pathlib import Path
 
     from benchmarks.processes import Process, Processes
@@ -91,6 +92,10 @@
         Software version of each endpoint.
     proxies : dict
         Proxies in front of the store and of endpoints, if any.
+    relay : Process or None
+        Relay between the routers; see `start_relay`.
+    blocked : set of tuple of str
+        Pairs of sender and receiver between which the relay passes nothing on.
     """
 
     processes: Processes
@@ -101,6 +106,8 @@
     routers: dict[str, Process] = field(default_factory=dict)
     ports: dict[str, tuple[int, int, int]] = field(default_factory=dict)
     proxies: dict[str, Process] = field(default_factory=dict)
+    relay: Process | None = None
+    blocked: set[tuple[str, str]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.store = self.processes.start_standin("store", "store")
@@ -198,9 +205,52 @@
         self.ports[name] = tuple(free_port() for _ in range(3))
         if behind_proxy:
             self.start_proxy(f"store-of-{name}", self.store.port)
+            if self.relay is not None:
+                self._relay_router(name)
         self.write_settings(name, **settings)
         self._run_router(name, profiled)
 
+    def start_relay(self) -> None:
+        """Start a relay between the routers that are started behind proxies later."""
+        self.relay = self.processes.start_standin("relay", "relay")
+
+    def _relay_router(self, name: str) -> None:
+        """Add a router to the relay, and its ports there to the others' entries."""
+        router = json.dumps({"name": name, "port": self.ports[name][2]}).encode()
+        ports = json.loads(ask_standin(self.relay.port, "POST", "/add", router))
+        by_reader = {
+            self.proxies[f"store-of-{reader}"].port: peers
+            for reader, peers in ports.items()
+        }
+        self.call_store("POST", "/peer-ports", json.dumps(by_reader).encode())
+
+    def block(self, pairs: Iterable[tuple[str, str]], loss: float = 0.0) -> None:
+        """Block pairs of sender and receiver only; lose a fraction of all datagrams."""
+        self.blocked = set(pairs)
+        faults = json.dumps({"blocked": sorted(self.blocked), "loss": loss}).encode()
+        ask_standin(self.relay.port, "POST", "/faults", faults)
+
+    def pairs_of(self, name: str) -> set[tuple[str, str]]:
+        """Return the pairs of a router with each other one, in both directions."""
+        others = self.routers.keys() - {name}
+        return {pair for item in others for pair in ((name, item), (item, name))}
+
+    def isolate(self, name: str) -> None:
+        """Disconnect a router from its peers and the store, until `reconnect`."""
+        self.block(self.blocked | self.pairs_of(name))
+        self.set_store_faults(name, swallow_up=True, swallow_down=True)
+
+    def reconnect(self, name: str) -> None:
+        """Undo `isolate`; connections to the store have lost data and are reset."""
+        self.block(self.blocked - self.pairs_of(name))
+        self.set_store_faults(name, cut=True)
+        self.set_store_faults(name)
+
+    def set_store_faults(self, router: str, **faults: Any) -> None:
+        """Set the faults of a router's connections to the store; clear all others."""
+        control = self.proxies[f"store-of-{router}"].control
+        ask_standin(control, "POST", "/faults", json.dumps(faults).encode())
+
     def restart_router(self, name: str) -> None:
         """Restart a router that has ended, at the same addresses."""
         self._run_router(name)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -14,6 +14,7 @@
 from standins.keyed_store import KeyedStore
 from standins.log import LogService
 from standins.proxy import Proxy
+from standins.relay import Relay
 from standins.web import WebServer
 from standins.worker import Worker
 
@@ -78,6 +79,16 @@
     asyncio.run(start())
 
 
+@app.command()
+def relay(port: int = 0) -> None:
+    """Run the relay between routers; they are added, and faults set, at PORT."""
+
+    async def start() -> None:
+        await serve(Relay(), port)
+
+    asyncio.run(start())
+
+
 @app.command()
 def store(port: int = 0) -> None:
     """Run the store of the platform."""
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -3,7 +3,8 @@
 ``POST /faults`` sets faults, and ``POST /forget`` drops the history of a topic. ``POST
 /copy`` takes a snapshot of all topics, and ``POST /restore`` restores it. With
 ``?again=SECONDS``, records that operators and endpoints wrote after the snapshot are
-written again that many seconds after the restore.
+written again that many seconds after the restore. ``POST /peer-ports`` sets the ports
+at which single readers reach routers.
 """
 
 from __future__ import annotations
@@ -28,6 +29,8 @@
 ERA_HEADER = "Store-Era"
 #: Topics to which operators and endpoints write.
 REWRITTEN_TOPICS = ("keyed.op", "keyed.servers")
+#: Topic of the routers' entries.
+ROUTERS_TOPIC = "keyed.routers"
 
 
 class StoreFaults(msgspec.Struct):
@@ -88,6 +91,9 @@
         self.era = 0
         self.faults = StoreFaults()
         self.calls = 0
+        #: Ports of routers by key, in place of those in their entries, for callers that
+        #: reach the store at a port; see the relay.
+        self.peer_ports: dict[int, dict[str, int]] = {}
 
     def topic(self, name: str) -> Topic:
         """Return a topic; it is created on first use."""
@@ -114,6 +120,11 @@
         if request.path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=StoreFaults)
             return WebAnswer.json({})
+        if request.path == "/peer-ports":
+            self.peer_ports = msgspec.json.decode(
+                request.body, type=dict[int, dict[str, int]]
+            )
+            return WebAnswer.json({})
         name = request.query.get("topic", "")
         topic = self.topic(name)
         if request.path == "/forget":
@@ -128,7 +139,8 @@
         if request.path == "/log-append":
             return self._append(topic, request, connection)
         if request.path == "/log-newest":
-            return _newest(topic)
+            ports = self._peer_ports_of(request) if name == ROUTERS_TOPIC else {}
+            return _newest(topic, ports)
         answer = await self._read(topic, request, connection)
         if self._is_silent(name):
             # A read that was waiting when the fault was set isn't answered either.
@@ -136,6 +148,11 @@
             return None
         return answer
 
+    def _peer_ports_of(self, request: WebRequest) -> dict[str, int]:
+        """Return the ports for a caller, which is known by the address that it uses."""
+        port = request.headers.get("host", "").rpartition(":")[2]
+        return self.peer_ports.get(int(port), {}) if port.isdecimal() else {}
+
     def _is_silent(self, topic: str) -> bool:
         return self.faults.silent or topic == self.faults.silent_topic != ""
 
@@ -197,9 +214,15 @@
         return WebAnswer(200, b"".join(body))
 
 
-def _newest(topic: Topic) -> WebAnswer:
-    entries = [
-        {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-        for key, (value, offset) in topic.newest.items()
-    ]
+def _newest(topic: Topic, ports: dict[str, int]) -> WebAnswer:
+    entries = []
+    for key, (value, offset) in topic.newest.items():
+        told = _with_port(value, ports[key]) if key in ports else value
+        text = base64.b64encode(told).decode()
+        entries.append({"key": key, "value": text, "offset": offset})
     return WebAnswer.json({"entries": entries, "more_pages": False, "end": topic.end})
+
+
+def _with_port(value: bytes, port: int) -> bytes:
+    """Return the entry of a router with another port."""
+    return msgspec.json.encode({**msgspec.json.decode(value), "port": port})
--- a/tests/log_readers.py
+++ b/tests/log_readers.py
@@ -9,13 +9,13 @@
 LINE_TIMEOUT = 20.0
 
 
-def find_lines(fleet, router, **wanted):
+def find_lines(fleet, router, /, **wanted):
     """Return the lines of a router's log so far whose fields include `wanted`."""
     lines = map(json.loads, fleet.processes.output_of(router).splitlines())
     return [fields for fields in lines if wanted.items() <= fields.items()]
 
 
-async def wait_for_line(fleet, router, count=1, **wanted):
+async def wait_for_line(fleet, router, /, count=1, **wanted):
     """Wait for the `count`-th line of a router's log whose fields include `wanted`."""
     while True:
         found = find_lines(fleet, router, **wanted)
@@ -24,7 +24,7 @@
         await asyncio.sleep(0.02)
 
 
-def read_log(fleet, router, count=1, **wanted):
+def read_log(fleet, router, /, count=1, **wanted):
     """Return a line of a router's log, see `wait_for_line`, or raise `TimeoutError`."""
     return asyncio.run(
         asyncio.wait_for(wait_for_line(fleet, router, count, **wanted), LINE_TIMEOUT)
