--- a/tests/integration/stream_builders.py
+++ b/tests/integration/stream_builders.py
@@ -28,6 +28,12 @@
     return route(name, "streaming", service, **fields, **other)
 
 
+def model_service(name):
+    """Return a service of the configuration whose endpoints run a model."""
+    engine = {"kv_capacity_tokens": 600_000}
+    return {"name": name, "max_connections": 100, "engine": engine}
+
+
 @dataclass
 class Stream:
     """A stream and the answers that its caller received.
--- a/tests/integration/test_streams_at_routers_out_of_step.py
+++ b/tests/integration/test_streams_at_routers_out_of_step.py
@@ -17,7 +17,13 @@
 from benchmarks.hosted import HostedFleet, configuration
 from benchmarks.processes import Processes
 from carawayfold.state.software_history import SERVING_WINDOW
-from tests.integration.stream_builders import EVENTS, Stream, begin_broken, stream_route
+from tests.integration.stream_builders import (
+    EVENTS,
+    Stream,
+    begin_broken,
+    model_service,
+    stream_route,
+)
 
 ROUTERS = ["router-0", "router-1", "router-2", "router-3"]
 LATE_ROUTER = "router-3"
@@ -69,19 +75,9 @@
     with Processes() as processes:
         fleet = HostedFleet(processes)
         fleet.start_relay()
-        fleet.configure(
-            configuration(
-                routes=[stream_route(f"stream-{name}", name) for name in TROUBLES],
-                services=[
-                    {
-                        "name": name,
-                        "max_connections": 100,
-                        "engine": {"kv_capacity_tokens": 600_000},
-                    }
-                    for name in TROUBLES
-                ],
-            )
-        )
+        routes = [stream_route(f"stream-{name}", name) for name in TROUBLES]
+        services = [model_service(name) for name in TROUBLES]
+        fleet.configure(configuration(routes=routes, services=services))
         for trouble in TROUBLES:
             for name in endpoints_of(trouble, "v1"):
                 fleet.start_endpoint(name, trouble)
