Play isolated routers and releases amid other faults in the soak

What callers saw: streams joined from two versions at routers that were cut off from peers and store during a release. The soak had neither: nothing stood between the routers, a replacement took a random version, and runs of 12 s end before any router is certain of a single version (15 s).

Callers resume a stream up to three times, some of them later.

Checks: `promises.find_stream_error` joins what a caller got before and after each return, also when the last answer is cut; so far the order of numbers was checked for complete answers only.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -43,13 +43,16 @@
     without: Annotated[
         list[str] | None, typer.Option(help="Faults and changes to leave out.")
     ] = None,
+    settled: Annotated[
+        bool, typer.Option(help="Faults begin once one version is certain.")
+    ] = False,
 ) -> None:
     """Run the soak test of forwarding routers."""
     violations: list[str] = []
     left_out = frozenset(without or ())
     for number in range(seed, seed + seeds):
         account = asyncio.run(
-            forwarding.soak(seconds, number, routers, planned, left_out)
+            forwarding.soak(seconds, number, routers, planned, left_out, settled)
         )
         print(f"seed {number}, faults {dict(account.faults)}")
         print("\n".join(outcomes.count_outcomes(account.caller_records)))
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -18,6 +19,7 @@
     resuming_headers,
     stream_events,
 )
+from benchmarks.soak import promises
 from benchmarks.soak.connections import CallerConnection
 from benchmarks.soak.promises import Arrival, CallerRecord, CrashRecord, Disturbances
 
@@ -41,6 +43,11 @@
 IDLE_PROBABILITY = 0.01
 MAX_IDLE_DURATION = 4.0
 MAX_IDLE_FRACTION = 0.8
+#: Most times that the caller of a stream resumes it, and most seconds before each.
+MAX_RETURNS = 3
+MAX_RETURN_DELAY = 2.0
+#: Probability that a caller waits before it resumes a stream.
+RETURN_DELAY_PROBABILITY = 0.3
 #: Seconds for which a router may work on requests of each service at least: the time
 #: that the caller states, or the least timeout that a configuration sets.
 TIME_LIMITS = {"model": 4.0, "desk": 2.5}
@@ -211,14 +218,31 @@
             )
         )
         if begun and not answer.complete:
-            await self.resume(request, begun, events)
+            await self.resume_repeatedly(request, begun, events)
 
-    async def resume(self, request: str, begun: list[StreamEvent], events: int) -> None:
-        """Resume an interrupted stream at any router."""
+    async def resume_repeatedly(
+        self, request: str, begun: list[StreamEvent], events: int
+    ) -> None:
+        """Resume an interrupted stream until it is whole, or a few times."""
+        made = list(begun)
+        for _ in range(MAX_RETURNS):
+            if self.rng.random() < RETURN_DELAY_PROBABILITY:
+                await asyncio.sleep(self.rng.uniform(0, MAX_RETURN_DELAY))
+            answer = await self.resume(request, made, events)
+            if answer is None:
+                continue
+            made += stream_events(answer.body)
+            if answer.complete and answer.status == HTTPStatus.OK:
+                return
+
+    async def resume(
+        self, request: str, begun: list[StreamEvent], events: int
+    ) -> CallAnswer | None:
+        """Resume an interrupted stream at any router and return the answer, if any."""
         router = self.rng.choice(sorted(self.fleet.routers))
         connection = await self.connect(router)
         if connection is None:
-            return
+            return None
         self.requests += 1
         again = f"q-{self.requests}"
         headers = resuming_headers(again, request, begun[-1].number, events)
@@ -248,6 +272,7 @@
                 crossed=crossed,
             )
         )
+        return answer
 
     async def probe(self, router: str, path: str) -> int:
         """Return the status of a plain request to a router; 0 for no answer."""
@@ -276,18 +301,13 @@
     """
     if answer is None:
         return ""
+    whole = answer.complete and answer.status == HTTPStatus.OK
     made = [*(begun or ()), *stream_events(answer.body)] if events else []
-    versions = sorted({event.software for event in made})
-    if len(versions) > 1:
-        return f"events of the versions {versions}"
-    if not answer.complete or answer.status != 200:
-        return ""
+    error = promises.find_stream_error(made, events, whole)
+    if error or not whole:
+        return error
     if answer.headers.get("server-signature") != "stand-in":
         return "a success without the endpoint's signature"
-    if not events:
-        whole = answer.body == f"answer to {request}".encode()
-        return "" if whole else f"another answer: {answer.body[:80]!r}"
-    numbers = [event.number for event in made]
-    if numbers != list(range(1, events + 1)):
-        return f"events {numbers} of {events}"
+    if not events and answer.body != f"answer to {request}".encode():
+        return f"another answer: {answer.body[:80]!r}"
     return ""
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -59,6 +59,8 @@
         Receives the faults, and the requests that reached removed endpoints.
     callers : Callers
         Check whether a change has taken effect.
+    software : str
+        Software version of new endpoints; empty for random ones.
     """
 
     def __init__(
@@ -67,11 +69,13 @@
         rng: random.Random,
         account: Account,
         callers: Callers,
+        software: str = "",
     ) -> None:
         self.fleet = fleet
         self.rng = rng
         self.account = account
         self.callers = callers
+        self.software = software
         self.starts = 0
         self.busy: set[str] = set()
         #: All endpoints of the run, including those that have ended.
@@ -257,16 +261,19 @@
         async with self.claimed(name) as free:
             if not free:
                 return
-            service = self.fleet.services[name]
-            await self.start_endpoint(service)
-            await post_json(self.fleet.endpoints[name].port, "/faults", LEAVING)
-            await self.retry_until_done(self.fleet.register, name, state="draining")
-            self.account.left[name] = time.time()
-            await asyncio.sleep(LEAVING_DURATION)
-            await self.remove_endpoint(name)
-
-    async def start_endpoint(self, service: str) -> None:
-        """Start an endpoint with a new name."""
+            await self.start_endpoint(self.fleet.services[name])
+            await self.retire_endpoint(name)
+
+    async def retire_endpoint(self, name: str) -> None:
+        """Have a claimed endpoint announce its leaving, and remove it later."""
+        await post_json(self.fleet.endpoints[name].port, "/faults", LEAVING)
+        await self.retry_until_done(self.fleet.register, name, state="draining")
+        self.account.left[name] = time.time()
+        await asyncio.sleep(LEAVING_DURATION)
+        await self.remove_endpoint(name)
+
+    async def start_endpoint(self, service: str, software: str = "") -> str:
+        """Start an endpoint, of a version if given, and return its new name."""
         self.starts += 1
         name = f"{service}-{self.starts}"
         launch = self.fleet.launch_endpoint
@@ -278,10 +285,11 @@
                 service,
                 behind_proxy=True,
                 pace=EVENT_INTERVAL,
-                software=self.rng.choice(VERSIONS),
+                software=software or self.software or self.rng.choice(VERSIONS),
             )
             self.all_endpoints[name] = self.fleet.endpoints[name]
             await self.retry_until_done(self.fleet.register, name)
+        return name
 
     async def remove_endpoint(self, name: str) -> None:
         """Collect the records of an endpoint, kill it and remove its registration."""
--- a/benchmarks/soak/forwarding.py
+++ b/benchmarks/soak/forwarding.py
@@ -1,10 +1,12 @@
 """Soak test of forwarding routers, with stand-ins for the platform.
 
 Routers, endpoints and the store are separate processes. Connections to the store and
-to the endpoints go through proxies that delay them, reset them or drop their data;
-routers are stopped, paused, killed and restarted. A planned run has only what leaves
-routers and most endpoints sound, so that most of its requests must be answered: silent
-endpoints, changes of the configuration, signals, and faults of the store.
+to the endpoints go through proxies that delay them, reset them or drop their data, and
+datagrams between routers go through a relay that drops them. Routers are stopped,
+paused, killed and restarted, and endpoints of another software version join. A planned
+run has only what leaves routers and most endpoints sound, so that most of its requests
+must be answered: silent endpoints, changes of the configuration, signals, and faults of
+the store.
 """
 
 from __future__ import annotations
@@ -21,11 +23,15 @@
 from benchmarks.soak import outcomes, promises
 from benchmarks.soak.callers import Account, Callers
 from benchmarks.soak.changes import ConfigurationChanges, Configurations
-from benchmarks.soak.faults import RECOVERY, Faults
+from benchmarks.soak.faults import RECOVERY, VERSIONS, Faults
 from benchmarks.soak.harm import HarmfulCallers
+from benchmarks.soak.isolation import Isolation
 from benchmarks.soak.misbehaviour import Misbehaviour
+from benchmarks.soak.releases import Releases
 from benchmarks.soak.signals import Signals
 from benchmarks.soak.store_faults import StoreFaults
+from carawayfold.coordination.requests.stream_origins import REFRESH_INTERVAL
+from carawayfold.state.software_history import SERVING_WINDOW
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -49,6 +55,7 @@
     routers: int = ROUTERS,
     planned: bool = False,
     without: frozenset[str] = frozenset(),
+    settled: bool = False,
 ) -> Account:
     """Run the soak test and return its records, with the violations found.
 
@@ -64,6 +71,9 @@
         Whether only planned work, silence and faults of the store occur.
     without : frozenset of str
         Names of faults and changes that are left out.
+    settled : bool
+        Whether one version serves except during releases, and faults begin only once
+        the routers are certain of it.
     """
     with Processes() as processes:
         fleet = HostedFleet(processes)
@@ -72,7 +82,8 @@
         fleet.configure(configurations.current)
         account = Account()
         callers = Callers(fleet, rng, account, configurations)
-        faults = Faults(fleet, rng, account, callers)
+        software = VERSIONS[0] if settled else ""
+        faults = Faults(fleet, rng, account, callers, software)
         harmful = HarmfulCallers(faults, rng, account)
         await start(fleet, faults, routers)
         began_at = time.time()
@@ -81,6 +92,8 @@
                 group.create_task(callers.caller())
             if not planned:
                 start_harmful(harmful, group)
+            if settled:
+                await asyncio.sleep(SERVING_WINDOW + REFRESH_INTERVAL)
             played = kinds(faults, configurations, planned)
             await faults.inject(
                 seconds, [kind for kind in played if kind.__name__ not in without]
@@ -116,13 +129,15 @@
     changes = ConfigurationChanges(faults, configurations)
     misbehaviour = Misbehaviour(faults)
     signals = Signals(faults)
+    isolation = Isolation(faults)
     silences = [
         misbehaviour.silence_one,
         misbehaviour.silence_several,
         misbehaviour.silence_all,
     ]
     return [
-        *(silences if planned else faults.unplanned),
+        *(silences if planned else [*faults.unplanned, *isolation.kinds]),
+        *([] if planned else Releases(faults, isolation).kinds),
         *silences,
         *StoreFaults(faults).kinds,
         faults.replace_endpoint,
@@ -138,6 +153,7 @@
 
 async def start(fleet: HostedFleet, faults: Faults, routers: int) -> None:
     """Start endpoints and routers, and wait until the routers are ready."""
+    fleet.start_relay()
     for service, count in (("model", MODELS), ("desk", DESKS)):
         for _ in range(count):
             await faults.start_endpoint(service)
--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -9,6 +9,10 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from benchmarks.hosted import StreamEvent
 
 #: Statuses that state that the request has not run and will not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -183,6 +187,32 @@
     return found
 
 
+def find_stream_error(made: list[StreamEvent], count: int, whole: bool) -> str:
+    """Return how a stream violates its order, empty if it does not.
+
+    Each event must come once and in order, from one software version, and a stream may
+    end as complete only after its last event.
+
+    Parameters
+    ----------
+    made : list of StreamEvent
+        What its caller received, also before it resumed the stream.
+    count : int
+        Number of events of the complete stream.
+    whole : bool
+        Whether it ended as complete.
+    """
+    versions = sorted({event.software for event in made})
+    if len(versions) > 1:
+        numbers = [f"{event.number} {event.software}" for event in made]
+        return f"events of the versions {versions}: {', '.join(numbers)}"
+    numbers = [event.number for event in made]
+    expected = count if whole else len(made)
+    if numbers != list(range(1, expected + 1)):
+        return f"events {numbers} of {count}, {'whole' if whole else 'cut'}"
+    return ""
+
+
 def find_denials(caller_records: list[CallerRecord]) -> list[str]:
     """Return valid requests that were rejected as invalid."""
     return [
--- a/tests/benchmarks/test_promises.py
+++ b/tests/benchmarks/test_promises.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from benchmarks.hosted import StreamEvent
 from benchmarks.soak import promises
 from benchmarks.soak.promises import Arrival, CallerRecord, CrashRecord, Disturbances
 
@@ -43,6 +44,36 @@
     assert not promises.find_wrong_answers([told()], [arrival()])
 
 
+def made(*numbers, software="v1"):
+    return [StreamEvent(number, software, "run") for number in numbers]
+
+
+@pytest.mark.parametrize(
+    ("events", "whole"),
+    [
+        ([*made(1, 2), *made(3, 4, software="v2")], True),
+        ([*made(1, 2), *made(3, software="v2")], False),
+        (made(1, 2, 2, 3, 4), True),
+        (made(1, 3), False),
+        (made(2, 3), False),
+        (made(1, 2, 1), False),
+        (made(1, 2, 3), True),
+        (made(1, 2, 3, 4, 5), True),
+        (made(), True),
+    ],
+)
+def test_streams_that_are_joined_or_out_of_order_are_found(events, whole):
+    assert promises.find_stream_error(events, 4, whole)
+
+
+@pytest.mark.parametrize(
+    ("events", "whole"),
+    [(made(1, 2, 3, 4), True), (made(1, 2, 3), False), (made(), False)],
+)
+def test_streams_in_order_are_not_found(events, whole):
+    assert not promises.find_stream_error(events, 4, whole)
+
+
 def test_late_arrivals_at_a_leaving_endpoint_are_found_in_calm_times():
     calm = Disturbances()
     left = {"desk-1": 5.0}
