Refuse an empty page that is not the last one of a list

A list of newest records ended as complete at an empty page that announced more: all later keys counted as not registered, and the history of versions as complete. It is a failed read now, which is repeated. The new test failed before; nothing is known of a store that sends such pages.

--- a/carawayfold/platform/store.py
+++ b/carawayfold/platform/store.py
@@ -173,8 +173,10 @@
             elif era_of(first_end) != answer.era:
                 raise RecordsNotRetained("the store came back from a copy")
             found.extend(_listed_record(row) for row in page.entries)
-            if not page.more_pages or not page.entries:
+            if not page.more_pages:
                 return Page(found, first_end)
+            if not page.entries:
+                raise SourceError("an empty page that is not the last one")
             size += len(answer.body)
             last_key = _last_key(page.entries)
             if size > MAX_LISTED_BYTES or last_key in last_keys:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -132,3 +132,9 @@
     answer = body
     page = asyncio.run(StoreClient(OneRead(), None).read("keyed.servers", 0, 0.0))
     assert page.complete is complete
+
+
+def test_an_empty_page_is_no_end_of_a_list():
+    http = FakeHttp((None, page(7, more_pages=True)))
+    with pytest.raises(SourceError):
+        asyncio.run(StoreClient(http, None).newest("keyed.servers"))
