Drop a page that another read has overtaken

The waiting read of a topic may be answered later than a read on demand that began after it. If an evacuation began and ended within the records of the latter, the late page began it again, for as long as the store stayed silent. Registrations and configurations are guarded by their positions and versions; evacuations are not, where a page leaves them as they were. A page that ends before the last one applied is now dropped.

test_a_late_page_does_not_revive_an_ended_evacuation failed before.

--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -14,6 +14,7 @@
 
 from carawayfold.coordination.backoff import Backoff
 from carawayfold.protocol.sources import RecordsNotRetained, SourceError, SourceTimeout
+from carawayfold.state.ids import Position
 from carawayfold.state.positions import offset_of
 
 if TYPE_CHECKING:
@@ -21,7 +22,6 @@
 
     from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.protocol.sources import EndpointChange, Evacuation, Page, Source
-    from carawayfold.state.ids import Position
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -97,6 +97,8 @@
         self.pause = pause
         self.no_answer_delay = no_answer_delay
         self.next: Position | None = None
+        #: Position up to which pages were applied.
+        self.applied = Position(0)
         #: Whether the store no longer retains the records after `next`.
         self.history_lost = False
         #: Whether the last read of this router may have ended together with the reads
@@ -175,6 +177,7 @@
         if start is None:
             page = await self.source.newest()
             self.on_answer()
+            self.applied = page.next
             self.on_newest(page)
         else:
             page = await self._read(start)
@@ -191,6 +194,10 @@
             self.on_answer()
         else:
             self.knowledge.record_answer()
+        if page.next < self.applied:
+            # Another read has overtaken this one.
+            return
+        self.applied = page.next
         self.on_read(page)
 
     @property
--- a/tests/coordination/knowledge/test_followers.py
+++ b/tests/coordination/knowledge/test_followers.py
@@ -12,6 +12,7 @@
 from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.protocol.sources import (
     EndpointChange,
+    Evacuation,
     Page,
     RecordsNotRetained,
     SourceError,
@@ -198,3 +199,37 @@
         return ages
 
     assert run_in_loop(run) == [False, True]
+
+
+def test_a_late_page_does_not_revive_an_ended_evacuation():
+    """A read on demand has applied the end, and the store is silent afterwards."""
+
+    class Source:
+        def __init__(self):
+            self.late = asyncio.Event()
+
+        async def newest(self):
+            return Page([], 0)
+
+        async def read(self, start, wait):
+            begun = Evacuation("north", True)
+            if wait:
+                await self.late.wait()
+                return Page([begun], 1)
+            return Page([begun, Evacuation("north", False)], 2)
+
+    async def run():
+        known, _ = knowledge()
+        source = Source()
+        follower = followers.follow_operators(source, known, at_once, reads_for_itself)
+        follower.synchronized = False
+        await follower.step()
+        follower.synchronized = False
+        waiting = asyncio.create_task(follower.step())
+        await asyncio.sleep(0)
+        assert await follower.read_at_once()
+        source.late.set()
+        await waiting
+        return known.evacuations.active
+
+    assert run_in_loop(run) == set()
