Run one confirmation of the store's records at a time

Found by the review: at a silent store a router had up to 68 calls in flight, as a confirmation began each 12 ms and lasted 0.4 s, and at 360 routers the pause of 0.72 s between two exceeded the 0.3 s for which a proof is awaited.

A confirmation now waits for the end of the one before it, and 60 ms after its start whatever the size of the fleet: only routers that follow the operators' records can confirm, 32 at the most in a mesh and the readers in a larger fleet. That bounds the calls to some thousand a second of the whole fleet, and the calls in flight to two a router. The new test: 30 questions in 0.6 s at a silent store make 3 reads; each read began a further one before.

--- a/carawayfold/coordination/knowledge/confirmation.py
+++ b/carawayfold/coordination/knowledge/confirmation.py
@@ -15,7 +15,7 @@
 from carawayfold.protocol.sources import SourceError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from carawayfold.coordination.knowledge.followers import Follower
 
@@ -23,9 +23,9 @@
 
 #: Seconds within which the store must answer. Those who wait are requests.
 CONFIRMATION_TIMEOUT = 0.4
-#: Seconds between the starts of two confirmations, per router of the fleet. With two
-#: topics all routers together make at most a thousand calls a second.
-INTERVAL_PER_ROUTER = 0.002
+#: Seconds between the starts of two confirmations. With two topics, all routers of a
+#: mesh and all hubs of a large fleet make some thousand calls a second at the most.
+CONFIRMATION_INTERVAL = 0.06
 
 
 class StoreConfirmation:
@@ -35,18 +35,15 @@
     ----------
     followers : sequence of Follower
         Followers of the topics; none before the router has begun to follow them.
-    fleet_size : callable
-        Returns the number of routers.
     """
 
-    def __init__(
-        self, followers: Sequence[Follower], fleet_size: Callable[[], int]
-    ) -> None:
+    def __init__(self, followers: Sequence[Follower]) -> None:
         self.followers = followers
-        self.fleet_size = fleet_size
         self.loop = asyncio.get_running_loop()
         #: Confirmation that has not begun to read yet.
         self.pending: asyncio.Task[bool] | None = None
+        #: Confirmation that reads.
+        self.running: asyncio.Task[bool] | None = None
         #: Loop time at which the last one began to read.
         self.started_at = float("-inf")
 
@@ -60,11 +57,13 @@
         return await asyncio.shield(self.pending)
 
     async def _confirm_after_pause(self) -> bool:
-        interval = INTERVAL_PER_ROUTER * self.fleet_size()
         try:
-            await asyncio.sleep(max(0.0, self.started_at + interval - self.loop.time()))
+            if self.running is not None:
+                await asyncio.wait({self.running})
+            earliest = self.started_at + CONFIRMATION_INTERVAL
+            await asyncio.sleep(max(0.0, earliest - self.loop.time()))
         finally:
-            self.pending = None
+            self.running, self.pending = self.pending, None
         self.started_at = self.loop.time()
         return await self._read_all()
 
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -149,7 +149,7 @@
         )
         #: Followers of the store's topics, once they have begun.
         self.followers: list[Follower] = []
-        self.confirmation = StoreConfirmation(self.followers, lambda: self.fleet.size)
+        self.confirmation = StoreConfirmation(self.followers)
         self.origins = StreamOrigins(
             self.fleet,
             self.knowledge,
--- a/tests/coordination/knowledge/test_confirmation.py
+++ b/tests/coordination/knowledge/test_confirmation.py
@@ -7,8 +7,8 @@
 import pytest
 
 from carawayfold.coordination.knowledge.confirmation import (
+    CONFIRMATION_INTERVAL,
     CONFIRMATION_TIMEOUT,
-    INTERVAL_PER_ROUTER,
     StoreConfirmation,
 )
 from carawayfold.protocol.sources import SourceTimeout
@@ -16,7 +16,6 @@
 
 #: Seconds until the store answers.
 DELAY = 0.01
-FLEET = 6
 
 
 class FakeFollower:
@@ -39,7 +38,7 @@
     """Return the results of confirmations that are asked for at some times."""
 
     async def run():
-        confirmation = StoreConfirmation(followers, lambda: FLEET)
+        confirmation = StoreConfirmation(followers)
 
         async def ask(after):
             await asyncio.sleep(after)
@@ -68,7 +67,7 @@
     times = [0, 0.001, 0.002, 0.003, 0.004]
     assert confirm_at([follower], *times) == [True] * 5
     first, second = follower.began
-    assert second - first == pytest.approx(FLEET * INTERVAL_PER_ROUTER, abs=1e-6)
+    assert second - first == pytest.approx(CONFIRMATION_INTERVAL, abs=1e-6)
 
 
 @pytest.mark.parametrize(
@@ -95,7 +94,7 @@
 
 def test_a_request_that_ends_meanwhile_does_not_end_the_read_for_others():
     async def run():
-        confirmation = StoreConfirmation([FakeFollower()], lambda: FLEET)
+        confirmation = StoreConfirmation([FakeFollower()])
         first = asyncio.create_task(confirmation.confirm())
         second = asyncio.create_task(confirmation.confirm())
         await asyncio.sleep(DELAY / 2)
@@ -103,3 +102,10 @@
         return await second
 
     assert simulate(run) is True
+
+
+def test_a_silent_store_is_not_called_again_while_a_confirmation_waits_for_it():
+    follower = FakeFollower(delay=CONFIRMATION_TIMEOUT + 0.1)
+    times = [0.02 * number for number in range(30)]
+    assert set(confirm_at([follower], *times)) == {False}
+    assert len(follower.began) == 3
