Reach back as far as any caller waits, and report each stream of a small fleet

- How long callers wait was known to the router that saw them only, and a route's lowered timeout, or a new route for the same path, shortened the past at once.
- The list of a restored store put the services of an older configuration in place of those in force, and the wrong one was proved.
- A proof that was faster than the reply of a peer outweighed its record.
Replies are now awaited for 30 ms beside a proof.

So the streams of a fleet that is a mesh, up to 32 routers, are always reported to two others: two datagrams of some 130 bytes a stream. In a large fleet that would take more than all else between routers, and stays limited to routes without a sole origin.

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -218,8 +218,9 @@
                 states[item.data_centre] = item.active
                 continue
             if item.version <= self.version:
-                # A peer was faster; in between there may have been others.
+                # It was in force before the one that a peer sent, here or elsewhere.
                 self.route_history.note_table(item, self.loop.time())
+                self.route_history.note_table(self.routes, self.loop.time())
             self.apply_routes(item, "store")
         if listed:
             # A list does not show the configurations before the newest one.
--- a/carawayfold/coordination/requests/sole_origins.py
+++ b/carawayfold/coordination/requests/sole_origins.py
@@ -57,22 +57,21 @@
         """Return the sole origin by the records that this router has now."""
         now = self.loop.time()
         history = self.knowledge.route_history
-        service = history.sole_service(route, now)
+        service = history.sole_service(route.id, now)
         if route.kind is not RouteKind.STREAMING or service is None:
             return Proof(None, ProofFailure.SEVERAL)
-        versions = self.versions(route, service)
+        versions = self.versions(service)
         if len(versions) != 1:
             return Proof(None, ProofFailure.SEVERAL)
         software = self.knowledge.endpoints.software
-        window = history.window(route)
-        complete = software.is_complete(now, window)
-        if not complete or not history.is_complete(route, now):
+        complete = software.is_complete(now, history.window)
+        if not complete or not history.is_complete(now):
             return Proof(None, ProofFailure.HISTORY)
         return Proof(Origin(service, *versions))
 
-    def versions(self, route: Route, service: ServiceId) -> set[SoftwareVersion]:
-        """Return the versions of a service that may have begun streams of a route."""
-        window = self.knowledge.route_history.window(route)
+    def versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Return the versions of a service that may have begun streams."""
+        window = self.knowledge.route_history.window
         return self.knowledge.endpoints.software_of(service, self.loop.time(), window)
 
     def allows(self, route: Route, origin: Origin) -> bool:
@@ -83,7 +82,7 @@
         services = {item.service for item in route.services}
         if services != {origin.service}:
             return False
-        return self.versions(route, origin.service) <= {origin.software}
+        return self.versions(origin.service) <= {origin.software}
 
     def route(self, name: RouteId) -> Route | None:
         """Return a route of the configuration in force."""
--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -1,12 +1,12 @@
 """Where streams began, so that a resumed stream goes on at the same software version.
 
 A caller may resume a stream at any router, also after the one that began it has ended.
-While endpoints of several versions serve, each router therefore reports the streams
-that it begins to two others before their first event leaves, and the router to which
-the caller returns queries them. A report is not needed where a single version has
-served for a while: that alone shows where a stream began, as long as the router, or a
-peer, proves that nothing has changed since; see `sole_origins`. A router that has
-neither a record nor a proof says so, and the request is refused.
+Each router therefore reports the streams that it begins to two others before their
+first event leaves, and the router to which the caller returns queries them. In a large
+fleet that is not done where a single version has served for a while: that alone shows
+where a stream began, as long as the router, or a peer, proves that nothing has changed
+since; see `sole_origins`. A router that has neither a record nor a proof says so, and
+the request is refused.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from carawayfold.coordination.fleet.hubs import Role
 from carawayfold.coordination.fleet.membership import rank
 from carawayfold.coordination.knowledge.knowledge import MIN_OUTAGE_AGE
 from carawayfold.coordination.requests.sole_origins import SoleOrigins
@@ -56,6 +57,8 @@
 #: takes under 3 ms, but a busy router replies late, and a refusal in vain costs the
 #: caller more than the wait.
 QUERY_TIMEOUT = 0.2
+#: The same while this router has proved the origin itself.
+PROVED_QUERY_TIMEOUT = 0.03
 #: Seconds after which an unanswered query is sent again.
 QUERY_RETRY_INTERVAL = 0.02
 #: The same for queries before whose reply peers read the store.
@@ -142,7 +145,7 @@
         Streams that other routers have reported.
     sole : dict
         The single origin of the streams of a route, for those routes that seem to have
-        only one. Their streams are not reported.
+        only one. In a large fleet, their streams are not reported.
     """
 
     def __init__(
@@ -175,11 +178,20 @@
         self, stream: StreamId, route: RouteId, origin: Origin, expires_at: float
     ) -> None:
         """Record where a stream began, before its first event is forwarded."""
-        wait = expires_at - self.loop.time()
-        self.knowledge.route_history.note_wait(route, wait)
         self.own.put(stream, route, origin, expires_at)
-        if self.sole.get(route) != origin:
-            self._report(stream, StreamRecord(route, origin, expires_at))
+        record = StreamRecord(route, origin, expires_at)
+        if self._is_reported(record):
+            self._report(stream, record)
+
+    def _is_reported(self, record: StreamRecord) -> bool:
+        """Return whether other routers need a record of a stream.
+
+        In a large fleet, those of a route that seems to have a single origin are not
+        reported: that would take more messages than all else between routers.
+        """
+        if self.fleet.role is Role.MESH:
+            return True
+        return self.sole.get(record.route) != record.origin
 
     def completed(self, stream: StreamId) -> None:
         """Record that the whole stream was sent, though its end may be lost."""
@@ -249,8 +261,8 @@
         if not started:
             return
         for stream, record in list(self.own.records.items()):
-            certain = self.sole.get(record.route) == record.origin
-            if not certain and started & set(self._holders(stream)):
+            reported = self._is_reported(record)
+            if reported and started & set(self._holders(stream)):
                 self._report(stream, record)
 
     # Routers that hold the records
@@ -353,13 +365,13 @@
         changed_at = history.changed_at.get(route.id)
         return {
             "versions": {
-                item.service: sorted(self.sole_origins.versions(route, item.service))
+                item.service: sorted(self.sole_origins.versions(item.service))
                 for item in route.services
             },
             "registrations_age_ms": round(self.registrations_age() * 1000, 1),
             "registrations_offset": offset_of(endpoints.offset),
             "operators_age_ms": round(self.knowledge.operators_age() * 1000, 1),
-            "window_s": round(history.window(route), 1),
+            "window_s": round(history.window, 1),
             "history_s": round(max(0.0, now - endpoints.software.complete_since), 1),
             "routes_history_s": round(max(0.0, now - history.complete_since), 1),
             "services_unchanged_s": (
@@ -385,7 +397,7 @@
         prove : bool
             Whether peers without a record should prove a sole origin.
         proved_here : asyncio.Future or None
-            Proof by this router; once it succeeds, no more replies are needed.
+            Proof by this router; once it succeeds, replies are awaited for less time.
         """
         candidates = self._candidates(stream)
         answered = self.loop.create_future()
@@ -393,12 +405,14 @@
         if not candidates:
             return query
         message = OriginQueryMessage(stream, route, prove)
-        end = self.loop.time() + (PROOF_TIMEOUT if prove else QUERY_TIMEOUT)
+        began_at = self.loop.time()
+        end = began_at + (PROOF_TIMEOUT if prove else QUERY_TIMEOUT)
         interval = PROOF_RETRY_INTERVAL if prove else QUERY_RETRY_INTERVAL
         with self._replies_to(stream, query):
             while not answered.done() and self.loop.time() < end:
                 if proved_here is not None and _has_succeeded(proved_here):
-                    break
+                    # A record outweighs a proof, but few peers have one.
+                    end = min(end, began_at + PROVED_QUERY_TIMEOUT)
                 for router in sorted(query.waiting):
                     self.fleet.send(router, message)
                 await _wait_for_any([answered, proved_here], interval)
@@ -430,9 +444,7 @@
     @_process.register
     def _(self, message: StreamBegunMessage, sender: RouterId) -> None:
         origin = Origin(message.service, message.software)
-        wait = message.expires / 1000
-        self.knowledge.route_history.note_wait(message.route, wait)
-        expires_at = self.loop.time() + wait
+        expires_at = self.loop.time() + message.expires / 1000
         self.reported.put(message.stream, message.route, origin, expires_at)
 
     @_process.register
--- a/carawayfold/state/endpoints.py
+++ b/carawayfold/state/endpoints.py
@@ -384,7 +384,8 @@
         """
         registered = {
             endpoint.software
-            for endpoint in self.entries.values()
+            for table in (self.entries, self.older.entries)
+            for endpoint in table.values()
             if endpoint.service == service
         }
         return registered | self.software.serving(service, now, window)
--- a/tests/coordination/requests/stream_builders.py
+++ b/tests/coordination/requests/stream_builders.py
@@ -17,6 +17,7 @@
 
 from benchmarks.hosted import HOST, call, stream_events
 from carawayfold.coordination.containment.endpoint_activity import EndpointActivity
+from carawayfold.coordination.fleet.hubs import Role
 from carawayfold.coordination.knowledge.knowledge import Knowledge
 from carawayfold.coordination.requests.stream_origins import StreamOrigins
 from carawayfold.coordination.scheduling.offers import Granted, Rejected
@@ -301,6 +302,7 @@
         own = self.coordinator.fleet.own
         fleet = SimpleNamespace(
             own=own,
+            role=Role.MESH,
             hubs=lambda: [own],
             send=lambda *args: None,
             send_at_once=lambda *args: None,
