Play random datagrams within their ranges at a router

What is guarded: that the ranges of fields leave no value that ends a router or raises an error in a callback. Messages are drawn from their declared types, so a new field is played without a change of the test.

Evidence: three seeds of 600 datagrams with three messages each pass.

--- a/tests/foreign_datagrams.py
+++ b/tests/foreign_datagrams.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import random
+import re
+from functools import singledispatchmethod
+from typing import get_args
+
 import msgspec
 
+from carawayfold.protocol.datagrams import Message
 from tests.platform.record_builders import CONTENT, NESTED
 
 #: Messages by the name of their class, as lists of their tag and fields.
@@ -88,3 +94,82 @@
     datagram(SOUND["Heartbeat"], incarnation=-1),
     nested_datagram(),
 ]
+
+
+#: Texts that messages between routers contain, in any of their fields.
+TEXTS = (
+    *("router-1", "router-2", "m-1", "m-2", "d-1", "north", "south", "r.0.1", "/", ""),
+    *("model/0", "desk/0", "model/1", "desk/x", "model", "desk", "contents/1", CONTENT),
+    *("whole", "failed", "silent", "not-run", "sole", "recorded", "x" * 200),
+)
+#: Texts for fields with a form of their own.
+FORMED_TEXTS = (CONTENT, f"{CONTENT[::-1]}.part", "127.0.0.1", "192.0.2.1")
+
+
+class RandomMessages:
+    """Draws messages with any values that their fields may hold.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the generator.
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.kinds = msgspec.inspect.multi_type_info(get_args(Message))
+
+    def draw(self):
+        """Return a message as a list of its tag and fields."""
+        return self.value(self.random.choice(self.kinds))
+
+    @singledispatchmethod
+    def value(self, kind):
+        """Return a value of a type as `msgspec.inspect` describes it."""
+        raise TypeError(kind)
+
+    @value.register
+    def _(self, kind: msgspec.inspect.StructType):
+        fields = [self.value(item.type) for item in kind.fields]
+        return fields if kind.tag is None else [kind.tag, *fields]
+
+    @value.register
+    def _(self, kind: msgspec.inspect.UnionType):
+        return self.value(self.random.choice(kind.types))
+
+    @value.register
+    def _(self, kind: msgspec.inspect.ListType):
+        return [
+            self.value(kind.item_type) for _ in range(self.random.choice((0, 1, 4)))
+        ]
+
+    @value.register
+    def _(self, kind: msgspec.inspect.TupleType):
+        return [self.value(item) for item in kind.item_types]
+
+    @value.register
+    def _(self, kind: msgspec.inspect.EnumType):
+        return self.random.choice(list(kind.cls)).value
+
+    @value.register
+    def _(self, kind: msgspec.inspect.NoneType):
+        return None
+
+    @value.register
+    def _(self, kind: msgspec.inspect.BoolType):
+        return self.random.random() < 0.5
+
+    @value.register
+    def _(self, kind: msgspec.inspect.IntType):
+        least = -(2**63) if kind.ge is None else kind.ge
+        most = 2**63 - 1 if kind.le is None else kind.le
+        usual = self.random.choice((0, 1, 5, 2000, 10 ** self.random.randrange(19)))
+        return self.random.choice((least, most, min(max(usual, least), most)))
+
+    @value.register
+    def _(self, kind: msgspec.inspect.StrType):
+        least = kind.min_length or 0
+        texts = [text for text in (*TEXTS, *FORMED_TEXTS) if len(text) >= least]
+        if kind.pattern is not None:
+            texts = [text for text in texts if re.search(kind.pattern, text)]
+        return self.random.choice(texts)
--- a/tests/test_foreign_datagrams.py
+++ b/tests/test_foreign_datagrams.py
@@ -5,13 +5,26 @@
 import asyncio
 import socket
 
+import msgspec
 import pytest
 
-from tests.foreign_datagrams import ODD_DATAGRAMS, SOUND, datagram, odd_message
+from carawayfold.protocol.sources import EndpointChange, Page
+from carawayfold.state.routes import ServiceConfig
+from tests.foreign_datagrams import (
+    ODD_DATAGRAMS,
+    SOUND,
+    RandomMessages,
+    datagram,
+    odd_message,
+)
 from tests.gateway_builders import running_gateway
+from tests.knowledge_builders import table
+from tests.schedule_builders import endpoint, route
 
 #: Seconds for the periodic tasks that use what datagrams brought.
 SETTLING_TIME = 0.7
+#: Datagrams with random messages in one test.
+RANDOM_DATAGRAMS = 600
 #: Seconds in which a router takes its role in a large fleet.
 ROLE_CHANGE_TIME = 0.3
 #: A heartbeat of a large fleet, whose routers pass on where the hubs are.
@@ -70,3 +83,49 @@
 
     names = {f"router-{number + 10}" for number in range(len(ODD_DATAGRAMS))}
     assert asyncio.run(scenario()) == (names, False)
+
+
+def serving_table():
+    """Return a configuration with a service of engines and one that warms up."""
+    services = {
+        "model": ServiceConfig("model", "/", 100, memory_tokens=600_000),
+        "desk": ServiceConfig("desk", "/", 100, warm_up_rate=5.0),
+    }
+    return msgspec.structs.replace(
+        table(1), routes=(route(anonymous=True),), services=services, throughput=1e5
+    )
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_datagrams_with_any_values_within_their_ranges_end_no_router(seed):
+    """Nor may they raise errors in the callbacks of sockets and timers."""
+    messages = RandomMessages(seed)
+    errors = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        async with running_gateway(1000.0) as gateway:
+            gateway.knowledge.apply_routes(serving_table(), "store")
+            registered = [
+                EndpointChange(name, endpoint(name, service))
+                for name, service in (
+                    ("m-1", "model"),
+                    ("m-2", "model"),
+                    ("d-1", "desk"),
+                )
+            ]
+            gateway.knowledge.apply_listing(Page(registered, 3))
+            address = gateway.socket.sock.getsockname()
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for _ in range(RANDOM_DATAGRAMS):
+                    sender = messages.random.choice(("router-1", "router-2"))
+                    drawn = [messages.draw() for _ in range(3)]
+                    sock.sendto(datagram(*drawn, sender=sender), address)
+                    await asyncio.sleep(0.001)
+            await asyncio.sleep(SETTLING_TIME)
+            return len(gateway.fleet.heartbeats), gateway.failed
+
+    heartbeats, failed = asyncio.run(scenario())
+    assert (errors, failed) == ([], False)
+    assert heartbeats
