Accept verdicts that name endpoints with the longest names

What callers saw: nothing; found by reading.

Cause: the identifier of an endpoint is its name and the time of its start, longer than the 255 characters that a name may have.

Why it works: identifiers have a check of their own.

--- a/carawayfold/checked.py
+++ b/carawayfold/checked.py
@@ -55,6 +55,9 @@
 #: Name of an endpoint that can be sent in a header, without backslashes, which begin
 #: escapes of what is no text.
 ENDPOINT_NAME = Meta(pattern=r"^[!-\[\]-~]{1,255}\Z")
+#: Identifier of an incarnation of an endpoint: its name, the time of its start, and a
+#: number where several are told apart.
+ENDPOINT_ID = Meta(min_length=1, max_length=300, pattern=PLAIN_TEXT)
 #: Slots of an endpoint.
 SLOTS = Meta(ge=1, le=1_000_000)
 #: Number of endpoints to which a request may be sent.
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -56,7 +56,6 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
 }
 
-
 EndpointKey = Annotated[str, ENDPOINT_NAME]
 Count = Annotated[int, COUNT]
 Milliseconds = Annotated[float, MILLISECONDS]
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -11,6 +11,7 @@
 from msgspec import Meta
 
 from carawayfold.checked import (
+    ENDPOINT_ID,
     HOST,
     NAME,
     PORT,
@@ -109,7 +110,7 @@
     stamp: Annotated[int, UNIX_MILLISECONDS]
     since: Annotated[float, UNIX_SECONDS]
     held_until: Annotated[float, UNIX_SECONDS]
-    endpoints: Annotated[tuple[Annotated[EndpointId, NAME], ...], MAX_ENDPOINTS]
+    endpoints: Annotated[tuple[Annotated[EndpointId, ENDPOINT_ID], ...], MAX_ENDPOINTS]
 
 
 class Page(msgspec.Struct, Generic[T], frozen=True):
--- a/tests/platform/test_foreign_directory_records.py
+++ b/tests/platform/test_foreign_directory_records.py
@@ -12,6 +12,8 @@
 from carawayfold.commands.logs import format_record
 from carawayfold.platform.store import StoreClient, StoreDirectory
 from carawayfold.protocol.sources import PeerEntry, QuarantineRecord
+from carawayfold.settings import Address
+from carawayfold.state.endpoints import Endpoint
 from tests.gateway_builders import running_gateway
 from tests.platform.http_builders import OneAnswer, read_answer
 from tests.platform.record_builders import (
@@ -105,6 +107,15 @@
     ]
 
 
+def test_a_verdict_may_name_any_endpoint_that_can_be_registered():
+    named = Endpoint(
+        "e" * 255, "s", Address("127.0.0.1", 1), "z", 1, incarnation=10**15
+    )
+    verdict = {**VERDICT, "content": SOUND_CONTENT, "endpoints": [f"{named.id}#9"] * 10}
+    items, _ = read_directory((SOUND_VERDICT[0], json.dumps(verdict).encode()))
+    assert len(items) == 1
+
+
 def test_a_router_sends_heartbeats_to_all_whose_entries_it_reads():
     """A port out of range or a host with a null character ended the process."""
 
