Test streams at a router that considers its peers failed

What callers saw: as in the tests beside it, streams of a new version that went on at the old one.

Cause: not fixed here. A router that was cut off for 1.4 s considers its peers failed, queries none of them, and takes the sole origin at once.

--- a/tests/integration/test_streams_at_routers_out_of_step.py
+++ b/tests/integration/test_streams_at_routers_out_of_step.py
@@ -62,7 +62,15 @@
     fleet.routers[LATE_ROUTER].signal(signal.SIGCONT)
 
 
-TROUBLES = {"isolated": isolated, "deaf": deaf, "stopped": stopped}
+TROUBLES = {
+    "isolated": isolated,
+    "alone": isolated,
+    "deaf": deaf,
+    "stopped": stopped,
+}
+#: Seconds before the release for which the router is out of step already. After so
+#: long, it considers its peers failed and queries none.
+LEADS = {"alone": 1.4}
 
 
 def endpoints_of(trouble, software):
@@ -112,6 +120,7 @@
     ]
     new = endpoints_of(trouble, "v2")
     with TROUBLES[trouble](fleet):
+        await asyncio.sleep(LEADS.get(trouble, 0.0))
         release(fleet, trouble)
         await asyncio.sleep(RELEASE_DELAY)
         begun = await begin_broken(fleet, new, OTHERS, streams)
