--- a/carawayfold/coordination/requests/classification.py
+++ b/carawayfold/coordination/requests/classification.py
@@ -17,6 +17,12 @@
     from carawayfold.state.ids import DataCentreId, OrganisationId, RegionId
     from carawayfold.state.routes import Route, RouteIndex, RouteTable
 
+#: Seconds before the caller's timeout, or the route's, at which a request gets its
+#: final answer. Covers the network delay back to the caller and late timers.
+ANSWER_MARGIN = 0.03
+#: Seconds allowed for a request whose caller states no timeout.
+DEFAULT_REQUEST_TIMEOUT = 60.0
+
 
 class Classification(msgspec.Struct, frozen=True):
     """What the configuration says about a request.
@@ -87,3 +93,13 @@
     if organisation is None:
         raise Refusal(ErrorKind.UNKNOWN_KEY)
     return organisation
+
+
+def time_left(parsed: RequestFields) -> float:
+    """Return the seconds until the caller of a request stops waiting."""
+    return DEFAULT_REQUEST_TIMEOUT if parsed.time_left is None else parsed.time_left
+
+
+def time_to_answer(parsed: RequestFields, route: Route) -> float:
+    """Return the seconds within which a request gets its final answer."""
+    return min(time_left(parsed), route.timeout) - ANSWER_MARGIN
--- a/carawayfold/coordination/requests/explanation.py
+++ b/carawayfold/coordination/requests/explanation.py
@@ -6,10 +6,9 @@
 
 import msgspec
 
-from carawayfold.coordination.requests.classification import classify
-from carawayfold.coordination.requests.forwarding import (
-    ANSWER_MARGIN,
-    DEFAULT_REQUEST_TIMEOUT,
+from carawayfold.coordination.requests.classification import (
+    classify,
+    time_to_answer,
 )
 from carawayfold.coordination.scheduling import explanation
 from carawayfold.coordination.scheduling.messages import (
@@ -25,7 +24,7 @@
     RequestAnswer,
     RequestQuestion,
 )
-from carawayfold.state.contents import content_id, part_content_id
+from carawayfold.state.contents import content_id, shared_part_ids
 from carawayfold.state.ids import CallId, ContentId, OrganisationId
 
 if TYPE_CHECKING:
@@ -127,8 +126,7 @@
         organisation = found.organisation
         method, target = question.method.encode(), question.target.encode()
         content = content_id(organisation, method, target, question.body)
-        shared = parsed.prompt[:-1]
-        parts = tuple(part_content_id(organisation, part.id) for part in shared)
+        parts = shared_part_ids(organisation, parsed.prompt)
         identity = Identity(organisation, content, parts)
         self.forwarder.containment.reject_harmful(identity)
 
@@ -141,8 +139,7 @@
         coordinator = self.coordinator
         own = coordinator.fleet.own
         now = coordinator.loop.time()
-        left = DEFAULT_REQUEST_TIMEOUT if parsed.time_left is None else parsed.time_left
-        deadline = now + min(left, found.route.timeout) - ANSWER_MARGIN
+        deadline = now + time_to_answer(parsed, found.route)
         return Offer(
             call=CallId(f"{own.router}.{own.incarnation & 0xFFFF:x}.0"),
             router=own.router,
@@ -176,10 +173,10 @@
             pool = selection.find_further_pool(offer, weights, asked)
             answer.pool_reason = PoolReason.FURTHER
         else:
-            pool = selection.find_first_pool(offer, answer.service)
             own = selection.pool_for(
                 answer.service, offer.prompt, offer.allowed, offer.software
             )
+            pool = selection.find_first_pool(offer, weights, own)
             answer.pool_reason = _reason(offer, pool == own, len(weights))
         if pool is None:
             return
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -10,7 +10,11 @@
 
 from carawayfold.coordination.containment.crash_reports import LostAttempt
 from carawayfold.coordination.requests.attempts import Attempt, AttemptRequest
-from carawayfold.coordination.requests.classification import classify
+from carawayfold.coordination.requests.classification import (
+    classify,
+    time_left,
+    time_to_answer,
+)
 from carawayfold.coordination.requests.retries import (
     AttemptEnd,
     AttemptHistory,
@@ -26,7 +30,7 @@
 )
 from carawayfold.errors import ErrorKind, Ran, Refusal
 from carawayfold.protocol import problem
-from carawayfold.state.contents import content_id, part_content_id
+from carawayfold.state.contents import content_id, shared_part_ids
 from carawayfold.state.positions import offset_of
 from carawayfold.state.routes import RouteKind
 from carawayfold.state.stream_origins import Origin, ProofFailure, stream_id
@@ -68,11 +72,6 @@
 
 logger = logbook.Logger(__name__)
 
-#: Seconds before the caller's timeout, or the route's, at which a request gets its
-#: final answer. Covers the network delay back to the caller and late timers.
-ANSWER_MARGIN = 0.03
-#: Seconds allowed for a request whose caller states no timeout.
-DEFAULT_REQUEST_TIMEOUT = 60.0
 #: Seconds after a caller's timeout at which it no longer resumes its stream.
 RETURN_MARGIN = 1.0
 
@@ -210,9 +209,7 @@
     @property
     def parts(self) -> tuple[ContentId, ...]:
         """Return the identities of the parts of its prompt that others share."""
-        # The last part is the request's own.
-        shared = self.parsed.prompt[:-1]
-        return tuple(part_content_id(self.organisation, part.id) for part in shared)
+        return shared_part_ids(self.organisation, self.parsed.prompt)
 
     @property
     def stream(self) -> StreamId:
@@ -364,7 +361,7 @@
         found = classify(parsed, incoming.target, self.route_index, self.regions)
         route = found.route
         now = incoming.received
-        left = DEFAULT_REQUEST_TIMEOUT if parsed.time_left is None else parsed.time_left
+        left = time_left(parsed)
         # The time that a retrying caller has already waited counts against the
         # objective. Where it resumes a stream, the first event was in time, and how
         # long the stream lasted tells nothing.
@@ -379,7 +376,7 @@
             service=route.choose_service(self.draw()),
             organisation=found.organisation,
             priority=found.priority,
-            deadline=now + min(left, route.timeout) - ANSWER_MARGIN,
+            deadline=now + time_to_answer(parsed, route),
             due=now + route.objective - waited,
             resume_after=parsed.resume_after,
             last_event_at=now if resumes_stream else None,
@@ -482,8 +479,7 @@
 
     def _record_origin(self, call: ForwardedCall) -> None:
         """Record the origin of a stream for further returns of its caller."""
-        left = call.parsed.time_left
-        timeout = DEFAULT_REQUEST_TIMEOUT if left is None else left
+        timeout = time_left(call.parsed)
         expires_at = call.incoming.received + timeout + RETURN_MARGIN
         for stream in call.streams:
             self.origins.begun(stream, call.route.id, call.origin, expires_at)
--- a/carawayfold/coordination/scheduling/admission.py
+++ b/carawayfold/coordination/scheduling/admission.py
@@ -102,8 +102,8 @@
         """
         if offer.abandoned_at is not None:
             return None
-        limit = self.limits.get(_key_of(offer, pool))
-        if limit is None or limit.until < now:
+        limit = self._valid_limit(offer, pool, now)
+        if limit is None:
             return None
         draw = _draw(offer.call)
         if draw < limit.admitted_fraction:
@@ -118,10 +118,14 @@
 
     def admitted_fraction(self, offer: Offer, pool: PoolId, now: float) -> float:
         """Return the fraction of requests like this that may be offered, 0 to 1."""
+        limit = self._valid_limit(offer, pool, now)
+        return 1.0 if limit is None else limit.admitted_fraction
+
+    def _valid_limit(
+        self, offer: Offer, pool: PoolId, now: float
+    ) -> AdmissionLimit | None:
         limit = self.limits.get(_key_of(offer, pool))
-        if limit is None or limit.until < now:
-            return 1.0
-        return limit.admitted_fraction
+        return limit if limit is not None and limit.until >= now else None
 
     def take_throttled_tokens(self, offer: Offer, pool: PoolId) -> int:
         """Return the tokens throttled since the last offer, and reset the count."""
--- a/carawayfold/coordination/scheduling/pool_selection.py
+++ b/carawayfold/coordination/scheduling/pool_selection.py
@@ -202,19 +202,29 @@
 
     def _first_pool(self, offer: Offer, service: ServiceId) -> PoolId:
         """Return the pool to which a request is offered first, and count a move."""
-        pool = self.find_first_pool(offer, service)
-        if self.balances and pool != self.pool_for(
-            service, offer.prompt, offer.allowed, offer.software
-        ):
+        own = self.pool_for(service, offer.prompt, offer.allowed, offer.software)
+        weights = self.weights_for(service, offer.allowed, offer.software)
+        pool = self.find_first_pool(offer, weights, own)
+        if pool != own:
             statistics = self.coordinator.decision_statistics
             statistics.of(pool).moved_first += 1
             statistics.pool_moves["first"] += 1
         return pool
 
-    def find_first_pool(self, offer: Offer, service: ServiceId) -> PoolId:
-        """Return the pool to which a request is offered first."""
-        own = self.pool_for(service, offer.prompt, offer.allowed, offer.software)
-        weights = self.weights_for(service, offer.allowed, offer.software)
+    def find_first_pool(
+        self, offer: Offer, weights: Mapping[PoolId, int], own: PoolId
+    ) -> PoolId:
+        """Return the pool to which a request is offered first.
+
+        Parameters
+        ----------
+        offer : Offer
+            The request.
+        weights : mapping
+            Slots of each pool that it may use.
+        own : PoolId
+            The pool of its prefix.
+        """
         if not self.balances or len(weights) < 2:
             return own
         now = self.coordinator.loop.time()
--- a/carawayfold/state/contents.py
+++ b/carawayfold/state/contents.py
@@ -12,6 +12,9 @@
 from carawayfold.state.ids import ContentId
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from carawayfold.protocol.exchanges import Part
     from carawayfold.state.ids import OrganisationId, PartId
 
 #: End of the identity of a part.
@@ -54,6 +57,14 @@
     return ContentId(digest + PART_SUFFIX)
 
 
+def shared_part_ids(
+    organisation: OrganisationId, prompt: Sequence[Part]
+) -> tuple[ContentId, ...]:
+    """Return the identities of the parts of a prompt that other requests share."""
+    # The last part is the request's own.
+    return tuple(part_content_id(organisation, part.id) for part in prompt[:-1])
+
+
 def is_part(content: ContentId) -> bool:
     """Return whether an identity is that of a prompt part."""
     return content.endswith(PART_SUFFIX)
