Name why a proof of origin fails when there is no sole origin

Read as a newcomer, after the review: SEVERAL also stood for a route that is unknown or has no endpoint. It is NOT_SOLE now, in the log `not a sole origin`; a proof for an unknown route says so too, and the comment on the longest wait tells what becomes of callers beyond it. Tests of stream origins and proofs pass.

--- a/carawayfold/coordination/requests/sole_origins.py
+++ b/carawayfold/coordination/requests/sole_origins.py
@@ -50,7 +50,7 @@
             return Proof(None, ProofFailure.STORE)
         current = self.route(route.id)
         if current is None:
-            return Proof(None, ProofFailure.SEVERAL)
+            return Proof(None, ProofFailure.NOT_SOLE)
         return self.expected(current)
 
     def expected(self, route: Route) -> Proof:
@@ -59,10 +59,10 @@
         history = self.knowledge.route_history
         service = history.sole_service(route.id, now)
         if route.kind is not RouteKind.STREAMING or service is None:
-            return Proof(None, ProofFailure.SEVERAL)
+            return Proof(None, ProofFailure.NOT_SOLE)
         versions = self.versions(service)
         if len(versions) != 1:
-            return Proof(None, ProofFailure.SEVERAL)
+            return Proof(None, ProofFailure.NOT_SOLE)
         software = self.knowledge.endpoints.software
         complete = software.is_complete(now, history.window)
         if not complete or not history.is_complete(now):
--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -51,7 +51,7 @@
     from carawayfold.state.ids import RouteId, StreamId
     from carawayfold.state.routes import Route
 
-#: Seconds between two checks whether a single origin is still certain.
+#: Seconds between two checks which routes seem to have a single origin.
 REFRESH_INTERVAL = 0.5
 #: Seconds for which replies to a query are awaited. A round trip between data centres
 #: takes under 3 ms, but a busy router replies late, and a refusal in vain costs the
@@ -77,6 +77,9 @@
     True: frozenset({Evidence.NONE}),
 }
 
+#: Proof for a route that is not in the configuration.
+NO_PROOF = Proof(None, ProofFailure.NOT_SOLE)
+
 
 class Query(msgspec.Struct, eq=False):
     """A query that peers have not answered yet.
@@ -320,7 +323,7 @@
         if proof.origin is not None:
             finding.origin, finding.source = proof.origin, OriginSource.SOLE
             return finding
-        if proof.failure is not ProofFailure.SEVERAL:
+        if proof.failure is not ProofFailure.NOT_SOLE:
             # A peer may know more of the past, or be answered by the store.
             query = await self._query(stream, route.id, prove=True)
             finding = self._judge(query, route)
@@ -466,7 +469,7 @@
         """Try to prove the origin of a stream that a peer queries, and reply."""
         try:
             route = self.sole_origins.route(message.route)
-            proof = await self.sole_origins.prove(route) if route else Proof(None)
+            proof = await self.sole_origins.prove(route) if route else NO_PROOF
         finally:
             self.proving.discard((sender, message.stream))
         proved = proof.origin is not None
--- a/carawayfold/state/route_history.py
+++ b/carawayfold/state/route_history.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from carawayfold.state.routes import RouteTable
 
-#: Seconds for which callers wait at most, unless a route gives them more time. Those
-#: that state no time-out count as waiting for that long.
+#: Seconds for which callers wait at most, unless a route gives them more time. A caller
+#: that waits for longer is known by the record of its stream only.
 MAX_WAIT = 60.0
 
 
--- a/carawayfold/state/stream_origins.py
+++ b/carawayfold/state/stream_origins.py
@@ -83,14 +83,14 @@
     ----------
     HISTORY
         It does not know enough of the past.
-    SEVERAL
-        There may have been several versions or services.
+    NOT_SOLE
+        There is not exactly one version of one service that may have begun them.
     STORE
         The store did not confirm its records.
     """
 
     HISTORY = "history incomplete"
-    SEVERAL = "several origins"
+    NOT_SOLE = "not a sole origin"
     STORE = "records not confirmed"
 
 
--- a/tests/coordination/requests/test_proofs_by_the_store.py
+++ b/tests/coordination/requests/test_proofs_by_the_store.py
@@ -145,7 +145,7 @@
         return await router.find("s")
 
     finding = run_router(work, ESTABLISHED)
-    assert (finding.origin, finding.failure) == (None, ProofFailure.SEVERAL)
+    assert (finding.origin, finding.failure) == (None, ProofFailure.NOT_SOLE)
 
 
 def test_a_service_that_only_the_store_knows_yet_is_no_other_ones_stream():
@@ -155,7 +155,7 @@
         return await router.find("s")
 
     finding = run_router(work, ESTABLISHED)
-    assert (finding.origin, finding.failure) == (None, ProofFailure.SEVERAL)
+    assert (finding.origin, finding.failure) == (None, ProofFailure.NOT_SOLE)
 
 
 @pytest.mark.parametrize("topic", ["operators", "endpoints"])
