--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -143,7 +143,7 @@
     Attributes
     ----------
     own : StreamTable
-        Streams that this router began or resumed and that are not complete.
+        Streams that this router began or resumed, until their callers have given up.
     reported : StreamTable
         Streams that other routers have reported.
     sole : dict
