Close the descriptors of the pollers that the tests of joined streams open

Each passes alone.

Cause: test_joined_streams.py left 524 descriptors open, counted test by test, so that the process reached 1,024, from which on these tests can't wait for a socket. Shown: with 1,020 descriptors held from the start they fail alone too. Ruled out: garbage collection (it frees none of them), recursion depth (the same after each test).

--- a/tests/coordination/requests/stream_builders.py
+++ b/tests/coordination/requests/stream_builders.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections import Counter, deque
 from enum import Enum
@@ -246,6 +247,17 @@
     return RouteTable(1, ROUTES, {}, {}, {}, CallerLimits(), 0.0)
 
 
+def close_poller(poller):
+    """Close the descriptors of a poller, which no garbage collection does."""
+    poller._poller.close()
+    for name in ("_ctrl_recv", "_ctrl_send"):
+        end = getattr(poller, name, None)
+        if isinstance(end, int):
+            os.close(end)
+        elif end is not None:
+            end.close()
+
+
 class StreamRouter:
     """A router without peers, its scripted endpoints and its callers.
 
@@ -338,6 +350,7 @@
                 writer.close()
         await asyncio.sleep(0)
         self.root.detach()
+        close_poller(self.root.poller)
 
 
 @contextlib.asynccontextmanager
