Look up the versions of a service once for all its routes

The proof of origins dropped what the code before it had: `_find_sole`, which runs at each change of registrations and twice a second, looked up the versions of a service once for all its routes; since then it went through all endpoints for each route. With 350 routes and 610 endpoints of one service a refresh took 12.6 ms, and takes 1.0 ms now (timed alone, once).

What is decided is unchanged.

--- a/carawayfold/coordination/requests/sole_origins.py
+++ b/carawayfold/coordination/requests/sole_origins.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from carawayfold.state.routes import RouteKind
 from carawayfold.state.stream_origins import Origin, Proof, ProofFailure
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.state.ids import RouteId, ServiceId, SoftwareVersion
@@ -53,14 +54,36 @@
             return Proof(None, ProofFailure.NOT_SOLE)
         return self.expected(current)
 
-    def expected(self, route: Route) -> Proof:
-        """Return the sole origin by the records that this router has now."""
+    def expected_origins(self, routes: Iterable[Route]) -> dict[RouteId, Origin]:
+        """Return the sole origins of some routes, for those that seem to have one."""
+        versions = functools.cache(self.versions)
+        expected = {route.id: self.expected(route, versions) for route in routes}
+        return {
+            name: proof.origin
+            for name, proof in expected.items()
+            if proof.origin is not None
+        }
+
+    def expected(
+        self,
+        route: Route,
+        versions_of: Callable[[ServiceId], set[SoftwareVersion]] | None = None,
+    ) -> Proof:
+        """Return the sole origin by the records that this router has now.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        versions_of : callable, optional
+            Returns the versions of a service; `versions` by default.
+        """
         now = self.loop.time()
         history = self.knowledge.route_history
         service = history.sole_service(route.id, now)
         if route.kind is not RouteKind.STREAMING or service is None:
             return Proof(None, ProofFailure.NOT_SOLE)
-        versions = self.versions(service)
+        versions = (versions_of or self.versions)(service)
         if len(versions) != 1:
             return Proof(None, ProofFailure.NOT_SOLE)
         software = self.knowledge.endpoints.software
--- a/carawayfold/coordination/requests/stream_origins.py
+++ b/carawayfold/coordination/requests/stream_origins.py
@@ -244,12 +244,8 @@
         table = self.knowledge.routes
         if table is None or self.registrations_age() > MIN_OUTAGE_AGE:
             return {}
-        expected = {
-            route.id: self.sole_origins.expected(route).origin
-            for route in table.routes
-            if route.kind is RouteKind.STREAMING
-        }
-        return {name: origin for name, origin in expected.items() if origin is not None}
+        streaming = [x for x in table.routes if x.kind is RouteKind.STREAMING]
+        return self.sole_origins.expected_origins(streaming)
 
     def fleet_changed(self) -> None:
         """Report this router's streams to routers that are new or have restarted."""
