Show that streams of a removed route go on at another service

Six streams of a resumable route; a config removes the route, whose path then belongs to a route of another service, and their router is killed. The clients resume and get the rest from the other service as one complete stream.

--- a/review/bed/case.py
+++ b/review/bed/case.py
@@ -85,14 +85,14 @@
     version: int,
     routes: list[dict[str, object]],
     keys: dict[str, list[str]],
-    model: str = "",
+    models: tuple[str, ...] = (),
 ) -> dict[str, object]:
-    """Return a config; `keys` are the keys of each tenant."""
-    names = sorted({str(item["service"]) for item in routes})
+    """Return a config; `keys` are the keys of each tenant, `models` model services."""
+    names = sorted({str(item["service"]) for item in routes} | set(models))
     services = []
     for name in names:
         item = {"name": name, "health_path": "/healthz", "max_connections": 96}
-        if name == model:
+        if name in models:
             item["engine"] = {"kv_capacity_tokens": 639_273}
         services.append(item)
     tenants = [{"name": name, "api_keys": held} for name, held in keys.items()]
