--- a/review/bed/http.py
+++ b/review/bed/http.py
@@ -102,6 +102,13 @@
         self.handle = handle
         self.port = 0
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def stop(self) -> None:
+        """Stop to listen and reset all connections, as if the process had ended."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def start(self, port: int = 0) -> int:
         """Start to listen; return the port."""
@@ -113,6 +120,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         lost = (asyncio.IncompleteReadError, asyncio.CancelledError, ValueError)
+        self.writers.add(writer)
         try:
             while True:
                 words, fields = await read_head(reader)
@@ -131,6 +139,7 @@
             # Also at the end of the case, which cancels what still waits.
             pass
         finally:
+            self.writers.discard(writer)
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
 
--- a/review/bed/workers.py
+++ b/review/bed/workers.py
@@ -34,6 +34,8 @@
     ----------
     service, zone : str
         What it registers.
+    born : int
+        Unix millisecond of its start; 0 for a site whose entries have none.
     runs : list of Run
         The requests that it has begun to run, in order.
     """
@@ -43,6 +45,7 @@
     slots: int = 6
     work: float = 0.02
     software: str = "v1"
+    born: int = 0
     name: str = field(default_factory=lambda: f"i-{next(numbers):08x}")
     runs: list[Run] = field(default_factory=list)
     server: HttpServer | None = None
@@ -54,7 +57,9 @@
 
     def entry(self, state: str = "active") -> dict[str, object]:
         """Return the entry under which it registers."""
+        started = {"born": self.born} if self.born else {}
         return {
+            **started,
             "service": self.service,
             "address": f"127.0.0.1:{self.server.port}",
             "zone": self.zone,
