Show that routers cut from one another overload a cold worker

Three routers of nine are cut from all others, and each decides for every pool; a worker that starts meanwhile gets 21 to 28 requests in one second while it is cold, 18.05 allowed.

--- a/review/bed/routers.py
+++ b/review/bed/routers.py
@@ -14,15 +14,21 @@
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from bed.http import HOST, call
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 ROOT = Path(__file__).resolve().parents[2]
 DEPS = ROOT / "target" / "deps"
 #: Variables that the platform passes on.
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
 #: Ports for listening sockets, below the ephemeral ones.
 FIRST_PORT, LAST_PORT = 20_000, 32_000
+#: Ports that were returned by `free_ports`, and may not be in use yet.
+returned_ports: set[int] = set()
 #: Seconds within which a router must be ready.
 START_TIMEOUT = 25.0
 
@@ -32,12 +38,13 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free for connections and datagrams."""
+    """Return ports that are free for connections and datagrams, each only once."""
     found: list[int] = []
     offset = int.from_bytes(os.urandom(4), "big")
     for step in range(LAST_PORT - FIRST_PORT):
         port = FIRST_PORT + (offset + step * 7) % (LAST_PORT - FIRST_PORT)
-        if port not in found and _is_free(port):
+        if port not in returned_ports and _is_free(port):
+            returned_ports.add(port)
             found.append(port)
         if len(found) == count:
             return found
@@ -113,9 +120,11 @@
             shutil.copytree(self.folder, kept, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def add(self, name: str, zone: str, store_port: int = 0) -> Router:
-        """Add and start a router."""
-        ports = free_ports(3)
+    def add(
+        self, name: str, zone: str, store_port: int = 0, ports: Sequence[int] = ()
+    ) -> Router:
+        """Add and start a router, at ports of its own unless some are given."""
+        ports = list(ports) or free_ports(3)
         path = self.folder / f"{name}.json5"
         settings = {
             "router": name,
--- a/review/bed/store.py
+++ b/review/bed/store.py
@@ -7,13 +7,20 @@
 import json
 import struct
 from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING
 
 from bed.http import Answer, HttpServer, Request
 
+if TYPE_CHECKING:
+    from bed.relay import Relay
+
 #: Seconds that a call takes.
 CALL_DURATION = 0.004
 #: Most rows of a page of newest records.
 PAGE_ROWS = 500
+#: Topic of the routers' entries.
+ROUTERS_TOPIC = "keyed.routers"
 
 
 @dataclass
@@ -54,6 +61,27 @@
         """Start to listen; return the port."""
         return await self.server.start()
 
+    async def start_for(self, router: str, relay: Relay) -> int:
+        """Listen for one router, which reaches the others through a relay."""
+        return await HttpServer(partial(self.handle_for, router, relay)).start()
+
+    async def handle_for(
+        self, router: str, relay: Relay, request: Request
+    ) -> Answer | None:
+        """Serve one call of a router, with the ports of the relay in the entries."""
+        answer = await self.handle(request)
+        listed = request.query.get("topic") == ROUTERS_TOPIC
+        if answer is None or request.path != "/log-newest" or not listed:
+            return answer
+        page = json.loads(answer.body)
+        for row in page["entries"]:
+            port = relay.ports.get((router, row["key"]))
+            if port is not None:
+                entry = json.loads(base64.b64decode(row["value"]))
+                value = json.dumps({**entry, "port": port}).encode()
+                row["value"] = base64.b64encode(value).decode()
+        return Answer.json(page)
+
     def topic(self, name: str) -> Topic:
         """Return a topic, which is created on first use."""
         return self.topics.setdefault(name, Topic())
