Refuse requests without a valid key once all keys are revoked

What callers saw: after the last API key of all organisations was revoked, every router ran every request, with any key and with none, until a key was added again.

Cause: `_organisation` took an empty table from keys to organisations for a configuration that declares no organisations. The decoder had the empty list as default of a missing `tenants`, so that nothing after it could tell the two apart.

Ruled out: an older configuration in force (classification with the decoded record alone admits every key); kept keys (keys that were never valid ran too); anonymous routes (the route was the same, and refused forged keys before). The log line "configuration in force" didn't tell the hypotheses apart; it now has `key_policy` and `keys`.

Change: `RouteTable.key_policy`, stated by the decoder. Where keys are required, only a key of the table is valid, so that an empty table admits nobody but on anonymous routes. A table of an earlier router, which doesn't state it and has no keys, is not taken from that peer.

Conclusion: an empty table states nothing about whether a key is needed.

--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -327,8 +327,7 @@
 
     def _apply_answer(self, router: RouterId, path: str, body: bytes) -> None:
         if path == CONFIGURATION_PATH:
-            table = msgspec.msgpack.decode(body, type=RouteTable)
-            self.knowledge.apply_routes(table, router)
+            self._apply_configuration(router, body)
             return
         if path == EVACUATIONS_PATH:
             evacuations = msgspec.msgpack.decode(body, type=EvacuationSnapshot)
@@ -336,3 +335,11 @@
             return
         snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
         self.knowledge.merge_snapshot(snapshot, router)
+
+    def _apply_configuration(self, router: RouterId, body: bytes) -> None:
+        table = msgspec.msgpack.decode(body, type=RouteTable)
+        if table.is_ambiguous:
+            extra = {"peer": router, "version": table.version}
+            logger.warning("configuration without a key policy ignored", extra=extra)
+            return
+        self.knowledge.apply_routes(table, router)
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -202,6 +202,8 @@
             "before": self.version,
             "source": source,
             "age_ms": round(self.operators_age() * 1000),
+            "key_policy": table.key_policy.value,
+            "keys": len(table.organisations),
         }
         self.routes = table
         self.in_force = ActiveConfiguration(table.version, source, self.loop.time())
--- a/carawayfold/coordination/requests/classification.py
+++ b/carawayfold/coordination/requests/classification.py
@@ -8,7 +8,7 @@
 
 from carawayfold.errors import ErrorKind, Refusal
 from carawayfold.state.residency import allowed_data_centres
-from carawayfold.state.routes import ANONYMOUS
+from carawayfold.state.routes import ANONYMOUS, KeyPolicy
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -87,9 +87,9 @@
 def _organisation(
     table: RouteTable, route: Route, parsed: RequestFields
 ) -> OrganisationId:
-    if route.anonymous or not table.organisations:
+    if route.anonymous or table.key_policy is KeyPolicy.NOT_REQUIRED:
         return ANONYMOUS
-    organisation = table.organisations.get(parsed.key)
+    organisation = table.organisations.get(parsed.key) if parsed.key else None
     if organisation is None:
         raise Refusal(ErrorKind.UNKNOWN_KEY)
     return organisation
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -34,6 +34,7 @@
 from carawayfold.state.routes import (
     MIN_PATIENCE,
     CallerLimits,
+    KeyPolicy,
     Route,
     RouteKind,
     RouteTable,
@@ -134,13 +135,17 @@
 
 
 class WireConfig(msgspec.Struct):
-    """A complete configuration."""
+    """A complete configuration.
+
+    ``tenants`` is unset if the configuration does not contain it; requests then need
+    no key. An empty list admits no request to a route that needs one.
+    """
 
     version: Annotated[int, ORDINAL]
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
-    tenants: list[WireTenant] = []
+    tenants: list[WireTenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireState(Enum):
@@ -192,25 +197,26 @@
         If the record is not a valid configuration.
     """
     wire = decode(data, WireConfig)
+    declared = wire.tenants is not msgspec.UNSET
+    tenants = wire.tenants if declared else []
     return RouteTable(
         version=wire.version,
         routes=tuple(_route(item) for item in wire.routes),
         services={ServiceId(item.name): _service(item) for item in wire.services},
         organisations={
             key: OrganisationId(tenant.name)
-            for tenant in wire.tenants
+            for tenant in tenants
             for key in tenant.api_keys
         },
-        priorities={
-            OrganisationId(tenant.name): tenant.priority for tenant in wire.tenants
-        },
+        priorities={OrganisationId(tenant.name): tenant.priority for tenant in tenants},
         limits=_limits(wire.limits),
         throughput=wire.limits.tokens_per_s,
         regions={
             OrganisationId(tenant.name): _regions(tenant.allowed_regions)
-            for tenant in wire.tenants
+            for tenant in tenants
             if tenant.allowed_regions
         },
+        key_policy=KeyPolicy.REQUIRED if declared else KeyPolicy.NOT_REQUIRED,
     )
 
 
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -43,6 +43,26 @@
     NON_IDEMPOTENT = "non-idempotent"
 
 
+class KeyPolicy(Enum):
+    """Whether requests need an API key, on routes that are not anonymous.
+
+    Attributes
+    ----------
+    NOT_REQUIRED
+        The configuration declares no organisations: requests need no key.
+    REQUIRED
+        The configuration declares organisations. If none of them holds a key, no
+        request is admitted.
+    UNSTATED
+        Configuration from a router of an earlier version, which does not state whether
+        organisations are declared. Keys are required.
+    """
+
+    NOT_REQUIRED = "not-required"
+    REQUIRED = "required"
+    UNSTATED = "unstated"
+
+
 class WeightedService(msgspec.Struct, frozen=True):
     """One of the services among which a route's requests are divided.
 
@@ -213,6 +233,8 @@
     regions : dict
         Regions in which requests of an organisation may run, for restricted
         organisations only.
+    key_policy : KeyPolicy
+        Whether requests need an API key.
     """
 
     version: Annotated[int, ORDINAL]
@@ -223,6 +245,12 @@
     limits: CallerLimits
     throughput: Annotated[float, RATE]
     regions: dict[OrganisationId, tuple[RegionId, ...]] = {}
+    key_policy: KeyPolicy = KeyPolicy.UNSTATED
+
+    @property
+    def is_ambiguous(self) -> bool:
+        """Return whether it may declare no organisations, or some without keys."""
+        return self.key_policy is KeyPolicy.UNSTATED and not self.organisations
 
 
 class ActiveConfiguration(msgspec.Struct, frozen=True):
--- a/tests/coordination/knowledge/test_anti_entropy.py
+++ b/tests/coordination/knowledge/test_anti_entropy.py
@@ -14,6 +14,7 @@
 from carawayfold.protocol.datagrams import Heartbeat
 from carawayfold.settings import Address
 from carawayfold.state.evacuations import EvacuationSnapshot
+from carawayfold.state.routes import KeyPolicy
 from carawayfold.transport.client import Answer, ExchangeError, Head, Phase
 from tests.knowledge_builders import knowledge, run_in_loop, table
 from tests.schedule_builders import endpoint
@@ -201,3 +202,22 @@
         return set(made.unresponsive_until), known.complete
 
     assert run_in_loop(run) == ({"router-0", "router-1", "router-2"}, False)
+
+
+# Guards against a configuration of an earlier version that is taken for one without
+# organisations, or without keys.
+def test_a_configuration_without_a_key_policy_is_not_taken_from_a_peer():
+    async def run(organisations):
+        known, _ = knowledge()
+        peer = FakePeer()
+        made = anti_entropy.AntiEntropy(starting(80), known, peer)
+        old = msgspec.structs.replace(
+            table(7), key_policy=KeyPolicy.UNSTATED, organisations=organisations
+        )
+        made._apply_answer(
+            "router-0", anti_entropy.CONFIGURATION_PATH, msgspec.msgpack.encode(old)
+        )
+        return known.version
+
+    assert run_in_loop(lambda: run({})) == 0
+    assert run_in_loop(lambda: run({"key-1": "alder"})) == 7
--- a/tests/platform/record_builders.py
+++ b/tests/platform/record_builders.py
@@ -39,6 +39,14 @@
     "limits": {},
     "tenants": [{"name": "alder", "api_keys": ["key-of-alder"]}],
 }
+
+
+def configuration(anonymous=False, **fields):
+    """Return a configuration with fields replaced, all of its routes `anonymous`."""
+    routes = [{**item, "anonymous": anonymous} for item in CONFIGURATION["routes"]]
+    return {**CONFIGURATION, "routes": routes, **fields}
+
+
 #: Directory entry of a router.
 PEER = {
     "router": "router-1",
