Send nothing to services whose weight is zero

A route all of whose services have the weight 0 sent its requests to the last of them, and "explain" named it.

Cause: `choose_service` falls back to the last service, which is meant for rounding; a total weight of zero always ends there.

Change: only services with a weight above zero are chosen; a route without any refuses with 503, as one without services.

Conclusion: a table whose entries all say "none" is read as none.

--- a/carawayfold/coordination/requests/explanation.py
+++ b/carawayfold/coordination/requests/explanation.py
@@ -112,7 +112,7 @@
         chosen = _heaviest(found)
         answer.service = chosen.service
         total = sum(item.weight for item in found.route.services)
-        answer.service_share = chosen.weight / total if total else 1.0
+        answer.service_share = chosen.weight / total
         offer = self._offer(question, parsed, found)
         self._choose_pool(offer, question, answer)
 
@@ -207,10 +207,7 @@
 
 def _heaviest(found: Classification) -> WeightedService:
     """Return the service that gets most of a route's requests."""
-    services = found.route.services
-    if not services:
-        raise Refusal(ErrorKind.NO_ENDPOINT, "the route has no services")
-    return max(services, key=lambda item: item.weight)
+    return max(found.route.weighted_services(), key=lambda item: item.weight)
 
 
 def _reason(offer: Offer, is_own: bool, pools: int) -> PoolReason:
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -137,6 +137,19 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    def weighted_services(self) -> list[WeightedService]:
+        """Return the services with a weight above zero.
+
+        Raises
+        ------
+        Refusal
+            ``no-endpoint`` if there are none.
+        """
+        weighted = [item for item in self.services if item.weight > 0]
+        if not weighted:
+            raise Refusal(ErrorKind.NO_ENDPOINT, "the route has no services")
+        return weighted
+
     def choose_service(self, draw: float) -> ServiceId:
         """Return a service chosen by weight.
 
@@ -148,17 +161,15 @@
         Raises
         ------
         Refusal
-            ``no-endpoint`` if the route has no services.
+            ``no-endpoint`` if no service of the route has a weight above zero.
         """
-        if not self.services:
-            raise Refusal(ErrorKind.NO_ENDPOINT, "the route has no services")
-        total = sum(item.weight for item in self.services)
-        left = draw * total
-        for item in self.services:
+        weighted = self.weighted_services()
+        left = draw * sum(item.weight for item in weighted)
+        for item in weighted:
             left -= item.weight
             if left < 0:
                 return item.service
-        return self.services[-1].service
+        return weighted[-1].service
 
 
 class ServiceConfig(msgspec.Struct, frozen=True):
