Exclude all regions by an empty list of regions

What callers saw: none by a report; found among the related paths of the revoked keys. Where an operator takes the last allowed region of a route or organisation away, its requests ran in every region.

Cause: an empty list of regions was read like a missing one.

Change: a missing list is no restriction, an empty one excludes all regions: 503, and "configuration in force" counts such routes and organisations. The builder of test_residency.py passed empty lists for no restriction and now leaves the field out.

Evidence: test_regions_that_are_absent_empty_or_listed_differ failed in its two cases of an empty list and passes now.

Conclusion: an empty restriction admits nothing, as an empty table of keys does.

--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -204,6 +204,7 @@
             "age_ms": round(self.operators_age() * 1000),
             "key_policy": table.key_policy.value,
             "keys": len(table.organisations),
+            "without_region": table.count_without_region(),
         }
         self.routes = table
         self.in_force = ActiveConfiguration(table.version, source, self.loop.time())
--- a/carawayfold/platform/records.py
+++ b/carawayfold/platform/records.py
@@ -33,6 +33,7 @@
 )
 from carawayfold.state.routes import (
     MIN_PATIENCE,
+    NO_REGIONS,
     CallerLimits,
     KeyPolicy,
     Route,
@@ -92,7 +93,7 @@
     anonymous: bool = False
     resumable: bool = False
     gap_target_ms: Milliseconds = 0.0
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireEngine(msgspec.Struct):
@@ -131,7 +132,7 @@
     name: Annotated[str, TEXT]
     api_keys: list[str] = []
     priority: Priority = DEFAULT_PRIORITY
-    allowed_regions: list[str] = []
+    allowed_regions: list[str] | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireConfig(msgspec.Struct):
@@ -214,7 +215,7 @@
         regions={
             OrganisationId(tenant.name): _regions(tenant.allowed_regions)
             for tenant in tenants
-            if tenant.allowed_regions
+            if tenant.allowed_regions is not msgspec.UNSET
         },
         key_policy=KeyPolicy.REQUIRED if declared else KeyPolicy.NOT_REQUIRED,
     )
@@ -289,8 +290,11 @@
     )
 
 
-def _regions(names: list[str]) -> tuple[RegionId, ...]:
-    return tuple(RegionId(name) for name in names)
+def _regions(names: list[str] | msgspec.UnsetType) -> tuple[RegionId, ...]:
+    """Return the regions of a restriction; an empty list excludes all regions."""
+    if names is msgspec.UNSET:
+        return ()
+    return tuple(RegionId(name) for name in names) or NO_REGIONS
 
 
 def _service(wire: WireService) -> ServiceConfig:
--- a/carawayfold/state/residency.py
+++ b/carawayfold/state/residency.py
@@ -21,7 +21,7 @@
 
     Where both the route and the organisation are restricted to regions, both
     restrictions apply. A data centre whose region is not known is excluded by
-    any restriction.
+    any restriction. `carawayfold.state.routes.NO_REGIONS` excludes all.
 
     Parameters
     ----------
@@ -39,4 +39,6 @@
     if not binding:
         return None
     allowed = set.intersection(*binding)
-    return frozenset(name for name, region in regions.items() if region in allowed)
+    return frozenset(
+        name for name, region in regions.items() if region and region in allowed
+    )
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -21,6 +21,8 @@
 
 #: Organisation of requests on routes that need no key.
 ANONYMOUS = OrganisationId("")
+#: Restriction that excludes all regions; no region has an empty name.
+NO_REGIONS = (RegionId(""),)
 #: Least seconds without an event after which callers abandon a stream.
 MIN_PATIENCE = 2.0
 
@@ -109,7 +111,7 @@
     pause : float
         Objective for the longest pause between events of a stream, in seconds.
     regions : tuple of RegionId
-        Regions in which its requests may run; empty for any.
+        Regions in which its requests may run; empty for any, `NO_REGIONS` for none.
     patience : float
         Seconds without an event after which callers abandon a stream; by default the
         least, as routers of earlier versions don't state it.
@@ -258,6 +260,11 @@
     regions: dict[OrganisationId, tuple[RegionId, ...]] = {}
     key_policy: KeyPolicy = KeyPolicy.UNSTATED
 
+    def count_without_region(self) -> int:
+        """Return the number of routes and organisations that may run nowhere."""
+        restrictions = [route.regions for route in self.routes]
+        return [*restrictions, *self.regions.values()].count(NO_REGIONS)
+
     @property
     def is_ambiguous(self) -> bool:
         """Return whether it may declare no organisations, or some without keys."""
--- a/tests/integration/test_residency.py
+++ b/tests/integration/test_residency.py
@@ -27,12 +27,14 @@
 
 
 def restrict(fleet, version, route=(), organisation=()):
-    """Restrict routes and the organisation to regions; wait until this is in force."""
+    """Restrict routes and the organisation to regions; wait until this is in force.
+
+    Without regions there is no restriction; an empty list would exclude all regions.
+    """
     document = configuration(version)
-    for item in document["routes"]:
-        item["allowed_regions"] = list(route)
-    for item in document["tenants"]:
-        item["allowed_regions"] = list(organisation)
+    for table, regions in (("routes", route), ("tenants", organisation)):
+        for item in document[table] if regions else ():
+            item["allowed_regions"] = list(regions)
     fleet.configure(document)
     read_log(fleet, "router-0", event="configuration in force", version=version)
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -14,6 +14,7 @@
 from carawayfold.platform import records, store
 from carawayfold.platform.store import Record
 from carawayfold.protocol.sources import Evacuation, Page, SourceError
+from carawayfold.state.residency import allowed_data_centres
 from carawayfold.state.routes import RouteKind
 from tests.platform.record_builders import ENTRY, entry
 
@@ -221,3 +222,23 @@
 def test_read_with_truncated_header_raises_source_error(data):
     with pytest.raises(SourceError):
         store._decode_records(data, 0)
+
+
+#: Regions of two data centres.
+REGIONS = {"north-1": "hills", "south-1": "coast"}
+
+
+# Guards against requests that run in any region once the last region is taken away.
+@pytest.mark.parametrize("table", ["routes", "tenants"])
+@pytest.mark.parametrize(
+    ("regions", "allowed"),
+    [(None, None), ([], frozenset()), (["hills"], frozenset({"north-1"}))],
+)
+def test_regions_that_are_absent_empty_or_listed_differ(table, regions, allowed):
+    config = configuration()
+    if regions is not None:
+        config[table][0]["allowed_regions"] = regions
+    routes = records.decode_routes(json.dumps(config).encode())
+    (organisation,) = set(routes.organisations.values())
+    found = allowed_data_centres(routes.routes[0], organisation, routes, REGIONS)
+    assert found == allowed
