Limit grants to endpoints that are not confirmed to be warm

Cause: warm-ups were known from entries only. An entry that could not be written, or read, was taken for an endpoint that is warm; nothing called the health checks.

Ruled out: several deciders (7 in one second with the store up, same fleet); a limit that comes too late after the entry (it is written when the warm-up is over); the age of the registrations (nothing looked at it).

Change: a scheduler counts the grants to each endpoint since it was last confirmed, by a read of the store that began after them or by its health check, and makes no more of them in 1.1 s than the endpoint tolerates in a second while it is cold; one where it decides without leading. Confirmations are requested half way. The store confirms nothing for 2.5 s after a failed call. Endpoints with few requests are never asked.

Conclusion: a grant needs evidence of warmth that is newer than the grants before it.

--- a/benchmarks/hosted.py
+++ b/benchmarks/hosted.py
@@ -194,6 +194,10 @@
             return json.loads(self.records_of(name).read_bytes())
         return json.loads(ask_standin(self.endpoints[name].port, "GET", "/ran"))
 
+    def health_checks(self, name: str) -> int:
+        """Return the number of health checks that reached an endpoint."""
+        return json.loads(ask_standin(self.endpoints[name].port, "GET", "/checked"))
+
     def arrived(self, name: str) -> list[str]:
         """Return the ids of the requests that reached an endpoint."""
         return json.loads(ask_standin(self.endpoints[name].port, "GET", "/arrived"))
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -80,12 +80,15 @@
         configurations and evacuations.
     reachable : bool
         Whether the last call was answered.
+    failed : float
+        Loop time in seconds of the last call that was not answered.
     """
 
     answered: float = 0.0
     registrations: float = 0.0
     operators: float = 0.0
     reachable: bool = True
+    failed: float = float("-inf")
 
 
 class Knowledge:
@@ -175,7 +178,8 @@
 
     def note_failure(self, error: SourceError) -> None:
         """Record that the store did not answer, or refused."""
-        self._note_outage(self.loop.time())
+        self.store.failed = self.loop.time()
+        self._note_outage(self.store.failed)
         if self.store.reachable:
             self.store.reachable = False
             logger.warning("store unreachable", extra={"reason": str(error)})
--- a/carawayfold/coordination/scheduling/backlog.py
+++ b/carawayfold/coordination/scheduling/backlog.py
@@ -58,6 +58,11 @@
         Seconds between two grants; 0 unless it warms up.
     available_in : float
         Seconds until the next grant is allowed.
+    unconfirmed_left : int or None
+        Grants that are allowed before the endpoint must be confirmed not to warm up;
+        None without such a limit.
+    confirmed_in : float
+        Seconds until grants beyond these are expected to be allowed.
     """
 
     load: EndpointLoad
@@ -77,6 +82,8 @@
     excess_age: float = 0.0
     grant_interval: float = 0.0
     available_in: float = 0.0
+    unconfirmed_left: int | None = None
+    confirmed_in: float = 0.0
 
     @classmethod
     def of(cls, load: EndpointLoad, now: float, reachable: bool = True) -> Backlog:
@@ -123,6 +130,17 @@
         self.memory += memory
         if self.grant_interval:
             self.available_in = max(0.0, self.available_in) + self.grant_interval
+        elif self.unconfirmed_left is not None:
+            self.unconfirmed_left -= 1
+            if self.unconfirmed_left <= 0:
+                self.available_in = self.confirmed_in
+
+    def limit_unconfirmed(self, left: int, confirmed_in: float) -> None:
+        """Limit grants to `left`; further ones are expected in `confirmed_in` s."""
+        self.unconfirmed_left = left
+        self.confirmed_in = confirmed_in
+        if left <= 0:
+            self.available_in = confirmed_in
 
     def warm_up(self, grant_interval: float, available_in: float) -> None:
         """Limit grants to one per `grant_interval` s, from `available_in` s on."""
--- a/carawayfold/coordination/scheduling/coordinator.py
+++ b/carawayfold/coordination/scheduling/coordinator.py
@@ -189,6 +189,9 @@
         self.slow_endpoints = SlowEndpoints()
         self.admission = AdmissionControl()
         self.selection = PoolSelection(self)
+        #: Requests that endpoints of a pool are confirmed not to warm up; None if this
+        #: router has no means to.
+        self.request_confirmations: Callable[[PoolState], None] | None = None
         #: Loop time from which the next round of decisions may begin, for any pool.
         self.next_round = 0.0
         #: Loop time until which this router counts as overloaded by decisions.
@@ -336,7 +339,10 @@
     ) -> PoolPlan:
         configured = routes.services[service]
         if not configured.is_model:
-            return PoolPlan(warm_up_rate=configured.warm_up_rate)
+            return PoolPlan(
+                warm_up_rate=configured.warm_up_rate,
+                health_path=configured.health_path,
+            )
         throughput = routes.throughput * members / max(1, engines)
         speed = routes.throughput / max(1, engines) or DEFAULT_PREFILL_RATE
         return PoolPlan(
@@ -344,6 +350,7 @@
             configured.memory_tokens,
             speed,
             warm_up_rate=configured.warm_up_rate,
+            health_path=configured.health_path,
         )
 
     def decides_for(self, pool: PoolId) -> bool:
@@ -677,6 +684,10 @@
 
     # Decisions for the fleet's requests
 
+    def decide_soon(self, pool_state: PoolState) -> None:
+        """Decide on the waiting requests of a pool, as their state has changed."""
+        self._schedule_decision(pool_state)
+
     def _schedule_decision(
         self, pool_state: PoolState, delay: float = DECIDE_DELAY
     ) -> None:
@@ -714,10 +725,13 @@
         share = 1.0 if leads else self.fleet.fallback_share()
         scheduler.plan = msgspec.structs.replace(scheduler.plan, share=share)
         scheduler.overloaded = now < self.overloaded_until
+        scheduler.confirms_warm_up = self.request_confirmations is not None
         decisions = scheduler.decide(now)
         load = self.selection.measure(pool_state, now) if decisions else None
         for decision in decisions:
             self._deliver(decision, load)
+        if self.request_confirmations is not None:
+            self.request_confirmations(pool_state)
         self._record_round(pool_state.id, decisions, leads, now)
         ended = self.loop.time()
         pause = ROUND_PAUSE_FACTOR * (ended - now)
--- a/carawayfold/coordination/scheduling/endpoint_load.py
+++ b/carawayfold/coordination/scheduling/endpoint_load.py
@@ -14,6 +14,7 @@
     EndpointSpeed,
 )
 from carawayfold.coordination.scheduling.offers import Outcome
+from carawayfold.coordination.scheduling.warm_up import WarmUpState
 from carawayfold.state.first_tokens import FirstTokenModel
 from carawayfold.state.prefix_cache import PrefixCache
 
@@ -127,6 +128,8 @@
         Idle connections of the routers to it; None if they are not taken into account.
     stated_speed : EndpointSpeed
         What it states about its load.
+    warm_up : WarmUpState
+        What is known of its warm-up beside its entry.
     """
 
     endpoint: Endpoint
@@ -147,6 +150,7 @@
     first_tokens: FirstTokenModel = field(init=False)
     connections: EndpointConnections | None = None
     stated_speed: EndpointSpeed = field(default_factory=EndpointSpeed)
+    warm_up: WarmUpState = field(default_factory=WarmUpState)
 
     def __post_init__(self) -> None:
         self.prefixes = PrefixCache(self.memory_tokens)
@@ -170,6 +174,15 @@
         stated = self.stated_speed.slots
         return min(stated or self.endpoint.slots, self.endpoint.slots)
 
+    @property
+    def warm_at(self) -> float:
+        """Return the time at which its warm-up ends, by its entry or health check."""
+        return max(self.endpoint.warm_at, self.warm_up.until)
+
+    def is_warming(self, now: float) -> bool:
+        """Return whether it warms up."""
+        return now < self.warm_at
+
     @property
     def unavailable_until(self) -> float:
         """Return the time until which it is suspended for any reason."""
--- a/carawayfold/coordination/scheduling/pool_balance.py
+++ b/carawayfold/coordination/scheduling/pool_balance.py
@@ -274,8 +274,7 @@
     usable = [
         load
         for load in scheduler.loads.values()
-        if load.unavailable_until <= now
-        and not (limited and load.endpoint.is_warming(now))
+        if load.unavailable_until <= now and not (limited and load.is_warming(now))
     ]
     slots = sum(load.slots for load in usable)
     if not slots:
--- a/carawayfold/coordination/scheduling/scheduler.py
+++ b/carawayfold/coordination/scheduling/scheduler.py
@@ -23,7 +23,7 @@
 
 import msgspec
 
-from carawayfold.coordination.scheduling import rejections
+from carawayfold.coordination.scheduling import rejections, warm_up
 from carawayfold.coordination.scheduling.backlog import Backlog
 from carawayfold.coordination.scheduling.connection_affinity import EndpointConnections
 from carawayfold.coordination.scheduling.copy_sources import find_copy_source
@@ -113,6 +113,8 @@
     warm_up_rate : float
         Requests per second that an endpoint tolerates while it warms up; 0 for no
         limit.
+    health_path : str
+        Path of the health checks of its endpoints.
     """
 
     throughput: float = 0.0
@@ -120,6 +122,7 @@
     speed: float = DEFAULT_PREFILL_RATE
     share: float = 1.0
     warm_up_rate: float = 0.0
+    health_path: str = "/"
 
 
 @dataclass(slots=True)
@@ -164,6 +167,9 @@
     warm_up_allowed_from : float
         Time from which this scheduler may grant endpoints that warm up; infinity for
         never.
+    confirms_warm_up : bool
+        Whether grants to endpoints are limited until these are confirmed not to warm
+        up; see `WarmUpState`.
     usage : UsageTable
         Tokens requested by and granted to each organisation.
     predictions : WaitPredictions
@@ -190,6 +196,7 @@
     overloaded: bool = False
     least_urgent: int = 0
     warm_up_allowed_from: float = 0.0
+    confirms_warm_up: bool = False
     usage: UsageTable = field(init=False)
     predictions: WaitPredictions = field(init=False)
     returns: ReturnSchedule | None = None
@@ -496,10 +503,48 @@
         """Space out the grants of an endpoint that warms up."""
         rate = self.plan.warm_up_rate
         load = backlog.load
-        if rate and load.endpoint.is_warming(now):
+        if not rate:
+            return
+        if load.is_warming(now):
             next_grant_at = max(load.next_warm_up_grant_at, self.warm_up_allowed_from)
-            next_grant_at = min(next_grant_at, load.endpoint.warm_at)
-            backlog.warm_up(1 / (WARM_UP_RATE_FRACTION * rate), next_grant_at - now)
+            next_grant_at = min(next_grant_at, load.warm_at)
+            backlog.warm_up(self._warm_up_interval(), next_grant_at - now)
+        elif self.confirms_warm_up:
+            left = self._unconfirmed_allowance() - load.warm_up.count(now)
+            backlog.limit_unconfirmed(left, load.warm_up.next_grant_in(now))
+
+    def _warm_up_interval(self) -> float:
+        return 1 / (WARM_UP_RATE_FRACTION * self.plan.warm_up_rate)
+
+    def _unconfirmed_allowance(self) -> int:
+        leads = self.warm_up_allowed_from < math.inf
+        return warm_up.allowance(self.plan.warm_up_rate, leads)
+
+    def loads_to_confirm(self, now: float) -> list[EndpointLoad]:
+        """Return the endpoints that must soon be confirmed not to warm up."""
+        if not self.confirms_warm_up or not self.plan.warm_up_rate:
+            return []
+        allowed = self._unconfirmed_allowance()
+        return [
+            load
+            for load in self.loads.values()
+            if not load.is_warming(now)
+            and warm_up.is_confirmation_due(load.warm_up.count(now), allowed)
+        ]
+
+    def confirm_entries(self, since: float) -> None:
+        """Record that the entries of all endpoints were current at `since`."""
+        for load in self.loads.values():
+            load.warm_up.confirm(since)
+
+    def record_warm_up(self, load: EndpointLoad, left: float, now: float) -> None:
+        """Record that an endpoint warms up for `left` s, by its health check.
+
+        The grants that it got meanwhile count towards what it tolerates.
+        """
+        recent = load.warm_up.count(now) * self._warm_up_interval()
+        load.next_warm_up_grant_at = now + min(1.0, recent)
+        load.warm_up.begin(now + left)
 
     def usable_backlogs(
         self, offer: Offer, backlogs: list[Backlog], now: float
@@ -534,6 +579,8 @@
             load.connections.take(offer.call, now)
         load.prefixes.send(offer.prompt)
         load.next_warm_up_grant_at = now + candidate.backlog.grant_interval
+        if self.confirms_warm_up and self.plan.warm_up_rate:
+            load.warm_up.record_grant(now)
         self.placements[offer.call] = load.endpoint.id
         self.usage.granted(offer.organisation, now, offer.charged_tokens)
         self.predictions.granted(offer, now)
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -28,8 +28,10 @@
 from carawayfold.coordination.scheduling.caches import CacheReader
 from carawayfold.coordination.scheduling.coordinator import SchedulingCoordinator
 from carawayfold.coordination.scheduling.offers import Basis
+from carawayfold.coordination.scheduling.warm_up_confirmation import WarmUpConfirmation
 from carawayfold.platform.engines import EngineClient
 from carawayfold.platform.headers import REQUEST_ID, PlatformDialect
+from carawayfold.platform.health import HealthClient
 from carawayfold.platform.store import (
     StoreClient,
     StoreDirectory,
@@ -150,6 +152,16 @@
         #: Followers of the store's topics, once they have begun.
         self.followers: list[Follower] = []
         self.confirmation = StoreConfirmation(self.followers)
+        #: Reads the registrations only.
+        self.registrations_confirmation = StoreConfirmation([])
+        self.warm_up_confirmation = WarmUpConfirmation(
+            self.coordinator,
+            HealthClient(self.http),
+            self.registrations_confirmation.confirm,
+            lambda: self.knowledge.store.failed,
+            self._spawn,
+        )
+        self.coordinator.request_confirmations = self.warm_up_confirmation.request
         self.origins = StreamOrigins(
             self.fleet,
             self.knowledge,
@@ -262,6 +274,7 @@
         for follower in (follow_operators, follow_endpoints):
             self.followers.append(follower)
             self._spawn(follower.follow())
+        self.registrations_confirmation.followers.append(follow_endpoints)
 
     async def _close_idle_periodically(self) -> None:
         while True:
--- a/carawayfold/protocol/sources.py
+++ b/carawayfold/protocol/sources.py
@@ -163,6 +163,26 @@
         """Write the entry of this router."""
 
 
+class WarmUpReporter(Protocol):
+    """Reports whether endpoints warm up."""
+
+    async def warm_up_left(self, endpoint: Endpoint, path: str) -> float:
+        """Return the seconds for which an endpoint still warms up, 0 if it does not.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        path : str
+            Path of its health check.
+
+        Raises
+        ------
+        SourceError
+            If the endpoint does not state it.
+        """
+
+
 class CacheReporter(Protocol):
     """Reports the contents of the prompt caches of model engines."""
 
--- a/standins/hosted.py
+++ b/standins/hosted.py
@@ -2,8 +2,9 @@
 
 A path that begins with ``/stream`` is answered with numbered events, as many as the
 header ``Token-Usage`` states; any other path is answered with a short body. ``GET
-/ran`` lists the requests that ran, ``GET /arrived`` the ids of all requests, and
-``POST /faults`` sets faults; these three are answered whatever the faults are. A body
+/ran`` lists the requests that ran, ``GET /arrived`` the ids of all requests, ``GET
+/checked`` the number of health checks, and ``POST /faults`` sets faults; these four are
+answered whatever the faults are. A body
 that contains `HARMFUL` crashes the process soon after the request has begun to run.
 Each event contains the software version of the
 endpoint and the run that sent it; the endpoint does not check which version sent the
@@ -28,7 +29,9 @@
     from standins.web import WebConnection, WebRequest
 
 #: Paths that set faults and read records, for those who operate the stand-in.
-OPERATOR_PATHS = frozenset({"/faults", "/ran", "/arrived"})
+OPERATOR_PATHS = frozenset({"/faults", "/ran", "/arrived", "/checked"})
+#: Path of health checks.
+HEALTH_PATH = "/healthz"
 SIGNATURE = ("Server-Signature", "stand-in")
 LEAVING = ("Server-Leaving", "1")
 EVENT_STREAM = ("Content-Type", "text/event-stream")
@@ -78,6 +81,8 @@
         answers have an endless body in place of comments.
     interval : float
         Seconds between portions of bytes without end.
+    cold_ms : int
+        Milliseconds of warm-up that the health check states; 0 if it states none.
     """
 
     break_after: int = 0
@@ -94,6 +99,7 @@
     quiet: float = 0.0
     endless: str = ""
     interval: float = 0.0
+    cold_ms: int = 0
 
 
 class Hosted:
@@ -127,6 +133,7 @@
         self.ran: list[dict[str, object]] = []
         #: Ids of all requests, including rejected ones.
         self.arrived: list[str] = []
+        self.health_checks = 0
 
     async def handle(
         self, request: WebRequest, connection: WebConnection
@@ -137,6 +144,8 @@
             return self._serve_operator(request, connection)
         if request.path == "/kv-list":
             return WebAnswer.json({"epoch": 1, "next": 0, "held": self.cached_parts()})
+        if request.path == HEALTH_PATH:
+            return self._health()
         self.arrived.append(request.headers.get("request-id", ""))
         if request.headers.get("target-instance", self.name) != self.name:
             return WebAnswer(421, b"", [("Instance-Id", self.name)])
@@ -153,10 +162,19 @@
             return WebAnswer.json(self.ran)
         if request.path == "/arrived":
             return WebAnswer.json(self.arrived)
+        if request.path == "/checked":
+            return WebAnswer.json(self.health_checks)
         self.faults = msgspec.json.decode(request.body, type=HostedFaults)
         connection.gate.hold(self.faults.quiet)
         return WebAnswer.json({})
 
+    def _health(self) -> WebAnswer:
+        """Return the answer to a health check."""
+        self.health_checks += 1
+        cold = self.faults.cold_ms
+        stated = [("Cold-Ms", str(cold))] if cold else []
+        return WebAnswer(200, b"", [("Instance-Id", self.name), *stated])
+
     def _notice(self) -> list[tuple[str, str]]:
         """Return the headers of each answer that state whether the endpoint leaves."""
         return [LEAVING] if self.faults.leaving else []
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -8,7 +8,7 @@
 import pytest
 
 import carawayfold
-from carawayfold.platform import headers
+from carawayfold.platform import headers, health
 
 PACKAGE = Path(carawayfold.__file__).parent
 #: Names of the platform's protocol that no other module may contain.
@@ -23,6 +23,7 @@
     "api_keys",
     "cold_remaining_ms",
     "cold_per_s",
+    health.WARM_UP_LEFT,
     "allowed_regions",
     "evacuate/",
     "log-append",
