Bound what callers' requests hold, and give up those that hold much for long

Cause: a body was a list of its chunks (50 bytes and more for a chunk of 2); the limit counted content of bodies only, neither heads (120 bytes a field once parsed) nor bytes behind a request; the first to come kept the room; the limit knew nothing of the instance's memory.

Ruled out: the parser, whose memory is freed with each read; answers without end.

Change: content in one buffer; each connection counts what it holds, parsed heads and following bytes included; beyond 40 % of the memory that the router itself doesn't need, requests that were not passed on give way, by size times age, until a tenth is free (429: not run). Unread answers of all callers are bounded too. Setting `memory`, from the platform's `limits.memory_mb`; metrics. Reads of 16 KB in place of 64, also so that one sender of tiny chunks takes less of a turn.

Conclusion: what is held is counted as it is held, and who holds longest gives way.

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -78,6 +78,8 @@
 STOP_POLL_INTERVAL = 0.05
 #: Seconds that the last responses have to be sent before the router closes.
 FINAL_RESPONSES_DELAY = 0.1
+#: Most bytes that requests on the addresses for checks and peers may hold.
+INNER_HELD_LIMIT = 1 << 20
 #: Seconds added to the idle timeout published to callers, so that the router does
 #: not close a connection while a request is on its way.
 IDLE_MARGIN = 1.0
@@ -198,12 +200,16 @@
             settings.listen, self.forwarder.serve, "front", id_header=REQUEST_ID
         )
         self.front.limit = settings.connections
+        self.front.memory.limit = settings.held_limit
+        self.front.server.unsent_limit = settings.unsent_limit
         self.pressure = OverloadDetector()
         self.shed = ShedLog(self.metrics)
         self.front.should_reject = self.pressure.should_reject
         self.front.on_rejected = self.shed.note
         self.checks = self._listen(settings.ready_listen, self._serve_check, "checks")
         self.peer_edge = self._listen(settings.peer_listen, self._serve_peer, "inner")
+        for edge in (self.checks, self.peer_edge):
+            edge.memory.limit = INNER_HELD_LIMIT
         self.tasks: set[asyncio.Task[None]] = set()
         #: Set when the router is to close, whatever is in flight.
         self.stopped = asyncio.Event()
--- a/carawayfold/gateway_settings.py
+++ b/carawayfold/gateway_settings.py
@@ -31,6 +31,14 @@
 #: Share of the file descriptors for callers' connections. A request uses one connection
 #: of a caller and one to an endpoint; idle connections of callers are additional.
 CALLER_DESCRIPTOR_SHARE = 0.55
+#: MiB that the router itself needs at the size of the largest fleet.
+OWN_MEMORY = 64.0
+#: Least MiB for callers, so that a request of the usual limit of 4 MiB finds room.
+MIN_CALLERS_MEMORY = 16.0
+#: Shares of the remaining memory for requests, and for answers that callers have not
+#: read. The rest is for copies of requests on their way to endpoints.
+HELD_SHARE = 0.4
+UNSENT_SHARE = 0.2
 #: File descriptors for other purposes than connections of callers and to endpoints:
 #: listening sockets, connections of peers, health checks and scrapers, and files.
 RESERVED_DESCRIPTORS = 64
@@ -135,6 +143,15 @@
         in_range(256, 1e6),
         "Most file descriptors, for sockets and files.",
     ),
+    Setting(
+        "memory",
+        float,
+        128.0,
+        "MiB",
+        in_range(16, 1e6),
+        "Memory of this instance; callers' requests and answers may use what the "
+        "router itself does not need.",
+    ),
     Setting("regions", dict, {}, "", valid_regions, "Region of each data centre."),
     Setting(
         "stop_grace",
@@ -236,6 +253,7 @@
     share_window: float
     regions: dict[DataCentreId, RegionId]
     log_level: str
+    memory: float = 128.0
     balance_pools: bool = False
     reuse_connections: bool = False
     endpoint_load: bool = False
@@ -252,6 +270,21 @@
         """Return the limit of callers' connections; the rest is for endpoints."""
         return int(self.descriptors * CALLER_DESCRIPTOR_SHARE)
 
+    @property
+    def callers_memory(self) -> int:
+        """Return the most bytes that callers' requests and unread answers may use."""
+        return int(max(MIN_CALLERS_MEMORY, self.memory - OWN_MEMORY) * 2**20)
+
+    @property
+    def held_limit(self) -> int:
+        """Return the most bytes that callers' requests may hold."""
+        return int(HELD_SHARE * self.callers_memory)
+
+    @property
+    def unsent_limit(self) -> int:
+        """Return the most bytes of answers that wait for callers to read them."""
+        return int(UNSENT_SHARE * self.callers_memory)
+
     @property
     def outgoing_connections(self) -> int:
         """Return the number of open connections to others that idle ones count in."""
--- a/carawayfold/protocol/forward_exposition.py
+++ b/carawayfold/protocol/forward_exposition.py
@@ -56,6 +56,22 @@
         for reason, count in gateway.front.closed.items():
             closed.add_metric((reason.value,), count)
         yield closed
+        memory = gateway.front.memory
+        yield GaugeMetricFamily(
+            "carawayfold_held_bytes",
+            "Memory that callers' requests hold, in bytes",
+            value=memory.total,
+        )
+        yield CounterMetricFamily(
+            "carawayfold_given_up_requests",
+            "Requests refused for want of memory before they were passed on",
+            value=memory.given_up,
+        )
+        yield GaugeMetricFamily(
+            "carawayfold_unsent_bytes",
+            "Bytes of answers that callers have not read yet",
+            value=gateway.front.server.unsent_total,
+        )
         yield CounterMetricFamily(
             "carawayfold_control_bytes", "Sent to peers", gateway.socket.sent_bytes
         )
--- a/carawayfold/transport/edge.py
+++ b/carawayfold/transport/edge.py
@@ -19,6 +19,7 @@
 from circuits import BaseComponent
 
 from carawayfold.errors import ErrorKind, Refusal
+from carawayfold.transport.held_memory import FIELD_SIZE, HeldMemory
 from carawayfold.transport.messages import (
     BODYLESS_STATUSES,
     FORBIDDEN_BYTES,
@@ -50,12 +51,9 @@
 HEAD_LIMIT = 16384
 #: Maximum size of a request body, in bytes.
 BODY_LIMIT = 4 << 20
-#: Maximum total size of all bodies being received or forwarded, in bytes; leaves most
-#: of the memory of the smallest instance (128 MB) to connections.
-BODIES_LIMIT = 32 << 20
 #: Number of bytes buffered after a request in progress above which the connection is
 #: not read until that request has been answered.
-PIPELINE_LIMIT = 65536
+PIPELINE_LIMIT = 16384
 #: Header that determines the length of the body.
 FRAMING_HEADER = re.compile(
     rb"\r\n(content-length|transfer-encoding)[ \t]*:", re.IGNORECASE
@@ -79,7 +77,7 @@
 #: idle one.
 FULL_FRACTION = 0.9
 #: Maximum number of reads from a connection before it is closed by a timer or a stop.
-MAX_LAST_READS = 128
+MAX_LAST_READS = 512
 #: Maximum number of connections searched for an idle one.
 MAX_IDLE_SEARCH = 64
 
@@ -293,6 +291,12 @@
         Bytes received but not yet parsed.
     head : RequestHead or None
         Head of the request whose body is being read.
+    body : bytearray
+        Content of the request that is being read.
+    held : int
+        Bytes that the requests on the connection hold.
+    since : float
+        Loop time at which the request being read or answered began, in seconds.
     idle_since : float
         Loop time at which the connection last became idle, in seconds.
     paused : bool
@@ -305,8 +309,9 @@
     pending: bytearray = msgspec.field(default_factory=bytearray)
     head: RequestHead | None = None
     request: Incoming | None = None
-    body: list[bytes] = msgspec.field(default_factory=list)
-    body_size: int = 0
+    body: bytearray = msgspec.field(default_factory=bytearray)
+    held: int = 0
+    since: float = 0.0
     timer: asyncio.TimerHandle | None = None
     bytes_to_skip: int = 0
     rejected_head: bytes = b""
@@ -337,11 +342,47 @@
         if self.stage is Stage.ANSWERING:
             if len(self.pending) > PIPELINE_LIMIT:
                 self._pause()
+            self._update_held()
             return
         if self.stage is Stage.IDLE:
             self.stage = Stage.HEAD
+            self.since = asyncio.get_running_loop().time()
             self.wait(self.edge.limits.head_timeout, self._head_timed_out)
         self._advance()
+        self._update_held()
+
+    def _update_held(self) -> None:
+        """Count what the connection holds, and make room if all hold too much."""
+        if self.stage is Stage.CLOSED:
+            return
+        memory = self.edge.memory
+        memory.update(self, self._count_held())
+        if memory.is_exceeded:
+            now = asyncio.get_running_loop().time()
+            memory.make_room(list(self.edge.connections.values()), now)
+
+    def _count_held(self) -> int:
+        held = len(self.pending) + len(self.body)
+        if self.request is not None:
+            held += len(self.request.body) + FIELD_SIZE * len(self.request.headers)
+        return held
+
+    @property
+    def can_yield(self) -> bool:
+        """Return whether it holds bytes of a request that was not passed on."""
+        return self.stage in RECEIVING or bool(self.pending)
+
+    def give_up(self) -> None:
+        """Refuse the request being read, or drop what follows one in progress."""
+        if self.stage in RECEIVING:
+            self.refuse(Refusal(ErrorKind.QUEUE_FULL, "no memory for the request"))
+            return
+        self.pending.clear()
+        # What arrives from now on belongs to the dropped bytes.
+        self._pause()
+        if self.request is not None:
+            self.request.keep_alive = False
+        self.edge.memory.update(self, self._count_held())
 
     def _pause(self) -> None:
         """Stop reading until the request in progress has been answered.
@@ -450,8 +491,6 @@
             self.head.keep_alive,
             self.head.is_http_1_1,
         )
-        self.body = []
-        self.body_size = 0
         self.stage = Stage.BODY
         self.wait(BODY_TIMEOUT, self._body_timed_out)
         self._check_length(self.head.fields)
@@ -468,36 +507,28 @@
         self.pending.clear()
         pieces, rest, complete = self.head.body.feed(data)
         self.pending += rest
-        for piece in pieces:
-            self._append_body(piece)
+        self.body += b"".join(pieces)
+        if len(self.body) > self.edge.limits.body_bytes:
+            raise Refusal(ErrorKind.REQUEST_TOO_LARGE)
         if complete:
             self._complete()
 
-    def _append_body(self, data: bytes) -> None:
-        self.body.append(data)
-        self.body_size += len(data)
-        self.edge.bodies += len(data)
-        if self.body_size > self.edge.limits.body_bytes:
-            raise Refusal(ErrorKind.REQUEST_TOO_LARGE)
-        if self.edge.bodies > BODIES_LIMIT:
-            raise Refusal(ErrorKind.QUEUE_FULL, "no room for the request's body")
-
     def _complete(self) -> None:
         self.stop_timer()
         self.head = None
         self.stage = Stage.ANSWERING
         request = self.request
-        request.body = b"".join(self.body)
+        request.body = bytes(self.body)
         request.received = asyncio.get_running_loop().time()
-        self.body = []
+        self.body = bytearray()
         self.edge.serve(request)
 
     def finished(self) -> None:
         """Continue after a response, with any data received in the meantime."""
         self._unpause()
-        self._release_body()
         keep_alive = self.request.keep_alive
         self.request = None
+        self._update_held()
         if not keep_alive:
             self.close(CloseReason.ANSWERED)
             return
@@ -515,10 +546,6 @@
         if self.stage is Stage.IDLE and self.pending:
             self.receive(b"")
 
-    def _release_body(self) -> None:
-        self.edge.bodies -= self.body_size
-        self.body_size = 0
-
     def refuse(self, refusal: Refusal) -> None:
         """Reject an invalid request and close the connection."""
         self.stop_timer()
@@ -626,7 +653,7 @@
         self.edge.note_closed(self, reason)
         self.stage = Stage.CLOSED
         self.stop_timer()
-        self._release_body()
+        self.edge.memory.update(self, 0)
         self.edge.connections.pop(self.sock, None)
         request = self.request
         self.request = None
@@ -671,8 +698,8 @@
         self.connections: dict[socket, CallerConnection] = {}
         #: Closed connections by reason.
         self.closed: Counter[CloseReason] = Counter()
-        #: Total size of all bodies in memory, in bytes.
-        self.bodies = 0
+        #: Memory that the requests hold.
+        self.memory = HeldMemory()
         bind = (address.host, address.port)
         self.server = CallbackServer(bind, channel, self).register(self)
 
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -33,8 +33,10 @@
 #: below which it is resumed.
 PAUSE_BACKLOG = 262144
 RESUME_BACKLOG = 65536
+#: Default of the most bytes buffered for all slow readers together.
+UNSENT_LIMIT = 12 << 20
 #: Maximum number of bytes per read from a connection.
-READ_SIZE = 65536
+READ_SIZE = 16384
 #: Maximum number of connections accepted per loop iteration.
 MAX_ACCEPTS_PER_TURN = 32
 #: Maximum number of turns in which connections are accepted before listening ends.
@@ -86,6 +88,23 @@
         self._clients = OpenSockets()
         #: Called once the backlog of a connection is below `RESUME_BACKLOG`.
         self._on_drained: dict[socket, Callable[[], None]] = {}
+        #: Bytes buffered for each slow reader, and for all of them.
+        self.unsent: dict[socket, int] = {}
+        self.unsent_total = 0
+        #: Most bytes that may be buffered for all.
+        self.unsent_limit = UNSENT_LIMIT
+
+    def _note_unsent(self, sock: socket, unsent: int) -> None:
+        self.unsent_total += unsent - self.unsent.pop(sock, 0)
+        if unsent:
+            self.unsent[sock] = unsent
+
+    def _close_slowest_reader(self) -> None:
+        """Close the connection for which most bytes are buffered."""
+        sock = max(self.unsent, key=lambda item: self.unsent[item])
+        extra = {"unsent_bytes": self.unsent[sock], "of_all": self.unsent_total}
+        logger.info("no memory for what a caller does not read", extra=extra)
+        self._close(sock)
 
     def call_when_drained(self, sock: socket, resume: Callable[[], None]) -> bool:
         """Return whether the backlog of a connection is above `PAUSE_BACKLOG`.
@@ -134,11 +153,14 @@
 
     def _wait_writable(self, sock: socket) -> None:
         backlog = self._unsent_bytes(sock)
+        self._note_unsent(sock, backlog)
         if backlog > MAX_WRITE_BACKLOG:
             logger.info("caller reads too slowly", extra={"unsent_bytes": backlog})
             self._close(sock)
         elif not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
+        if self.unsent_total > self.unsent_limit:
+            self._close_slowest_reader()
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open connections are kept."""
@@ -313,6 +335,7 @@
     def on_writable(self, sock: socket) -> None:
         """Write buffered data to a connection."""
         self._on_write(sock)
+        self._note_unsent(sock, self._unsent_bytes(sock))
         lingering = self.lingering.get(sock)
         if lingering and lingering.timer is None and not self.is_sending(sock):
             self._end_output(sock)
@@ -363,6 +386,7 @@
         if lingering is not None and lingering.timer is not None:
             lingering.timer.cancel()
         self._on_drained.pop(sock, None)
+        self._note_unsent(sock, 0)
         super()._close(sock)
         if known:
             self.owner.lost(sock)
