--- a/carawayfold/coordination/scheduling/warm_up.py
+++ b/carawayfold/coordination/scheduling/warm_up.py
@@ -14,8 +14,7 @@
 EXPECTED_CONFIRMATION_DELAY = 0.02
 #: Fraction of the allowance above which a confirmation is due, so that it arrives
 #: before the allowance is used up.
-DUE_FRACTION = 0.5
-
+DUE_FRACTION = 0.75
 #: Seconds between a failed health check of an endpoint and the next one.
 RETRY_DELAY = 0.25
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -45,3 +45,28 @@
 def test_an_address_that_peers_can_not_reach_is_an_error(host):
     [message] = errors(peer_listen=f"{host}:8082")
     assert message.startswith("router.json5: peer_listen: must ")
+
+
+#: MiB of instances, from the smallest to the largest deployed.
+MEMORY = [88, 128, 150, 160, 200, 300, 552]
+
+
+@pytest.mark.parametrize("memory", MEMORY)
+def test_what_callers_may_hold_fits_beside_the_router(memory):
+    settings = gateway_settings.check({**VALUES, "memory": memory}, "x").ok
+    assert settings.held_limit > 5 << 20
+    # Requests that are passed on are held twice.
+    most = 2 * settings.held_limit + settings.unsent_limit
+    assert most + (64 << 20) <= memory << 20
+
+
+@pytest.mark.parametrize("memory", [16, 64, 79])
+def test_a_request_of_the_largest_size_fits_on_any_instance(memory):
+    settings = gateway_settings.check({**VALUES, "memory": memory}, "x").ok
+    assert settings.held_limit > 5 << 20
+
+
+@pytest.mark.parametrize("memory", [0, -1, 15, 1e7, "128", None, True])
+def test_a_memory_that_no_instance_has_is_an_error(memory):
+    [message] = errors(memory=memory)
+    assert message.startswith("router.json5: memory: must ")
