Count unread answers anew before a connection is closed for them

What callers saw: none by a report; found when the change was read once more. The server of the product's own interface counted what it buffered for slow readers, and never that they had read it.

Cause: the count was kept in `DirectServer`, but lowered in `CallbackServer` only, which routers that forward use; the other one writes through circuits.

Change: before the limit is applied, the bytes of all counted connections are derived from their buffers; a close is counted in `DirectServer`.

Evidence: test_answers_that_were_read_since_do_not_count failed before and passes now.

--- a/carawayfold/transport/held_memory.py
+++ b/carawayfold/transport/held_memory.py
@@ -12,7 +12,7 @@
 #: Fraction of the limit to which requests are given up once it is exceeded, so that the
 #: holders are rarely sorted.
 FREED_FRACTION = 0.9
-#: Bytes that a header field takes once it is parsed, beside its text.
+#: Bytes that are counted for a parsed header field; the text of long ones is not.
 FIELD_SIZE = 256
 
 
--- a/carawayfold/transport/sockets.py
+++ b/carawayfold/transport/sockets.py
@@ -99,8 +99,15 @@
         if unsent:
             self.unsent[sock] = unsent
 
-    def _close_slowest_reader(self) -> None:
-        """Close the connection for which most bytes are buffered."""
+    def _limit_unsent(self) -> None:
+        """Close the connection for which most bytes are buffered, if all have too many.
+
+        Callers may have read since their bytes were counted.
+        """
+        for sock in list(self.unsent):
+            self._note_unsent(sock, self._unsent_bytes(sock))
+        if self.unsent_total <= self.unsent_limit:
+            return
         sock = max(self.unsent, key=lambda item: self.unsent[item])
         extra = {"unsent_bytes": self.unsent[sock], "of_all": self.unsent_total}
         logger.info("no memory for what a caller does not read", extra=extra)
@@ -160,7 +167,11 @@
         elif not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
         if self.unsent_total > self.unsent_limit:
-            self._close_slowest_reader()
+            self._limit_unsent()
+
+    def _close(self, sock: socket) -> None:
+        self._note_unsent(sock, 0)
+        super()._close(sock)
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open connections are kept."""
@@ -386,7 +397,6 @@
         if lingering is not None and lingering.timer is not None:
             lingering.timer.cancel()
         self._on_drained.pop(sock, None)
-        self._note_unsent(sock, 0)
         super()._close(sock)
         if known:
             self.owner.lost(sock)
--- a/tests/transport/test_unread_answers.py
+++ b/tests/transport/test_unread_answers.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from socket import SO_SNDBUF, SOL_SOCKET
+from types import SimpleNamespace
 
+from carawayfold.transport.sockets import DirectServer
 from tests.transport.edge_builders import GET, open_edge, run
 
 #: Bytes of an answer; some of them wait in the buffers of the sockets.
@@ -70,3 +73,17 @@
     head, body, unsent = run(scenario)
     assert head.startswith(b"HTTP/1.1 200 ")
     assert (body, unsent) == (b"x" * SIZE, 0)
+
+
+# Guards against bytes of the product's own interface that count for ever once read.
+def test_answers_that_were_read_since_do_not_count(monkeypatch):
+    server = DirectServer(("127.0.0.1", 0), "unread")
+    monkeypatch.setattr(server, "_poller", SimpleNamespace(isWriting=lambda sock: True))
+    closed = []
+    monkeypatch.setattr(server, "_close", closed.append)
+    server.unsent_limit = UNSENT_LIMIT
+    for number in range(2 * READERS):
+        server._buffers[number] = deque([b"x" * (UNSENT_LIMIT // 2)])
+        server._wait_writable(number)
+        server._buffers[number].clear()
+    assert closed == []
