Put a first configuration of version 0 in force

What callers saw: nothing was served.

Cause: a router stated its version as a number, and 0 also without a configuration. `Knowledge.apply_operator_records` took the first configuration for one that a peer's had overtaken and passed routes that are None to the history of routes; the error ended the follower's task and with it the router. `apply_routes` would have ignored it by the same comparison.

Change: `ConfigurationVersion` is a type, `Knowledge.version` and `Forwarder.version` are None without a configuration, and `state.progress.is_newer` compares versions, None being older than any. Peers still state 0 for none on the wire; that is a fault of its own.

The model check of configurations counts from 0. One assertion of test_anti_entropy expected version 0 for "none taken" and expects None now, which is stricter; test_foreign_answers asks for the routes.

--- a/carawayfold/commands/explain.py
+++ b/carawayfold/commands/explain.py
@@ -195,7 +195,9 @@
 
 
 def _format_request(answer: RequestAnswer) -> list[str]:
-    lines = [f"router {answer.router}, configuration {answer.version}"]
+    unset = answer.version is msgspec.UNSET
+    configuration = "no configuration" if unset else f"configuration {answer.version}"
+    lines = [f"router {answer.router}, {configuration}"]
     if answer.route is not None:
         lines.append(
             f"route {answer.route}, organisation {answer.organisation or '(none)'}, "
--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -17,6 +17,7 @@
 from carawayfold.coordination.fleet.readers import MAX_ROUTERS_ALL_READ, is_reader
 from carawayfold.coordination.knowledge.knowledge import EndpointSnapshot
 from carawayfold.state.evacuations import EvacuationSnapshot
+from carawayfold.state.progress import is_newer
 from carawayfold.state.routes import RouteTable
 from carawayfold.transport.client import ExchangeError
 
@@ -133,7 +134,9 @@
     def _pick_informed_peer(self) -> RouterId:
         """Return a peer that has records by its heartbeats, or will have them soon."""
         informed = [
-            name for name, beat in self.fleet.heartbeats.items() if beat.version
+            name
+            for name, beat in self.fleet.heartbeats.items()
+            if beat.configuration is not None
         ]
         expected = informed or self._initial_readers()
         reached = [name for name in expected if name in self.fleet.addresses]
@@ -152,7 +155,7 @@
         known = self.knowledge
 
         def is_ahead(beat: Heartbeat) -> bool:
-            ahead = beat.version > known.version
+            ahead = is_newer(beat.configuration, known.version)
             return ahead or beat.endpoints_offset > known.endpoints.offset
 
         own = asyncio.get_running_loop().time() - known.store.registrations
@@ -163,7 +166,7 @@
         known = self.knowledge
 
         def is_ahead(beat: Heartbeat) -> bool:
-            ahead = beat.version > known.version
+            ahead = is_newer(beat.configuration, known.version)
             return ahead or beat.evacuations_changed > known.evacuations.changed_at
 
         return self._age(
@@ -186,7 +189,7 @@
         now = asyncio.get_running_loop().time()
         ages = [own]
         for name, beat in self.fleet.heartbeats.items():
-            if beat.version and not is_ahead(beat):
+            if beat.configuration is not None and not is_ahead(beat):
                 passed = now - self.fleet.heartbeat_times[name] + HOP_DELAY
                 ages.append(passed + reported(beat) / 1000)
         return min(ages)
@@ -248,7 +251,7 @@
 
     async def _poll_peers(self) -> None:
         known = self.knowledge
-        peer = self._most_advanced_peer(lambda beat: beat.version, known.version)
+        peer = self._most_advanced_peer(lambda beat: beat.configuration, known.version)
         if peer is not None:
             await self._fetch(peer, CONFIGURATION_PATH)
         changed_at = known.evacuations.changed_at
@@ -265,10 +268,11 @@
             await self._fetch(peer, ENDPOINTS_PATH)
 
     def _most_advanced_peer(
-        self, progress: Callable[[Heartbeat], int], own: int
+        self, progress: Callable[[Heartbeat], int | None], own: int | None
     ) -> RouterId | None:
         """Return the peer to fetch records newer than `own` from, None if none has any.
 
+        `progress` returns the version or position that a peer states, None for none.
         Peers that recently did not answer come last. Among the others the most advanced
         comes first, and among equals one of this data centre.
         """
@@ -284,7 +288,9 @@
                 heartbeats[name].data_centre == place,
             )
 
-        ahead = [name for name, beat in heartbeats.items() if progress(beat) > own]
+        ahead = [
+            name for name, beat in heartbeats.items() if is_newer(progress(beat), own)
+        ]
         return max(ahead, key=rank, default=None)
 
     def _should_ask_peers(self) -> bool:
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -17,6 +17,7 @@
 from carawayfold.state.evacuations import EvacuationSnapshot, EvacuationTable
 from carawayfold.state.ids import DataCentreId, EndpointName, Position
 from carawayfold.state.positions import era_of, offset_of
+from carawayfold.state.progress import is_newer
 from carawayfold.state.route_history import RouteHistory
 from carawayfold.state.routes import ActiveConfiguration
 from carawayfold.state.software_history import SoftwareAge
@@ -25,7 +26,7 @@
     from collections.abc import Callable
 
     from carawayfold.protocol.sources import EndpointChange, Page, SourceError
-    from carawayfold.state.ids import EndpointId, RouterId
+    from carawayfold.state.ids import ConfigurationVersion, EndpointId, RouterId
     from carawayfold.state.routes import RouteTable
 
 logger = logbook.Logger(__name__)
@@ -142,9 +143,9 @@
         return self.loop.time() - self.store.registrations
 
     @property
-    def version(self) -> int:
-        """Return the version of the configuration in force, 0 for none."""
-        return self.routes.version if self.routes is not None else 0
+    def version(self) -> ConfigurationVersion | None:
+        """Return the version of the configuration in force, None without one."""
+        return self.routes.version if self.routes is not None else None
 
     @property
     def complete(self) -> bool:
@@ -198,7 +199,7 @@
 
     def apply_routes(self, table: RouteTable, source: str) -> None:
         """Put a configuration in force if it is newer than the one in force."""
-        if table.version <= self.version:
+        if not is_newer(table.version, self.version):
             return
         self.route_history.note_table(table, self.loop.time())
         extra = {
@@ -224,7 +225,7 @@
             if isinstance(item, Evacuation):
                 states[item.data_centre] = item.active
                 continue
-            if item.version <= self.version:
+            if self.routes is not None and not is_newer(item.version, self.version):
                 # It was in force before the one that a peer sent, here or elsewhere.
                 self.route_history.note_table(item, self.loop.time())
                 self.route_history.note_table(self.routes, self.loop.time())
--- a/carawayfold/coordination/requests/explanation.py
+++ b/carawayfold/coordination/requests/explanation.py
@@ -86,7 +86,9 @@
         """Return what this router would do with a request."""
         forwarder = self.forwarder
         own = self.coordinator.fleet.own
-        answer = RequestAnswer(own.router, forwarder.version)
+        answer = RequestAnswer(own.router)
+        if forwarder.version is not None:
+            answer.version = forwarder.version
         try:
             self._explain(question, answer)
         except Refusal as refusal:
--- a/carawayfold/coordination/requests/forwarding.py
+++ b/carawayfold/coordination/requests/forwarding.py
@@ -50,6 +50,7 @@
     from carawayfold.state.endpoints import Endpoint
     from carawayfold.state.forwarded import ForwardMetrics
     from carawayfold.state.ids import (
+        ConfigurationVersion,
         ContentId,
         DataCentreId,
         EndpointId,
@@ -317,9 +318,9 @@
         self.stopping = False
 
     @property
-    def version(self) -> int:
-        """Return the version of the configuration in force, 0 for none."""
-        return self.route_index.table.version if self.route_index is not None else 0
+    def version(self) -> ConfigurationVersion | None:
+        """Return the version of the configuration in force, None without one."""
+        return self.route_index.table.version if self.route_index is not None else None
 
     # Accepting a request
 
--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -409,7 +409,7 @@
         return Heartbeat(
             self.settings.data_centre,
             self.fleet.own.state is PeerState.STOPPING,
-            self.knowledge.version,
+            self.knowledge.version or 0,
             self.knowledge.endpoints.offset,
             round(self.anti_entropy.registrations_age() * 1000),
             self.settings.processor,
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -26,6 +26,7 @@
 from carawayfold.state.contents import CONTENT
 from carawayfold.state.ids import (
     CallId,
+    ConfigurationVersion,
     ContentId,
     DataCentreId,
     EndpointId,
@@ -58,7 +59,7 @@
         Data centre of the router.
     stopping : bool
         Whether it accepts no new work.
-    version : int
+    version : ConfigurationVersion
         Version of its configuration; 0 for none.
     endpoints_offset : Position
         Position up to which it has read registrations of endpoints.
@@ -91,7 +92,7 @@
 
     data_centre: Annotated[DataCentreId, NAME]
     stopping: bool
-    version: Annotated[int, ORDINAL]
+    version: Annotated[ConfigurationVersion, ORDINAL]
     endpoints_offset: Annotated[Position, ORDINAL]
     store_age: Age
     processor: Annotated[int, PROCESSOR] = 100
@@ -104,6 +105,11 @@
     operators_age: Age = 0
     lagging: bool = False
 
+    @property
+    def configuration(self) -> ConfigurationVersion | None:
+        """Return the version of its configuration, None without one."""
+        return self.version or None
+
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
     """Offer of a request to the scheduler of a pool.
--- a/carawayfold/protocol/explanations.py
+++ b/carawayfold/protocol/explanations.py
@@ -9,6 +9,7 @@
 
 from carawayfold.protocol.datagrams import OfferMessage
 from carawayfold.state.ids import (
+    ConfigurationVersion,
     DataCentreId,
     EndpointId,
     OrganisationId,
@@ -98,8 +99,8 @@
     ----------
     router : RouterId
         The router.
-    version : int
-        Version of its configuration; 0 for none.
+    version : ConfigurationVersion or UNSET
+        Version of its configuration; unset without one.
     refused : str
         Kind of the error with which the router would answer it; empty if it wouldn't.
     detail : str
@@ -123,7 +124,7 @@
     """
 
     router: RouterId
-    version: int = 0
+    version: ConfigurationVersion | msgspec.UnsetType = msgspec.UNSET
     refused: str = ""
     detail: str = ""
     route: RouteId | None = None
--- a/carawayfold/state/ids.py
+++ b/carawayfold/state/ids.py
@@ -31,6 +31,8 @@
 #: Position of a record in a log that may be restored from a backup; see
 #: `state.positions`.
 Position = NewType("Position", int)
+#: Version of the operators' configuration. The first one may be 0.
+ConfigurationVersion = NewType("ConfigurationVersion", int)
 #: Name of a route of the operators' configuration.
 RouteId = NewType("RouteId", str)
 #: Identifier of one call at the scheduler: the router's name and a number.
--- a/carawayfold/state/routes.py
+++ b/carawayfold/state/routes.py
@@ -17,7 +17,13 @@
     TEXT,
 )
 from carawayfold.errors import ErrorKind, Refusal
-from carawayfold.state.ids import OrganisationId, RegionId, RouteId, ServiceId
+from carawayfold.state.ids import (
+    ConfigurationVersion,
+    OrganisationId,
+    RegionId,
+    RouteId,
+    ServiceId,
+)
 
 #: Organisation of requests on routes that need no key.
 ANONYMOUS = OrganisationId("")
@@ -228,7 +234,7 @@
 
     Attributes
     ----------
-    version : int
+    version : ConfigurationVersion
         Version number, which grows with each change.
     routes : tuple of Route
         All routes.
@@ -250,7 +256,7 @@
         Whether requests need an API key.
     """
 
-    version: Annotated[int, ORDINAL]
+    version: Annotated[ConfigurationVersion, ORDINAL]
     routes: tuple[Route, ...]
     services: dict[ServiceId, ServiceConfig]
     organisations: dict[str, Annotated[OrganisationId, TEXT]]
@@ -276,7 +282,7 @@
 
     Attributes
     ----------
-    version : int
+    version : ConfigurationVersion
         Its version.
     source : str
         The store or the peer from which it was received.
@@ -284,7 +290,7 @@
         Loop time in seconds at which it became active.
     """
 
-    version: int
+    version: ConfigurationVersion
     source: str
     since: float
 
--- a/tests/configuration_model.py
+++ b/tests/configuration_model.py
@@ -1,9 +1,9 @@
 """Model of a store, two routers and configuration versions, for all orders of events.
 
-The routers use the real `Knowledge`. Operators write versions. The store may trim its
-history, or be restored from a backup without the last version. A router's read may be
-answered late, and each router may restart without records. Equal states are explored
-once.
+The routers use the real `Knowledge`. Operators write versions from 0 on. The store may
+trim its history, or be restored from a backup without the last version. A router's read
+may be answered late, and each router may restart without records. Equal states are
+explored once.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from carawayfold.protocol.sources import Page, RecordsNotRetained
 from carawayfold.state.positions import era_of, offset_of, position
+from carawayfold.state.progress import is_newer
 from tests.knowledge_builders import knowledge, table
 
 #: Versions written at most.
@@ -37,7 +38,7 @@
     """The topic of the operators' records."""
 
     def __init__(self):
-        self.records = [1]
+        self.records = [0]
         self.written = 1
         self.first = 0
         self.era = 0
@@ -67,7 +68,7 @@
         self.known, _ = knowledge()
         self.next = None
         self.in_transit = None
-        self.highest = 0
+        self.highest = None
 
     def ask(self):
         try:
@@ -86,15 +87,16 @@
             self.known.apply_routes(other.known.routes, "peer")
 
     def reverted(self):
-        back = self.known.version < self.highest
-        self.highest = max(self.highest, self.known.version)
+        back = is_newer(self.highest, self.known.version)
+        if not back:
+            self.highest = self.known.version
         return back
 
     def lags(self):
         """Return whether it lacks a version after it has read all records."""
         self.ask()
         self.take()
-        return self.known.version < max(self.store.records)
+        return is_newer(max(self.store.records), self.known.version)
 
     def key(self):
         way = self.in_transit
@@ -146,8 +148,8 @@
         return any([self.first.lags(), self.second.lags()])
 
     def _write(self):
-        self.store.written += 1
         self.store.records.append(self.store.written)
+        self.store.written += 1
 
     def _trim(self):
         self.store.first = len(self.store.records) - 1
--- a/tests/coordination/knowledge/test_anti_entropy.py
+++ b/tests/coordination/knowledge/test_anti_entropy.py
@@ -219,5 +219,5 @@
         )
         return known.version
 
-    assert run_in_loop(lambda: run({})) == 0
+    assert run_in_loop(lambda: run({})) is None
     assert run_in_loop(lambda: run({"key-1": "alder"})) == 7
--- a/tests/coordination/knowledge/test_foreign_answers.py
+++ b/tests/coordination/knowledge/test_foreign_answers.py
@@ -90,7 +90,7 @@
         known, _ = knowledge()
         made = anti_entropy.AntiEntropy(starting(80), known, FixedPeer(body))
         await made._fetch("router-0", path)
-        learned = known.listed, known.version, known.evacuations.known
+        learned = known.listed, known.routes is not None, known.evacuations.known
         return not made.unresponsive_until, any(learned)
 
     return run_in_loop(run)
--- a/tests/coordination/requests/test_explanation.py
+++ b/tests/coordination/requests/test_explanation.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 
+import msgspec
 import pytest
 
 from carawayfold.coordination.requests.explanation import Explainer
@@ -42,12 +43,12 @@
     return RequestQuestion("POST", target, [HOST, *headers], **other)
 
 
-def configure(gateway, endpoints=2, **fields):
+def configure(gateway, endpoints=2, version=4, **fields):
     """Let a router know a service, its endpoints and one route to it."""
     fields.setdefault("anonymous", True)
     service = ServiceConfig("model", "/health", 100, 1_000_000)
     table = RouteTable(
-        4,
+        version,
         (route(**fields),),
         {"model": service},
         {"key-1": "alder"},
@@ -90,6 +91,14 @@
         gateway.forwarder.route_index = None
         answer = Explainer(gateway.forwarder).explain_request(question())
     assert answer.refused == "not-ready"
+    assert answer.version is msgspec.UNSET
+
+
+@in_loop
+async def test_a_configuration_of_version_0_is_named():
+    async with running_gateway(0.1) as gateway:
+        answer = configure(gateway, version=0).explain_request(question())
+    assert answer.version == 0
 
 
 @in_loop
--- a/tests/simulated_configurations.py
+++ b/tests/simulated_configurations.py
@@ -18,6 +18,7 @@
 import logbook
 
 from carawayfold.protocol.sources import EndpointChange
+from carawayfold.state.progress import is_newer
 from tests.simulated_fleet import STRONG, WEAK, simulate, started
 from tests.simulated_registrations import SETTLED, SimulatedNews
 from tests.simulated_store import Access
@@ -163,7 +164,7 @@
 def obeys(router, word):
     """Return whether a router has applied the record."""
     if word is Word.VERSION:
-        return router.knowledge.version >= 3
+        return not is_newer(3, router.knowledge.version)
     return router.knows("e-0")
 
 
@@ -175,7 +176,7 @@
     while world.loop.time() < end:
         for name, router in world.routers.items():
             version = router.knowledge.version
-            if version < had.get(router, 0):
+            if is_newer(had.get(router), version):
                 shown.back.add(name)
             had[router] = version
             if name in unaware and obeys(router, word):
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -75,7 +75,7 @@
     def beat(self, beat):
         return msgspec.structs.replace(
             beat,
-            version=self.knowledge.version,
+            version=self.knowledge.version or 0,
             endpoints_offset=self.knowledge.endpoints.offset,
             store_age=round(self.anti_entropy.registrations_age() * 1000),
             refused=not self.knowledge.store.reachable,
@@ -149,9 +149,15 @@
 
 
 class SimulatedNews:
-    """A fleet whose routers follow a store."""
+    """A fleet whose routers follow a store.
 
-    def __init__(self, fleet):
+    Parameters
+    ----------
+    version : int
+        First version of the configuration.
+    """
+
+    def __init__(self, fleet, version=1):
         self.fleet = fleet
         self.loop = fleet.loop
         self.draw = fleet.draw
@@ -161,7 +167,7 @@
         self.too_young = set()
         fleet.attach = self.attach
         fleet.fill_beat = lambda name, beat: self.routers[name].beat(beat)
-        self.store.configure(1)
+        self.store.configure(version)
         for number in range(ENDPOINTS):
             self.register(f"e-{number}")
 
