State in heartbeats whether a router has a configuration

What callers saw: with a configuration of version 0, a router that restarted while its store was silent stayed without a configuration although its peers had one, and its callers were refused. In fleets in which few routers read the store for all, every router read it.

A heartbeat states its router's version, and 0 stood for none, so that peers with version 0 counted as peers without a configuration: not asked by a router that starts, never ahead of one without any, and without an age that counts.

Change: heartbeats state `configured` in a further field, and `Heartbeat.configuration` is the version or None. Earlier routers ignore the field; their own heartbeats mean a configuration where the version is not 0.

--- a/carawayfold/gateway.py
+++ b/carawayfold/gateway.py
@@ -417,6 +417,7 @@
             refused=not self.knowledge.store.reachable,
             evacuations_changed=self.knowledge.evacuations.changed_at,
             operators_age=round(self.anti_entropy.operators_age() * 1000),
+            configured=self.knowledge.routes is not None,
         )
 
     def _offer_basis(self) -> Basis:
--- a/carawayfold/protocol/datagrams.py
+++ b/carawayfold/protocol/datagrams.py
@@ -60,7 +60,7 @@
     stopping : bool
         Whether it accepts no new work.
     version : ConfigurationVersion
-        Version of its configuration; 0 for none.
+        Version of its configuration; 0 without one. See `configuration`.
     endpoints_offset : Position
         Position up to which it has read registrations of endpoints.
     store_age : int
@@ -88,6 +88,9 @@
     lagging : bool
         Whether it cannot keep up with its work, so that other routers should lead its
         pools.
+    configured : bool
+        Whether it has a configuration. Routers of earlier versions do not state it and
+        have none of version 0.
     """
 
     data_centre: Annotated[DataCentreId, NAME]
@@ -104,11 +107,12 @@
     evacuations_changed: Annotated[Position, ORDINAL] = Position(0)
     operators_age: Age = 0
     lagging: bool = False
+    configured: bool = False
 
     @property
     def configuration(self) -> ConfigurationVersion | None:
         """Return the version of its configuration, None without one."""
-        return self.version or None
+        return self.version if self.configured or self.version else None
 
 
 class OfferMessage(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/tests/coordination/knowledge/test_first_versions.py
+++ b/tests/coordination/knowledge/test_first_versions.py
@@ -1,11 +1,20 @@
-"""First configurations of version 0."""
+"""First configurations of version 0, from the store and from peers."""
 
 from __future__ import annotations
 
+import asyncio
+
+import logbook
 import pytest
 
 from carawayfold.protocol.sources import Page
 from tests.knowledge_builders import knowledge, run_in_loop, table
+from tests.simulated_fleet import WEAK, simulate, started
+from tests.simulated_registrations import SETTLED, SimulatedNews
+from tests.simulated_store import Access
+
+#: Seconds after which a router that starts has the records of its peers: two polls.
+MAX_START_DELAY = 1.0
 
 
 # Guards against a version 0 that is taken for no configuration: it was treated as
@@ -31,3 +40,55 @@
         return taken
 
     assert run_in_loop(run) == [0, 2]
+
+
+def start_beside_a_silent_store(count, places, version):
+    """Return the version that a router which restarts has from its peers, or None."""
+
+    async def run():
+        fleet = started(count, places)
+        world = SimulatedNews(fleet, version)
+        await asyncio.sleep(SETTLED)
+        world.store.access["r-1"] = Access.SWALLOWED
+        fleet.kill("r-1")
+        fleet.dead.discard("r-1")
+        fleet.start("r-1", fleet.places["r-1"], WEAK)
+        await asyncio.sleep(MAX_START_DELAY)
+        known = world.routers["r-1"].knowledge.version
+        await fleet.close()
+        return known
+
+    with logbook.NullHandler().applicationbound():
+        return simulate(run)
+
+
+# Guards against peers with version 0 that count as peers without a configuration.
+@pytest.mark.parametrize(("count", "places"), [(4, 2), (24, 3)])
+@pytest.mark.parametrize("version", [0, 1])
+def test_a_router_beside_a_silent_store_took_no_version_0_from_peers(
+    version, count, places
+):
+    assert start_beside_a_silent_store(count, places, version) == version
+
+
+def calm_calls(version):
+    """Return the store calls of a second of a fleet in which few routers read."""
+
+    async def run():
+        fleet = started(24, 3)
+        world = SimulatedNews(fleet, version)
+        await asyncio.sleep(SETTLED)
+        world.store.calls.clear()
+        await asyncio.sleep(4.0)
+        calls = sum(world.store.calls.values()) / 4.0
+        await fleet.close()
+        return calls
+
+    with logbook.NullHandler().applicationbound():
+        return simulate(run)
+
+
+# Guards against ages that peers with version 0 report and that nobody counts: every
+# router then reads the store for itself.
+def test_a_fleet_with_version_0_called_the_store_at_every_router():
+    assert calm_calls(0) <= 1.1 * calm_calls(1)
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -81,6 +81,7 @@
             refused=not self.knowledge.store.reachable,
             evacuations_changed=self.knowledge.evacuations.changed_at,
             operators_age=round(self.anti_entropy.operators_age() * 1000),
+            configured=self.knowledge.routes is not None,
         )
 
     def store_changed(self):
