Ask peers for evacuations and registrations that were never written

What callers saw: a router that restarted while the store did not answer it stayed unready as long as the silence lasted, beside ready peers that had everything.

Cause: position 0 stood for "nothing known" and for "nothing written yet". A router without evacuations states 0, and so do peers where no data centre was ever evacuated: no peer was ahead, none was asked, and readiness needs that list. The same for registrations before the first one; a list of a peer at position 0 was ignored. A router without a list took the age of its peers' for its own.

Ruled out: peers that are not reached (the configuration arrives in two polls), missing registrations (they arrive where there are any), an evacuation that readiness needs (with one, the tests of the same starts passed before).

Change: `Knowledge` states positions that are None without a list, and any position of a peer is newer. A peer's position 0 counts if the peer has a configuration; one that answers 404 is ranked last for 2.5 s, as one that does not answer.

--- a/carawayfold/coordination/knowledge/anti_entropy.py
+++ b/carawayfold/coordination/knowledge/anti_entropy.py
@@ -28,7 +28,7 @@
     from carawayfold.coordination.knowledge.knowledge import Knowledge
     from carawayfold.protocol.datagrams import Heartbeat
     from carawayfold.settings import Address
-    from carawayfold.state.ids import RouterId
+    from carawayfold.state.ids import Position, RouterId
     from carawayfold.transport.client import HttpClient
 
 logger = logbook.Logger(__name__)
@@ -55,8 +55,9 @@
 OWN_READ_GRACE_DURATION = 0.3
 #: Seconds within which a peer must answer a fetch.
 FETCH_TIMEOUT = 0.4
-#: Seconds for which a peer that did not answer is asked only if no other peer is ahead
-#: of this router. After that time its silence is detected by missing heartbeats.
+#: Seconds for which a peer that did not answer, or had no records, is asked only if no
+#: other peer is ahead of this router. After that time its silence is detected by
+#: missing heartbeats.
 UNRESPONSIVE_DURATION = 2.5
 #: Seconds added to each age that a peer reports, for transit and event loop delay.
 #: Without it an age that circulates among routers, none of which reads the store, would
@@ -94,7 +95,8 @@
         self.known_at = knowledge.store.registrations
         #: Loop time since which a peer has had newer registrations; None if none has.
         self.behind_since: float | None = None
-        #: Loop time until which each peer that did not answer is ranked last.
+        #: Loop time until which each peer that did not answer, or had no records, is
+        #: ranked last.
         self.unresponsive_until: dict[RouterId, float] = {}
         #: Set while this router should read registrations from the store.
         self.reading = asyncio.Event()
@@ -156,7 +158,9 @@
 
         def is_ahead(beat: Heartbeat) -> bool:
             ahead = is_newer(beat.configuration, known.version)
-            return ahead or beat.endpoints_offset > known.endpoints.offset
+            return ahead or is_newer(
+                beat.endpoints_offset, known.registrations_position
+            )
 
         own = asyncio.get_running_loop().time() - known.store.registrations
         return self._age(own, is_ahead, lambda beat: beat.store_age)
@@ -167,7 +171,9 @@
 
         def is_ahead(beat: Heartbeat) -> bool:
             ahead = is_newer(beat.configuration, known.version)
-            return ahead or beat.evacuations_changed > known.evacuations.changed_at
+            return ahead or is_newer(
+                beat.evacuations_changed, known.evacuations_position
+            )
 
         return self._age(
             known.operators_age(), is_ahead, lambda beat: beat.operators_age
@@ -254,14 +260,16 @@
         peer = self._most_advanced_peer(lambda beat: beat.configuration, known.version)
         if peer is not None:
             await self._fetch(peer, CONFIGURATION_PATH)
-        changed_at = known.evacuations.changed_at
         peer = self._most_advanced_peer(
-            lambda beat: beat.evacuations_changed, changed_at
+            lambda beat: _stated_position(beat, beat.evacuations_changed),
+            known.evacuations_position,
         )
         if peer is not None:
             await self._fetch(peer, EVACUATIONS_PATH)
-        offset = known.endpoints.offset
-        peer = self._most_advanced_peer(lambda beat: beat.endpoints_offset, offset)
+        peer = self._most_advanced_peer(
+            lambda beat: _stated_position(beat, beat.endpoints_offset),
+            known.registrations_position,
+        )
         if peer is None:
             self.behind_since = None
         elif self._should_ask_peers():
@@ -273,8 +281,8 @@
         """Return the peer to fetch records newer than `own` from, None if none has any.
 
         `progress` returns the version or position that a peer states, None for none.
-        Peers that recently did not answer come last. Among the others the most advanced
-        comes first, and among equals one of this data centre.
+        Peers that recently did not answer, or had no records, come last. Among the
+        others the most advanced comes first, and among equals one of this data centre.
         """
         now = asyncio.get_running_loop().time()
         place = self.fleet.own.data_centre
@@ -313,8 +321,11 @@
             return
         try:
             answer = await self.http.fetch(address, "GET", path, timeout=FETCH_TIMEOUT)
-            if answer.head.status == 200:
-                self._apply_answer(router, path, answer.body)
+            if answer.head.status != 200:
+                # It has no such records yet.
+                self._rank_last(router)
+                return
+            self._apply_answer(router, path, answer.body)
         except (
             ExchangeError,
             msgspec.MsgspecError,
@@ -326,11 +337,14 @@
                 "fetching from a peer failed",
                 extra={"peer": router, "reason": str(error)},
             )
-            now = asyncio.get_running_loop().time()
-            self.unresponsive_until[router] = now + UNRESPONSIVE_DURATION
+            self._rank_last(router)
             return
         self.unresponsive_until.pop(router, None)
 
+    def _rank_last(self, router: RouterId) -> None:
+        now = asyncio.get_running_loop().time()
+        self.unresponsive_until[router] = now + UNRESPONSIVE_DURATION
+
     def _apply_answer(self, router: RouterId, path: str, body: bytes) -> None:
         if path == CONFIGURATION_PATH:
             self._apply_configuration(router, body)
@@ -349,3 +363,11 @@
             logger.warning("configuration without a key policy ignored", extra=extra)
             return
         self.knowledge.apply_routes(table, router)
+
+
+def _stated_position(beat: Heartbeat, position: Position) -> Position | None:
+    """Return a position that a peer states, None if it may have no records at all.
+
+    The first position is 0, and so is that of a router without records.
+    """
+    return position if position or beat.configuration is not None else None
--- a/carawayfold/coordination/knowledge/followers.py
+++ b/carawayfold/coordination/knowledge/followers.py
@@ -274,7 +274,7 @@
         lambda: SHARED_LONG_POLL_TIMEOUT if reads_for_others() else LONG_POLL_TIMEOUT,
         wait_for_turn,
         knowledge.record_registrations_answer,
-        lambda: knowledge.endpoints.offset if knowledge.listed else None,
+        lambda: knowledge.registrations_position,
         ENDPOINT_READ_INTERVAL,
         no_answer_delay,
     )
--- a/carawayfold/coordination/knowledge/knowledge.py
+++ b/carawayfold/coordination/knowledge/knowledge.py
@@ -147,6 +147,16 @@
         """Return the version of the configuration in force, None without one."""
         return self.routes.version if self.routes is not None else None
 
+    @property
+    def registrations_position(self) -> Position | None:
+        """Return the position up to which registrations are known, None if none are."""
+        return self.endpoints.offset if self.listed else None
+
+    @property
+    def evacuations_position(self) -> Position | None:
+        """Return the position of the last change of evacuations, None if not known."""
+        return self.evacuations.changed_at if self.evacuations.known else None
+
     @property
     def complete(self) -> bool:
         """Return whether all records needed to forward requests are known."""
@@ -292,8 +302,8 @@
         self._notify_if_changed(True, now)
 
     def merge_snapshot(self, snapshot: EndpointSnapshot, source: RouterId) -> None:
-        """Apply a peer's list of endpoints if its offset is higher."""
-        if snapshot.offset <= self.endpoints.offset:
+        """Apply a peer's list of endpoints if its offset is newer."""
+        if not is_newer(snapshot.offset, self.registrations_position):
             return
         logger.info(
             "endpoint list taken from a peer",
--- a/tests/coordination/knowledge/test_anti_entropy.py
+++ b/tests/coordination/knowledge/test_anti_entropy.py
@@ -104,6 +104,7 @@
         ahead = made.registrations_age()
         known.apply_routes(table(1), "store")
         known.endpoints.offset = 1
+        known.listed = True
         return round(ahead), round(made.registrations_age())
 
     assert run_in_loop(run) == (60, 3)
--- a/tests/coordination/knowledge/test_first_versions.py
+++ b/tests/coordination/knowledge/test_first_versions.py
@@ -5,10 +5,14 @@
 import asyncio
 
 import logbook
+import msgspec
 import pytest
 
+from carawayfold.checked import MAX_INTEGER
 from carawayfold.protocol.sources import Page
+from carawayfold.state.routes import WeightedService
 from tests.knowledge_builders import knowledge, run_in_loop, table
+from tests.schedule_builders import route
 from tests.simulated_fleet import WEAK, simulate, started
 from tests.simulated_registrations import SETTLED, SimulatedNews
 from tests.simulated_store import Access
@@ -20,7 +24,7 @@
 # Guards against a version 0 that is taken for no configuration: it was treated as
 # overtaken by a peer's, whose routes are unknown, and the error ended the router.
 @pytest.mark.parametrize("listed", [True, False])
-@pytest.mark.parametrize("version", [0, 1])
+@pytest.mark.parametrize("version", [0, 1, MAX_INTEGER])
 def test_a_first_configuration_of_version_0_ended_the_router(version, listed):
     async def run():
         known, taken = knowledge()
@@ -42,6 +46,39 @@
     assert run_in_loop(run) == [0, 2]
 
 
+def routes_to(version, service):
+    """Return a configuration whose only route goes to a service."""
+    routes = (route(services=(WeightedService(service, 1.0),)),)
+    return msgspec.structs.replace(table(version), routes=routes)
+
+
+def changed_services(first, later):
+    """Return the routes whose services count as changed, and whether `first` stays."""
+
+    async def run():
+        known, _ = knowledge()
+        known.apply_operator_records(Page([first], 1), listed=True)
+        known.apply_operator_records(Page([later], 2))
+        return set(known.route_history.changed_at), known.routes == first
+
+    return run_in_loop(run)
+
+
+# Guards against an equal version of the store that counts as one that was overtaken, so
+# that streams of its routes are refused.
+@pytest.mark.parametrize("version", [0, 1, MAX_INTEGER])
+def test_an_equal_version_that_is_read_again_changes_nothing(version):
+    table = routes_to(version, "model")
+    assert changed_services(table, table) == (set(), True)
+
+
+# Other routers may have put it in force, and begun streams at its service.
+@pytest.mark.parametrize("version", [0, 1])
+def test_an_equal_version_with_another_service_is_noted_and_not_put_in_force(version):
+    changed = changed_services(routes_to(version, "model"), routes_to(version, "other"))
+    assert changed == ({route().id}, True)
+
+
 def start_beside_a_silent_store(count, places, version):
     """Return the version that a router which restarts has from its peers, or None."""
 
--- a/tests/integration/test_first_configuration.py
+++ b/tests/integration/test_first_configuration.py
@@ -1,8 +1,9 @@
-"""Routers whose first configuration has the version 0."""
+"""Routers that start with a first configuration, also beside a silent store."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import pytest
 
@@ -14,14 +15,15 @@
 MAX_START_DELAY = 20.0
 
 
-@pytest.fixture
-def fleet():
+@pytest.fixture(params=[0, 1])
+def fleet(request):
+    """Start routers with a first configuration of each version."""
     with Processes() as processes:
         fleet = HostedFleet(processes)
-        fleet.configure(configuration(0))
+        fleet.configure(configuration(request.param))
         fleet.start_endpoint("desk-0", "desk")
         for router in ROUTERS:
-            fleet.start_router(router)
+            fleet.start_router(router, behind_proxy=True)
         yield fleet
 
 
@@ -56,3 +58,18 @@
         return served, await statuses(fleet, "other-key")
 
     assert asyncio.run(scenario()) == ([200] * 3, [401] * 3)
+
+
+# Guards against routers that know no evacuations, as their peers know of none either,
+# and so are not ready until the store answers them.
+def test_a_router_beside_a_silent_store_waited_for_it_with_ready_peers(fleet):
+    async def scenario():
+        await wait_ready(fleet)
+        fleet.set_store_faults(ROUTERS[0], swallow_up=True, swallow_down=True)
+        fleet.routers[ROUTERS[0]].signal(signal.SIGKILL)
+        fleet.routers[ROUTERS[0]].popen.wait()
+        fleet.restart_router(ROUTERS[0])
+        await wait_ready(fleet)
+        return await statuses(fleet, KEY)
+
+    assert asyncio.run(scenario()) == [200] * 3
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -151,6 +151,13 @@
     assert refused.value.kind is ErrorKind.MALFORMED_REQUEST
 
 
+# Guards against a first number that is read as none.
+def test_event_0_and_a_deadline_of_0_are_stated():
+    pairs = [(b"last-event-id", b"0"), (b"request-deadline", b"0")]
+    parsed = PlatformDialect().read_request(pairs)
+    assert (parsed.resume_after, parsed.time_left) == (0, 0.0)
+
+
 @pytest.mark.parametrize("headers", [[], [(b"last-event-id", b"")]])
 def test_a_request_that_names_no_event_resumes_no_stream(headers):
     assert PlatformDialect().read_request(headers).resume_after is None
--- a/tests/simulated_registrations.py
+++ b/tests/simulated_registrations.py
@@ -156,9 +156,11 @@
     ----------
     version : int
         First version of the configuration.
+    endpoints : int
+        Number of endpoints that are registered at first.
     """
 
-    def __init__(self, fleet, version=1):
+    def __init__(self, fleet, version=1, endpoints=ENDPOINTS):
         self.fleet = fleet
         self.loop = fleet.loop
         self.draw = fleet.draw
@@ -169,7 +171,7 @@
         fleet.attach = self.attach
         fleet.fill_beat = lambda name, beat: self.routers[name].beat(beat)
         self.store.configure(version)
-        for number in range(ENDPOINTS):
+        for number in range(endpoints):
             self.register(f"e-{number}")
 
     def attach(self, name, router):
