--- a/tests/coordination/knowledge/test_starts_beside_a_silent_store.py
+++ b/tests/coordination/knowledge/test_starts_beside_a_silent_store.py
@@ -17,7 +17,7 @@
 from tests.simulated_registrations import SETTLED, SimulatedNews
 from tests.simulated_store import Access
 
-#: Seconds after which a router that starts has the records of its peers: two polls.
+#: Seconds after which a router that starts has the records of its peers: four polls.
 MAX_START_DELAY = 1.0
 FLEETS = [(2, 1), (4, 2), (9, 3), (24, 3), (67, 3)]
 
