Restart simulated routers by one method

Ruled out: a change of what they play; the draws keep their order, and no check changes.

Change: `SimulatedFleet.restart`, called by test_first_versions, test_starts_beside_a_silent_store and simulated_configurations. Others that restart routers with more of their own are left.

--- a/tests/coordination/knowledge/test_first_versions.py
+++ b/tests/coordination/knowledge/test_first_versions.py
@@ -88,8 +88,7 @@
         await asyncio.sleep(SETTLED)
         world.store.access["r-1"] = Access.SWALLOWED
         fleet.kill("r-1")
-        fleet.dead.discard("r-1")
-        fleet.start("r-1", fleet.places["r-1"], WEAK)
+        fleet.restart("r-1", WEAK)
         await asyncio.sleep(MAX_START_DELAY)
         known = world.routers["r-1"].knowledge.version
         await fleet.close()
--- a/tests/coordination/knowledge/test_starts_beside_a_silent_store.py
+++ b/tests/coordination/knowledge/test_starts_beside_a_silent_store.py
@@ -30,8 +30,7 @@
     fleet = world.fleet
     world.store.access.update(dict.fromkeys(silent, Access.SWALLOWED))
     fleet.kill(name)
-    fleet.dead.discard(name)
-    fleet.start(name, fleet.places[name], WEAK)
+    fleet.restart(name, WEAK)
     await asyncio.sleep(MAX_START_DELAY)
     return world.routers[name].knowledge.complete
 
--- a/tests/simulated_configurations.py
+++ b/tests/simulated_configurations.py
@@ -231,9 +231,8 @@
     world.store.operators_access.clear()
     fleet.apart.clear()
     for name in world.killed:
-        fleet.dead.discard(name)
         processor = STRONG if fleet.draw.random() < 0.1 else WEAK
-        fleet.start(name, fleet.places[name], processor, fleet.draw.uniform(0, 0.3))
+        fleet.restart(name, processor, fleet.draw.uniform(0, 0.3))
 
 
 def rounds_of(count, places, trouble, seeds, bound=2.0, word=Word.VERSION):
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -213,6 +213,11 @@
             if name in self.looks:
                 self.looks.pop(name).cancel()
 
+    def restart(self, name, processor, after=0.0):
+        """Start a killed router again in its data centre."""
+        self.dead.discard(name)
+        self.start(name, self.places[name], processor, after)
+
     def leaders(self, subject, place=None):
         """Count the routers that take each router for the leader of a subject."""
         return Counter(
